--- /dev/null
+++ b/Makefile
@@ -0,0 +1,18 @@
+GO ?= go
+
+.PHONY: build test fmt bench measure capacity demo
+
+build:
+	$(GO) build -o bin/ ./cmd/...
+
+test:
+	./scripts/check.sh
+
+fmt:
+	$(GO) tool gofumpt -w $$(git ls-files --cached --others --exclude-standard '*.go')
+
+bench:
+	$(GO) test -run '^$$' -bench . -benchmem ./lib/...
+
+demo: build
+	./scripts/demo.sh
--- /dev/null
+++ b/lib/pipeline/pipeline.go
@@ -0,0 +1,107 @@
+// Package pipeline defines the exchange that passes through the filters of a gateway and the handler
+// interface that every filter implements.
+package pipeline
+
+import (
+	"context"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"cuminhook.org/cuminhook/lib/refusal"
+)
+
+// Handler serves one exchange. It returns a *refusal.Error to refuse it; the server writes the refusal.
+type Handler interface {
+	Serve(ctx context.Context, ex *Exchange) error
+}
+
+// HandlerFunc adapts a function to Handler.
+type HandlerFunc func(ctx context.Context, ex *Exchange) error
+
+// Serve calls f.
+func (f HandlerFunc) Serve(ctx context.Context, ex *Exchange) error { return f(ctx, ex) }
+
+// Kind tells what an exchange asks for.
+type Kind uint8
+
+// Kinds of exchange.
+const (
+	KindNone    Kind = iota
+	KindModel        // POST /v1/chat/completions or /v1/completions
+	KindModels       // GET /v1/models
+	KindService      // a configured route to a plain service
+)
+
+// Exchange is one request in flight. A filter writes only the fields named after it; filters that
+// follow may read them.
+type Exchange struct {
+	HTTP  *fasthttp.RequestCtx
+	Start time.Time
+
+	// requestid
+	ID string
+
+	// inlet
+	Kind           Kind
+	Model          string // model or adapter name as the caller wrote it
+	Stream         bool
+	MaxOutput      int64  // tokens; zero if the caller states none
+	PromptTokens   int64  // estimate
+	PrefixHash     uint64 // hash of the leading part of the prompt, zero if none
+	IdempotencyKey string
+	TimeoutHeader  time.Duration // deadline asked for by the caller, zero if none
+
+	// auth
+	Organisation string   // empty on open routes
+	KeyHash      [32]byte // SHA-256 of the caller's key
+
+	// routing
+	Route      string // route name for KindService
+	Service    string // service name for KindService
+	BaseModel  string // model to run
+	Adapter    string // empty if none
+	Idempotent bool
+	Deadline   time.Time
+	Charge     int64 // tokens charged at admission: prompt plus the most output
+
+	// admission
+	Priority int // lower runs earlier at the engine
+
+	finish   []func(Outcome)
+	detached bool
+	finished bool
+}
+
+// Outcome is how an exchange ended.
+type Outcome struct {
+	Status       int
+	Reason       refusal.Reason // empty if answered
+	Run          refusal.RunState
+	Complete     bool  // the caller got the whole answer
+	Ran          bool  // a target ran the request, or may have
+	PromptTokens int64 // as reported by the target; -1 if unknown
+	OutputTokens int64 // -1 if unknown
+	FirstToken   time.Duration
+	Body         []byte // whole answer for idempotency records; nil for streams
+}
+
+// OnFinish registers fn to run once when the exchange ends. The functions run in reverse order.
+func (ex *Exchange) OnFinish(fn func(Outcome)) { ex.finish = append(ex.finish, fn) }
+
+// Detach tells the server that the answer goes on after Serve returned; its writer calls Finish.
+func (ex *Exchange) Detach() { ex.detached = true }
+
+// Detached reports whether Detach was called.
+func (ex *Exchange) Detached() bool { return ex.detached }
+
+// Finish runs the registered functions. Only the first call has an effect.
+func (ex *Exchange) Finish(out Outcome) {
+	if ex.finished {
+		return
+	}
+	ex.finished = true
+	for i := len(ex.finish) - 1; i >= 0; i-- {
+		ex.finish[i](out)
+	}
+}
--- /dev/null
+++ b/lib/refusal/refusal.go
@@ -0,0 +1,78 @@
+// Package refusal holds the typed refusals that callers and operators receive.
+package refusal
+
+import (
+	"errors"
+	"fmt"
+	"time"
+)
+
+// Reason is a stable machine-readable refusal reason.
+type Reason string
+
+// Refusal reasons.
+const (
+	KeyMissing             Reason = "key_missing"
+	KeyUnknown             Reason = "key_unknown"
+	ConfigStale            Reason = "config_stale"
+	Starting               Reason = "starting"
+	Stopping               Reason = "stopping"
+	BadRequest             Reason = "bad_request"
+	BodyTooLarge           Reason = "body_too_large"
+	RequestTimeout         Reason = "request_timeout"
+	NotFound               Reason = "not_found"
+	ModelUnknown           Reason = "model_unknown"
+	NotAllowed             Reason = "not_allowed"
+	RateExceeded           Reason = "rate_exceeded"
+	BurstTooSmall          Reason = "burst_too_small"
+	DeadlineUnreachable    Reason = "deadline_unreachable"
+	QueueFull              Reason = "queue_full"
+	NoTarget               Reason = "no_target"
+	TargetFailed           Reason = "target_failed"
+	TargetTimeout          Reason = "target_timeout"
+	StreamBroken           Reason = "stream_broken"
+	InProgress             Reason = "in_progress"
+	OutcomeUnknown         Reason = "outcome_unknown"
+	IdempotencyKeyReused   Reason = "idempotency_key_reused"
+	IdempotencyUnconfirmed Reason = "idempotency_unconfirmed"
+	Internal               Reason = "internal"
+
+	TicketInvalid    Reason = "ticket_invalid"
+	TicketTooLarge   Reason = "ticket_too_large"
+	NumberReused     Reason = "number_reused"
+	NumberTooOld     Reason = "number_too_old"
+	Superseded       Reason = "superseded"
+	NoMajority       Reason = "no_majority"
+	StoreUnavailable Reason = "store_unavailable"
+)
+
+// RunState tells whether the refused request ran at a target.
+type RunState string
+
+// Run states. NotRun is stated only when no target can have run the request.
+const (
+	NotRun  RunState = "not_run"
+	Unknown RunState = "unknown"
+)
+
+// Error is a refusal. It is written to callers as JSON.
+type Error struct {
+	Reason     Reason
+	Run        RunState
+	Status     int           // HTTP status code
+	Message    string        // what happened
+	Remedy     string        // what the caller or operator can do
+	RetryAfter time.Duration // zero if a retry after a delay does not help
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	return fmt.Sprintf("%s (%s): %s; %s", e.Reason, e.Run, e.Message, e.Remedy)
+}
+
+// As returns the refusal in the chain of err.
+func As(err error) (*Error, bool) {
+	var r *Error
+	ok := errors.As(err, &r)
+	return r, ok
+}
--- /dev/null
+++ b/scripts/check.sh
@@ -0,0 +1,23 @@
+#!/usr/bin/env bash
+# Runs every check of the project: format, vet, staticcheck, tests with the race detector.
+# Tests listed in KNOWN-RED.txt are passed over and printed.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+unformatted=$(git ls-files --cached --others --exclude-standard '*.go' | xargs -r go tool gofumpt -l)
+if [ -n "$unformatted" ]; then
+	echo "not formatted, run 'make fmt':"
+	echo "$unformatted"
+	exit 1
+fi
+go vet ./...
+go tool staticcheck ./...
+
+# A line 'test: TestName' in KNOWN-RED.txt names a test that fails because of a fault not yet fixed.
+skip=""
+if [ -s KNOWN-RED.txt ]; then
+	skip=$(sed -n 's/^test: *\(Test[A-Za-z0-9_]*\).*/^\1$/p' KNOWN-RED.txt | paste -sd'|')
+	echo "known red, passed over:"
+	cat KNOWN-RED.txt
+fi
+go test -race ${skip:+-skip "$skip"} ./...
