Add the router

Cause: requests need a target chosen from lagging load, own outstanding work, prefix caches, adapters and zones, without a herd on the target that last reported idle. Change: lib/router compares two random candidates and the believed prefix holder by estimated time to first token; failing targets are ejected for a growing time and return with one trial request. State per target is atomic, so that a pick takes no lock.

--- /dev/null
+++ b/lib/router/router.go
@@ -0,0 +1,253 @@
+// Package router chooses the target of each request. It does no I/O; time and randomness are passed in,
+// and one Router may be used by many goroutines at once.
+package router
+
+import (
+	"sync/atomic"
+	"time"
+
+	"cuminhook.org/cuminhook/lib/engine"
+	"cuminhook.org/cuminhook/lib/placement"
+)
+
+const (
+	// sampled is the number of random candidates compared. Comparing a few instead of all keeps
+	// gateways with the same lagging load reports from choosing the same target.
+	sampled = 2
+	// scanAll is the number of candidates up to which all are compared, starting at a random one.
+	scanAll = 4
+	// excludeMax bounds the targets that a retry can exclude.
+	excludeMax = 4
+
+	defaultServiceTime = 2 * time.Second
+	defaultPrefillRate = 8000 // tokens a second, until measured
+	reportHalfLife     = 2 * time.Second
+)
+
+// Config holds the costs that a Router weighs.
+type Config struct {
+	Zone        string                          // own availability zone
+	Distance    func(a, b string) time.Duration // one-way delay between zones; nil: 1 ms between different zones
+	AdapterLoad time.Duration                   // expected time of an adapter load
+	PrefixSlots int                             // entries of the prefix table, a power of two
+	Rand        func() uint64
+}
+
+// Router is the routing state of one gateway.
+type Router struct {
+	cfg    Config
+	topo   atomic.Pointer[topology]
+	prefix *prefixTable
+}
+
+// topology is immutable; the Targets that it refers to carry over from one topology to the next.
+type topology struct {
+	targets map[string]*Target
+	models  map[string][]*Target
+	holds   map[residence]struct{} // models and adapters
+	byHash  map[uint32]*Target
+}
+
+// residence is a model or adapter on a target.
+type residence struct {
+	name   string
+	target *Target
+}
+
+// Request is what a choice depends on.
+type Request struct {
+	Model        string
+	Adapter      string
+	Prefix       uint64 // zero if none
+	PromptTokens int64
+	exclude      [excludeMax]*Target
+	excluded     int
+}
+
+// Exclude keeps t out of later choices for the request.
+func (q *Request) Exclude(t *Target) {
+	q.exclude[q.excluded%excludeMax] = t
+	q.excluded++
+}
+
+func (q *Request) excludes(t *Target) bool {
+	for _, e := range q.exclude {
+		if e == t {
+			return true
+		}
+	}
+	return false
+}
+
+// New returns a Router without targets.
+func New(cfg Config) *Router {
+	if cfg.Distance == nil {
+		cfg.Distance = func(a, b string) time.Duration {
+			if a == b {
+				return 0
+			}
+			return time.Millisecond
+		}
+	}
+	if cfg.AdapterLoad == 0 {
+		cfg.AdapterLoad = 5 * time.Millisecond
+	}
+	if cfg.PrefixSlots == 0 {
+		cfg.PrefixSlots = 1 << 15
+	}
+	r := &Router{cfg: cfg, prefix: newPrefixTable(cfg.PrefixSlots)}
+	r.topo.Store(&topology{})
+	return r
+}
+
+// SetPlacement replaces the topology. Targets known before keep their load and failure state; leaving
+// and excluded ones get no new work.
+func (r *Router) SetPlacement(view *placement.View, excluded func(id string) bool) {
+	old := r.topo.Load()
+	next := &topology{
+		targets: make(map[string]*Target, len(view.Targets)),
+		models:  make(map[string][]*Target),
+		holds:   make(map[residence]struct{}),
+		byHash:  make(map[uint32]*Target, len(view.Targets)),
+	}
+	for i := range view.Targets {
+		v := &view.Targets[i]
+		if v.Leaving || (excluded != nil && excluded(v.ID)) {
+			continue
+		}
+		t := old.targets[v.ID]
+		if t == nil || t.Addr != v.Addr {
+			t = newTarget(v, r.cfg.Distance(r.cfg.Zone, v.Zone))
+		}
+		t.slots.Store(int64(max(v.Slots, 1)))
+		next.targets[v.ID] = t
+		next.byHash[t.hash] = t
+		for _, m := range v.Models {
+			next.models[m] = append(next.models[m], t)
+			next.holds[residence{m, t}] = struct{}{}
+		}
+		for _, a := range v.Adapters {
+			next.holds[residence{a, t}] = struct{}{}
+		}
+	}
+	r.topo.Store(next)
+}
+
+// Copies returns the number of routable targets of the model.
+func (r *Router) Copies(model string) int { return len(r.topo.Load().models[model]) }
+
+// Pick chooses a target for the request and counts the request as outstanding there until Done.
+// It reports false if no target can take the model now.
+func (r *Router) Pick(now time.Time, q *Request) (*Target, bool) {
+	best, _ := r.cheapest(now, q)
+	if best == nil {
+		return nil, false
+	}
+	best.begin()
+	if q.Prefix != 0 {
+		r.prefix.put(q.Prefix, best.hash)
+	}
+	return best, true
+}
+
+// Wait estimates the time to the first token of the request if it were sent now.
+func (r *Router) Wait(now time.Time, q *Request) (time.Duration, bool) {
+	best, cost := r.cheapest(now, q)
+	return cost, best != nil
+}
+
+// Target returns the target with the id, or nil.
+func (r *Router) Target(id string) *Target { return r.topo.Load().targets[id] }
+
+// Report records a load report of the target; sent is the time at which the engine made it.
+func (r *Router) Report(id string, load engine.Load, sent time.Time) {
+	if t := r.Target(id); t != nil {
+		t.report(load, sent)
+	}
+}
+
+// PrefixCached records a cache event: the target holds or has dropped the prefix.
+func (r *Router) PrefixCached(id string, prefix uint64, held bool) {
+	t := r.Target(id)
+	if t == nil {
+		return
+	}
+	if held {
+		r.prefix.put(prefix, t.hash)
+	} else {
+		r.prefix.drop(prefix, t.hash)
+	}
+}
+
+func (r *Router) cheapest(now time.Time, q *Request) (*Target, time.Duration) {
+	topo := r.topo.Load()
+	candidates := topo.models[q.Model]
+	n := len(candidates)
+	if n == 0 {
+		return nil, 0
+	}
+	holder := uint32(0)
+	if q.Prefix != 0 {
+		holder = r.prefix.get(q.Prefix)
+	}
+	s := selection{topo: topo, q: q, now: now, holder: holder, adapterLoad: r.cfg.AdapterLoad}
+	start := int(r.cfg.Rand() % uint64(n))
+	if n <= scanAll {
+		for i := range n {
+			s.consider(candidates[(start+i)%n])
+		}
+		return s.best, s.cost
+	}
+	s.consider(candidates[start])
+	for range sampled - 1 {
+		s.consider(candidates[int(r.cfg.Rand()%uint64(n))])
+	}
+	if holder != 0 {
+		s.considerHolder()
+	}
+	// All samples may be ejected or excluded; then the whole list is tried.
+	for i := 0; s.best == nil && i < n; i++ {
+		s.consider(candidates[(start+i)%n])
+	}
+	return s.best, s.cost
+}
+
+// selection keeps the cheapest candidate seen so far.
+type selection struct {
+	topo        *topology
+	q           *Request
+	now         time.Time
+	holder      uint32
+	adapterLoad time.Duration
+	best        *Target
+	cost        time.Duration
+}
+
+func (s *selection) consider(t *Target) {
+	if s.q.excludes(t) || !t.usable(s.now) {
+		return
+	}
+	cost := t.wait(s.now) + t.distance
+	if t.hash != s.holder {
+		cost += t.prefill(s.q.PromptTokens)
+	}
+	if s.q.Adapter != "" {
+		if _, ok := s.topo.holds[residence{s.q.Adapter, t}]; !ok {
+			cost += s.adapterLoad
+		}
+	}
+	if s.best == nil || cost < s.cost {
+		s.best, s.cost = t, cost
+	}
+}
+
+// considerHolder adds the target that is believed to cache the prefix, if it holds the model.
+func (s *selection) considerHolder() {
+	t := s.topo.byHash[s.holder]
+	if t == nil {
+		return
+	}
+	if _, ok := s.topo.holds[residence{s.q.Model, t}]; ok {
+		s.consider(t)
+	}
+}
--- /dev/null
+++ b/lib/router/router_test.go
@@ -0,0 +1,166 @@
+package router
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"cuminhook.org/cuminhook/lib/engine"
+	"cuminhook.org/cuminhook/lib/placement"
+)
+
+var epoch = time.Unix(1_000_000, 0)
+
+func newRouter(targets, models, copies int) *Router {
+	rnd := rand.New(rand.NewPCG(1, 2))
+	return withView(Config{Zone: "z0", Rand: rnd.Uint64}, targets, models, copies)
+}
+
+func withView(cfg Config, targets, models, copies int) *Router {
+	view := &placement.View{}
+	for i := range targets {
+		view.Targets = append(view.Targets, placement.TargetView{
+			ID: fmt.Sprintf("t%d", i), Addr: fmt.Sprintf("127.0.0.1:%d", 1000+i), Zone: fmt.Sprintf("z%d", i%4), Slots: 8,
+		})
+	}
+	for m := range models {
+		for c := range copies {
+			t := &view.Targets[(m*7+c*13)%targets]
+			t.Models = append(t.Models, fmt.Sprintf("m%d", m))
+		}
+	}
+	r := New(cfg)
+	r.SetPlacement(view, nil)
+	return r
+}
+
+// Guards against a herd on the target that last reported idle.
+func TestPickSpreadsBetweenReports(t *testing.T) {
+	r := newRouter(20, 1, 20)
+	for i := 1; i < 20; i++ {
+		r.Report(fmt.Sprintf("t%d", i), engine.Load{Running: 4, Slots: 8}, epoch)
+	}
+	r.Report("t0", engine.Load{Running: 0, Slots: 8}, epoch)
+	counts := map[string]int{}
+	for range 200 {
+		target, ok := r.Pick(epoch, &Request{Model: "m0"})
+		if !ok {
+			t.Fatal("no target")
+		}
+		counts[target.ID]++
+	}
+	if counts["t0"] > 30 {
+		t.Errorf("target that reported idle got %d of 200 requests", counts["t0"])
+	}
+}
+
+// Guards against requests that share a prefix being spread over targets that must all prefill it.
+func TestPickPrefersPrefixHolder(t *testing.T) {
+	r := newRouter(20, 1, 20)
+	q := Request{Model: "m0", Prefix: 0xabcdef0123456789, PromptTokens: 4000}
+	first, _ := r.Pick(epoch, &q)
+	for range 5 {
+		next, _ := r.Pick(epoch, &q)
+		if next != first {
+			t.Fatalf("went to %s, prefix is at %s", next.ID, first.ID)
+		}
+	}
+	// A holder with a long queue must not attract more requests.
+	for range 40 {
+		first.begin()
+	}
+	if next, _ := r.Pick(epoch, &q); next == first {
+		t.Error("overloaded prefix holder was chosen")
+	}
+}
+
+// Guards against a failing target keeping its share of the requests, and against a flood at its return.
+func TestEjectionAndTrial(t *testing.T) {
+	r := newRouter(1, 1, 1)
+	now := epoch
+	for range ejectAfter {
+		target, _ := r.Pick(now, &Request{Model: "m0"})
+		target.Done(now, Result{Failed: true})
+	}
+	if _, ok := r.Pick(now, &Request{Model: "m0"}); ok {
+		t.Fatal("ejected target was chosen")
+	}
+	now = now.Add(ejectFirst)
+	trial, ok := r.Pick(now, &Request{Model: "m0"})
+	if !ok {
+		t.Fatal("no trial request after the ejection time")
+	}
+	if _, ok := r.Pick(now, &Request{Model: "m0"}); ok {
+		t.Fatal("second request before the trial ended")
+	}
+	trial.Done(now, Result{Failed: true})
+	if _, ok := r.Pick(now.Add(ejectFirst), &Request{Model: "m0"}); ok {
+		t.Fatal("ejection time did not grow after a failed trial")
+	}
+	trial, _ = r.Pick(now.Add(2*ejectFirst), &Request{Model: "m0"})
+	trial.Done(now, Result{})
+	for range 3 {
+		if _, ok := r.Pick(now, &Request{Model: "m0"}); !ok {
+			t.Fatal("target not readmitted after a successful trial")
+		}
+	}
+}
+
+// Guards against a retry going to the target that failed and against state lost on a new placement.
+func TestExcludeAndPlacementChange(t *testing.T) {
+	r := newRouter(2, 1, 2)
+	q := Request{Model: "m0"}
+	first, _ := r.Pick(epoch, &q)
+	q.Exclude(first)
+	second, ok := r.Pick(epoch, &q)
+	if !ok || second == first {
+		t.Fatal("excluded target was chosen")
+	}
+	view := &placement.View{Targets: []placement.TargetView{
+		{ID: first.ID, Addr: first.Addr, Zone: first.Zone, Slots: 8, Models: []string{"m0"}},
+		{ID: second.ID, Addr: second.Addr, Zone: second.Zone, Slots: 8, Models: []string{"m0"}, Leaving: true},
+	}}
+	r.SetPlacement(view, nil)
+	if got := r.Target(first.ID); got != first || got.Outstanding() != 1 {
+		t.Error("outstanding requests were lost with the new placement")
+	}
+	for range 10 {
+		if target, _ := r.Pick(epoch, &Request{Model: "m0"}); target != first {
+			t.Fatal("leaving target got new work")
+		}
+	}
+}
+
+// Guards against allocation on the routing path.
+func TestPickDoesNotAllocate(t *testing.T) {
+	r := newRouter(200, 30, 20)
+	q := Request{Model: "m3", Prefix: 77, PromptTokens: 500, Adapter: "a"}
+	allocs := testing.AllocsPerRun(1000, func() {
+		target, _ := r.Pick(epoch, &q)
+		target.Done(epoch, Result{})
+	})
+	if allocs != 0 {
+		t.Errorf("%v allocations per pick", allocs)
+	}
+}
+
+func BenchmarkPick(b *testing.B) {
+	for _, size := range []struct{ targets, models, copies int }{{200, 30, 20}, {10_000, 510, 60}} {
+		b.Run(fmt.Sprintf("targets=%d/models=%d", size.targets, size.models), func(b *testing.B) {
+			r := withView(Config{Zone: "z0", Rand: rand.Uint64}, size.targets, size.models, size.copies)
+			names := make([]string, size.models)
+			for i := range names {
+				names[i] = fmt.Sprintf("m%d", i)
+			}
+			b.ReportAllocs()
+			b.RunParallel(func(pb *testing.PB) {
+				for i := 0; pb.Next(); i++ {
+					q := Request{Model: names[i%len(names)], Prefix: uint64(i) << 20, PromptTokens: 500, Adapter: "a"}
+					target, _ := r.Pick(epoch, &q)
+					target.Done(epoch, Result{})
+				}
+			})
+		})
+	}
+}
--- /dev/null
+++ b/lib/router/target.go
@@ -0,0 +1,158 @@
+package router
+
+import (
+	"math"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"cuminhook.org/cuminhook/lib/engine"
+	"cuminhook.org/cuminhook/lib/placement"
+)
+
+const (
+	ejectAfter = 3 // consecutive failures
+	ejectFirst = time.Second
+	ejectMost  = 30 * time.Second
+	// averageShare is the weight of a new observation in the moving averages.
+	averageShare = 0.2
+)
+
+// Result is how an attempt at a target ended.
+type Result struct {
+	Failed       bool          // the target failed; refusals by the target because of load are not failures
+	PromptTokens int64         // zero if unknown
+	FirstToken   time.Duration // zero if unknown
+	Total        time.Duration // zero if unknown
+}
+
+// Target is the routing state of one target. Its fields are atomics, so that picks need no lock.
+type Target struct {
+	ID   string
+	Addr string
+	Zone string
+
+	hash     uint32
+	distance time.Duration
+	slots    atomic.Int64
+	own      atomic.Int64 // requests outstanding from this gateway
+
+	// Load of other gateways at the target at the time of the newest report.
+	others   atomic.Int64
+	reported atomic.Int64 // unix nanoseconds
+
+	serviceTime atomic.Uint64 // float64 seconds, moving average
+	prefillRate atomic.Uint64 // float64 tokens a second, moving average
+
+	failures     atomic.Int32
+	ejections    atomic.Int32
+	ejectedUntil atomic.Int64 // unix nanoseconds; zero if admitted
+}
+
+func newTarget(v *placement.TargetView, distance time.Duration) *Target {
+	t := &Target{ID: v.ID, Addr: v.Addr, Zone: v.Zone, distance: distance}
+	t.hash = uint32(xxhash.Sum64String(v.ID)) | 1 // zero stands for no target
+	t.serviceTime.Store(math.Float64bits(defaultServiceTime.Seconds()))
+	t.prefillRate.Store(math.Float64bits(defaultPrefillRate))
+	return t
+}
+
+// Outstanding returns the requests of this gateway at the target.
+func (t *Target) Outstanding() int64 { return t.own.Load() }
+
+// Slots returns the target's batch slots.
+func (t *Target) Slots() int64 { return t.slots.Load() }
+
+func (t *Target) begin() { t.own.Add(1) }
+
+// Done ends a request that Pick counted.
+func (t *Target) Done(now time.Time, res Result) {
+	t.own.Add(-1)
+	if res.Failed {
+		t.fail(now)
+		return
+	}
+	t.failures.Store(0)
+	t.ejections.Store(0)
+	t.ejectedUntil.Store(0)
+	if res.Total > 0 {
+		blend(&t.serviceTime, res.Total.Seconds())
+	}
+}
+
+// ObservePrefill records the time that the engine took for an uncached prompt.
+func (t *Target) ObservePrefill(tokens int64, took time.Duration) {
+	if tokens > 0 && took > 0 {
+		blend(&t.prefillRate, float64(tokens)/took.Seconds())
+	}
+}
+
+func (t *Target) fail(now time.Time) {
+	readmitted := t.ejectedUntil.Load() != 0
+	if t.failures.Add(1) < ejectAfter && !readmitted {
+		return
+	}
+	n := t.ejections.Add(1)
+	wait := min(ejectFirst<<min(n-1, 10), ejectMost)
+	t.ejectedUntil.Store(now.Add(wait).UnixNano())
+	t.failures.Store(0)
+}
+
+// usable reports whether the target may get work. An ejected target gets one trial request once its time
+// has passed, and more only after a success.
+func (t *Target) usable(now time.Time) bool {
+	until := t.ejectedUntil.Load()
+	if until == 0 {
+		return true
+	}
+	return now.UnixNano() >= until && t.own.Load() == 0
+}
+
+func (t *Target) report(load engine.Load, sent time.Time) {
+	if sent.UnixNano() < t.reported.Load() {
+		return
+	}
+	t.reported.Store(sent.UnixNano())
+	t.others.Store(max(int64(load.Running+load.Queued)-t.own.Load(), 0))
+	if load.Slots > 0 {
+		t.slots.Store(int64(load.Slots))
+	}
+}
+
+// wait estimates the time until a batch slot is free. Own outstanding work is exact; the work of other
+// gateways comes from a report that loses half its weight each reportHalfLife.
+func (t *Target) wait(now time.Time) time.Duration {
+	busy := float64(t.own.Load())
+	if others := t.others.Load(); others > 0 {
+		age := now.UnixNano() - t.reported.Load()
+		busy += float64(others) * decay(age)
+	}
+	slots := float64(max(t.slots.Load(), 1))
+	service := math.Float64frombits(t.serviceTime.Load())
+	if over := busy + 1 - slots; over > 0 {
+		return time.Duration(over / slots * service * float64(time.Second))
+	}
+	// A fuller batch decodes more slowly; a small term prefers the emptier of two free targets.
+	return time.Duration(busy / slots * float64(time.Millisecond))
+}
+
+func (t *Target) prefill(tokens int64) time.Duration {
+	rate := math.Float64frombits(t.prefillRate.Load())
+	return time.Duration(float64(tokens) / rate * float64(time.Second))
+}
+
+// decay returns the weight of a report of the given age in nanoseconds.
+func decay(age int64) float64 {
+	if age <= 0 {
+		return 1
+	}
+	return 1 / (1 + float64(age)/float64(reportHalfLife))
+}
+
+// blend moves a moving average towards v. A lost race drops one observation.
+func blend(avg *atomic.Uint64, v float64) {
+	old := avg.Load()
+	next := math.Float64frombits(old)*(1-averageShare) + v*averageShare
+	avg.CompareAndSwap(old, math.Float64bits(next))
+}
