Add the path from a ticket to an accepted, readable state

Cause: the other parts read the configuration in force and write the manifest, and nothing produced either yet.

--- /dev/null
+++ b/lib/adminapi/adminapi.go
@@ -0,0 +1,367 @@
+// Package adminapi is the HTTP administration API: change tickets and read-back of what is in force.
+package adminapi
+
+import (
+	"context"
+	"crypto/subtle"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"cuminhook.org/cuminhook/lib/confview"
+	"cuminhook.org/cuminhook/lib/manifest"
+	"cuminhook.org/cuminhook/lib/refusal"
+	"cuminhook.org/cuminhook/lib/ticket"
+)
+
+const (
+	// acceptTimeout covers the 5 s after which a silent key-value service ends a write.
+	acceptTimeout = 10 * time.Second
+	// silentAfter is the age of the last sign of life from which a member counts as silent. Digests arrive
+	// every 500 ms, directly or through others.
+	silentAfter = 3 * time.Second
+)
+
+// Writer accepts tickets; *manifest.Writer implements it.
+type Writer interface {
+	Accept(ctx context.Context, t *ticket.Ticket) (manifest.Receipt, error)
+	// Newest returns what the writer read or wrote last, or nil.
+	Newest() *manifest.Loaded
+}
+
+// Config holds the settings of the API.
+type Config struct {
+	Token string // if set, requests must carry it as "Authorization: Bearer <token>"
+	Log   *slog.Logger
+}
+
+// Server answers the API's requests.
+type Server struct {
+	view   confview.View
+	writer Writer
+	config Config
+}
+
+// New returns a server. Serve its Handle with a fasthttp.Server.
+func New(view confview.View, writer Writer, config Config) *Server {
+	if config.Log == nil {
+		config.Log = slog.Default()
+	}
+	return &Server{view: view, writer: writer, config: config}
+}
+
+// MaxBody is the largest request body to let through, so that a ticket above the limit gets its own refusal.
+const MaxBody = 2 * ticket.MaxBytes
+
+// Object is one object in force.
+type Object struct {
+	Kind   ticket.Kind `json:"kind" yaml:"kind"`
+	Name   string      `json:"name" yaml:"name"`
+	Ticket int64       `json:"ticket" yaml:"ticket"` // number of the ticket that wrote it last
+	Value  any         `json:"value" yaml:"value"`
+}
+
+// State is what is in force, as known to this host.
+type State struct {
+	Revision int64    `json:"revision" yaml:"revision"`
+	Status   string   `json:"status" yaml:"status"` // recency: starting, fresh, outage or isolated
+	Objects  []Object `json:"objects" yaml:"objects"`
+}
+
+// Has tells whether a member has a ticket in force.
+type Has string
+
+// Answers about a member.
+const (
+	HasYes    Has = "yes"
+	HasNo     Has = "no"
+	HasSilent Has = "silent" // not heard of for 3 s
+)
+
+// Member is a host with what is known of it.
+type Member struct {
+	ID       string `json:"id" yaml:"id"`
+	Role     string `json:"role" yaml:"role"`
+	Zone     string `json:"zone" yaml:"zone"`
+	Status   string `json:"status" yaml:"status"`
+	Leaving  bool   `json:"leaving" yaml:"leaving"`
+	Revision int64  `json:"revision" yaml:"revision"`
+	AgeMS    int64  `json:"age_ms" yaml:"age_ms"`
+	Has      Has    `json:"has,omitempty" yaml:"has,omitempty"` // only in answers about a ticket
+}
+
+// TicketStatus is the answer about one ticket.
+type TicketStatus struct {
+	Number     int64    `json:"number" yaml:"number"`
+	Accepted   bool     `json:"accepted" yaml:"accepted"`
+	SHA256     string   `json:"sha256,omitempty" yaml:"sha256,omitempty"`
+	Revision   int64    `json:"revision" yaml:"revision"` // members at this revision or above have it in force
+	Everywhere bool     `json:"everywhere" yaml:"everywhere"`
+	AsOf       int64    `json:"as_of" yaml:"as_of"`   // revision that this answer is based on
+	Status     string   `json:"status" yaml:"status"` // recency of that revision
+	Members    []Member `json:"members" yaml:"members"`
+}
+
+// DryRun is the answer to a ticket sent with dry_run=1.
+type DryRun struct {
+	Number   int64           `json:"number" yaml:"number"`
+	SHA256   string          `json:"sha256" yaml:"sha256"`
+	Base     int64           `json:"base" yaml:"base"`         // revision it was checked against
+	Repeated bool            `json:"repeated" yaml:"repeated"` // it was accepted before
+	Changes  []ticket.Change `json:"changes" yaml:"changes"`
+}
+
+// Problem is the body of a refusal.
+type Problem struct {
+	Reason       refusal.Reason   `json:"reason"`
+	Run          refusal.RunState `json:"run"`
+	Message      string           `json:"message"`
+	Remedy       string           `json:"remedy"`
+	RetryAfterMS int64            `json:"retry_after_ms,omitempty"`
+}
+
+// Handle is the fasthttp.RequestHandler of the API.
+func (s *Server) Handle(c *fasthttp.RequestCtx) {
+	answer, err := s.answer(c)
+	if err != nil {
+		s.writeProblem(c, err)
+		return
+	}
+	writeJSON(c, fasthttp.StatusOK, answer)
+}
+
+func (s *Server) answer(c *fasthttp.RequestCtx) (any, error) {
+	if !s.authorised(c) {
+		return nil, &refusal.Error{
+			Reason: refusal.KeyMissing, Run: refusal.NotRun, Status: 401, Message: "the operator token is missing or wrong",
+			Remedy: "send it as 'Authorization: Bearer <token>'",
+		}
+	}
+	kind, name, _ := strings.Cut(strings.TrimPrefix(string(c.Path()), "/v1/"), "/")
+	switch {
+	case kind == "tickets" && name == "" && c.IsPost():
+		return s.postTicket(c)
+	case !c.IsGet():
+		return nil, notFound("no call %s %s", c.Method(), c.Path())
+	case kind == "tickets" && name != "":
+		return s.ticketStatus(name)
+	case kind == "members" && name == "":
+		return s.members(0), nil
+	case kind == "state" && name == "":
+		return s.state(ticket.Kinds()...), nil
+	}
+	for _, k := range ticket.Kinds() {
+		if kind == string(k)+"s" {
+			return s.objects(k, name)
+		}
+	}
+	return nil, notFound("no call %s %s", c.Method(), c.Path())
+}
+
+func (s *Server) authorised(c *fasthttp.RequestCtx) bool {
+	if s.config.Token == "" {
+		return true
+	}
+	got := c.Request.Header.Peek("Authorization")
+	return subtle.ConstantTimeCompare(got, []byte("Bearer "+s.config.Token)) == 1
+}
+
+func (s *Server) postTicket(c *fasthttp.RequestCtx) (any, error) {
+	t, err := ticket.Parse(c.PostBody())
+	if err != nil {
+		return nil, err
+	}
+	if c.QueryArgs().GetBool("dry_run") {
+		return s.dryRun(t)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), acceptTimeout)
+	defer cancel()
+	receipt, err := s.writer.Accept(ctx, t)
+	if err != nil {
+		s.config.Log.Warn("ticket not confirmed", "number", t.Number, "error", err)
+		return nil, err
+	}
+	s.config.Log.Info("ticket accepted", "number", t.Number, "sha256", receipt.SHA256,
+		"revision", receipt.Revision, "repeated", receipt.Repeated)
+	return receipt, nil
+}
+
+func (s *Server) dryRun(t *ticket.Ticket) (any, error) {
+	m, state := s.newest()
+	next, err := state.Apply(t)
+	if err != nil {
+		return nil, err
+	}
+	return DryRun{
+		Number: t.Number, SHA256: t.Hash(), Base: m.Revision, Repeated: next == state,
+		Changes: ticket.Diff(state, next, t),
+	}, nil
+}
+
+// newest returns the newer of the host's configuration and what the writer saw last.
+func (s *Server) newest() (*manifest.Manifest, *ticket.State) {
+	snap := s.view.Snapshot()
+	if l := s.writer.Newest(); l != nil && l.Manifest.Revision > snap.Manifest.Revision {
+		return l.Manifest, l.State
+	}
+	return snap.Manifest, snap.State
+}
+
+func (s *Server) ticketStatus(name string) (any, error) {
+	number, err := strconv.ParseInt(name, 10, 64)
+	if err != nil || number < 1 {
+		return nil, notFound("%q is not a ticket number", name)
+	}
+	m, state := s.newest()
+	out := TicketStatus{Number: number, AsOf: m.Revision, Status: s.view.Status().String()}
+	out.SHA256, out.Accepted = state.Accepted[number]
+	if !out.Accepted {
+		if number < state.Floor {
+			return nil, &refusal.Error{
+				Reason: refusal.NumberTooOld, Run: refusal.NotRun, Status: 404,
+				Message: fmt.Sprintf("ticket %d is below the oldest retained number %d", number, state.Floor),
+				Remedy:  "read the objects it touched",
+			}
+		}
+		return out, nil
+	}
+	out.Revision = acceptedAt(m, number)
+	out.Members = s.members(out.Revision)
+	out.Everywhere = !slices.ContainsFunc(out.Members, func(m Member) bool { return m.Has != HasYes })
+	return out, nil
+}
+
+// acceptedAt returns a revision from which on every host has the accepted ticket in force: its own, or that
+// of the oldest reference in the manifest if it is older than that.
+func acceptedAt(m *manifest.Manifest, number int64) int64 {
+	for _, t := range m.Tickets {
+		if t.Number == number {
+			return t.Revision
+		}
+	}
+	if len(m.Tickets) > 0 {
+		return m.Tickets[0].Revision
+	}
+	return m.Revision
+}
+
+// members lists this host and all others; with a revision other than zero it tells which of them have it.
+func (s *Server) members(revision int64) []Member {
+	list := append(s.view.Members(), confview.Member{
+		ID: s.view.Self(), Role: "admin", Revision: s.view.Snapshot().Manifest.Revision, Status: s.view.Status(),
+	})
+	out := make([]Member, 0, len(list))
+	for _, m := range list {
+		member := Member{
+			ID: m.ID, Role: m.Role, Zone: m.Zone, Status: m.Status.String(), Leaving: m.Leaving,
+			Revision: m.Revision, AgeMS: m.AgeMS,
+		}
+		if revision > 0 {
+			member.Has = has(m, revision)
+		}
+		out = append(out, member)
+	}
+	slices.SortFunc(out, func(a, b Member) int {
+		return strings.Compare(a.Role+"/"+a.Zone+"/"+a.ID, b.Role+"/"+b.Zone+"/"+b.ID)
+	})
+	return out
+}
+
+func has(m confview.Member, revision int64) Has {
+	switch {
+	case m.Revision >= revision:
+		return HasYes // a host never returns to a lower revision
+	case time.Duration(m.AgeMS)*time.Millisecond >= silentAfter:
+		return HasSilent
+	}
+	return HasNo
+}
+
+func (s *Server) state(kinds ...ticket.Kind) State {
+	m, state := s.newest()
+	out := State{Revision: m.Revision, Status: s.view.Status().String(), Objects: []Object{}}
+	for _, kind := range kinds {
+		refs := state.Refs(kind)
+		slices.SortFunc(refs, func(a, b ticket.Ref) int { return strings.Compare(a.Name, b.Name) })
+		keys := keysByName(state, kind)
+		for _, ref := range refs {
+			var value any
+			if kind == ticket.KindKey {
+				value = keys[ref.Name]
+			} else {
+				value = state.Object(ref)
+			}
+			out.Objects = append(out.Objects, Object{ref.Kind, ref.Name, state.Writers[ref.String()], value})
+		}
+	}
+	return out
+}
+
+// keysByName indexes the keys, because looking each one up by its name takes quadratic time.
+func keysByName(state *ticket.State, kind ticket.Kind) map[string]ticket.Key {
+	if kind != ticket.KindKey {
+		return nil
+	}
+	out := make(map[string]ticket.Key, len(state.Keys))
+	for _, k := range state.Keys {
+		out[k.Name] = k
+	}
+	return out
+}
+
+func (s *Server) objects(kind ticket.Kind, name string) (any, error) {
+	if name == "" {
+		return s.state(kind), nil
+	}
+	m, state := s.newest()
+	ref := ticket.Ref{Kind: kind, Name: name}
+	value := state.Object(ref)
+	if value == nil {
+		message := fmt.Sprintf("%s does not exist at revision %d", ref, m.Revision)
+		if number, ok := state.Writers[ref.String()]; ok {
+			message += fmt.Sprintf("; ticket %d deleted it", number)
+		}
+		return nil, notFound("%s", message)
+	}
+	return Object{kind, name, state.Writers[ref.String()], value}, nil
+}
+
+func notFound(format string, args ...any) error {
+	return &refusal.Error{
+		Reason: refusal.NotFound, Run: refusal.NotRun, Status: 404, Message: fmt.Sprintf(format, args...),
+		Remedy: "see 'cuminhookctl --help' for the calls and 'cuminhookctl get KIND' for the names",
+	}
+}
+
+func (s *Server) writeProblem(c *fasthttp.RequestCtx, err error) {
+	var r *refusal.Error
+	if !errors.As(err, &r) {
+		s.config.Log.Error("request failed", "path", string(c.Path()), "error", err)
+		r = &refusal.Error{
+			Reason: refusal.Internal, Run: refusal.Unknown, Status: 500, Message: err.Error(),
+			Remedy: "send the same ticket again; if this persists, see the log of the admin program",
+		}
+	}
+	if r.RetryAfter > 0 {
+		c.Response.Header.Set("Retry-After", strconv.FormatInt(int64((r.RetryAfter+time.Second-1)/time.Second), 10))
+	}
+	writeJSON(c, r.Status, Problem{r.Reason, r.Run, r.Message, r.Remedy, r.RetryAfter.Milliseconds()})
+}
+
+func writeJSON(c *fasthttp.RequestCtx, status int, v any) {
+	body, err := json.Marshal(v)
+	if err != nil {
+		c.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return
+	}
+	c.SetStatusCode(status)
+	c.SetContentType("application/json")
+	c.SetBody(body)
+}
--- /dev/null
+++ b/lib/hostlist/httplist/httplist.go
@@ -0,0 +1,62 @@
+// Package httplist is the adapter for the platform's host list over HTTP and JSON.
+package httplist
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/url"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"cuminhook.org/cuminhook/lib/hostlist"
+	"cuminhook.org/cuminhook/lib/kv/httpkv"
+)
+
+// callTimeout bounds a call whose context has no earlier deadline.
+const callTimeout = time.Second
+
+// Path is the path of the list.
+const Path = "/v1/hosts"
+
+// List implements hostlist.List.
+type List struct {
+	client *fasthttp.HostClient
+	url    string
+}
+
+// New returns the list of the platform at base, such as http://127.0.0.1:7400.
+func New(base string) (*List, error) {
+	u, err := url.Parse(base)
+	if err != nil || u.Scheme != "http" || u.Host == "" {
+		return nil, fmt.Errorf("httplist: %q is not a base URL; write it as http://IP:port", base)
+	}
+	return &List{client: httpkv.NewClient(u.Host), url: "http://" + u.Host + Path}, nil
+}
+
+// Hosts implements hostlist.List.
+func (l *List) Hosts(ctx context.Context) ([]hostlist.Host, error) {
+	deadline := time.Now().Add(callTimeout)
+	if d, ok := ctx.Deadline(); ok && d.Before(deadline) {
+		deadline = d
+	}
+	if err := ctx.Err(); err != nil {
+		return nil, fmt.Errorf("httplist: %w; keep the present list", err)
+	}
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI(l.url)
+	if err := l.client.DoDeadline(req, resp, deadline); err != nil {
+		return nil, fmt.Errorf("httplist: %w; keep the present list", err)
+	}
+	if resp.StatusCode() != fasthttp.StatusOK {
+		return nil, fmt.Errorf("httplist: status %d; keep the present list", resp.StatusCode())
+	}
+	var hosts []hostlist.Host
+	if err := json.Unmarshal(resp.Body(), &hosts); err != nil {
+		return nil, fmt.Errorf("httplist: %w; keep the present list", err)
+	}
+	return hosts, nil
+}
--- /dev/null
+++ b/lib/kv/httpkv/httpkv.go
@@ -0,0 +1,193 @@
+// Package httpkv is the adapter for the platform's key-value service over HTTP and JSON.
+package httpkv
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/url"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"cuminhook.org/cuminhook/lib/kv"
+)
+
+const (
+	// callTimeout bounds a call whose context has no earlier deadline.
+	callTimeout = time.Second
+	// maxIdle is below the service's idle timeout, so that a write does not meet a connection that the
+	// service is closing; its outcome would be unknown.
+	maxIdle = 5 * time.Second
+	// maxResponse is above the response to a list of a few values of the largest size in base64.
+	maxResponse = 64 << 20
+)
+
+// Request is the body of every call; each call uses some of the fields.
+type Request struct {
+	Key     string     `json:"key,omitempty"`
+	Value   []byte     `json:"value,omitempty"`
+	Version kv.Version `json:"version,omitempty"` // expected, or after which to wait
+	Lease   kv.LeaseID `json:"lease,omitempty"`
+	MS      int64      `json:"ms,omitempty"` // time to live or to wait
+}
+
+// Response is the body of every answer.
+type Response struct {
+	Error   string     `json:"error,omitempty"`
+	Entries []kv.Entry `json:"entries,omitempty"`
+	Version kv.Version `json:"version,omitempty"`
+	Lease   kv.LeaseID `json:"lease,omitempty"`
+}
+
+// Errors maps the error names of the protocol.
+var Errors = map[string]error{
+	"not_found":   kv.ErrNotFound,
+	"conflict":    kv.ErrConflict,
+	"unavailable": kv.ErrUnavailable,
+	"lease_lost":  kv.ErrLeaseLost,
+	"too_large":   kv.ErrTooLarge,
+}
+
+// PathPrefix is the path of the calls, followed by the name of the call.
+const PathPrefix = "/v1/kv/"
+
+// Store implements kv.Store. It repeats no call, and closes the connection of a call that missed its
+// deadline.
+type Store struct {
+	client *fasthttp.HostClient
+	base   string
+}
+
+var errDial = errors.New("httpkv: cannot connect")
+
+// New returns a store for the service at base, such as http://127.0.0.1:7400.
+func New(base string) (*Store, error) {
+	u, err := url.Parse(base)
+	if err != nil || u.Scheme != "http" || u.Host == "" {
+		return nil, fmt.Errorf("httpkv: %q is not a base URL; write it as http://IP:port", base)
+	}
+	return &Store{base: "http://" + u.Host + PathPrefix, client: NewClient(u.Host)}, nil
+}
+
+// NewClient returns a client for one host without retries.
+func NewClient(addr string) *fasthttp.HostClient {
+	return &fasthttp.HostClient{
+		Addr:                addr,
+		MaxConns:            64,
+		MaxIdleConnDuration: maxIdle,
+		MaxResponseBodySize: maxResponse,
+		RetryIfErr:          func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+		DialTimeout: func(addr string, timeout time.Duration) (net.Conn, error) {
+			if timeout <= 0 {
+				timeout = callTimeout
+			}
+			c, err := net.DialTimeout("tcp", addr, timeout)
+			if err != nil {
+				return nil, fmt.Errorf("%w: %w", errDial, err)
+			}
+			return c, nil
+		},
+	}
+}
+
+// Get implements kv.Store.
+func (s *Store) Get(ctx context.Context, key string) (kv.Entry, error) {
+	return first(s.call(ctx, "get", Request{Key: key}, kv.ErrUnavailable))
+}
+
+// Wait implements kv.Store.
+func (s *Store) Wait(ctx context.Context, key string, after kv.Version, wait time.Duration) (kv.Entry, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
+	defer cancel()
+	return first(s.call(ctx, "wait", Request{Key: key, Version: after, MS: wait.Milliseconds()}, kv.ErrUnavailable))
+}
+
+func first(r Response, err error) (kv.Entry, error) {
+	if err != nil || len(r.Entries) == 0 {
+		return kv.Entry{}, err
+	}
+	return r.Entries[0], nil
+}
+
+// List implements kv.Store.
+func (s *Store) List(ctx context.Context, prefix string) ([]kv.Entry, error) {
+	r, err := s.call(ctx, "list", Request{Key: prefix}, kv.ErrUnavailable)
+	return r.Entries, err
+}
+
+// Put implements kv.Store.
+func (s *Store) Put(ctx context.Context, key string, value []byte, expect kv.Version, lease kv.LeaseID) (kv.Version, error) {
+	if len(value) > kv.MaxValueBytes {
+		return 0, kv.ErrTooLarge
+	}
+	r, err := s.call(ctx, "put", Request{Key: key, Value: value, Version: expect, Lease: lease}, kv.ErrUnknown)
+	return r.Version, err
+}
+
+// Delete implements kv.Store.
+func (s *Store) Delete(ctx context.Context, key string, expect kv.Version) error {
+	_, err := s.call(ctx, "delete", Request{Key: key, Version: expect}, kv.ErrUnknown)
+	return err
+}
+
+// Grant implements kv.Store.
+func (s *Store) Grant(ctx context.Context, ttl time.Duration) (kv.LeaseID, error) {
+	r, err := s.call(ctx, "grant", Request{MS: ttl.Milliseconds()}, kv.ErrUnknown)
+	return r.Lease, err
+}
+
+// KeepAlive implements kv.Store.
+func (s *Store) KeepAlive(ctx context.Context, id kv.LeaseID) error {
+	_, err := s.call(ctx, "keepalive", Request{Lease: id}, kv.ErrUnavailable)
+	return err
+}
+
+// Revoke implements kv.Store.
+func (s *Store) Revoke(ctx context.Context, id kv.LeaseID) error {
+	_, err := s.call(ctx, "revoke", Request{Lease: id}, kv.ErrUnknown)
+	return err
+}
+
+// call performs one call. lost is the error when the request may have reached the service and no proper
+// answer came back.
+func (s *Store) call(ctx context.Context, name string, in Request, lost error) (Response, error) {
+	var out Response
+	deadline := time.Now().Add(callTimeout)
+	if d, ok := ctx.Deadline(); ok && (name == "wait" || d.Before(deadline)) {
+		deadline = d
+	}
+	if ctx.Err() != nil || !time.Now().Before(deadline) {
+		return out, fmt.Errorf("%w: %s: deadline passed before the call", kv.ErrUnavailable, name)
+	}
+	body, err := json.Marshal(in)
+	if err != nil {
+		return out, fmt.Errorf("httpkv: %s: %w", name, err)
+	}
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI(s.base + name)
+	req.Header.SetMethod(fasthttp.MethodPost)
+	req.Header.SetContentType("application/json")
+	req.SetBodyRaw(body)
+	if err := s.client.DoDeadline(req, resp, deadline); err != nil {
+		if errors.Is(err, errDial) || errors.Is(err, fasthttp.ErrNoFreeConns) {
+			lost = kv.ErrUnavailable
+		}
+		return out, fmt.Errorf("%w: %s: %v", lost, name, err)
+	}
+	if err := json.Unmarshal(resp.Body(), &out); err != nil || resp.StatusCode() != fasthttp.StatusOK && out.Error == "" {
+		return out, fmt.Errorf("%w: %s: unexpected answer with status %d", lost, name, resp.StatusCode())
+	}
+	if out.Error != "" {
+		known, ok := Errors[out.Error]
+		if !ok {
+			return out, fmt.Errorf("%w: %s: %s", lost, name, out.Error)
+		}
+		return out, known
+	}
+	return out, nil
+}
--- a/lib/manifest/types.go
+++ b/lib/manifest/types.go
@@ -12,9 +12,10 @@
 
 // TicketRef refers to an accepted ticket whose body is stored under its content hash.
 type TicketRef struct {
-	Seq    int64  `json:"q"` // position in the order of acceptance, from 1
-	Number int64  `json:"n"` // the operators' number
-	SHA256 string `json:"h"`
+	Seq      int64  `json:"q"` // position in the order of acceptance, from 1
+	Number   int64  `json:"n"` // the operators' number
+	SHA256   string `json:"h"`
+	Revision int64  `json:"r"` // manifest revision that accepted it
 }
 
 // ChunkRef refers to a stored run of ticket references.
--- /dev/null
+++ b/lib/ticket/ticket_test.go
@@ -0,0 +1,94 @@
+package ticket
+
+import (
+	"reflect"
+	"strings"
+	"testing"
+
+	"cuminhook.org/cuminhook/lib/refusal"
+)
+
+const yamlTicket = `
+number: 7
+organisations:
+  - {name: strom, rate: 100, burst: 500}
+  - {name: acme, rate: 10, burst: 50, weight: 2}
+keys:
+  - name: k1
+    organisation: acme
+    sha256: ` + "aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa" + `
+`
+
+const jsonTicket = `{"keys":[{"sha256":"aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa","name":"k1","organisation":"acme"}],
+ "organisations":[{"name":"acme","rate":10,"burst":50,"weight":2},{"name":"strom","weight":1,"rate":100,"burst":500}],"number":7}`
+
+func mustParse(t *testing.T, text string) *Ticket {
+	t.Helper()
+	got, err := Parse([]byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return got
+}
+
+// Guards against a resent ticket being refused as number_reused because it was formatted differently.
+func TestHashIndependentOfFormat(t *testing.T) {
+	a, b := mustParse(t, yamlTicket), mustParse(t, jsonTicket)
+	if a.Hash() != b.Hash() || !reflect.DeepEqual(a, b) {
+		t.Fatalf("%s\n%s", a.Encode(), b.Encode())
+	}
+	c := mustParse(t, strings.Replace(jsonTicket, `"rate":10,`, `"rate":11,`, 1))
+	if c.Hash() == a.Hash() {
+		t.Fatal("other content, same hash")
+	}
+}
+
+// Guards against misspelt, repeated or surplus input being ignored, and against errors without line or remedy.
+func TestParseRefuses(t *testing.T) {
+	for name, c := range map[string]struct{ text, want string }{
+		"unknown field":      {"number: 1\nkeyz: []\n", "[2:1]"},
+		"unknown JSON field": {"{\"number\":1,\n\"keyz\":[]}", "line 2"},
+		"case":               {"{\"number\":1,\n\"Keys\":[]}", "line 2"},
+		"repeated":           {"number: 1\nnumber: 2\n", "[2:1]"},
+		"repeated JSON":      {"{\"number\":1,\n\n\"number\":2}", "line 3"},
+		"wrong type":         {"number: 1\norganisations:\n- name: a\n  rate: fast\n", "[4:"},
+		"alias":              {"number: 1\nkeys: &a\n- *a\n", "line 2"},
+		"two documents":      {"number: 1\n---\nnumber: 2\n", "2 documents"},
+		"empty":              {"", "0 documents"},
+		"no change":          {"number: 1\n", "changes nothing"},
+		"trailing":           {"{\"number\":1}\n{}", "line 2"},
+		"no number":          {"delete: [{kind: key, name: a}]", "number is 0"},
+		"twice":              {"number: 1\ndelete: [{kind: key, name: a},{kind: key, name: a}]", "touched twice"},
+		"bad kind":           {"number: 1\ndelete: [{kind: cat, name: a}]", "unknown kind"},
+	} {
+		_, err := Parse([]byte(c.text))
+		r, ok := refusal.As(err)
+		if !ok || r.Reason != refusal.TicketInvalid || r.Remedy == "" || !strings.Contains(r.Message, c.want) {
+			t.Errorf("%s: got %v, want %q", name, err, c.want)
+		}
+	}
+	if _, err := Parse(make([]byte, MaxBytes+1)); !hasReason(err, refusal.TicketTooLarge) {
+		t.Errorf("too large: %v", err)
+	}
+}
+
+func hasReason(err error, want refusal.Reason) bool {
+	r, ok := refusal.As(err)
+	return ok && r.Reason == want
+}
+
+// Guards against a state that changes when it is written to a snapshot and read back.
+func TestStateRoundTrip(t *testing.T) {
+	s, err := Empty().Apply(mustParse(t, yamlTicket))
+	if err != nil {
+		t.Fatal(err)
+	}
+	data, err := EncodeState(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	back, err := DecodeState(data)
+	if err != nil || !reflect.DeepEqual(s, back) {
+		t.Fatalf("%v\n%+v\n%+v", err, s, back)
+	}
+}
