Route adapters to their copies only and bound outstanding work per gateway

Cause: an engine refuses a request for an adapter that is not resident, so weighing an adapter load as a cost sent such requests to targets that must refuse them; and nothing kept one gateway from filling an engine's queue. Change: an adapter is a candidate list of its own; bounded picks pass over targets at which the gateway has its share (batch slots x 1.25 / gateways, at least 2) unless the newest report shows free slots.

--- a/lib/router/router.go
+++ b/lib/router/router.go
@@ -28,23 +28,23 @@
 type Config struct {
 	Zone        string                          // own availability zone
 	Distance    func(a, b string) time.Duration // one-way delay between zones; nil: 1 ms between different zones
-	AdapterLoad time.Duration                   // expected time of an adapter load
 	PrefixSlots int                             // entries of the prefix table, a power of two
 	Rand        func() uint64
 }
 
 // Router is the routing state of one gateway.
 type Router struct {
-	cfg    Config
-	topo   atomic.Pointer[topology]
-	prefix *prefixTable
+	cfg      Config
+	topo     atomic.Pointer[topology]
+	prefix   *prefixTable
+	gateways atomic.Int64
 }
 
 // topology is immutable; the Targets that it refers to carry over from one topology to the next.
 type topology struct {
 	targets map[string]*Target
-	models  map[string][]*Target
-	holds   map[residence]struct{} // models and adapters
+	names   map[string][]*Target   // by model and adapter
+	holds   map[residence]struct{} // the same pairs
 	byHash  map[uint32]*Target
 }
 
@@ -60,6 +60,7 @@
 	Adapter      string
 	Prefix       uint64 // zero if none
 	PromptTokens int64
+	Bounded      bool // pass over targets at which this gateway has its share of outstanding work
 	exclude      [excludeMax]*Target
 	excluded     int
 }
@@ -89,14 +90,12 @@
 			return time.Millisecond
 		}
 	}
-	if cfg.AdapterLoad == 0 {
-		cfg.AdapterLoad = 5 * time.Millisecond
-	}
 	if cfg.PrefixSlots == 0 {
 		cfg.PrefixSlots = 1 << 15
 	}
 	r := &Router{cfg: cfg, prefix: newPrefixTable(cfg.PrefixSlots)}
 	r.topo.Store(&topology{})
+	r.gateways.Store(1)
 	return r
 }
 
@@ -106,7 +105,7 @@
 	old := r.topo.Load()
 	next := &topology{
 		targets: make(map[string]*Target, len(view.Targets)),
-		models:  make(map[string][]*Target),
+		names:   make(map[string][]*Target),
 		holds:   make(map[residence]struct{}),
 		byHash:  make(map[uint32]*Target, len(view.Targets)),
 	}
@@ -122,19 +121,24 @@
 		t.slots.Store(int64(max(v.Slots, 1)))
 		next.targets[v.ID] = t
 		next.byHash[t.hash] = t
-		for _, m := range v.Models {
-			next.models[m] = append(next.models[m], t)
-			next.holds[residence{m, t}] = struct{}{}
-		}
-		for _, a := range v.Adapters {
-			next.holds[residence{a, t}] = struct{}{}
-		}
+		next.add(t, v.Models)
+		next.add(t, v.Adapters)
 	}
 	r.topo.Store(next)
 }
 
-// Copies returns the number of routable targets of the model.
-func (r *Router) Copies(model string) int { return len(r.topo.Load().models[model]) }
+func (topo *topology) add(t *Target, names []string) {
+	for _, name := range names {
+		topo.names[name] = append(topo.names[name], t)
+		topo.holds[residence{name, t}] = struct{}{}
+	}
+}
+
+// SetGateways tells how many gateways share the targets; it bounds this gateway's outstanding work.
+func (r *Router) SetGateways(n int) { r.gateways.Store(int64(max(n, 1))) }
+
+// Copies returns the number of routable targets of the model or adapter.
+func (r *Router) Copies(name string) int { return len(r.topo.Load().names[name]) }
 
 // Pick chooses a target for the request and counts the request as outstanding there until Done.
 // It reports false if no target can take the model now.
@@ -181,7 +185,12 @@
 
 func (r *Router) cheapest(now time.Time, q *Request) (*Target, time.Duration) {
 	topo := r.topo.Load()
-	candidates := topo.models[q.Model]
+	name := q.Model
+	if q.Adapter != "" {
+		// An adapter is resident only beside its model, and engines refuse one that is not resident.
+		name = q.Adapter
+	}
+	candidates := topo.names[name]
 	n := len(candidates)
 	if n == 0 {
 		return nil, 0
@@ -190,7 +199,7 @@
 	if q.Prefix != 0 {
 		holder = r.prefix.get(q.Prefix)
 	}
-	s := selection{topo: topo, q: q, now: now, holder: holder, adapterLoad: r.cfg.AdapterLoad}
+	s := selection{topo: topo, name: name, q: q, now: now, holder: holder, gateways: r.gateways.Load()}
 	start := int(r.cfg.Rand() % uint64(n))
 	if n <= scanAll {
 		for i := range n {
@@ -214,28 +223,24 @@
 
 // selection keeps the cheapest candidate seen so far.
 type selection struct {
-	topo        *topology
-	q           *Request
-	now         time.Time
-	holder      uint32
-	adapterLoad time.Duration
-	best        *Target
-	cost        time.Duration
+	topo     *topology
+	name     string // model or adapter
+	q        *Request
+	gateways int64
+	now      time.Time
+	holder   uint32
+	best     *Target
+	cost     time.Duration
 }
 
 func (s *selection) consider(t *Target) {
-	if s.q.excludes(t) || !t.usable(s.now) {
+	if s.q.excludes(t) || !t.usable(s.now) || (s.q.Bounded && t.full(s.now, s.gateways)) {
 		return
 	}
 	cost := t.wait(s.now) + t.distance
 	if t.hash != s.holder {
 		cost += t.prefill(s.q.PromptTokens)
 	}
-	if s.q.Adapter != "" {
-		if _, ok := s.topo.holds[residence{s.q.Adapter, t}]; !ok {
-			cost += s.adapterLoad
-		}
-	}
 	if s.best == nil || cost < s.cost {
 		s.best, s.cost = t, cost
 	}
@@ -247,7 +252,7 @@
 	if t == nil {
 		return
 	}
-	if _, ok := s.topo.holds[residence{s.q.Model, t}]; ok {
+	if _, ok := s.topo.holds[residence{s.name, t}]; ok {
 		s.consider(t)
 	}
 }
--- a/lib/router/target.go
+++ b/lib/router/target.go
@@ -15,6 +15,10 @@
 	ejectAfter = 3 // consecutive failures
 	ejectFirst = time.Second
 	ejectMost  = 30 * time.Second
+	// queueShare is the outstanding work that a target is given per batch slot: a short queue at the engine
+	// keeps its batch full, a longer one takes the order of service away from the fair queues.
+	queueShare = 1.25
+	minShare   = 2 // outstanding requests that every gateway may have at a target
 	// averageShare is the weight of a new observation in the moving averages.
 	averageShare = 0.2
 )
@@ -120,14 +124,30 @@
 	}
 }
 
-// wait estimates the time until a batch slot is free. Own outstanding work is exact; the work of other
+// full reports whether this gateway has its share of the target's work outstanding. A target with free batch
+// slots by the newest report takes more, because requests are spread unevenly over gateways.
+func (t *Target) full(now time.Time, gateways int64) bool {
+	slots := float64(t.slots.Load())
+	own := float64(t.own.Load())
+	if own < max(minShare, slots*queueShare/float64(gateways)) {
+		return false
+	}
+	return t.busy(now) >= slots
+}
+
+// busy estimates the requests at the target. Own outstanding work is exact; that of other
 // gateways comes from a report that loses half its weight each reportHalfLife.
-func (t *Target) wait(now time.Time) time.Duration {
+func (t *Target) busy(now time.Time) float64 {
 	busy := float64(t.own.Load())
 	if others := t.others.Load(); others > 0 {
-		age := now.UnixNano() - t.reported.Load()
-		busy += float64(others) * decay(age)
+		busy += float64(others) * decay(now.UnixNano()-t.reported.Load())
 	}
+	return busy
+}
+
+// wait estimates the time until a batch slot is free.
+func (t *Target) wait(now time.Time) time.Duration {
+	busy := t.busy(now)
 	slots := float64(max(t.slots.Load(), 1))
 	service := math.Float64frombits(t.serviceTime.Load())
 	if over := busy + 1 - slots; over > 0 {
