--- /dev/null
+++ b/cmd/cuminhookctl/main.go
@@ -0,0 +1,176 @@
+// Command cuminhookctl is the operators' tool: it sends change tickets and shows what is in force.
+package main
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/spf13/cobra"
+
+	"cuminhook.org/cuminhook/lib/adminapi"
+	"cuminhook.org/cuminhook/lib/refusal"
+)
+
+// Exit codes, documented in the help.
+const (
+	exitOther       = 1
+	exitUsage       = 2
+	exitInvalid     = 3
+	exitConflict    = 4
+	exitUnknown     = 5
+	exitUnavailable = 6
+	exitNotInForce  = 7
+	exitNotFound    = 8
+	exitToken       = 9
+)
+
+const help = `cuminhookctl sends change tickets and shows what is in force.
+
+A ticket is a YAML or JSON file with a number that no other ticket has and the complete new state of every
+object it touches. Sending the same ticket again is always safe.
+
+Exit codes:
+  0  done
+  1  other error
+  2  wrong usage
+  3  the ticket is invalid or too large; it was not accepted
+  4  the ticket conflicts with another one (number reused, superseded or too old); it was not accepted
+  5  outcome unknown; send the same ticket again
+  6  service unavailable; the ticket was not accepted, send it again later
+  7  accepted, but not in force on every host when --timeout ended
+  8  no such object or ticket
+  9  operator token missing or wrong`
+
+// errNotInForce ends a wait that ran into its timeout.
+var errNotInForce = errors.New("the ticket is accepted, but some hosts lack it or are silent; run 'cuminhookctl tickets NUMBER'")
+
+// usageError marks errors in the arguments.
+type usageError struct{ error }
+
+// app holds what all commands share.
+type app struct {
+	out       io.Writer
+	errs      io.Writer
+	in        io.Reader
+	api       string
+	tokenFile string
+	format    string
+}
+
+func main() {
+	a := &app{out: os.Stdout, errs: os.Stderr, in: os.Stdin}
+	os.Exit(a.run(os.Args[1:]))
+}
+
+// run executes one command line and returns the exit code.
+func (a *app) run(args []string) int {
+	root := a.root()
+	root.SetArgs(args)
+	err := root.Execute()
+	if err != nil {
+		fmt.Fprintln(a.errs, err)
+	}
+	return exitCode(err)
+}
+
+func (a *app) root() *cobra.Command {
+	root := &cobra.Command{
+		Use: "cuminhookctl", Short: "Send change tickets and show what is in force", Long: help,
+		Example: "  cuminhookctl diff ticket.yaml\n" +
+			"  cuminhookctl apply ticket.yaml --wait\n" +
+			"  cuminhookctl get organisations acme -o yaml",
+		Args: noCommand, RunE: showHelp, SilenceUsage: true, SilenceErrors: true,
+		PersistentPreRunE: func(*cobra.Command, []string) error {
+			switch a.format {
+			case "table", "json", "yaml":
+				return nil
+			}
+			return usageError{fmt.Errorf("unknown output format %q; use table, json or yaml", a.format)}
+		},
+	}
+	root.SetOut(a.out)
+	root.SetErr(a.errs)
+	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usageError{err} })
+	flags := root.PersistentFlags()
+	flags.StringVar(&a.api, "api", envOr("CUMINHOOK_API", "http://127.0.0.1:7300"), "address of the administration API (CUMINHOOK_API)")
+	flags.StringVar(&a.tokenFile, "token-file", "", "file with the operator token (otherwise CUMINHOOK_TOKEN)")
+	flags.StringVarP(&a.format, "output", "o", "table", "table, json or yaml")
+	root.AddCommand(a.applyCommand(), a.validateCommand(), a.diffCommand(), a.getCommand(), a.ticketsCommand(),
+		a.membersCommand(), a.keysCommand())
+	return root
+}
+
+// noCommand refuses an unknown subcommand as wrong usage.
+func noCommand(c *cobra.Command, args []string) error {
+	if len(args) > 0 {
+		return usageError{fmt.Errorf("unknown command %q; see '%s --help'", args[0], c.CommandPath())}
+	}
+	return nil
+}
+
+func showHelp(c *cobra.Command, _ []string) error { return c.Help() }
+
+func envOr(name, fallback string) string {
+	if v := os.Getenv(name); v != "" {
+		return v
+	}
+	return fallback
+}
+
+func (a *app) client() (*adminapi.Client, error) {
+	token := os.Getenv("CUMINHOOK_TOKEN")
+	if a.tokenFile != "" {
+		data, err := os.ReadFile(a.tokenFile)
+		if err != nil {
+			return nil, usageError{fmt.Errorf("cannot read the token: %w", err)}
+		}
+		token = trimLine(data)
+	}
+	c, err := adminapi.NewClient(a.api, token)
+	if err != nil {
+		return nil, usageError{err}
+	}
+	return c, nil
+}
+
+// exact refuses a wrong number of arguments as wrong usage.
+func exact(least, most int) cobra.PositionalArgs {
+	return func(c *cobra.Command, args []string) error {
+		if err := cobra.RangeArgs(least, most)(c, args); err != nil {
+			return usageError{fmt.Errorf("%w; see 'cuminhookctl %s --help'", err, c.Name())}
+		}
+		return nil
+	}
+}
+
+func exitCode(err error) int {
+	var usage usageError
+	r, refused := refusal.As(err)
+	switch {
+	case err == nil:
+		return 0
+	case errors.As(err, &usage):
+		return exitUsage
+	case errors.Is(err, errNotInForce):
+		return exitNotInForce
+	case !refused:
+		return exitOther
+	}
+	switch r.Reason {
+	case refusal.TicketInvalid, refusal.TicketTooLarge:
+		return exitInvalid
+	case refusal.NumberReused, refusal.Superseded, refusal.NumberTooOld:
+		return exitConflict
+	case refusal.OutcomeUnknown:
+		return exitUnknown
+	case refusal.StoreUnavailable, refusal.NoMajority:
+		return exitUnavailable
+	case refusal.NotFound:
+		return exitNotFound
+	case refusal.KeyMissing:
+		return exitToken
+	}
+	return exitOther
+}
--- /dev/null
+++ b/lib/adminapi/client.go
@@ -0,0 +1,134 @@
+package adminapi
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/url"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"cuminhook.org/cuminhook/lib/manifest"
+	"cuminhook.org/cuminhook/lib/refusal"
+)
+
+// clientTimeout is above the time within which the server answers.
+const clientTimeout = acceptTimeout + 5*time.Second
+
+// Client calls the API.
+type Client struct {
+	client *fasthttp.HostClient
+	base   string
+	token  string
+}
+
+// NewClient returns a client for the API at base, such as http://127.0.0.1:7300.
+func NewClient(base, token string) (*Client, error) {
+	u, err := url.Parse(base)
+	if err != nil || u.Scheme != "http" || u.Host == "" {
+		return nil, fmt.Errorf("%q is not the address of an API; write it as http://IP:port", base)
+	}
+	return &Client{
+		base: "http://" + u.Host + "/v1/", token: token,
+		client: &fasthttp.HostClient{
+			Addr:       u.Host,
+			RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+		},
+	}, nil
+}
+
+// Apply sends a ticket. Errors are refusals; outcome_unknown also stands for a lost answer.
+func (c *Client) Apply(body []byte) (manifest.Receipt, error) {
+	var out manifest.Receipt
+	return out, c.decode(fasthttp.MethodPost, "tickets", body, &out)
+}
+
+// Diff returns what a ticket would change.
+func (c *Client) Diff(body []byte) (DryRun, error) {
+	var out DryRun
+	return out, c.decode(fasthttp.MethodPost, "tickets?dry_run=1", body, &out)
+}
+
+// Ticket returns the status of a ticket.
+func (c *Client) Ticket(number int64) (TicketStatus, error) {
+	var out TicketStatus
+	return out, c.decode(fasthttp.MethodGet, fmt.Sprintf("tickets/%d", number), nil, &out)
+}
+
+// Members lists the hosts.
+func (c *Client) Members() ([]Member, error) {
+	var out []Member
+	return out, c.decode(fasthttp.MethodGet, "members", nil, &out)
+}
+
+// State returns all objects in force, or those of one kind ("organisations", "keys" and so on).
+func (c *Client) State(kinds string) (State, error) {
+	var out State
+	return out, c.decode(fasthttp.MethodGet, kinds, nil, &out)
+}
+
+// Object returns one object.
+func (c *Client) Object(kinds, name string) (Object, error) {
+	var out Object
+	return out, c.decode(fasthttp.MethodGet, kinds+"/"+name, nil, &out)
+}
+
+func (c *Client) decode(method, path string, body []byte, out any) error {
+	answer, err := c.call(method, path, body)
+	if err != nil {
+		return err
+	}
+	if err := json.Unmarshal(answer, out); err != nil {
+		return lost(method, fmt.Sprintf("answer is not JSON: %v", err))
+	}
+	return nil
+}
+
+func (c *Client) call(method, path string, body []byte) ([]byte, error) {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI(c.base + path)
+	req.Header.SetMethod(method)
+	req.SetBody(body)
+	if c.token != "" {
+		req.Header.Set("Authorization", "Bearer "+c.token)
+	}
+	if err := c.client.DoTimeout(req, resp, clientTimeout); err != nil {
+		var dial *fasthttp.ErrDialWithUpstream
+		if errors.As(err, &dial) || errors.Is(err, fasthttp.ErrDialTimeout) {
+			return nil, &refusal.Error{
+				Reason: refusal.StoreUnavailable, Run: refusal.NotRun, Status: 503, Message: err.Error(),
+				Remedy: "check --api, or use the admin program of another host",
+			}
+		}
+		return nil, lost(method, err.Error())
+	}
+	answer := append([]byte(nil), resp.Body()...)
+	if resp.StatusCode() == fasthttp.StatusOK {
+		return answer, nil
+	}
+	var p Problem
+	if err := json.Unmarshal(answer, &p); err != nil || p.Reason == "" {
+		return nil, lost(method, fmt.Sprintf("answer with status %d", resp.StatusCode()))
+	}
+	return nil, &refusal.Error{
+		Reason: p.Reason, Run: p.Run, Status: resp.StatusCode(), Message: p.Message, Remedy: p.Remedy,
+		RetryAfter: time.Duration(p.RetryAfterMS) * time.Millisecond,
+	}
+}
+
+// lost is the refusal for a call without a proper answer.
+func lost(method, message string) error {
+	if method == fasthttp.MethodGet {
+		return &refusal.Error{
+			Reason: refusal.StoreUnavailable, Run: refusal.NotRun, Status: 503, Message: message,
+			Remedy: "try again, or use the admin program of another host",
+		}
+	}
+	return &refusal.Error{
+		Reason: refusal.OutcomeUnknown, Run: refusal.Unknown, Status: 504, Message: message,
+		Remedy: "send the same ticket again, which tells whether it was accepted",
+	}
+}
--- a/lib/manifest/reader.go
+++ b/lib/manifest/reader.go
@@ -202,7 +202,7 @@
 	if held != nil {
 		state, seq = held.State, held.Manifest.Seq
 	}
-	if seq < l.m.Snapshot.Seq {
+	if seq+1 < l.m.firstRef() {
 		var err error
 		if state, seq, err = l.base(ctx); err != nil {
 			return nil, err
@@ -218,6 +218,14 @@
 	return next, err
 }
 
+// firstRef returns the lowest sequence number that the log still covers.
+func (m *Manifest) firstRef() int64 {
+	if len(m.Chunks) > 0 {
+		return m.Chunks[0].First
+	}
+	return m.Seq - int64(len(m.Tickets)) + 1
+}
+
 // base returns a state at or after the snapshot.
 func (l *loader) base(ctx context.Context) (*ticket.State, int64, error) {
 	if ss, ok := l.src.(StateSource); ok {
@@ -252,7 +260,7 @@
 		return nil, 0, err
 	}
 	// A state that is newer than the manifest would put tickets in force that the manifest does not name.
-	if seq > l.m.Seq || seq < l.m.Snapshot.Seq {
+	if seq > l.m.Seq || seq+1 < l.m.firstRef() {
 		return nil, 0, fmt.Errorf("%w: its state is at %d, its manifest at %d; load again", ErrMissing, seq, l.m.Seq)
 	}
 	state, err := ticket.DecodeState(data)
--- a/lib/manifest/writer.go
+++ b/lib/manifest/writer.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"sync"
 	"time"
 
 	"cuminhook.org/cuminhook/lib/kv"
@@ -44,6 +45,9 @@
 	config    Config
 	reader    *Reader
 	turn      chan struct{} // holds one token; taken for the duration of a write
+
+	mu        sync.Mutex
+	trashSeen map[string]time.Time // guarded by mu; when a record of obsolete keys was first seen in force
 }
 
 // NewWriter returns a writer. Nothing is read before the first write.
