Add the mesh: membership, exchange, configuration spread and recency

Cause: gateway, controller and admin need the configuration in force with its recency, and calls between hosts. Change: lib/mesh with Node, which implements confview.View, peer.Caller, peer.Registrar and manifest.Announcer. Decisions on membership and recency take the time as an argument and perform no I/O. States travel as JSON until the ticket codec is available. Member records are sent in full; their size at 1,900 members is not measured yet.

--- /dev/null
+++ b/lib/mesh/members.go
@@ -0,0 +1,146 @@
+package mesh
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"cuminhook.org/cuminhook/lib/confview"
+)
+
+// member is another member with the instant it was last heard of.
+type member struct {
+	record
+	seen instant
+}
+
+// members is the membership table of a host.
+type members struct {
+	self record // Revision and Status are filled in when sent
+	rand *rand.Rand
+	all  map[string]*member
+	next int // position in the rotation of records sent
+}
+
+func newMembers(self record, r *rand.Rand) members {
+	return members{self: self, rand: r, all: map[string]*member{}}
+}
+
+// learn merges a record that was made AgeMS before the instant at. A record heard of more recently wins.
+func (m *members) learn(rec record, at instant) {
+	seen := at - ms(rec.AgeMS)
+	if rec.ID == "" || rec.ID == m.self.ID || at-seen > forgetLimit {
+		return
+	}
+	old, ok := m.all[rec.ID]
+	if !ok {
+		m.all[rec.ID] = &member{record: rec, seen: seen}
+		return
+	}
+	if seen <= old.seen {
+		return
+	}
+	if rec.Boot == old.Boot {
+		rec.Revision = max(rec.Revision, old.Revision)
+		rec.Leaving = rec.Leaving || old.Leaving
+	}
+	old.record, old.seen = rec, seen
+}
+
+// expire drops members not heard of for forgetLimit.
+func (m *members) expire(now instant) {
+	for id, o := range m.all {
+		if now-o.seen > forgetLimit {
+			delete(m.all, id)
+		}
+	}
+}
+
+func (m *members) live(id string, now instant) bool {
+	if id == m.self.ID {
+		return true
+	}
+	o, ok := m.all[id]
+	return ok && now-o.seen <= liveLimit && !o.Leaving
+}
+
+// watchers returns the ids of the gateways that poll for a zone, by rendezvous hashing over its live gateways.
+func (m *members) watchers(zone string, now instant) []string {
+	type ranked struct {
+		id   string
+		hash uint64
+	}
+	var all []ranked
+	add := func(r record) {
+		if r.Role == RoleGateway && r.Zone == zone && !r.Leaving {
+			all = append(all, ranked{r.ID, xxhash.Sum64String(zone + "/" + r.ID)})
+		}
+	}
+	add(m.self)
+	for _, o := range m.all {
+		if now-o.seen <= liveLimit {
+			add(o.record)
+		}
+	}
+	slices.SortFunc(all, func(a, b ranked) int {
+		return cmp.Or(cmp.Compare(b.hash, a.hash), cmp.Compare(a.id, b.id))
+	})
+	ids := make([]string, 0, watchersPerZone)
+	for _, r := range all[:min(len(all), watchersPerZone)] {
+		ids = append(ids, r.id)
+	}
+	return ids
+}
+
+// records returns up to n records to send, own zone first, in rotation over the table.
+func (m *members) records(n int, now instant) []record {
+	ids := m.sorted()
+	if len(ids) == 0 {
+		return nil
+	}
+	out := make([]record, 0, min(n, len(ids)))
+	for i := 0; i < len(ids) && len(out) < n; i++ {
+		o := m.all[ids[(m.next+i)%len(ids)]]
+		rec := o.record
+		rec.AgeMS = ceilMS(now - o.seen)
+		out = append(out, rec)
+	}
+	m.next = (m.next + len(out)) % len(ids)
+	return out
+}
+
+func (m *members) sorted() []string {
+	ids := make([]string, 0, len(m.all))
+	for id := range m.all {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// partners returns up to n distinct live members at random, leaving out those in skip.
+func (m *members) partners(n int, now instant, skip ...string) []string {
+	var ids []string
+	for _, id := range m.sorted() {
+		if m.live(id, now) && !slices.Contains(skip, id) {
+			ids = append(ids, id)
+		}
+	}
+	m.rand.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
+	return ids[:min(n, len(ids))]
+}
+
+// view returns the members for confview.
+func (m *members) view(now instant) []confview.Member {
+	out := make([]confview.Member, 0, len(m.all))
+	for _, id := range m.sorted() {
+		o := m.all[id]
+		out = append(out, confview.Member{
+			ID: o.ID, Role: o.Role, Zone: o.Zone, Addr: o.Addr, Boot: o.Boot, Leaving: o.Leaving,
+			Revision: o.Revision, AgeMS: ceilMS(now - o.seen), Status: confview.Status(o.Status),
+		})
+	}
+	return out
+}
--- /dev/null
+++ b/lib/mesh/node.go
@@ -0,0 +1,247 @@
+package mesh
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/rpc"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
+
+	"cuminhook.org/cuminhook/lib/confview"
+	"cuminhook.org/cuminhook/lib/hostlist"
+	"cuminhook.org/cuminhook/lib/kv"
+	"cuminhook.org/cuminhook/lib/manifest"
+	"cuminhook.org/cuminhook/lib/peer"
+)
+
+// Node is this program's member of the mesh.
+type Node struct {
+	cfg     Config
+	store   kv.Store
+	hosts   hostlist.List
+	codec   Codec
+	log     *slog.Logger
+	clock   func() instant
+	metrics *nodeMetrics
+	pool    *pool
+	server  *rpc.Server
+	trans   Transport
+
+	snapshot atomic.Pointer[confview.Snapshot] // written with mu held
+
+	mu          sync.Mutex
+	recency     recency                    // guarded by mu
+	members     members                    // guarded by mu
+	seeds       map[string]string          // member id by seed address, guarded by mu
+	version     kv.Version                 // of the manifest key at the installed revision, zero if unknown; guarded by mu
+	hostsHash   uint64                     // guarded by mu
+	hostsAt     instant                    // when the host list was read; guarded by mu
+	fetching    map[string]bool            // what is being fetched from where, guarded by mu
+	asking      map[string]bool            // addresses with an exchange in progress, guarded by mu
+	subscribers map[chan struct{}]struct{} // guarded by mu
+	conns       map[net.Conn]struct{}      // accepted connections, guarded by mu
+	announced   int64                      // announcements made by this node, guarded by mu
+	turn        int                        // alternates between the watchers of the zone, guarded by mu
+	background  context.Context            // of Run, guarded by mu
+	tasks       *errgroup.Group            // of Run, guarded by mu
+}
+
+var (
+	_ confview.View      = (*Node)(nil)
+	_ peer.Caller        = (*Node)(nil)
+	_ peer.Registrar     = (*Node)(nil)
+	_ manifest.Announcer = (*Node)(nil)
+)
+
+// New returns a node that does nothing until Run.
+func New(cfg Config, deps Deps) (*Node, error) {
+	switch {
+	case cfg.Host == "" || cfg.Zone == "" || cfg.Listen == "":
+		return nil, eris.New("mesh: Host, Zone and Listen are required; set them from the settings")
+	case cfg.Role != RoleGateway && cfg.Role != RoleController && cfg.Role != RoleAdmin:
+		return nil, eris.Errorf("mesh: unknown role %q; use gateway, controller or admin", cfg.Role)
+	case deps.Store == nil || deps.Hosts == nil:
+		return nil, eris.New("mesh: Store and Hosts are required")
+	}
+	deps = withDefaults(deps)
+	n := &Node{
+		cfg: cfg, store: deps.Store, hosts: deps.Hosts, codec: deps.Codec, log: deps.Log, clock: deps.Clock,
+		trans: deps.Transport, server: rpc.NewServer(), seeds: map[string]string{}, hostsAt: never,
+		fetching: map[string]bool{}, asking: map[string]bool{},
+		subscribers: map[chan struct{}]struct{}{}, conns: map[net.Conn]struct{}{},
+	}
+	self := record{ID: MemberID(cfg.Host, cfg.Role), Role: cfg.Role, Zone: cfg.Zone, Addr: cfg.Listen, Boot: deps.Boot()}
+	n.recency = newRecency(self.ID, n.clock())
+	n.members = newMembers(self, deps.Rand)
+	n.snapshot.Store(emptySnapshot())
+	n.metrics = newMetrics(deps.Metrics, n)
+	n.pool = newPool(deps.Transport, n.metrics, n.clock)
+	if err := n.server.RegisterName("Mesh", &service{n}); err != nil {
+		return nil, eris.Wrap(err, "mesh: register")
+	}
+	return n, nil
+}
+
+func withDefaults(d Deps) Deps {
+	if d.Transport == nil {
+		d.Transport = TCP{}
+	}
+	if d.Codec == nil {
+		d.Codec = jsonCodec{}
+	}
+	if d.Rand == nil {
+		d.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	}
+	if d.Log == nil {
+		d.Log = slog.Default()
+	}
+	if d.Boot == nil {
+		d.Boot = uuid.NewString
+	}
+	if d.Clock == nil {
+		start := time.Now()
+		d.Clock = func() instant { return time.Since(start) }
+	}
+	return d
+}
+
+// Register registers the methods of rcvr as an RPC service. It is called before Run.
+func (n *Node) Register(service string, rcvr any) error {
+	return eris.Wrapf(n.server.RegisterName(service, rcvr), "mesh: register %s", service)
+}
+
+// Run takes part in the mesh until ctx ends. It is called once.
+func (n *Node) Run(ctx context.Context) error {
+	ln, err := n.trans.Listen(ctx, n.cfg.Listen)
+	if err != nil {
+		return eris.Wrapf(err, "mesh: listen on %s; choose a free address", n.cfg.Listen)
+	}
+	g, ctx := errgroup.WithContext(ctx)
+	n.mu.Lock()
+	n.background, n.tasks = ctx, g
+	n.mu.Unlock()
+	g.Go(func() error { return n.accept(ctx, ln) })
+	g.Go(func() error { <-ctx.Done(); n.shutdown(ln); return nil })
+	g.Go(func() error { return n.exchangeLoop(ctx) })
+	g.Go(func() error { return n.hurryLoop(ctx) })
+	g.Go(func() error { return n.statusLoop(ctx) })
+	g.Go(func() error { return n.manifestLoop(ctx) })
+	g.Go(func() error { return n.viewLoop(ctx) })
+	g.Go(func() error { return n.hostsLoop(ctx) })
+	err = g.Wait()
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+// Leave tells peers that this member is leaving. The node goes on until the context of Run ends.
+func (n *Node) Leave(ctx context.Context) {
+	n.mu.Lock()
+	n.members.self.Leaving = true
+	now := n.clock()
+	targets := n.members.watchers(n.cfg.Zone, now)
+	targets = append(targets, n.members.partners(notifyFanout, now, targets...)...)
+	n.mu.Unlock()
+	var g errgroup.Group
+	for _, id := range targets {
+		g.Go(func() error { n.exchange(ctx, n.addr(id), false); return nil })
+	}
+	_ = g.Wait() // exchanges report no error
+}
+
+// spawn runs fn until the end of Run.
+func (n *Node) spawn(fn func(ctx context.Context)) {
+	n.mu.Lock()
+	ctx, tasks := n.background, n.tasks
+	n.mu.Unlock()
+	if ctx == nil || ctx.Err() != nil {
+		return
+	}
+	tasks.Go(func() error { fn(ctx); return nil })
+}
+
+// accept serves incoming connections.
+func (n *Node) accept(ctx context.Context, ln net.Listener) error {
+	for {
+		conn, err := ln.Accept()
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		if err != nil {
+			n.log.Warn("mesh: accept failed", "error", err)
+			if err := sleep(ctx, pollRetry); err != nil {
+				return err
+			}
+			continue
+		}
+		m := &meteredConn{Conn: conn, metrics: n.metrics}
+		n.mu.Lock()
+		n.conns[m] = struct{}{}
+		n.mu.Unlock()
+		n.spawn(func(context.Context) {
+			n.server.ServeConn(m)
+			n.mu.Lock()
+			delete(n.conns, m)
+			n.mu.Unlock()
+		})
+	}
+}
+
+func (n *Node) shutdown(ln net.Listener) {
+	ln.Close()
+	n.pool.close()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for c := range n.conns {
+		c.Close()
+	}
+}
+
+// Call calls a method of another member. Errors: ErrUnknownMember and peer.ErrUnreachable (not sent),
+// peer.ErrTimeout (outcome unknown), rpc.ServerError.
+func (n *Node) Call(ctx context.Context, member, method string, args, reply any) error {
+	addr := n.addr(member)
+	if addr == "" {
+		return eris.Wrapf(errors.Join(peer.ErrUnreachable, ErrUnknownMember), "call %s", member)
+	}
+	return n.pool.call(ctx, addr, method, args, reply)
+}
+
+// addr returns the mesh address of a member, empty if unknown.
+func (n *Node) addr(member string) string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if member == n.members.self.ID {
+		return n.cfg.Listen
+	}
+	if m, ok := n.members.all[member]; ok {
+		return m.Addr
+	}
+	for _, h := range n.snapshot.Load().Hosts {
+		if h.ID == member && h.Role == hostlist.RoleEntry {
+			return h.Addr
+		}
+	}
+	return ""
+}
+
+// sleep waits for d or the end of ctx.
+func sleep(ctx context.Context, d time.Duration) error {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/lib/mesh/node_test.go
@@ -0,0 +1,43 @@
+package mesh
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"cuminhook.org/cuminhook/lib/confview"
+	"cuminhook.org/cuminhook/lib/manifest"
+)
+
+// Guards against a revision that does not reach hosts that do not poll, and against polling by too many hosts.
+func TestRevisionReachesAllHosts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld()
+		w.write(func(m *manifest.Manifest) { m.Witnesses = []string{"g0", "g1", "g4", "g5"} })
+		nodes := w.gateways(t, 8, 4)
+		defer stopAll(nodes)
+		time.Sleep(10 * time.Second)
+		for _, n := range nodes {
+			if s, m := n.Status(), len(n.Members()); s != confview.Fresh || m != 7 {
+				t.Errorf("%s: status %v, %d members", n.Self(), s, m)
+			}
+		}
+		w.mu.Lock()
+		before := w.kvCalls
+		w.mu.Unlock()
+		time.Sleep(10 * time.Second)
+		w.mu.Lock()
+		calls := w.kvCalls - before
+		w.mu.Unlock()
+		if calls > 8*21 {
+			t.Errorf("%d polls in 10 s by at most 8 watchers and witnesses", calls)
+		}
+		m := w.write(func(*manifest.Manifest) {})
+		time.Sleep(time.Second)
+		for _, n := range nodes {
+			if r := n.Snapshot().Manifest.Revision; r != m.Revision {
+				t.Errorf("%s: revision %d", n.Self(), r)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/lib/mesh/service.go
@@ -0,0 +1,99 @@
+package mesh
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+
+	"cuminhook.org/cuminhook/lib/manifest"
+)
+
+// service holds the RPC methods that other members call.
+type service struct{ n *Node }
+
+// Exchange swaps digests.
+func (s *service) Exchange(args *ExchangeArgs, reply *ExchangeReply) error {
+	s.n.answer(args, reply)
+	return nil
+}
+
+// Fetch returns the configuration if it is newer than the caller's.
+func (s *service) Fetch(args *FetchArgs, reply *FetchReply) error { return s.n.content(args, reply) }
+
+// FetchView returns the placement view if it is newer than the caller's.
+func (s *service) FetchView(args *FetchViewArgs, reply *FetchViewReply) error {
+	v := s.n.Snapshot().Placement
+	if !(viewID{v.Epoch, v.Version}).newer(args.Have) {
+		return nil
+	}
+	var err error
+	reply.View, err = json.Marshal(v)
+	return err
+}
+
+// FetchHosts returns the host list unless the caller has it.
+func (s *service) FetchHosts(args *FetchHostsArgs, reply *FetchHostsReply) error {
+	s.n.mu.Lock()
+	defer s.n.mu.Unlock()
+	reply.AgeMS = ceilMS(s.n.clock() - s.n.hostsAt)
+	if reply.Same = args.Hash == s.n.hostsHash; !reply.Same {
+		reply.Hosts = s.n.snapshot.Load().Hosts
+	}
+	return nil
+}
+
+// Notify tells of a new revision.
+func (s *service) Notify(args *NotifyArgs, _ *Empty) error {
+	s.n.mu.Lock()
+	s.n.members.learn(args.From, s.n.clock())
+	s.n.recency.hear(args.Revision)
+	missing := args.Revision > s.n.recency.revision
+	s.n.mu.Unlock()
+	if missing {
+		s.n.fetch("manifest", args.From.Addr, s.n.fetchManifest)
+	}
+	return nil
+}
+
+// Announce stores an announced manifest write.
+func (s *service) Announce(args *AnnounceArgs, _ *Empty) error {
+	s.n.mu.Lock()
+	defer s.n.mu.Unlock()
+	if len(s.n.recency.pending) >= maxAnnouncements {
+		return errTooMany
+	}
+	before := len(s.n.recency.pending)
+	added := s.n.recency.announce(args.Announcement.ID, args.Announcement.Restriction, s.n.clock())
+	s.n.publishRestrictions(before, added)
+	return nil
+}
+
+// Announce sends a restriction to the witnesses listed in the manifest that the write replaces. It returns as soon
+// as a majority acknowledged, with ErrNoMajority if none did within 1 s. An empty list needs no acknowledgement.
+func (n *Node) Announce(ctx context.Context, r manifest.Restriction, witnesses []string) (int, error) {
+	if len(witnesses) == 0 {
+		return 0, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
+	defer cancel()
+	n.mu.Lock()
+	n.announced++
+	id := fmt.Sprintf("%s/%s/%d", n.members.self.ID, n.members.self.Boot, n.announced)
+	n.mu.Unlock()
+	args := &AnnounceArgs{announcement{ID: id, Restriction: r}}
+	results := make(chan error, len(witnesses))
+	for _, w := range witnesses {
+		go func() { results <- n.Call(ctx, w, "Mesh.Announce", args, &Empty{}) }()
+	}
+	acked := 0
+	for range witnesses {
+		if err := <-results; err != nil {
+			n.log.Warn("mesh: witness did not acknowledge", "error", err)
+			continue
+		}
+		if acked++; acked > len(witnesses)/2 {
+			return acked, nil
+		}
+	}
+	return acked, ErrNoMajority
+}
