--- a/cmd/cuminhook-standin/kv.go
+++ b/cmd/cuminhook-standin/kv.go
@@ -53,7 +53,7 @@
 				return err
 			}
 			server := kv.New(kv.Config{Hosts: s.Hosts, Lag: lag})
-			return serve(cmd.Context(), listen, server.Handle)
+			return serveHandler(cmd.Context(), listen, server.Handle)
 		},
 	}
 	c.Flags().StringVar(&listen, "listen", "127.0.0.1:7400", "IP:port to listen on")
--- a/cmd/cuminhook-standin/main.go
+++ b/cmd/cuminhook-standin/main.go
@@ -16,7 +16,9 @@
 // commands returns the subcommands, one for each file of this package.
 func commands() []*cobra.Command {
 	return []*cobra.Command{
+		newEngineCommand(),
 		newKVCommand(),
+		newServiceCommand(),
 	}
 }
 
@@ -36,8 +38,8 @@
 	}
 }
 
-// serve runs handler on addr until ctx ends.
-func serve(ctx context.Context, addr string, handler fasthttp.RequestHandler) error {
+// serveHandler runs handler on addr until ctx ends.
+func serveHandler(ctx context.Context, addr string, handler fasthttp.RequestHandler) error {
 	server := newServer(handler)
 	failed := make(chan error, 1)
 	go func() { failed <- server.ListenAndServe(addr) }()
