Wire mesh, quota, idempotency and router into gateway and admin

Cause: the parts were written side by side, and the programs refused to start or ran without them. Change: lib/host joins a program to the platform and the mesh; the gateway runs the admission and idempotency filters and picks targets with lib/router; the status page also shows the counters that packages register themselves; a planned stop hands idempotency records over for at most 10 s. Conclusion: what is missing for the whole path is the controller.

--- a/cmd/cuminhook-admin/main.go
+++ b/cmd/cuminhook-admin/main.go
@@ -3,9 +3,7 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
-	"log/slog"
 	"os"
 	"os/signal"
 	"syscall"
@@ -15,9 +13,9 @@
 	"github.com/valyala/fasthttp"
 
 	"cuminhook.org/cuminhook/lib/adminapi"
-	"cuminhook.org/cuminhook/lib/confview"
-	"cuminhook.org/cuminhook/lib/kv/httpkv"
+	"cuminhook.org/cuminhook/lib/host"
 	"cuminhook.org/cuminhook/lib/manifest"
+	"cuminhook.org/cuminhook/lib/mesh"
 	"cuminhook.org/cuminhook/lib/settings"
 )
 
@@ -39,19 +37,6 @@
 	return settings.CheckAddr("listen", s.Listen)
 }
 
-// mesh is this host's membership of the mesh.
-type mesh interface {
-	confview.View
-	manifest.Announcer
-	// Run takes part in the mesh until ctx ends.
-	Run(ctx context.Context) error
-}
-
-// newMesh joins the mesh. It is the place where lib/mesh is wired in.
-var newMesh = func(settings.Node, *slog.Logger) (mesh, error) {
-	return nil, errors.New("the mesh is not wired into this program")
-}
-
 func main() {
 	var path string
 	root := &cobra.Command{
@@ -77,21 +62,17 @@
 	if err := settings.Load(path, &s); err != nil {
 		return err
 	}
-	log := slog.New(slog.NewJSONHandler(os.Stderr, nil)).With("host", s.Host, "program", "cuminhook-admin")
-	store, err := httpkv.New(s.KV)
-	if err != nil {
-		return err
-	}
-	m, err := newMesh(s.Node, log)
+	h, err := host.New(&s.Node, mesh.RoleAdmin)
 	if err != nil {
 		return err
 	}
-	api := adminapi.New(m, manifest.NewWriter(store, m, manifest.Config{}), adminapi.Config{Token: s.Token, Log: log})
-	return serve(ctx, s.Listen, api, m)
+	writer := manifest.NewWriter(h.Store, h.Mesh, manifest.Config{})
+	api := adminapi.New(h.Mesh, writer, adminapi.Config{Token: s.Token, Log: h.Log})
+	return serve(ctx, s.Listen, api, h.Mesh)
 }
 
 // serve runs API and mesh until ctx ends, then finishes the tickets in progress before it leaves the mesh.
-func serve(ctx context.Context, addr string, api *adminapi.Server, m mesh) error {
+func serve(ctx context.Context, addr string, api *adminapi.Server, m *mesh.Node) error {
 	meshCtx, leave := context.WithCancel(context.WithoutCancel(ctx))
 	defer leave()
 	server := &fasthttp.Server{
--- a/cmd/cuminhook-gateway/run.go
+++ b/cmd/cuminhook-gateway/run.go
@@ -4,38 +4,56 @@
 	"context"
 	"errors"
 	"fmt"
-	"log/slog"
 	"net"
-	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"golang.org/x/sync/errgroup"
 
-	"cuminhook.org/cuminhook/lib/confview"
 	"cuminhook.org/cuminhook/lib/engine/httpengine"
+	"cuminhook.org/cuminhook/lib/filter/admission"
+	"cuminhook.org/cuminhook/lib/filter/idempotency"
 	"cuminhook.org/cuminhook/lib/gateway"
+	"cuminhook.org/cuminhook/lib/host"
+	"cuminhook.org/cuminhook/lib/idem"
+	"cuminhook.org/cuminhook/lib/mesh"
+	"cuminhook.org/cuminhook/lib/pipeline"
+	"cuminhook.org/cuminhook/lib/quota"
 	"cuminhook.org/cuminhook/lib/service/httpservice"
 )
 
-// node is the host's part in the mesh.
-type node interface {
-	confview.View
-	Run(ctx context.Context) error
-	// SetLeaving announces the planned stop to the other hosts.
-	SetLeaving()
-}
+// drainLimit bounds the hand-over of idempotency records; while the key-value service is down nobody takes the
+// slots, and the successor keeps its copies.
+const drainLimit = 10 * time.Second
 
 // run serves until the process is told to stop.
 func run(ctx context.Context, cfg config) error {
-	log := slog.New(slog.NewJSONHandler(os.Stdout, nil)).With("host", cfg.Host, "zone", cfg.Zone)
-	set := metrics.NewSet()
-	mesh := newNode(cfg)
-	// Admission and Idempotency are filled in where their filters exist; nil passes over them.
+	h, err := host.New(&cfg.Node, mesh.RoleGateway)
+	if err != nil {
+		return err
+	}
+	log, node, set := h.Log, h.Mesh, metrics.NewSet()
+	tokens, err := quota.New(quota.Config{View: node, Caller: node, Registrar: node})
+	if err != nil {
+		return err
+	}
+	claims, err := idem.New(idem.Config{View: node, Caller: node, Registrar: node, AssumeEmpty: cfg.FirstDeployment})
+	if err != nil {
+		return err
+	}
+	defer claims.Close()
+	budget := admission.NewRetryBudget()
 	gw := gateway.New(gateway.Config{
-		Limits: cfg.Limits, View: mesh, Engine: httpengine.New(httpengine.Config{}), Services: httpservice.New(nil),
-		Log: log, Set: set,
+		Limits: cfg.Limits, View: node, Engine: httpengine.New(httpengine.Config{}), Services: httpservice.New(nil),
+		Picker: gateway.NewRouterPicker(node, cfg.Zone), Budget: budget, Log: log, Set: set,
+		Admission: func(next pipeline.Handler) pipeline.Handler {
+			return admission.New(next, admission.Config{View: node, Quota: tokens, Retries: budget})
+		},
+		Idempotency: func(next pipeline.Handler) pipeline.Handler {
+			return idempotency.New(next, idempotency.Config{Claims: claims})
+		},
 	})
 	callers, err := net.Listen("tcp", cfg.Listen)
 	if err != nil {
@@ -50,9 +68,9 @@
 	// Mesh and watches go on until the last open stream has ended.
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	status := gateway.NewStatus(mesh, set)
+	status := gateway.NewStatus(node, set)
 	group, groupCtx := errgroup.WithContext(background)
-	group.Go(func() error { return ignoreCancel(mesh.Run(groupCtx)) })
+	group.Go(func() error { return ignoreCancel(node.Run(groupCtx)) })
 	group.Go(func() error { gw.Run(groupCtx); return nil })
 	group.Go(func() error { return gw.Serve(callers) })
 	group.Go(func() error { return status.Serve(admin) })
@@ -63,10 +81,16 @@
 	}
 	log.Info("stopping", "delay", cfg.StopDelay.String())
 	status.SetStopping()
-	mesh.SetLeaving()
+	node.Leave(background)
 	limit, cancelLimit := context.WithTimeout(background, cfg.StopLimit)
 	defer cancelLimit()
 	stopErr := gw.Stop(limit, cfg.StopDelay)
+	tokens.Close()
+	drain, cancelDrain := context.WithTimeout(background, drainLimit)
+	defer cancelDrain()
+	if err := claims.Drain(drain); err != nil {
+		log.Warn("idempotency records not handed over", "error", err.Error())
+	}
 	cancel()
 	_ = status.Close()
 	return errors.Join(stopErr, ignoreCancel(group.Wait()))
--- a/cmd/cuminhook-gateway/settings.go
+++ b/cmd/cuminhook-gateway/settings.go
@@ -15,6 +15,9 @@
 	Limits        gateway.Limits `yaml:"limits"`
 	StopDelay     time.Duration  `yaml:"stop_delay"` // time in which load balancers notice that the host is not ready
 	StopLimit     time.Duration  `yaml:"stop_limit"` // latest end of a stop, open streams included
+	// FirstDeployment states that no gateway ran in the last 15 min. Without it, idempotency keys are refused for
+	// that long where earlier claims cannot be known.
+	FirstDeployment bool `yaml:"first_deployment"`
 }
 
 func defaults() config {
--- a/lib/filter/admission/retry.go
+++ b/lib/filter/admission/retry.go
@@ -50,8 +50,8 @@
 	s.mu.Unlock()
 }
 
-// Retry takes one retry and reports whether the budget had room for it.
-func (b *RetryBudget) Retry(organisation string) bool {
+// Allow takes one retry and reports whether the budget had room for it.
+func (b *RetryBudget) Allow(organisation string) bool {
 	s := b.state(organisation)
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/lib/gateway/status.go
+++ b/lib/gateway/status.go
@@ -66,7 +66,7 @@
 	case "/metrics":
 		h.SetContentType("text/plain; version=0.0.4")
 		s.set.WritePrometheus(h)
-		metrics.WriteProcessMetrics(h)
+		metrics.WritePrometheus(h, true) // the packages' own counters and those of the process
 	case "/health":
 		h.SetBodyString("alive\n")
 	case "/ready":
--- /dev/null
+++ b/lib/host/host.go
@@ -0,0 +1,46 @@
+// Package host connects a program to the platform's services and to the other hosts.
+package host
+
+import (
+	"log/slog"
+	"os"
+
+	"github.com/rotisserie/eris"
+
+	"cuminhook.org/cuminhook/lib/hostlist"
+	"cuminhook.org/cuminhook/lib/hostlist/httplist"
+	"cuminhook.org/cuminhook/lib/kv"
+	"cuminhook.org/cuminhook/lib/kv/httpkv"
+	"cuminhook.org/cuminhook/lib/mesh"
+	"cuminhook.org/cuminhook/lib/settings"
+)
+
+// Host is what every program of a host uses.
+type Host struct {
+	Store kv.Store
+	Hosts hostlist.List
+	Mesh  *mesh.Node
+	Log   *slog.Logger
+}
+
+// New returns the connections of the program with the given mesh role. Nothing is dialled before Mesh.Run, so
+// that programs start while the platform's services are down.
+func New(s *settings.Node, role string) (*Host, error) {
+	log := slog.New(slog.NewJSONHandler(os.Stdout, nil)).With("host", s.Host, "zone", s.Zone, "program", "cuminhook-"+role)
+	store, err := httpkv.New(s.KV)
+	if err != nil {
+		return nil, eris.Wrap(err, "settings key kv")
+	}
+	list, err := httplist.New(s.Hosts)
+	if err != nil {
+		return nil, eris.Wrap(err, "settings key hosts")
+	}
+	node, err := mesh.New(
+		mesh.Config{Host: s.Host, Role: role, Zone: s.Zone, Listen: s.Mesh, Seeds: s.Seeds, Cell: s.CellName()},
+		mesh.Deps{Store: store, Hosts: list, Log: log},
+	)
+	if err != nil {
+		return nil, err
+	}
+	return &Host{Store: store, Hosts: list, Mesh: node, Log: log}, nil
+}
--- a/lib/settings/node.go
+++ b/lib/settings/node.go
@@ -14,6 +14,15 @@
 	Metrics string   `yaml:"metrics"` // IP:port of /metrics, /health and /ready
 	KV      string   `yaml:"kv"`      // base URL of the platform's key-value service
 	Hosts   string   `yaml:"hosts"`   // base URL of the platform's host list
+	Cell    string   `yaml:"cell"`    // targets under one controller lease; default "main"
+}
+
+// CellName returns the cell, or the default.
+func (n *Node) CellName() string {
+	if n.Cell == "" {
+		return "main"
+	}
+	return n.Cell
 }
 
 // Validate checks the shared settings.
