--- a/lib/kv/memkv/memkv.go
+++ b/lib/kv/memkv/memkv.go
@@ -40,16 +40,23 @@
 // locks held. The key is empty for calls on leases.
 type Injector func(op Op, key string) Fault
 
-// Store implements kv.Store.
+// Store implements kv.Store. It is one client's way to the service; Client returns further ones.
 type Store struct {
+	d *data
+
 	mu       sync.Mutex
-	injector Injector                 // guarded by mu
-	version  kv.Version               // guarded by mu; newest version of any key
-	entries  map[string]entry         // guarded by mu
-	leases   map[kv.LeaseID]*lease    // guarded by mu
-	lastID   kv.LeaseID               // guarded by mu
-	changed  map[string]chan struct{} // guarded by mu; closed when the key changes
-	calls    map[Op]int               // guarded by mu
+	injector Injector   // guarded by mu
+	calls    map[Op]int // guarded by mu
+}
+
+// data is the content of the service.
+type data struct {
+	mu      sync.Mutex
+	version kv.Version               // guarded by mu; newest version of any key
+	entries map[string]entry         // guarded by mu
+	leases  map[kv.LeaseID]*lease    // guarded by mu
+	lastID  kv.LeaseID               // guarded by mu
+	changed map[string]chan struct{} // guarded by mu; closed when the key changes
 }
 
 type entry struct {
@@ -65,12 +72,17 @@
 
 // New returns an empty store without faults.
 func New() *Store {
-	return &Store{
-		entries: map[string]entry{}, leases: map[kv.LeaseID]*lease{},
-		changed: map[string]chan struct{}{}, calls: map[Op]int{},
-	}
+	return newClient(&data{
+		entries: map[string]entry{}, leases: map[kv.LeaseID]*lease{}, changed: map[string]chan struct{}{},
+	})
 }
 
+func newClient(d *data) *Store { return &Store{d: d, calls: map[Op]int{}} }
+
+// Client returns another store with the same content and its own faults and counts, such as the store of a
+// host that is cut off while others are not.
+func (s *Store) Client() *Store { return newClient(s.d) }
+
 // SetInjector replaces the fault injector; nil removes it.
 func (s *Store) SetInjector(f Injector) {
 	s.mu.Lock()
@@ -90,8 +102,9 @@
 
 // Get implements kv.Store.
 func (s *Store) Get(ctx context.Context, key string) (kv.Entry, error) {
+	d := s.d
 	return call(ctx, s, OpGet, key, kv.ErrUnavailable, func() (kv.Entry, error) {
-		e, ok := s.entries[key]
+		e, ok := d.entries[key]
 		if !ok {
 			return kv.Entry{}, kv.ErrNotFound
 		}
@@ -101,11 +114,12 @@
 
 // List implements kv.Store.
 func (s *Store) List(ctx context.Context, prefix string) ([]kv.Entry, error) {
+	d := s.d
 	return call(ctx, s, OpList, prefix, kv.ErrUnavailable, func() ([]kv.Entry, error) {
 		var out []kv.Entry
-		for _, key := range slices.Sorted(maps.Keys(s.entries)) {
+		for _, key := range slices.Sorted(maps.Keys(d.entries)) {
 			if strings.HasPrefix(key, prefix) {
-				out = append(out, s.entries[key].export(key))
+				out = append(out, d.entries[key].export(key))
 			}
 		}
 		return out, nil
@@ -114,15 +128,16 @@
 
 // Wait implements kv.Store.
 func (s *Store) Wait(ctx context.Context, key string, after kv.Version, wait time.Duration) (kv.Entry, error) {
+	d := s.d
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	var changed chan struct{}
 	read := func() (kv.Entry, error) {
-		if s.changed[key] == nil {
-			s.changed[key] = make(chan struct{})
+		if d.changed[key] == nil {
+			d.changed[key] = make(chan struct{})
 		}
-		changed = s.changed[key]
-		e, ok := s.entries[key]
+		changed = d.changed[key]
+		e, ok := d.entries[key]
 		if !ok {
 			return kv.Entry{Key: key}, nil
 		}
@@ -136,9 +151,9 @@
 		case <-timer.C:
 			return e, nil
 		case <-changed:
-			s.mu.Lock()
+			d.mu.Lock()
 			e, err = read()
-			s.mu.Unlock()
+			d.mu.Unlock()
 		}
 	}
 	return e, err
@@ -146,34 +161,36 @@
 
 // Put implements kv.Store.
 func (s *Store) Put(ctx context.Context, key string, value []byte, expect kv.Version, id kv.LeaseID) (kv.Version, error) {
+	d := s.d
 	if len(value) > kv.MaxValueBytes {
 		return 0, kv.ErrTooLarge
 	}
 	value = bytes.Clone(value)
 	return call(ctx, s, OpPut, key, kv.ErrUnknown, func() (kv.Version, error) {
-		if s.entries[key].version != expect {
+		if d.entries[key].version != expect {
 			return 0, kv.ErrConflict
 		}
-		if id != 0 && s.leases[id] == nil {
+		if id != 0 && d.leases[id] == nil {
 			return 0, kv.ErrLeaseLost
 		}
-		s.version++
-		s.entries[key] = entry{value: value, version: s.version, lease: id}
-		s.notify(key)
-		return s.version, nil
+		d.version++
+		d.entries[key] = entry{value: value, version: d.version, lease: id}
+		d.notify(key)
+		return d.version, nil
 	})
 }
 
 // Delete implements kv.Store.
 func (s *Store) Delete(ctx context.Context, key string, expect kv.Version) error {
+	d := s.d
 	_, err := call(ctx, s, OpDelete, key, kv.ErrUnknown, func() (struct{}, error) {
-		e, ok := s.entries[key]
+		e, ok := d.entries[key]
 		if !ok || e.version != expect {
 			return struct{}{}, kv.ErrConflict
 		}
-		s.version++
-		delete(s.entries, key)
-		s.notify(key)
+		d.version++
+		delete(d.entries, key)
+		d.notify(key)
 		return struct{}{}, nil
 	})
 	return err
@@ -181,18 +198,20 @@
 
 // Grant implements kv.Store.
 func (s *Store) Grant(ctx context.Context, ttl time.Duration) (kv.LeaseID, error) {
+	d := s.d
 	return call(ctx, s, OpGrant, "", kv.ErrUnknown, func() (kv.LeaseID, error) {
-		s.lastID++
-		id := s.lastID
-		s.leases[id] = &lease{ttl: ttl, timer: time.AfterFunc(ttl, func() { s.expire(id) })}
+		d.lastID++
+		id := d.lastID
+		d.leases[id] = &lease{ttl: ttl, timer: time.AfterFunc(ttl, func() { d.expire(id) })}
 		return id, nil
 	})
 }
 
 // KeepAlive implements kv.Store.
 func (s *Store) KeepAlive(ctx context.Context, id kv.LeaseID) error {
+	d := s.d
 	_, err := call(ctx, s, OpKeepAlive, "", kv.ErrUnavailable, func() (struct{}, error) {
-		l := s.leases[id]
+		l := d.leases[id]
 		if l == nil || !l.timer.Stop() {
 			return struct{}{}, kv.ErrLeaseLost
 		}
@@ -204,44 +223,45 @@
 
 // Revoke implements kv.Store.
 func (s *Store) Revoke(ctx context.Context, id kv.LeaseID) error {
+	d := s.d
 	_, err := call(ctx, s, OpRevoke, "", kv.ErrUnknown, func() (struct{}, error) {
-		if s.leases[id] == nil {
+		if d.leases[id] == nil {
 			return struct{}{}, kv.ErrLeaseLost
 		}
-		s.end(id)
+		d.end(id)
 		return struct{}{}, nil
 	})
 	return err
 }
 
-func (s *Store) expire(id kv.LeaseID) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.end(id)
+func (d *data) expire(id kv.LeaseID) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.end(id)
 }
 
 // end removes a lease and its keys; mu is held.
-func (s *Store) end(id kv.LeaseID) {
-	l := s.leases[id]
+func (d *data) end(id kv.LeaseID) {
+	l := d.leases[id]
 	if l == nil {
 		return
 	}
 	l.timer.Stop()
-	delete(s.leases, id)
-	for key, e := range s.entries {
+	delete(d.leases, id)
+	for key, e := range d.entries {
 		if e.lease == id {
-			s.version++
-			delete(s.entries, key)
-			s.notify(key)
+			d.version++
+			delete(d.entries, key)
+			d.notify(key)
 		}
 	}
 }
 
 // notify wakes the waiters of key; mu is held.
-func (s *Store) notify(key string) {
-	if c := s.changed[key]; c != nil {
+func (d *data) notify(key string) {
+	if c := d.changed[key]; c != nil {
 		close(c)
-		delete(s.changed, key)
+		delete(d.changed, key)
 	}
 }
 
@@ -270,8 +290,8 @@
 		return zero, kv.ErrUnavailable
 	}
 	run := func() result[T] {
-		s.mu.Lock()
-		defer s.mu.Unlock()
+		s.d.mu.Lock()
+		defer s.d.mu.Unlock()
 		v, err := effect()
 		return result[T]{v, err}
 	}
--- a/lib/manifest/reader.go
+++ b/lib/manifest/reader.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 
 	"cuminhook.org/cuminhook/lib/kv"
@@ -128,8 +129,12 @@
 	for key, value := range fetched {
 		r.objects[key] = value
 	}
+	old := r.newest
 	r.newest = next
-	r.prune()
+	// Nothing becomes obsolete while the chunks stay, and reading them all for every ticket is slow.
+	if old == nil || !slices.Equal(old.Manifest.Chunks, next.Manifest.Chunks) {
+		r.prune()
+	}
 	return next
 }
 
@@ -292,7 +297,7 @@
 		}
 		hashes[i] = ref.SHA256
 	}
-	return state.Replay(tickets, hashes, ticket.Retained), nil
+	return state.Replay(tickets, hashes), nil
 }
 
 // refsAfter returns the references with sequence numbers above seq, without a gap.
--- a/lib/ticket/apply.go
+++ b/lib/ticket/apply.go
@@ -27,7 +27,9 @@
 // Apply returns the state after t, or a refusal: ticket_invalid, number_reused, superseded or
 // number_too_old. A ticket that was accepted before with the same content returns s itself. s is not
 // changed.
-func (s *State) Apply(t *Ticket) (*State, error) {
+func (s *State) Apply(t *Ticket) (*State, error) { return s.apply(t, Retained) }
+
+func (s *State) apply(t *Ticket, retained int) (*State, error) {
 	t = t.Canonical()
 	if err := t.Validate(); err != nil {
 		return nil, err
@@ -47,7 +49,7 @@
 	if err := s.checkKeyHashes(t); err != nil {
 		return nil, err
 	}
-	next := s.Replay([]*Ticket{t}, []string{hash}, Retained)
+	next := s.replay([]*Ticket{t}, []string{hash}, retained)
 	if err := next.check(); err != nil {
 		return nil, err
 	}
@@ -129,10 +131,12 @@
 	return Key{}, false
 }
 
-// Replay returns the state after the accepted tickets ts with the content hashes hashes, keeping the newest
-// retained numbers (Retained, except in tests). It does not judge the tickets: they were validated when they
-// were accepted, and a follower that refused one would diverge. s is not changed.
-func (s *State) Replay(ts []*Ticket, hashes []string, retained int) *State {
+// Replay returns the state after the accepted tickets ts with the content hashes hashes. It does not judge the
+// tickets: they were validated when they were accepted, and a follower that refused one would diverge. s is
+// not changed.
+func (s *State) Replay(ts []*Ticket, hashes []string) *State { return s.replay(ts, hashes, Retained) }
+
+func (s *State) replay(ts []*Ticket, hashes []string, retained int) *State {
 	next := s.copyFor(ts)
 	for i, t := range ts {
 		next.write(t)
--- /dev/null
+++ b/lib/ticket/fuzz_test.go
@@ -0,0 +1,34 @@
+package ticket
+
+import (
+	"testing"
+
+	"cuminhook.org/cuminhook/lib/refusal"
+)
+
+// Guards against input that makes the parser panic, that fails without a remedy, or whose canonical form is
+// not itself a ticket with the same hash. The seed corpus is in testdata.
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(yamlTicket))
+	f.Add([]byte(jsonTicket))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		first, err := Parse(data)
+		if err != nil {
+			if r, ok := refusal.As(err); !ok || r.Remedy == "" || r.Run != refusal.NotRun {
+				t.Fatalf("error without remedy: %v", err)
+			}
+			return
+		}
+		again, err := Parse(first.Encode())
+		if err != nil || again.Hash() != first.Hash() {
+			t.Fatalf("canonical form is not stable: %v\n%s", err, first.Encode())
+		}
+		stored, err := Decode(first.Encode())
+		if err != nil || stored.Hash() != first.Hash() {
+			t.Fatalf("stored form is not stable: %v", err)
+		}
+		if s, err := Empty().Apply(first); err == nil && s.Accepted[first.Number] != first.Hash() {
+			t.Fatal("applied ticket is not accepted")
+		}
+	})
+}
--- a/lib/ticket/parse.go
+++ b/lib/ticket/parse.go
@@ -13,6 +13,7 @@
 
 	"github.com/goccy/go-yaml"
 	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/lexer"
 	"github.com/goccy/go-yaml/parser"
 
 	"cuminhook.org/cuminhook/lib/refusal"
@@ -77,13 +78,23 @@
 	return &t, nil
 }
 
-func decodeYAML(data []byte, t *Ticket) error {
-	file, err := parser.ParseBytes(data, 0)
+func decodeYAML(data []byte, t *Ticket) (err error) {
+	// The YAML library panics on some malformed input; the fuzz corpus has examples.
+	defer func() {
+		if p := recover(); p != nil {
+			err = invalid("the YAML cannot be read (%v); correct it, or write the ticket in JSON", p)
+		}
+	}()
+	tokens := lexer.Tokenize(string(data))
+	if line, problem := checkYAMLShape(tokens); problem != "" {
+		return invalid("line %d: %s; see the ticket format", line, problem)
+	}
+	file, err := parser.Parse(tokens, 0)
 	if err != nil {
 		return invalid("%s; correct the YAML", yaml.FormatError(err, false, false))
 	}
 	// Aliases are refused because a small document can expand to an arbitrarily large ticket.
-	var finder aliasFinder
+	var finder unsupportedFinder
 	docs := 0
 	for _, doc := range file.Docs {
 		if doc.Body != nil {
@@ -92,7 +103,7 @@
 		}
 	}
 	if finder.found != nil {
-		return invalid("line %d: anchors, aliases and merge keys are not supported; write the value out",
+		return invalid("line %d: anchors, aliases, merge keys and tags are not supported; write the value out",
 			finder.found.GetToken().Position.Line)
 	}
 	if docs != 1 {
@@ -105,12 +116,13 @@
 	return nil
 }
 
-type aliasFinder struct{ found ast.Node }
+// unsupportedFinder finds the first node of a kind that tickets may not have.
+type unsupportedFinder struct{ found ast.Node }
 
 // Visit implements ast.Visitor.
-func (f *aliasFinder) Visit(n ast.Node) ast.Visitor {
+func (f *unsupportedFinder) Visit(n ast.Node) ast.Visitor {
 	switch n.Type() {
-	case ast.AnchorType, ast.AliasType, ast.MergeKeyType:
+	case ast.AnchorType, ast.AliasType, ast.MergeKeyType, ast.TagType:
 		if f.found == nil {
 			f.found = n
 		}
@@ -151,9 +163,6 @@
 	return nil
 }
 
-// maxDepth is above the depth of any ticket; it bounds the recursion on hostile input.
-const maxDepth = 8
-
 func checkJSONValue(dec *json.Decoder, data []byte, depth int) error {
 	tok, err := dec.Token()
 	if err != nil {
--- a/lib/ticket/ticket_test.go
+++ b/lib/ticket/ticket_test.go
@@ -1,6 +1,7 @@
 package ticket
 
 import (
+	"fmt"
 	"reflect"
 	"strings"
 	"testing"
@@ -56,6 +57,12 @@
 		"two documents":      {"number: 1\n---\nnumber: 2\n", "2 documents"},
 		"empty":              {"", "0 documents"},
 		"no change":          {"number: 1\n", "changes nothing"},
+		"deep flow":          {strings.Repeat("[", 250_000), "too deeply"},
+		"deep block":         {strings.Repeat("- ", 250_000), "too deeply"},
+		"many flow fields":   {"- {" + strings.ReplaceAll(manyFields(), "\n", ",") + "}", "too many fields"},
+		"explicit key":       {"number: 1\n? a\n: b\n", "line 2"},
+		"many fields":        {"number: 1\n" + manyFields(), "too many fields"},
+		"deep JSON":          {`{"a":` + strings.Repeat("[", 250_000), "too deeply"},
 		"trailing":           {"{\"number\":1}\n{}", "line 2"},
 		"no number":          {"delete: [{kind: key, name: a}]", "number is 0"},
 		"twice":              {"number: 1\ndelete: [{kind: key, name: a},{kind: key, name: a}]", "touched twice"},
@@ -92,3 +99,12 @@
 		t.Fatalf("%v\n%+v\n%+v", err, s, back)
 	}
 }
+
+// manyFields takes seconds to decode if the number of fields is not bounded.
+func manyFields() string {
+	var b strings.Builder
+	for i := range 40_000 {
+		fmt.Fprintf(&b, "k%d: 1\n", i)
+	}
+	return b.String()
+}
