Name the line of invalid fields, and copy accepted numbers in chunks

Cause: operators got the object but not the line of an invalid field, and every host copied the map of 100,000 accepted numbers for each ticket. Change: validation errors of Parse carry the line of the field, or of the object if the field is absent. ticket.State.Accepted is the new type ticket.Numbers, an immutable set in sorted chunks, in place of a map. Encoded states use the fastest compression level.

--- a/lib/adminapi/adminapi.go
+++ b/lib/adminapi/adminapi.go
@@ -221,7 +221,7 @@
 	}
 	m, state := s.newest()
 	out := TicketStatus{Number: number, AsOf: m.Revision, Status: s.view.Status().String()}
-	out.SHA256, out.Accepted = state.Accepted[number]
+	out.SHA256, out.Accepted = state.Accepted.Get(number)
 	if !out.Accepted {
 		if number < state.Floor {
 			return nil, &refusal.Error{
--- a/lib/manifest/compact_test.go
+++ b/lib/manifest/compact_test.go
@@ -52,7 +52,7 @@
 		store.SetInjector(func(_ memkv.Op, key string) memkv.Fault {
 			return memkv.Fault{Unavailable: strings.HasPrefix(key, "snapshot/")}
 		})
-		if l, err := behind.Load(ctx, StoreSource{store}); err != nil || len(l.State.Accepted) != SnapshotEvery {
+		if l, err := behind.Load(ctx, StoreSource{store}); err != nil || l.State.Accepted.Len() != SnapshotEvery {
 			t.Fatal("a reader ten tickets behind needed the snapshot:", err)
 		}
 		store.SetInjector(nil)
@@ -72,7 +72,7 @@
 		}
 		accept(SnapshotEvery+1, 2*SnapshotEvery+5)
 		fresh, err := NewReader().Load(ctx, StoreSource{store})
-		if err != nil || len(fresh.State.Accepted) != 2*SnapshotEvery+5 {
+		if err != nil || fresh.State.Accepted.Len() != 2*SnapshotEvery+5 {
 			t.Fatal("a reader that starts anew lacks tickets:", err)
 		}
 		compact(next)
--- a/lib/manifest/history_test.go
+++ b/lib/manifest/history_test.go
@@ -291,8 +291,8 @@
 			return err
 		}
 		if last != nil {
-			for number, hash := range last.State.Accepted {
-				if next.State.Accepted[number] != hash {
+			for number, hash := range last.State.Accepted.All() {
+				if got, _ := next.State.Accepted.Get(number); got != hash {
 					return fmt.Errorf("ticket %d was accepted at revision %d and is not at %d", number,
 						last.Manifest.Revision, next.Manifest.Revision)
 				}
--- a/lib/manifest/writer.go
+++ b/lib/manifest/writer.go
@@ -78,7 +78,7 @@
 	receipt := Receipt{Number: t.Number, SHA256: t.Hash()}
 	m, err := w.swap(ctx, func(ctx context.Context, cur *Loaded, first bool) (*Manifest, Restriction, error) {
 		receipt.Repeated = false
-		if cur.State.Accepted[t.Number] == receipt.SHA256 {
+		if hash, ok := cur.State.Accepted.Get(t.Number); ok && hash == receipt.SHA256 {
 			receipt.Repeated = first
 			return nil, Restriction{}, nil
 		}
--- a/lib/manifest/writer_test.go
+++ b/lib/manifest/writer_test.go
@@ -57,7 +57,7 @@
 		}
 		fresh, second := NewReader(), NewReader()
 		a, err := fresh.Load(ctx, StoreSource{store})
-		if err != nil || len(a.State.Accepted) != 150 || len(a.Manifest.Chunks) != 2 {
+		if err != nil || a.State.Accepted.Len() != 150 || len(a.Manifest.Chunks) != 2 {
 			t.Fatal(a, err)
 		}
 		b, err := second.Load(ctx, follower)
--- a/lib/ticket/apply.go
+++ b/lib/ticket/apply.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"maps"
-	"math"
 
 	"cuminhook.org/cuminhook/lib/refusal"
 )
@@ -20,7 +19,6 @@
 		Adapters:      map[string]Adapter{},
 		Routes:        map[string]Route{},
 		Writers:       map[string]int64{},
-		Accepted:      map[int64]string{},
 	}
 }
 
@@ -35,7 +33,7 @@
 		return nil, err
 	}
 	hash := HashBytes(t.Encode())
-	if accepted, ok := s.Accepted[t.Number]; ok && accepted == hash {
+	if accepted, ok := s.Accepted.Get(t.Number); ok && accepted == hash {
 		return s, nil
 	}
 	if err := s.checkNumber(t); err != nil {
@@ -58,7 +56,7 @@
 
 func (s *State) checkNumber(t *Ticket) error {
 	conflict := &refusal.Error{Run: refusal.NotRun, Status: 409}
-	if _, ok := s.Accepted[t.Number]; ok {
+	if _, ok := s.Accepted.Get(t.Number); ok {
 		conflict.Reason = refusal.NumberReused
 		conflict.Message = fmt.Sprintf("ticket %d was accepted with other content", t.Number)
 		conflict.Remedy = "give the new content a new number"
@@ -140,7 +138,7 @@
 	next := s.copyFor(ts)
 	for i, t := range ts {
 		next.write(t)
-		next.Accepted[t.Number] = hashes[i]
+		next.Accepted = next.Accepted.With(t.Number, hashes[i])
 	}
 	next.trim(retained)
 	return next
@@ -171,7 +169,6 @@
 		next.Routes = maps.Clone(s.Routes)
 	}
 	next.Writers = maps.Clone(s.Writers)
-	next.Accepted = maps.Clone(s.Accepted)
 	return &next
 }
 
@@ -228,17 +225,8 @@
 // largest number dropped: a ticket accepted between the two would be dropped at once, and its repetition
 // refused.
 func (s *State) trim(retained int) {
-	for len(s.Accepted) > retained {
-		least, second := int64(math.MaxInt64), int64(math.MaxInt64)
-		for n := range s.Accepted {
-			if n < least {
-				least, second = n, least
-			} else if n < second {
-				second = n
-			}
-		}
-		delete(s.Accepted, least)
-		s.Floor = second
+	if s.Accepted.Len() > retained {
+		s.Accepted, s.Floor = s.Accepted.newest(retained)
 	}
 	s.pruneTombstones()
 }
--- a/lib/ticket/apply_test.go
+++ b/lib/ticket/apply_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"maps"
 	"os"
+	"reflect"
 	"slices"
 	"testing"
 
@@ -179,7 +180,7 @@
 		hashes[i] = t.Hash()
 	}
 	batch := Empty().replay(log, hashes, testRetained)
-	if !maps.Equal(batch.Accepted, s.Accepted) || batch.Floor != s.Floor || !maps.Equal(batch.Keys, s.Keys) ||
+	if !reflect.DeepEqual(maps.Collect(batch.Accepted.All()), maps.Collect(s.Accepted.All())) || batch.Floor != s.Floor || !maps.Equal(batch.Keys, s.Keys) ||
 		!maps.Equal(batch.Organisations, s.Organisations) || !maps.Equal(batch.Writers, s.Writers) {
 		return fmt.Errorf("following the log in one batch leads to another state")
 	}
--- a/lib/ticket/parse.go
+++ b/lib/ticket/parse.go
@@ -38,7 +38,7 @@
 	}
 	t.normalise()
 	if err := t.Validate(); err != nil {
-		return nil, err
+		return nil, withLine(data, err)
 	}
 	if n := len(t.Encode()); n > MaxBytes {
 		return nil, tooLarge(n)
--- a/lib/ticket/state.go
+++ b/lib/ticket/state.go
@@ -15,7 +15,11 @@
 // EncodeState returns s as compressed JSON. Equal states have equal encodings.
 func EncodeState(s *State) ([]byte, error) {
 	var buf bytes.Buffer
-	w := gzip.NewWriter(&buf)
+	// Hashes make up most of the state and hardly shrink, so a higher level costs time only.
+	w, err := gzip.NewWriterLevel(&buf, gzip.BestSpeed)
+	if err != nil {
+		return nil, fmt.Errorf("ticket: encode state: %w", err)
+	}
 	if err := json.NewEncoder(w).Encode(s); err != nil {
 		return nil, fmt.Errorf("ticket: encode state: %w", err)
 	}
--- a/lib/ticket/ticket_test.go
+++ b/lib/ticket/ticket_test.go
@@ -65,7 +65,10 @@
 		"deep JSON":          {`{"a":` + strings.Repeat("[", 250_000), "too deeply"},
 		"trailing":           {"{\"number\":1}\n{}", "line 2"},
 		"no number":          {"delete: [{kind: key, name: a}]", "number is 0"},
-		"twice":              {"number: 1\ndelete: [{kind: key, name: a},{kind: key, name: a}]", "touched twice"},
+		"twice":              {"number: 1\ndelete: [{kind: key, name: a},{kind: key, name: a}]", "line 2: key/a is touched twice"},
+		"bad field":          {"number: 1\norganisations:\n- {name: a, rate: 1, burst: 1}\n- name: b\n  burst: 1\n  rate: -1\n", "line 6: organisation/b: rate"},
+		"bad JSON field":     {"{\"number\":1,\n\t\"routes\":[{\"name\":\"a\",\n\"prefix\":\"x\",\"deadline_ms\":1,\"service\":\"s\"}]}", "line 3: route/a: prefix"},
+		"absent field":       {"number: 1\nmodels:\n- name: m\n", "line 3: model/m: bytes"},
 		"bad kind":           {"number: 1\ndelete: [{kind: cat, name: a}]", "unknown kind"},
 	} {
 		_, err := Parse([]byte(c.text))
--- a/lib/ticket/types.go
+++ b/lib/ticket/types.go
@@ -58,7 +58,7 @@
 	// last. The index is kind, slash, name.
 	Writers map[string]int64
 	// Accepted holds the content hash of each ticket number at or above Floor.
-	Accepted map[int64]string
+	Accepted Numbers
 	Floor    int64
 }
 
--- a/lib/ticket/validate.go
+++ b/lib/ticket/validate.go
@@ -65,14 +65,14 @@
 	seen := map[Ref]bool{}
 	for ref := range t.Touched() {
 		if !slices.Contains(Kinds(), ref.Kind) {
-			return invalid("delete: unknown kind %q; use one of %v", ref.Kind, Kinds())
+			return faultAt(ref, "kind", "delete: unknown kind %q; use one of %v", ref.Kind, Kinds())
 		}
 		if !namePattern.MatchString(ref.Name) {
-			return invalid("%s: bad name %q; use 1 to 128 letters, digits and . _ : / -, with a letter or digit at both ends",
+			return faultAt(ref, "name", "%s: bad name %q; use 1 to 128 letters, digits and . _ : / -, with a letter or digit at both ends",
 				ref.Kind, ref.Name)
 		}
 		if seen[ref] {
-			return invalid("%s is touched twice; keep one", ref)
+			return faultAt(ref, "", "%s is touched twice; keep one", ref)
 		}
 		seen[ref] = true
 	}
@@ -94,12 +94,14 @@
 			return err
 		}
 		if o.Rate > 0 && o.Burst == 0 {
-			return invalid("organisation/%s: burst is 0 although rate is not; set burst to at least the largest request", o.Name)
+			ref := Ref{KindOrganisation, o.Name}
+			return faultAt(ref, "burst", "%s: burst is 0 although rate is not; set burst to at least the largest request", ref)
 		}
 	}
 	for _, k := range t.Keys {
 		if !sha256Pattern.MatchString(k.SHA256) {
-			return invalid("key/%s: sha256 is not 64 lower-case hex digits; create keys with 'cuminhookctl keys create'", k.Name)
+			ref := Ref{KindKey, k.Name}
+			return faultAt(ref, "sha256", "%s: sha256 is not 64 lower-case hex digits; create keys with 'cuminhookctl keys create'", ref)
 		}
 	}
 	for _, m := range t.Models {
@@ -127,18 +129,18 @@
 		return err
 	}
 	if !strings.HasPrefix(r.Prefix, "/") || strings.ContainsAny(r.Prefix, "?# ") {
-		return invalid("%s: prefix %q is not a path; start it with a slash", ref, r.Prefix)
+		return faultAt(ref, "prefix", "%s: prefix %q is not a path; start it with a slash", ref, r.Prefix)
 	}
 	if r.Service == "" {
-		return invalid("%s: service is empty; name the service as in the host list", ref)
+		return faultAt(ref, "service", "%s: service is empty; name the service as in the host list", ref)
 	}
 	for _, m := range r.Methods {
 		if !slices.Contains(methods, m) {
-			return invalid("%s: unknown method %q; use upper-case HTTP methods", ref, m)
+			return faultAt(ref, "methods", "%s: unknown method %q; use upper-case HTTP methods", ref, m)
 		}
 	}
 	if r.Open && len(r.Organisations) > 0 {
-		return invalid("%s: an open route has organisations; remove one of the two", ref)
+		return faultAt(ref, "organisations", "%s: an open route has organisations; remove one of the two", ref)
 	}
 	return nil
 }
@@ -152,7 +154,7 @@
 func checkAmounts(ref Ref, amounts ...amount) error {
 	for _, a := range amounts {
 		if a.value < a.least || a.value > maxAmount {
-			return invalid("%s: %s is %d; set it to %d or more, at most %d", ref, a.field, a.value, a.least, int64(maxAmount))
+			return faultAt(ref, a.field, "%s: %s is %d; set it to %d or more, at most %d", ref, a.field, a.value, a.least, int64(maxAmount))
 		}
 	}
 	return nil
