Load configuration through manifest.Reader, from peers by delta

Cause: the ticket log and its reader are available; states travelled as JSON of our own before. Change: watchers load from the key-value service, other hosts from the peer that told them of the revision. A fetch carries the difference to one of the last 16 manifests with a hash of the result, and the ticket bodies after the caller's sequence number; whole manifest and state are the fallback. Conclusion: tests in virtual time pass; sizes are not measured yet.

--- a/lib/mesh/config.go
+++ b/lib/mesh/config.go
@@ -64,6 +64,7 @@
 	notifyFanout     = 4
 	maxAnnouncements = 256 // a witness with more unresolved ones refuses further announcements
 	maxBatchBytes    = 256 << 10
+	historySize      = 16 // earlier manifests kept as bases of deltas
 )
 
 // Errors of a node.
@@ -96,7 +97,6 @@
 	Store     kv.Store
 	Hosts     hostlist.List
 	Transport Transport      // default: TCP
-	Codec     Codec          // default: lib/manifest and lib/ticket
 	Rand      *rand.Rand     // default: seeded at random; used under the node's mutex
 	Log       *slog.Logger   // default: slog.Default
 	Metrics   *metrics.Set   // default: a set of the node's own
--- a/lib/mesh/fake_test.go
+++ b/lib/mesh/fake_test.go
@@ -89,13 +89,13 @@
 func (w *world) write(change func(m *manifest.Manifest)) *manifest.Manifest {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	m := emptyManifest()
+	m := manifest.Initial()
 	if w.version > 0 {
 		_ = json.Unmarshal(w.value, m)
 	}
 	m.Revision++
 	change(m)
-	w.value, _ = json.Marshal(m)
+	w.value, _ = manifest.Encode(m)
 	w.version++
 	close(w.changed)
 	w.changed = make(chan struct{})
--- a/lib/mesh/fetch.go
+++ b/lib/mesh/fetch.go
@@ -10,7 +10,6 @@
 	"cuminhook.org/cuminhook/lib/kv"
 	"cuminhook.org/cuminhook/lib/manifest"
 	"cuminhook.org/cuminhook/lib/placement"
-	"cuminhook.org/cuminhook/lib/ticket"
 )
 
 // fetch runs fn in the background unless the same is being fetched from addr.
@@ -34,11 +33,18 @@
 	})
 }
 
+// fetchManifest installs the configuration of the peer at addr if it is newer.
 func (n *Node) fetchManifest(ctx context.Context, addr string) error {
-	have := n.snapshot.Load()
+	held := n.reader.Newest()
+	args := &FetchArgs{Revision: -1}
 	n.mu.Lock()
-	args := &FetchArgs{Revision: n.recency.revision, Seq: have.Manifest.Seq, Slots: have.Manifest.Slots.Version}
+	if n.recency.revision >= 0 {
+		args.Revision = n.recency.revision
+	}
 	n.mu.Unlock()
+	if held != nil {
+		args.Seq = held.Manifest.Seq
+	}
 	sent := n.clock()
 	var reply FetchReply
 	if err := n.pool.call(ctx, addr, "Mesh.Fetch", args, &reply); err != nil {
@@ -47,35 +53,60 @@
 	if reply.Revision <= args.Revision {
 		return nil
 	}
-	m, err := n.codec.DecodeManifest(reply.Manifest)
-	if err != nil {
-		return eris.Wrap(err, "decode manifest")
-	}
-	state, err := n.codec.DecodeState(reply.State)
-	if err != nil {
-		return eris.Wrap(err, "decode state")
-	}
 	at := never
 	if reply.Confirmed {
 		at = sent - ms(reply.AgeMS)
 	}
-	n.install(m, state, kv.Version(reply.Version), at)
+	if reply.Revision == 0 {
+		n.install(initial(), 0, at)
+		return nil
+	}
+	raw := reply.Manifest
+	if reply.Delta != nil {
+		var ok bool
+		if held != nil {
+			raw, ok = patch(held.Manifest, reply.Delta)
+		}
+		if !ok {
+			n.metrics.failure("delta").Inc()
+			if err := n.pool.call(ctx, addr, "Mesh.Fetch", &FetchArgs{Revision: -1, Seq: args.Seq}, &reply); err != nil {
+				return err
+			}
+			raw = reply.Manifest // a newer manifest was the newest no earlier
+		}
+	}
+	loaded, err := n.reader.LoadRaw(ctx, raw, &peerSource{n: n, addr: addr, raw: raw, objects: reply.Objects})
+	if err != nil {
+		return eris.Wrapf(err, "load revision %d", reply.Revision)
+	}
+	version := kv.Version(0)
+	if loaded.Manifest.Revision == reply.Revision {
+		version = kv.Version(reply.Version)
+	}
+	n.install(loaded, version, at)
 	return nil
 }
 
 // install puts a configuration in force that was certainly the newest at the instant at. A lower revision than
 // the present one is ignored.
-func (n *Node) install(m *manifest.Manifest, state *ticket.State, version kv.Version, at instant) {
+func (n *Node) install(l *manifest.Loaded, version kv.Version, at instant) {
+	m := l.Manifest
 	n.mu.Lock()
 	newer := n.recency.install(m.Revision, m.Witnesses)
 	if newer {
 		n.version = version
 		n.metrics.installs.Inc()
+		n.history[m.Revision] = m
+		for r := range n.history {
+			if r <= m.Revision-historySize {
+				delete(n.history, r)
+			}
+		}
 	}
 	before := len(n.recency.pending)
 	n.recency.confirm(m.Revision, at)
 	if newer {
-		n.publish(func(s *confview.Snapshot) { s.Manifest, s.State = m, state })
+		n.publish(func(s *confview.Snapshot) { s.Manifest, s.State = m, l.State })
 	} else {
 		n.publishRestrictions(before, false)
 	}
@@ -87,24 +118,132 @@
 }
 
 // content answers a fetch of the configuration.
-func (n *Node) content(args *FetchArgs, reply *FetchReply) error {
+func (n *Node) content(args *FetchArgs, reply *FetchReply) {
+	loaded := n.reader.Newest()
 	n.mu.Lock()
 	now := n.clock()
-	s := n.snapshot.Load()
 	reply.Revision, reply.Version = n.recency.revision, int64(n.version)
 	if n.recency.confirmed != never {
 		reply.Confirmed, reply.AgeMS = true, ceilMS(now-n.recency.confirmed)
 	}
+	base := n.history[args.Revision]
 	n.mu.Unlock()
-	if reply.Revision <= args.Revision {
-		return nil
+	if reply.Revision <= args.Revision || loaded == nil {
+		return
 	}
-	var err error
-	if reply.Manifest, err = n.codec.EncodeManifest(s.Manifest); err != nil {
-		return err
+	if loaded.Manifest.Revision != reply.Revision {
+		// The reader is ahead of what is in force for a moment; the age does not belong to its manifest, but a
+		// newer manifest was the newest no earlier.
+		reply.Revision, reply.Version = loaded.Manifest.Revision, 0
+	}
+	if base != nil {
+		reply.Delta, _ = diff(base, loaded.Manifest, loaded.Raw)
+	}
+	if reply.Delta == nil {
+		reply.Manifest = loaded.Raw
+	}
+	var keys []string
+	for _, t := range loaded.Manifest.Tickets {
+		if t.Seq > args.Seq {
+			keys = append(keys, manifest.BodyKey(t.Number, t.SHA256))
+		}
+	}
+	reply.Objects = n.objects(keys)
+}
+
+// objects returns the values of keys that this node has, up to maxBatchBytes and at least one.
+func (n *Node) objects(keys []string) map[string][]byte {
+	out, size := map[string][]byte{}, 0
+	for _, key := range keys {
+		got, err := n.reader.Objects(context.Background(), []string{key})
+		value, ok := got[key]
+		if err != nil || !ok {
+			continue
+		}
+		if size += len(key) + len(value); size > maxBatchBytes && len(out) > 0 {
+			break
+		}
+		out[key] = value
+	}
+	return out
+}
+
+// encodedState returns the encoded state and its sequence number.
+func (n *Node) encodedState() (int64, []byte, error) {
+	n.stateMu.Lock()
+	defer n.stateMu.Unlock()
+	loaded := n.reader.Newest()
+	if loaded == nil {
+		return 0, nil, manifest.ErrNoManifest
+	}
+	if n.stateOf != loaded {
+		seq, data, err := n.reader.State(context.Background())
+		if err != nil {
+			return 0, nil, err
+		}
+		n.stateOf, n.stateSeq, n.state = loaded, seq, data
+	}
+	return n.stateSeq, n.state, nil
+}
+
+// peerSource reads from another member. It implements manifest.StateSource.
+type peerSource struct {
+	n       *Node
+	addr    string
+	raw     []byte
+	objects map[string][]byte // came with the manifest
+}
+
+var _ manifest.StateSource = (*peerSource)(nil)
+
+// Manifest implements manifest.Source.
+func (s *peerSource) Manifest(context.Context) ([]byte, error) { return s.raw, nil }
+
+// Objects implements manifest.Source.
+func (s *peerSource) Objects(ctx context.Context, keys []string) (map[string][]byte, error) {
+	out := map[string][]byte{}
+	for {
+		var lack []string
+		for _, key := range keys {
+			if value, ok := s.objects[key]; ok {
+				out[key] = value
+			} else if _, ok := out[key]; !ok {
+				lack = append(lack, key)
+			}
+		}
+		if len(lack) == 0 {
+			return out, nil
+		}
+		var reply ObjectsReply
+		if err := s.n.pool.call(ctx, s.addr, "Mesh.Objects", &ObjectsArgs{Keys: lack}, &reply); err != nil {
+			return nil, err
+		}
+		if len(reply.Objects) == 0 {
+			return out, nil
+		}
+		s.objects = reply.Objects
+	}
+}
+
+// State implements manifest.StateSource.
+func (s *peerSource) State(ctx context.Context) (int64, []byte, error) {
+	var data []byte
+	var first StateReply
+	for {
+		var reply StateReply
+		if err := s.n.pool.call(ctx, s.addr, "Mesh.State", &StateArgs{Offset: len(data)}, &reply); err != nil {
+			return 0, nil, err
+		}
+		if len(data) == 0 {
+			first = reply
+		}
+		if reply.Seq != first.Seq || reply.Size != first.Size || len(reply.Part) == 0 {
+			return 0, nil, eris.Wrap(manifest.ErrMissing, "state changed during the transfer")
+		}
+		if data = append(data, reply.Part...); len(data) >= reply.Size {
+			return reply.Seq, data, nil
+		}
 	}
-	reply.State, err = n.codec.EncodeState(s.State)
-	return err
 }
 
 func (n *Node) fetchView(ctx context.Context, addr string) error {
--- a/lib/mesh/messages.go
+++ b/lib/mesh/messages.go
@@ -69,20 +69,35 @@
 
 // FetchArgs asks for a configuration newer than the caller's.
 type FetchArgs struct {
-	Revision int64 // -1 for none
-	Seq      int64
-	Slots    int64 // version of the caller's slot table
+	Revision int64 // -1 for none, and if the caller wants the whole manifest
+	Seq      int64 // of the caller's state
 }
 
-// FetchReply carries the manifest and either the ticket bodies since the caller's sequence number or the state.
+// FetchReply carries the manifest, whole or as a delta, and ticket bodies that the caller may lack.
 type FetchReply struct {
 	Revision  int64 // -1: the peer has no configuration
 	Version   int64 // of the manifest key in the key-value service; zero if unknown
 	Confirmed bool
 	AgeMS     int64
 	Manifest  []byte
-	Tickets   [][]byte
-	State     []byte
+	Delta     *delta
+	Objects   map[string][]byte
+}
+
+// ObjectsArgs asks for stored objects by key.
+type ObjectsArgs struct{ Keys []string }
+
+// ObjectsReply carries those that the peer has, as many as fit.
+type ObjectsReply struct{ Objects map[string][]byte }
+
+// StateArgs asks for a part of the encoded state.
+type StateArgs struct{ Offset int }
+
+// StateReply carries a part of the encoded state.
+type StateReply struct {
+	Seq  int64
+	Size int // of the whole
+	Part []byte
 }
 
 // FetchViewArgs asks for a newer placement view.
--- a/lib/mesh/node.go
+++ b/lib/mesh/node.go
@@ -27,7 +27,7 @@
 	cfg     Config
 	store   kv.Store
 	hosts   hostlist.List
-	codec   Codec
+	reader  *manifest.Reader
 	log     *slog.Logger
 	clock   func() instant
 	metrics *nodeMetrics
@@ -37,21 +37,27 @@
 
 	snapshot atomic.Pointer[confview.Snapshot] // written with mu held
 
+	stateMu  sync.Mutex
+	stateOf  *manifest.Loaded // of which state is the encoding; guarded by stateMu
+	stateSeq int64            // guarded by stateMu
+	state    []byte           // guarded by stateMu
+
 	mu          sync.Mutex
-	recency     recency                    // guarded by mu
-	members     members                    // guarded by mu
-	seeds       map[string]string          // member id by seed address, guarded by mu
-	version     kv.Version                 // of the manifest key at the installed revision, zero if unknown; guarded by mu
-	hostsHash   uint64                     // guarded by mu
-	hostsAt     instant                    // when the host list was read; guarded by mu
-	fetching    map[string]bool            // what is being fetched from where, guarded by mu
-	asking      map[string]bool            // addresses with an exchange in progress, guarded by mu
-	subscribers map[chan struct{}]struct{} // guarded by mu
-	conns       map[net.Conn]struct{}      // accepted connections, guarded by mu
-	announced   int64                      // announcements made by this node, guarded by mu
-	turn        int                        // alternates between the watchers of the zone, guarded by mu
-	background  context.Context            // of Run, guarded by mu
-	tasks       *errgroup.Group            // of Run, guarded by mu
+	recency     recency                      // guarded by mu
+	members     members                      // guarded by mu
+	seeds       map[string]string            // member id by seed address, guarded by mu
+	version     kv.Version                   // of the manifest key at the installed revision, zero if unknown; guarded by mu
+	history     map[int64]*manifest.Manifest // newest manifests by revision, guarded by mu
+	hostsHash   uint64                       // guarded by mu
+	hostsAt     instant                      // when the host list was read; guarded by mu
+	fetching    map[string]bool              // what is being fetched from where, guarded by mu
+	asking      map[string]bool              // addresses with an exchange in progress, guarded by mu
+	subscribers map[chan struct{}]struct{}   // guarded by mu
+	conns       map[net.Conn]struct{}        // accepted connections, guarded by mu
+	announced   int64                        // announcements made by this node, guarded by mu
+	turn        int                          // alternates between the watchers of the zone, guarded by mu
+	background  context.Context              // of Run, guarded by mu
+	tasks       *errgroup.Group              // of Run, guarded by mu
 }
 
 var (
@@ -73,9 +79,9 @@
 	}
 	deps = withDefaults(deps)
 	n := &Node{
-		cfg: cfg, store: deps.Store, hosts: deps.Hosts, codec: deps.Codec, log: deps.Log, clock: deps.Clock,
+		cfg: cfg, store: deps.Store, hosts: deps.Hosts, reader: manifest.NewReader(), log: deps.Log, clock: deps.Clock,
 		trans: deps.Transport, server: rpc.NewServer(), seeds: map[string]string{}, hostsAt: never,
-		fetching: map[string]bool{}, asking: map[string]bool{},
+		history: map[int64]*manifest.Manifest{}, fetching: map[string]bool{}, asking: map[string]bool{},
 		subscribers: map[chan struct{}]struct{}{}, conns: map[net.Conn]struct{}{},
 	}
 	self := record{ID: MemberID(cfg.Host, cfg.Role), Role: cfg.Role, Zone: cfg.Zone, Addr: cfg.Listen, Boot: deps.Boot()}
@@ -94,9 +100,6 @@
 	if d.Transport == nil {
 		d.Transport = TCP{}
 	}
-	if d.Codec == nil {
-		d.Codec = jsonCodec{}
-	}
 	if d.Rand == nil {
 		d.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	}
--- a/lib/mesh/service.go
+++ b/lib/mesh/service.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"fmt"
 
+	"github.com/rotisserie/eris"
+
 	"cuminhook.org/cuminhook/lib/manifest"
 )
 
@@ -18,7 +20,30 @@
 }
 
 // Fetch returns the configuration if it is newer than the caller's.
-func (s *service) Fetch(args *FetchArgs, reply *FetchReply) error { return s.n.content(args, reply) }
+func (s *service) Fetch(args *FetchArgs, reply *FetchReply) error {
+	s.n.content(args, reply)
+	return nil
+}
+
+// Objects returns stored objects.
+func (s *service) Objects(args *ObjectsArgs, reply *ObjectsReply) error {
+	reply.Objects = s.n.objects(args.Keys)
+	return nil
+}
+
+// State returns a part of the encoded state.
+func (s *service) State(args *StateArgs, reply *StateReply) error {
+	seq, data, err := s.n.encodedState()
+	if err != nil {
+		return err
+	}
+	if args.Offset < 0 || args.Offset >= len(data) {
+		return eris.Errorf("mesh: offset %d is outside the state; load again", args.Offset)
+	}
+	reply.Seq, reply.Size = seq, len(data)
+	reply.Part = data[args.Offset:min(args.Offset+maxBatchBytes, len(data))]
+	return nil
+}
 
 // FetchView returns the placement view if it is newer than the caller's.
 func (s *service) FetchView(args *FetchViewArgs, reply *FetchViewReply) error {
--- a/lib/mesh/watch.go
+++ b/lib/mesh/watch.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/rotisserie/eris"
 
 	"cuminhook.org/cuminhook/lib/hostlist"
 	"cuminhook.org/cuminhook/lib/kv"
@@ -73,9 +75,12 @@
 
 // take installs the manifest of an entry read by a poll sent at the instant sent.
 func (n *Node) take(ctx context.Context, entry kv.Entry, sent instant) error {
-	m, err := n.decode(entry)
-	if err != nil {
-		return fmt.Errorf("decode manifest: %w", err)
+	m := manifest.Initial()
+	if entry.Version != 0 {
+		var err error
+		if m, err = manifest.Decode(entry.Value); err != nil {
+			return err
+		}
 	}
 	n.mu.Lock()
 	n.recency.hear(m.Revision)
@@ -83,7 +88,8 @@
 	n.mu.Unlock()
 	switch {
 	case m.Revision < revision:
-		return fmt.Errorf("the key-value service holds revision %d, lower than %d in force; restore the manifest key", m.Revision, revision)
+		return eris.Errorf("mesh: the key-value service holds revision %d, lower than %d in force; restore the manifest key",
+			m.Revision, revision)
 	case m.Revision == revision:
 		n.mu.Lock()
 		defer n.mu.Unlock()
@@ -94,20 +100,45 @@
 			n.publishRestrictions(before, false)
 		}
 		return nil
+	case m.Revision == 0:
+		n.install(initial(), 0, sent)
+		return nil
 	}
-	state, err := n.codec.Load(ctx, n.store, n.snapshot.Load(), m)
+	loaded, err := n.reader.LoadRaw(ctx, entry.Value, storeSource{n.store})
 	if err != nil {
-		return fmt.Errorf("load state of revision %d: %w", m.Revision, err)
+		return eris.Wrapf(err, "load revision %d", m.Revision)
+	}
+	version := entry.Version
+	if loaded.Manifest.Revision != m.Revision {
+		version = 0 // another source was faster with a newer one
 	}
-	n.install(m, state, entry.Version, sent)
+	n.install(loaded, version, sent)
 	return nil
 }
 
-func (n *Node) decode(entry kv.Entry) (*manifest.Manifest, error) {
-	if entry.Version == 0 {
-		return emptyManifest(), nil
+// storeSource reads objects from the key-value service with one deadline for each.
+type storeSource struct{ store kv.Store }
+
+// Manifest implements manifest.Source.
+func (s storeSource) Manifest(ctx context.Context) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	return manifest.StoreSource{Store: s.store}.Manifest(ctx)
+}
+
+// Objects implements manifest.Source.
+func (s storeSource) Objects(ctx context.Context, keys []string) (map[string][]byte, error) {
+	out := make(map[string][]byte, len(keys))
+	for _, key := range keys {
+		ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+		got, err := manifest.StoreSource{Store: s.store}.Objects(ctx, []string{key})
+		cancel()
+		if err != nil {
+			return nil, err
+		}
+		maps.Copy(out, got)
 	}
-	return n.codec.DecodeManifest(entry.Value)
+	return out, nil
 }
 
 // wait polls a key with the deadline of a poll.
