Test the data path under faults and wait for answers already sent

The graceful-stop test showed a fault: when an engine's answer arrived at the moment in which its state was asked, the state "done" was taken for a lost answer and the request ran again.

Change: an answer that the engine calls sent has 500 ms to arrive.

--- a/lib/engine/httpengine/client.go
+++ b/lib/engine/httpengine/client.go
@@ -18,7 +18,9 @@
 	// DefaultSilence is the time without a byte after which a connection counts as silent.
 	DefaultSilence = 2 * time.Second
 	sendTimeout    = 2 * time.Second
-	stateTimeout   = time.Second
+	// answerGrace is the time in which an answer that the engine calls sent must arrive.
+	answerGrace  = 500 * time.Millisecond
+	stateTimeout = time.Second
 	// resumeWait bounds the wait for the header of a resumed stream: with the silence before it and the
 	// dial, a silent target is noticed within 4 s.
 	resumeWait = time.Second
@@ -116,9 +118,14 @@
 		if err != nil {
 			return fmt.Errorf("%w: %s: %w", errSilent, addr, err)
 		}
-		if state != StateQueued && state != StateRunning {
+		if state == StateQueued || state == StateRunning {
+			continue
+		}
+		// The answer may have been sent while the engine was asked.
+		if conn.AwaitByte(answerGrace) != nil {
 			return fmt.Errorf("%w: %s: the answer was sent and did not arrive", errSilent, addr)
 		}
+		return nil
 	}
 }
 
--- /dev/null
+++ b/lib/pipeline/conn_test.go
@@ -0,0 +1,54 @@
+package pipeline
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/fasthttputil"
+)
+
+// Guards against lost or reordered bytes of a request that the caller sends while an earlier one is still
+// served, and against a filter that is told of a caller's leaving when there was none.
+func TestPipelinedRequestsSurviveTheWatch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ln := fasthttputil.NewInmemoryListener()
+		s := NewServer(ServerConfig{MaxHeader: 4096, ReadTimeout: time.Second, IdleTimeout: time.Minute, First: HandlerFunc(func(ctx context.Context, ex *Exchange) error {
+			time.Sleep(3 * time.Second) // virtual; longer than the read timeout
+			ex.HTTP.SetBodyString(fmt.Sprintf("%s %v", ex.HTTP.Path(), ctx.Err()))
+			return nil
+		})})
+		go func() { _ = s.Serve(ln) }()
+		c, err := ln.Dial()
+		if err != nil {
+			t.Fatal(err)
+		}
+		br := bufio.NewReader(c)
+		for i := range 3 {
+			fmt.Fprintf(c, "GET /%d HTTP/1.1\r\nHost: a\r\n\r\n", i)
+			time.Sleep(time.Second)
+		}
+		for i := range 3 {
+			var resp fasthttp.Response
+			if err := resp.Read(br); err != nil || string(resp.Body()) != fmt.Sprintf("/%d <nil>", i) {
+				t.Errorf("answer %d: %v %q", i, err, resp.Body())
+			}
+		}
+		time.Sleep(30 * time.Second) // an idle connection outlives the read timeout
+		fmt.Fprint(c, "GET /again HTTP/1.1\r\nHost: a\r\n\r\n")
+		var resp fasthttp.Response
+		if err := resp.Read(br); err != nil || !strings.HasPrefix(string(resp.Body()), "/again") {
+			t.Errorf("after idling: %v %q", err, resp.Body())
+		}
+		_ = c.Close()
+		if err := s.Stop(context.Background()); err != nil {
+			t.Error(err)
+		}
+		time.Sleep(11 * time.Second) // longer than the check period of fasthttp's worker pool
+	})
+}
--- /dev/null
+++ b/test/datapath/limits_test.go
@@ -0,0 +1,78 @@
+package datapath
+
+import (
+	"bufio"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"cuminhook.org/cuminhook/lib/gateway"
+	engines "cuminhook.org/cuminhook/lib/standin/engine"
+)
+
+func sortedKeys[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
+
+// Guards against callers that hold connections and memory: bodies and headers above the limits, and
+// requests that arrive slowly, are refused as not run and reach no target.
+func TestBoundedRequests(t *testing.T) {
+	limit := func(c *gateway.Config) { c.Limits.MaxBody, c.Limits.MaxHeader = 1000, 2000 }
+	bubble(t, engines.Config{}, limit, func(r *rig) {
+		for name, c := range map[string]struct {
+			raw    string
+			status int
+			reason string
+		}{
+			"long body":   {"POST /siren HTTP/1.1\r\nHost: a\r\n" + bearer + "\r\nContent-Length: 1001\r\n\r\n" + strings.Repeat("a", 1001), 413, "body_too_large"},
+			"chunked":     {"POST /siren HTTP/1.1\r\nHost: a\r\n" + bearer + "\r\nTransfer-Encoding: chunked\r\n\r\n3ea\r\n" + strings.Repeat("a", 1002) + "\r\n0\r\n\r\n", 413, "body_too_large"},
+			"long header": {"GET /siren HTTP/1.1\r\nHost: a\r\nX-A: " + strings.Repeat("a", 2000) + "\r\n\r\n", 431, "bad_request"},
+			"no HTTP":     {"siren\r\n\r\n", 400, "bad_request"},
+			"slow header": {"GET /siren HTTP/1.1\r\nHost:", 408, "request_timeout"},
+			"slow body":   {"POST /siren HTTP/1.1\r\nHost: a\r\n" + bearer + "\r\nContent-Length: 10\r\n\r\nabc", 408, "request_timeout"},
+		} {
+			conn, err := r.ln["gw"].Dial()
+			if err != nil {
+				t.Fatal(err)
+			}
+			start := time.Now()
+			go func() { _, _ = conn.Write([]byte(c.raw)) }()
+			var resp fasthttp.Response
+			err = resp.Read(bufio.NewReader(conn))
+			a := answer{status: resp.StatusCode(), body: string(resp.Body())}
+			e := a.refusal().Error
+			if err != nil || a.status != c.status || e.Reason != c.reason || e.Run != "not_run" || e.Remedy == "" {
+				t.Errorf("%s: %v %+v", name, err, a)
+			}
+			if took := time.Since(start); took > 11*time.Second {
+				t.Errorf("%s: took %s", name, took)
+			}
+			_ = conn.Close()
+		}
+		if r.sent.Len() > 0 {
+			t.Errorf("a target received %q", r.sent.String())
+		}
+	})
+}
+
+// Guards against a caller that stops reading and so keeps an engine's slot and a gateway's memory.
+func TestCallerThatStopsReadingIsCut(t *testing.T) {
+	bubble(t, engines.Config{Decode: 20}, nil, func(r *rig) {
+		c, err := r.ln["gw"].Dial()
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		body := chat("slow", true)
+		fmt.Fprintf(c, "POST /v1/chat/completions HTTP/1.1\r\nHost: gw\r\n%s\r\nContent-Length: %d\r\n\r\n%s", bearer, len(body), body)
+		// The events go out within 1 s and the pipe takes few of them; the server's own limit for whole
+		// answers is 10 s.
+		time.Sleep(8 * time.Second) // virtual
+		if n := r.counter("cuminhook_requests_open"); n != 0 {
+			t.Errorf("%d requests still open", n)
+		}
+	})
+}
--- a/test/datapath/rig_test.go
+++ b/test/datapath/rig_test.go
@@ -3,6 +3,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
@@ -12,12 +13,14 @@
 	"net"
 	"os"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	_ "pgregory.net/rapid"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/valyala/fasthttp"
 	"github.com/valyala/fasthttp/fasthttputil"
 
@@ -66,7 +69,11 @@
 	services []*services.Service
 	gw       *gateway.Gateway
 	ln       map[string]*fasthttputil.InmemoryListener
+	set      *metrics.Set
 	cancel   context.CancelFunc
+
+	mu   sync.Mutex
+	sent bytes.Buffer // all that was written to targets; guarded by mu
 }
 
 func state() *ticket.State {
@@ -108,7 +115,7 @@
 
 func newRig(t testing.TB, ecfg engines.Config, change func(*gateway.Config)) *rig {
 	ecfg.AnyResident = true
-	r := &rig{t: t, view: viewtest.New(snapshot(state())), ln: map[string]*fasthttputil.InmemoryListener{}}
+	r := &rig{t: t, view: viewtest.New(snapshot(state())), ln: map[string]*fasthttputil.InmemoryListener{}, set: metrics.NewSet()}
 	for i := range 2 {
 		e := engines.New(ecfg)
 		r.engines = append(r.engines, e)
@@ -119,7 +126,7 @@
 	}
 	cfg := gateway.Config{
 		Limits: gateway.DefaultLimits(), View: r.view, Services: httpservice.New(r.dial),
-		Engine: httpengine.New(httpengine.Config{Dial: r.dial}),
+		Engine: httpengine.New(httpengine.Config{Dial: r.dial}), Set: r.set,
 	}
 	if change != nil {
 		change(&cfg)
@@ -138,7 +145,26 @@
 	go func() { _ = serve(ln) }()
 }
 
-func (r *rig) dial(_ context.Context, addr string) (net.Conn, error) { return r.ln[addr].Dial() }
+func (r *rig) dial(_ context.Context, addr string) (net.Conn, error) {
+	c, err := r.ln[addr].Dial()
+	return recorded{c, r}, err
+}
+
+// recorded copies what the gateway writes to a target.
+type recorded struct {
+	net.Conn
+	r *rig
+}
+
+func (c recorded) Write(p []byte) (int, error) {
+	c.r.mu.Lock()
+	c.r.sent.Write(p)
+	c.r.mu.Unlock()
+	return c.Conn.Write(p)
+}
+
+// counter returns a metric of the gateway.
+func (r *rig) counter(name string) uint64 { return r.set.GetOrCreateCounter(name).Get() }
 
 // close stops everything, so that no goroutine outlives the bubble.
 func (r *rig) close() {
--- /dev/null
+++ b/test/datapath/stream_test.go
@@ -0,0 +1,192 @@
+package datapath
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"cuminhook.org/cuminhook/lib/confview"
+	"cuminhook.org/cuminhook/lib/gateway"
+	"cuminhook.org/cuminhook/lib/manifest"
+	"cuminhook.org/cuminhook/lib/prompt"
+	engines "cuminhook.org/cuminhook/lib/standin/engine"
+)
+
+// tokens returns the contents that the engine's events for a prompt must have, in order.
+func tokens(t testing.TB, text string) []string {
+	p, err := prompt.Chat(fmt.Appendf(nil, `[{"role":"user","content":%q}]`, text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var out []string
+	for i := range 12 {
+		out = append(out, fmt.Sprintf(`"content":%q`, engines.Token(p, i)))
+	}
+	return append(out, `"usage"`, "[DONE]")
+}
+
+// prefixOf reports how many events match the engine's; -1 if one does not.
+func prefixOf(got, want []string) int {
+	if len(got) > len(want) {
+		return -1
+	}
+	for i := range got {
+		if !strings.Contains(got[i], want[i]) {
+			return -1
+		}
+	}
+	return len(got)
+}
+
+// Guards against a stream that loses, repeats or mixes events, or ends as if complete, when its connection
+// closes or goes silent after any event. Without resumption the break must show: that is the control.
+func TestStreamBreaksAtEveryEvent(t *testing.T) {
+	for _, silent := range []bool{false, true} {
+		for _, resume := range []string{"resume", "off", "refused"} {
+			for at := range 15 {
+				bubble(t, engines.Config{Decode: 20}, func(c *gateway.Config) { c.NoResume = resume == "off" }, func(r *rig) {
+					for _, e := range r.engines {
+						f := engines.Faults{DieAtEvent: int64(at), DieAfter: 1, NoResume: resume == "refused"}
+						if silent {
+							f.DieAfter, f.SilentStreams = 0, 1
+						}
+						e.SetFaults(f)
+					}
+					r.engines[1].SetFaults(engines.Faults{})
+					start := time.Now()
+					a := r.call("POST", "/v1/chat/completions", chat("folgore", true), bearer)
+					events, failed := data(a.body)
+					n := prefixOf(events, tokens(t, "folgore"))
+					// A break before the first event is retried at the other engine, one after the last has no effect.
+					complete := at == 0 || at == 14 || resume == "resume"
+					name := fmt.Sprintf("silent %t, %s, event %d", silent, resume, at)
+					switch {
+					case complete && (n != 14 || failed):
+						t.Errorf("%s: %d events, error event %t, want all", name, n, failed)
+					case !complete && (n != at || !failed || strings.Contains(a.body, "[DONE]")):
+						t.Errorf("%s: %d events, error event %t, want a reported break", name, n, failed)
+					}
+					if took := time.Since(start); took > 6*time.Second {
+						t.Errorf("%s: took %s; a silent target must be noticed within 4 s", name, took)
+					}
+				})
+			}
+		}
+	}
+}
+
+// openStream starts a stream and returns a reader behind its header.
+func (r *rig) openStream(k, text string) (net.Conn, *bufio.Reader) {
+	c, err := r.ln["gw"].Dial()
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	body := chat(text, true)
+	fmt.Fprintf(c, "POST /v1/chat/completions HTTP/1.1\r\nHost: gw\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s", k, len(body), body)
+	br := bufio.NewReader(c)
+	for {
+		line, err := br.ReadString('\n')
+		if err != nil {
+			r.t.Fatal(err)
+		}
+		if line == "\r\n" {
+			return c, br
+		}
+	}
+}
+
+// Guards against an open stream that outlives its key, on each way in which a key becomes invalid. The
+// stream of another key is the control. Status changes are not announced: the periodic check must see them.
+func TestWithdrawnKeyEndsOpenStreams(t *testing.T) {
+	withdraw := map[string]func(*rig){
+		"key deleted": func(r *rig) {
+			st := state()
+			for index, k := range st.Keys {
+				if k.Organisation == "etna" {
+					delete(st.Keys, index)
+				}
+			}
+			r.view.Set(snapshot(st))
+		},
+		"restricted in outage": func(r *rig) {
+			snap := snapshot(state())
+			for index, k := range snap.State.Keys {
+				if k.Organisation == "etna" {
+					snap.Restrictions = []manifest.Restriction{{Keys: []string{index}}}
+				}
+			}
+			r.view.Set(snap)
+			r.view.SetStatus(confview.Outage, false)
+		},
+		"isolated": func(r *rig) { r.view.SetStatus(confview.Isolated, false) },
+	}
+	for name, change := range withdraw {
+		bubble(t, engines.Config{Decode: 5}, nil, func(r *rig) {
+			c, br := r.openStream(key, "one")
+			defer c.Close()
+			control, controlBr := r.openStream(otherKey, "two")
+			defer control.Close()
+			time.Sleep(time.Second) // virtual
+			change(r)
+			start := time.Now()
+			if end := streamEnd(br); end != "stream_broken" || time.Since(start) > 300*time.Millisecond {
+				t.Errorf("%s: stream ended with %q after %s", name, end, time.Since(start))
+			}
+			want := "[DONE]"
+			if name == "isolated" {
+				want = "stream_broken"
+			}
+			if end := streamEnd(controlBr); end != want {
+				t.Errorf("%s: control ended with %q, want %s", name, end, want)
+			}
+			time.Sleep(time.Second)
+			for _, e := range r.engines {
+				for _, l := range e.Runs("") {
+					if !l.Done {
+						t.Errorf("%s: engine work goes on: %+v", name, l)
+					}
+				}
+			}
+		})
+	}
+}
+
+// streamEnd reads a stream up to its end and returns how it ended.
+func streamEnd(br *bufio.Reader) string {
+	for {
+		line, err := br.ReadString('\n')
+		if err != nil {
+			return err.Error()
+		}
+		for _, end := range []string{"stream_broken", "[DONE]"} {
+			if strings.Contains(line, end) {
+				return end
+			}
+		}
+	}
+}
+
+// Guards against engine work that goes on for callers that have left.
+func TestCallerGoneCancelsEngineWork(t *testing.T) {
+	for _, stream := range []bool{false, true} {
+		bubble(t, engines.Config{Decode: 1}, nil, func(r *rig) {
+			c, err := r.ln["gw"].Dial()
+			if err != nil {
+				t.Fatal(err)
+			}
+			body := chat("gone", stream)
+			fmt.Fprintf(c, "POST /v1/chat/completions HTTP/1.1\r\nHost: gw\r\n%s\r\nContent-Length: %d\r\n\r\n%s", bearer, len(body), body)
+			time.Sleep(2500 * time.Millisecond) // virtual
+			_ = c.Close()
+			time.Sleep(time.Second)
+			logs := slices.Concat(r.engines[0].Runs(""), r.engines[1].Runs(""))
+			if len(logs) != 1 || !logs[0].Cancelled || logs[0].Events >= 12 {
+				t.Errorf("stream %t: %+v", stream, logs)
+			}
+		})
+	}
+}
