--- /dev/null
+++ b/cmd/cuminhook-controller/settings.go
@@ -0,0 +1,39 @@
+package main
+
+import (
+	"fmt"
+	"strings"
+
+	"cuminhook.org/cuminhook/lib/settings"
+	"cuminhook.org/cuminhook/lib/weights"
+)
+
+// config holds the controller's settings.
+type config struct {
+	settings.Node `yaml:",inline"`
+	Cell          string         `yaml:"cell"`          // set of targets with one active controller
+	Weights       weights.Limits `yaml:"weights"`       // limits of the platform's weight store
+	KeepManifest  bool           `yaml:"keep_manifest"` // keeps slots, witnesses and snapshots; true in one cell only
+}
+
+func defaults() *config {
+	return &config{
+		Cell:         "main",
+		Weights:      weights.Limits{LoadsPerSecond: 2, FullSpeedLoads: 3, AdapterLoadsAtSpeed: 25},
+		KeepManifest: true,
+	}
+}
+
+// Validate checks the settings.
+func (c *config) Validate() error {
+	if err := c.Node.Validate(); err != nil {
+		return err
+	}
+	if c.Cell == "" || strings.Contains(c.Cell, "/") {
+		return fmt.Errorf("cell: %q is not a cell name; use one without a slash", c.Cell)
+	}
+	if c.Weights.LoadsPerSecond <= 0 || c.Weights.FullSpeedLoads <= 0 || c.Weights.AdapterLoadsAtSpeed <= 0 {
+		return fmt.Errorf("weights: loads_per_second, full_speed_loads and adapter_loads_at_speed must be above zero")
+	}
+	return nil
+}
--- /dev/null
+++ b/lib/controller/metrics.go
@@ -0,0 +1,36 @@
+package controller
+
+import (
+	"io"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// meters are the metrics of a controller.
+type meters struct {
+	set       *metrics.Set
+	orders    *metrics.Counter
+	confirmed *metrics.Counter
+	refused   *metrics.Counter
+	doubted   *metrics.Counter
+	conflicts *metrics.Counter
+	views     *metrics.Counter
+	planTime  *metrics.Histogram
+}
+
+func newMeters() *meters {
+	s := metrics.NewSet()
+	return &meters{
+		set:       s,
+		orders:    s.NewCounter("cuminhook_controller_orders_sent_total"),
+		confirmed: s.NewCounter("cuminhook_controller_orders_confirmed_total"),
+		refused:   s.NewCounter("cuminhook_controller_orders_refused_total"),
+		doubted:   s.NewCounter("cuminhook_controller_orders_doubt_total"),
+		conflicts: s.NewCounter("cuminhook_controller_ledger_conflicts_total"),
+		views:     s.NewCounter("cuminhook_controller_views_published_total"),
+		planTime:  s.NewHistogram("cuminhook_controller_plan_seconds"),
+	}
+}
+
+// WriteMetrics writes the metrics in the Prometheus text format.
+func (c *Controller) WriteMetrics(w io.Writer) { c.met.set.WritePrometheus(w) }
--- a/lib/engine/engine.go
+++ b/lib/engine/engine.go
@@ -77,7 +77,8 @@
 // OrderKind is the kind of an order.
 type OrderKind string
 
-// Kinds of orders. OrderFence has no effect but to raise the engine's fencing number.
+// Kinds of orders. OrderFence has no effect but to raise the engine's fencing number. A fencing engine
+// answers it once earlier orders that it accepted have ended, so that a later report shows their effects.
 const (
 	OrderFence         OrderKind = "fence"
 	OrderLoadModel     OrderKind = "load_model"
@@ -86,8 +87,14 @@
 	OrderUnloadAdapter OrderKind = "unload_adapter"
 )
 
-// Order changes what an engine holds. Epoch and Seq form its fencing number.
+// Order changes what an engine holds. Epoch and Seq form its fencing number. An engine carries out an order
+// id at most once: a repeat of an id that it has answered has no further effect. A load of what is resident
+// and an unload of what is not are carried out without effect.
 type Order struct {
+	// Boot is the engine start that the order is meant for. It must not reach any other start: the adapter
+	// sends the order on a connection on which the engine reported this boot id, or the engine compares it.
+	// ErrNotRun is returned if the boot id differs.
+	Boot  string    `json:"boot"`
 	ID    string    `json:"id"`
 	Kind  OrderKind `json:"kind"`
 	Name  string    `json:"name"`            // model or adapter
@@ -118,7 +125,8 @@
 
 // Control gives orders to the engine at addr.
 type Control interface {
-	// Order returns nil once the order was carried out. ErrFenced and ErrOrderRefused: it had no effect.
+	// Order returns nil once the order was carried out. ErrFenced, ErrOrderRefused and ErrNotRun: it had no
+	// effect and will have none. After any other error the outcome is unknown.
 	Order(ctx context.Context, addr string, o Order) error
 	Report(ctx context.Context, addr string) (Report, error)
 }
