--- /dev/null
+++ b/lib/lease/campaign_test.go
@@ -0,0 +1,233 @@
+package lease
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"pgregory.net/rapid"
+
+	"cuminhook.org/cuminhook/lib/kv"
+	"cuminhook.org/cuminhook/lib/kv/memkv"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	// rapid draws its seed at random by default.
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
+		_ = f.Value.Set("7")
+	}
+	os.Exit(m.Run())
+}
+
+const ttl = 5 * time.Second
+
+// faults injects lost answers, failures and delays that exceed the lease's time to live.
+func faults(seed uint64) memkv.Injector {
+	r := rand.New(rand.NewPCG(seed, 2))
+	var mu sync.Mutex
+	return func(op memkv.Op, _ string) memkv.Fault {
+		mu.Lock()
+		defer mu.Unlock()
+		switch k := r.IntN(20); {
+		case op == memkv.OpWait:
+			return memkv.Fault{}
+		case k == 0:
+			return memkv.Fault{Unavailable: true}
+		case k == 1:
+			return memkv.Fault{LoseAnswer: true}
+		case k < 5:
+			return memkv.Fault{Delay: time.Duration(r.IntN(900)) * time.Millisecond}
+		}
+		return memkv.Fault{}
+	}
+}
+
+// pausing delays the answers of a store until the process resumes.
+type pausing struct {
+	kv.Store
+	resume *atomic.Int64 // nanoseconds of the Unix time
+}
+
+func (p pausing) wait() { time.Sleep(time.Until(time.Unix(0, p.resume.Load()))) }
+
+func (p pausing) Grant(ctx context.Context, d time.Duration) (kv.LeaseID, error) {
+	defer p.wait()
+	return p.Store.Grant(ctx, d)
+}
+
+func (p pausing) KeepAlive(ctx context.Context, id kv.LeaseID) error {
+	defer p.wait()
+	return p.Store.KeepAlive(ctx, id)
+}
+
+func (p pausing) Put(ctx context.Context, key string, value []byte, expect kv.Version, id kv.LeaseID) (kv.Version, error) {
+	defer p.wait()
+	return p.Store.Put(ctx, key, value, expect, id)
+}
+
+// check is one call of Held.
+type check struct {
+	holder int
+	epoch  int64
+	ok     bool
+}
+
+// terms is the model of a history of calls of Held: the epoch never falls, and one epoch has one holder.
+var terms = porcupine.Model{
+	Init: func() any { return check{} },
+	Step: func(state, _, output any) (bool, any) {
+		last, now := state.(check), output.(check)
+		if !now.ok {
+			return true, last
+		}
+		return now.epoch > last.epoch || now.epoch == last.epoch && now.holder == last.holder, now
+	},
+}
+
+// compete lets candidates campaign, pause and resign for 100 s. It returns the history of Held, the number
+// of terms and the number of instants with two holders.
+func compete(seed uint64, broken bool) (history []porcupine.Operation, epochs, twice int) {
+	const candidates = 3
+	store := memkv.New()
+	store.SetInjector(faults(seed))
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	r := rand.New(rand.NewPCG(seed, 3))
+	leases, resume := make([]*Lease, candidates), make([]atomic.Int64, candidates)
+	ended := make(chan struct{}, candidates)
+	for i := range leases {
+		leases[i] = New(pausing{store, &resume[i]}, "cell/a", fmt.Sprint(i), ttl)
+		leases[i].countFromAnswer = broken
+		go func() {
+			defer func() { ended <- struct{}{} }()
+			for ctx.Err() == nil {
+				if term, err := leases[i].Campaign(ctx); err == nil {
+					select {
+					case <-term:
+					case <-ctx.Done():
+					}
+				}
+			}
+		}()
+	}
+	seen := map[int64]bool{}
+	for range 2000 {
+		time.Sleep(50 * time.Millisecond)
+		synctest.Wait()
+		held := 0
+		for i, l := range leases {
+			epoch, ok := l.Held()
+			if ok {
+				held++
+				seen[epoch] = true
+			}
+			now := int64(len(history))
+			history = append(history, porcupine.Operation{ClientId: i, Call: 2 * now, Return: 2*now + 1, Output: check{i, epoch, ok}})
+		}
+		for i, l := range leases {
+			switch r.IntN(120) {
+			case 0:
+				resume[i].Store(time.Now().Add(time.Duration(r.IntN(12000)) * time.Millisecond).UnixNano())
+			case 1:
+				_ = l.Resign(ctx)
+			}
+		}
+		if held > 1 {
+			twice++
+		}
+	}
+	cancel()
+	for i := range leases {
+		resume[i].Store(0)
+		<-ended
+	}
+	for _, l := range leases {
+		_ = l.Resign(context.Background())
+	}
+	time.Sleep(time.Minute)
+	return history, len(seen), twice
+}
+
+// Guards against two holders at one instant, and against a holder that acts after a later term began: with paused
+// holders, lost answers and an unreliable service.
+func TestOneHolder(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		seed := rapid.Uint64Range(0, 1<<20).Draw(rt, "seed")
+		var history []porcupine.Operation
+		var epochs, twice int
+		synctest.Test(t, func(*testing.T) { history, epochs, twice = compete(seed, false) })
+		ordered := porcupine.CheckOperations(terms, history)
+		if twice > 0 || epochs < 2 || !ordered {
+			rt.Fatalf("%d instants with two holders, %d terms, epochs in order: %v", twice, epochs, ordered)
+		}
+	})
+}
+
+// Negative control: validity counted from the answer has to be caught.
+func TestOneHolderCatchesValidityFromAnswer(t *testing.T) {
+	for seed := range uint64(200) {
+		caught := false
+		synctest.Test(t, func(*testing.T) {
+			history, _, twice := compete(seed, true)
+			caught = twice > 0 || !porcupine.CheckOperations(terms, history)
+		})
+		if caught {
+			t.Logf("caught in run %d", seed+1)
+			return
+		}
+	}
+	t.Fatal("the property holds without the rule that it is to check")
+}
+
+// Guards against a holder that is paused right after a check and resumes with its lease expired, and against a
+// renewal that answers late and revives the term.
+func TestPausedHolderLosesLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memkv.New()
+		var resume atomic.Int64
+		a, b := New(pausing{store, &resume}, "c", "a", ttl), New(store, "c", "b", ttl)
+		term, err := a.Campaign(t.Context())
+		if err != nil {
+			t.Fatal(err)
+		}
+		first, ok := a.Held()
+		if !ok {
+			t.Fatal("not held after Campaign")
+		}
+		time.Sleep(ttl) // renewals keep it
+		if _, ok := a.Held(); !ok {
+			t.Fatal("lost in spite of renewals")
+		}
+		resume.Store(time.Now().Add(3 * ttl).UnixNano())
+		if _, err := b.Campaign(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		if _, ok := a.Held(); ok {
+			t.Error("both hold the lease")
+		}
+		if second, ok := b.Held(); !ok || second <= first {
+			t.Errorf("second term has epoch %d, first %d", second, first)
+		}
+		<-term
+		time.Sleep(3 * ttl)
+		if _, ok := a.Held(); ok {
+			t.Error("a late renewal revived the term")
+		}
+		if err := b.Resign(t.Context()); err != nil {
+			t.Error(err)
+		}
+		if _, err := store.Get(t.Context(), "c/lease"); err != kv.ErrNotFound {
+			t.Errorf("lease key after Resign: %v", err)
+		}
+		time.Sleep(time.Minute)
+	})
+}
