Wire the controller and the demand reports; accept the first slot table

Cause: (1) the controller had no mesh node, lease or manifest writer; (2) no gateway reported demand, and a request for an adapter not yet resident was refused at once; (3) the demo showed a dispatch with an idempotency key refused with idempotency_unconfirmed on a new deployment: the manifest before the first slot assignment has 64 empty owners, which was taken for a gap in knowledge. Change: deps() in cuminhook-controller; admission observes demand and reports its queues; dispatch looks for a target again every 50 ms until the deadline of the first token; a slot table of version 1 after version 0 makes slots ready. Ruled out for (3): the hand-over between owners, since no take-over was asked for in the log.

--- a/cmd/cuminhook-controller/main.go
+++ b/cmd/cuminhook-controller/main.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"fmt"
-	"log/slog"
 	"os"
 	"os/signal"
 	"syscall"
@@ -44,8 +43,7 @@
 				fmt.Fprintln(cmd.OutOrStdout(), path+": ok")
 				return nil
 			}
-			log := slog.New(slog.NewJSONHandler(os.Stderr, nil)).With("program", "controller", "host", s.Host)
-			return run(cmd.Context(), s, log)
+			return run(cmd.Context(), s)
 		},
 	}
 	cmd.Flags().StringVar(&path, "config", "", "settings file (YAML)")
--- a/cmd/cuminhook-controller/run.go
+++ b/cmd/cuminhook-controller/run.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
-	"log/slog"
 	"net"
 	"time"
 
@@ -13,49 +11,74 @@
 	"cuminhook.org/cuminhook/lib/confview"
 	"cuminhook.org/cuminhook/lib/controller"
 	"cuminhook.org/cuminhook/lib/demand"
-	"cuminhook.org/cuminhook/lib/peer"
+	"cuminhook.org/cuminhook/lib/engine/httpengine"
+	"cuminhook.org/cuminhook/lib/host"
+	"cuminhook.org/cuminhook/lib/lease"
+	"cuminhook.org/cuminhook/lib/manifest"
+	"cuminhook.org/cuminhook/lib/mesh"
 )
 
-// node is this host's part in the mesh together with the platform's adapters.
-type node struct {
-	deps      controller.Deps
-	registrar peer.Registrar
-	run       func(ctx context.Context) error // works until ctx ends
+// leaseTTL is the time to live of the controller lease; it bounds the time without a controller.
+const leaseTTL = 5 * time.Second
+
+// campaign adapts a lease to the controller.
+type campaign struct{ *lease.Lease }
+
+// Campaign implements controller.Campaign.
+func (c campaign) Campaign(ctx context.Context) (int64, <-chan struct{}, error) {
+	ended, err := c.Lease.Campaign(ctx)
+	if err != nil {
+		return 0, nil, err
+	}
+	epoch, _ := c.Held()
+	return epoch, ended, nil
 }
 
-// errNotWired is returned until the mesh node is wired in.
-var errNotWired = errors.New("controller: the mesh node is not part of this build")
+// compactor adapts the manifest writer: a snapshot is followed by the deletion of what it replaced.
+type compactor struct{ *manifest.Writer }
 
-// wire builds the node from the settings.
-func wire(*config, *slog.Logger) (*node, error) { return nil, errNotWired }
+// Snapshot implements controller.Snapshotter.
+func (c compactor) Snapshot(ctx context.Context) error { return c.Compact(ctx) }
+
+// deps connects the controller with the host.
+func deps(s *config, h *host.Host) controller.Deps {
+	writer := manifest.NewWriter(h.Store, h.Mesh, manifest.Config{})
+	d := controller.Deps{
+		KV: h.Store, View: h.Mesh, Engines: httpengine.New(httpengine.Config{}), Log: h.Log,
+		Lease: campaign{lease.New(h.Store, "cell/"+s.CellName(), h.Mesh.Self(), leaseTTL)},
+	}
+	if s.KeepManifest {
+		d.Manifest, d.Snapshots = writer, compactor{writer}
+	}
+	return d
+}
 
 // stopDeadline bounds a planned stop. An order in progress may take its whole deadline.
 const stopDeadline = 40 * time.Second
 
 // run works until ctx ends. A planned stop finishes or records the orders in progress and releases the
 // lease while the node still runs.
-func run(ctx context.Context, s *config, log *slog.Logger) error {
-	n, err := wire(s, log)
+func run(ctx context.Context, s *config) error {
+	h, err := host.New(&s.Node, mesh.RoleController)
 	if err != nil {
 		return err
 	}
-	n.deps.Log = log
-	c := controller.New(controller.Config{Cell: s.Cell, Limits: s.Weights}, n.deps)
-	if err := n.registrar.Register(demand.Service, c.Service()); err != nil {
+	c := controller.New(controller.Config{Cell: s.CellName(), Limits: s.Weights}, deps(s, h))
+	if err := h.Mesh.Register(demand.Service, c.Service()); err != nil {
 		return err
 	}
 	ln, err := net.Listen("tcp", s.Metrics)
 	if err != nil {
 		return fmt.Errorf("metrics: cannot listen on %s: %w; choose a free address", s.Metrics, err)
 	}
-	srv := &fasthttp.Server{Handler: pages(c, n.deps.View), ReadTimeout: 5 * time.Second, WriteTimeout: 5 * time.Second}
+	srv := &fasthttp.Server{Handler: pages(c, h.Mesh), ReadTimeout: 5 * time.Second, WriteTimeout: 5 * time.Second}
 	go func() { _ = srv.Serve(ln) }()
 	defer func() { _ = srv.Shutdown() }()
 
 	nodeCtx, stopNode := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopNode()
 	nodeDone := make(chan error, 1)
-	go func() { nodeDone <- n.run(nodeCtx) }()
+	go func() { nodeDone <- h.Mesh.Run(nodeCtx) }()
 	done := make(chan error, 1)
 	go func() { done <- c.Run(ctx) }()
 	select {
@@ -65,11 +88,12 @@
 		return err
 	case <-ctx.Done():
 	}
+	h.Mesh.Leave(nodeCtx)
 	select {
 	case err := <-done:
 		return err
 	case <-time.After(stopDeadline):
-		log.Warn("orders still in progress at the end of the stop deadline; they are in doubt for the successor")
+		h.Log.Warn("orders still in progress at the end of the stop deadline; they are in doubt for the successor")
 		return nil
 	}
 }
--- a/cmd/cuminhook-controller/settings.go
+++ b/cmd/cuminhook-controller/settings.go
@@ -11,14 +11,12 @@
 // config holds the controller's settings.
 type config struct {
 	settings.Node `yaml:",inline"`
-	Cell          string         `yaml:"cell"`          // set of targets with one active controller
 	Weights       weights.Limits `yaml:"weights"`       // limits of the platform's weight store
 	KeepManifest  bool           `yaml:"keep_manifest"` // keeps slots, witnesses and snapshots; true in one cell only
 }
 
 func defaults() *config {
 	return &config{
-		Cell:         "main",
 		Weights:      weights.Limits{LoadsPerSecond: 2, FullSpeedLoads: 3, AdapterLoadsAtSpeed: 25},
 		KeepManifest: true,
 	}
@@ -29,7 +27,7 @@
 	if err := c.Node.Validate(); err != nil {
 		return err
 	}
-	if c.Cell == "" || strings.Contains(c.Cell, "/") {
+	if strings.Contains(c.Cell, "/") {
 		return fmt.Errorf("cell: %q is not a cell name; use one without a slash", c.Cell)
 	}
 	if c.Weights.LoadsPerSecond <= 0 || c.Weights.FullSpeedLoads <= 0 || c.Weights.AdapterLoadsAtSpeed <= 0 {
--- a/cmd/cuminhook-gateway/run.go
+++ b/cmd/cuminhook-gateway/run.go
@@ -10,8 +10,10 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/google/uuid"
 	"golang.org/x/sync/errgroup"
 
+	"cuminhook.org/cuminhook/lib/demand"
 	"cuminhook.org/cuminhook/lib/engine/httpengine"
 	"cuminhook.org/cuminhook/lib/filter/admission"
 	"cuminhook.org/cuminhook/lib/filter/idempotency"
@@ -45,11 +47,14 @@
 	}
 	defer claims.Close()
 	budget := admission.NewRetryBudget()
+	var queue *admission.Filter
+	reports := demand.NewSender(node, node, uuid.NewString(), func() map[string]int { return queue.Queues() })
 	gw := gateway.New(gateway.Config{
 		Limits: cfg.Limits, View: node, Engine: httpengine.New(httpengine.Config{}), Services: httpservice.New(nil),
 		Picker: gateway.NewRouterPicker(node, cfg.Zone), Budget: budget, Log: log, Set: set,
 		Admission: func(next pipeline.Handler) pipeline.Handler {
-			return admission.New(next, admission.Config{View: node, Quota: tokens, Retries: budget})
+			queue = admission.New(next, admission.Config{View: node, Quota: tokens, Retries: budget, Demand: reports})
+			return queue
 		},
 		Idempotency: func(next pipeline.Handler) pipeline.Handler {
 			return idempotency.New(next, idempotency.Config{Claims: claims})
@@ -72,6 +77,7 @@
 	group, groupCtx := errgroup.WithContext(background)
 	group.Go(func() error { return ignoreCancel(node.Run(groupCtx)) })
 	group.Go(func() error { gw.Run(groupCtx); return nil })
+	group.Go(func() error { reports.Run(groupCtx); return nil })
 	group.Go(func() error { return gw.Serve(callers) })
 	group.Go(func() error { return status.Serve(admin) })
 	log.Info("serving", "listen", callers.Addr().String(), "metrics", admin.Addr().String())
--- a/lib/filter/admission/admission.go
+++ b/lib/filter/admission/admission.go
@@ -21,6 +21,11 @@
 	Refund(c *quota.Charge, used int64)
 }
 
+// Demand learns of every request for a model; demand.Sender implements it.
+type Demand interface {
+	Observe(model, adapter string, promptTokens, outputTokens int64)
+}
+
 // Config is what the filter needs.
 type Config struct {
 	View  confview.View
@@ -32,6 +37,8 @@
 	// Limit is the most requests outstanding for a model from this gateway. Nil derives it from the
 	// published placement and the number of gateways.
 	Limit func(model string) int
+	// Demand may be nil.
+	Demand Demand
 }
 
 // Filter implements pipeline.Handler.
@@ -56,6 +63,19 @@
 	return f
 }
 
+// Queues returns the number of waiting requests by model.
+func (f *Filter) Queues() map[string]int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := make(map[string]int, len(f.models))
+	for name, g := range f.models {
+		g.mu.Lock()
+		out[name] = g.queue.Len()
+		g.mu.Unlock()
+	}
+	return out
+}
+
 // Serve admits the exchange or refuses it.
 func (f *Filter) Serve(ctx context.Context, ex *pipeline.Exchange) error {
 	now := time.Now()
@@ -64,6 +84,9 @@
 	}
 	var g *gate
 	if ex.Kind == pipeline.KindModel {
+		if f.cfg.Demand != nil {
+			f.cfg.Demand.Observe(ex.BaseModel, ex.Adapter, ex.PromptTokens, ex.Charge-ex.PromptTokens)
+		}
 		g = f.gate(ex.BaseModel)
 		if err := g.reachable(now, ex, f.weight(ex)); err != nil {
 			return f.refuse(ex, err)
--- a/lib/filter/dispatch/dispatch.go
+++ b/lib/filter/dispatch/dispatch.go
@@ -30,6 +30,9 @@
 	statusCallerGone = 499
 )
 
+// targetPoll is the pause between looks for a target that holds the model.
+const targetPoll = 50 * time.Millisecond
+
 // errDeadline is the cause of a context that ended at the exchange's deadline.
 var errDeadline = errors.New("dispatch: deadline passed")
 
--- a/lib/filter/dispatch/model.go
+++ b/lib/filter/dispatch/model.go
@@ -36,6 +36,9 @@
 		target, release, err := d.cfg.Picker.Pick(pickRequest(ex, a))
 		if err != nil {
 			a.last = err
+			if waitForTarget(ctx, ex) {
+				continue
+			}
 			return failed(a)
 		}
 		req := engineRequest(ex, d.attemptID(ex), body)
@@ -196,3 +199,20 @@
 	}
 	return r
 }
+
+// waitForTarget pauses before the next look for a target and reports whether the deadline for the first token
+// allows one. An adapter is loaded at its first demand, and a model whose only copy was lost is loaded anew, so a
+// short wait is often enough.
+func waitForTarget(ctx context.Context, ex *pipeline.Exchange) bool {
+	if ex.Deadline.IsZero() || time.Until(ex.Deadline) <= targetPoll {
+		return false
+	}
+	timer := time.NewTimer(targetPoll)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/lib/idem/store.go
+++ b/lib/idem/store.go
@@ -199,7 +199,7 @@
 			o.ready = false
 			o.source = source{owner: s.self, successor: old.Successor(i), version: old.Version}
 			o.unconfirmed = now + int64(unconfirmed)
-		case len(old.Owners) == 0 && old.Version == 0:
+		case old.Version == 0 && (t.Version == 1 || s.assumeEmpty):
 			o.ready = true // the first table: nobody owned the slot before
 		default:
 			s.dropOwn(o)
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -67,7 +67,7 @@
 	YAML
 }
 
-say "start the stand-ins of the platform: key-value service, weight store, 6 engines, 2 plain services"
+say "start the stand-ins of the platform: key-value service, 6 engines, 2 plain services"
 {
 	echo "hosts:"
 	for i in 1 2 3; do
@@ -81,7 +81,6 @@
 	done
 } >"$dir/hosts.yaml"
 start kv "$bin/cuminhook-standin" kv --listen 127.0.0.1:$base --hosts "$dir/hosts.yaml"
-start weights "$bin/cuminhook-standin" weights --listen 127.0.0.1:$((base + 39))
 for i in 1 2 3 4 5 6; do
 	fences=$([ $((i % 2)) -eq 0 ] && echo true || echo false)
 	start engine-$i "$bin/cuminhook-standin" engine --listen 127.0.0.1:$((base + 40 + i)) \
@@ -131,7 +130,8 @@
 
 say "a dispatch that must run once"
 alert='{"siren":"harbour-4"}'
-check "first call" is "$(status 1 $key /alerts/sirens "$alert" 'Idempotency-Key: alert-17')" 200
+alert_ok() { is "$(status 1 $key /alerts/sirens "$alert" 'Idempotency-Key: alert-17')" 200; }
+check "first call" until_ok 15 alert_ok
 check "the same call at another gateway is answered" is "$(status 2 $key /alerts/sirens "$alert" 'Idempotency-Key: alert-17')" 200
 runs=$(cat <(curl -s "http://127.0.0.1:$((base + 51))/debug/runs") <(curl -s "http://127.0.0.1:$((base + 52))/debug/runs"))
 echo "runs at the services: $runs"
