Test ledger, planner and controller under faults

Change: state machines over the ledger and the controller with lost, late, duplicated and unanswered orders, fencing and non-fencing engines, paused and killed controllers and key-value outages, and negative controls that break one rule each. Planner properties for memory, last copy, oscillation, bursts and the loss of a zone. The planner keys entries without string concatenation, looks only a few copies ahead of the store's rate, and counts rising demand with head-room.

Conclusion: every broken rule is found by the same check. Interleavings at one virtual instant vary from run to run, so a seed pins the drawn events and not every interleaving.

--- a/lib/controller/fakes_test.go
+++ b/lib/controller/fakes_test.go
@@ -28,8 +28,13 @@
 
 func TestMain(m *testing.M) {
 	flag.Parse()
-	if err := flag.Set("rapid.seed", "7"); err != nil {
-		panic(err)
+	for name, value := range map[string]string{"rapid.seed": "7", "rapid.checks": "30", "rapid.nofailfile": "true"} {
+		if set := os.Getenv("CUMINHOOK_" + strings.ToUpper(strings.ReplaceAll(name, ".", "_"))); set != "" {
+			value = set
+		}
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
 	}
 	os.Exit(m.Run())
 }
@@ -45,6 +50,7 @@
 type faults struct {
 	lost, unanswered, late, duplicated, refused float64
 	kvUnknown                                   float64
+	noFencing                                   bool
 	// Sabotage.
 	skipIntent, dropDoubt, earlyConfirm, skipLease bool
 }
@@ -518,7 +524,7 @@
 	if o.Kind != engine.OrderUnloadModel || pausedSince {
 		return
 	}
-	if _, ok := w.state.Models[o.Name]; !ok || !e.loaded["model/"+o.Name] {
+	if _, ok := w.state.Models[o.Name]; !ok || !e.loaded["model/"+o.Name] && !w.faults.earlyConfirm {
 		return
 	}
 	if now.Sub(w.unlisted[e.id+"/"+o.Name]) < viewDelay || lists(w.view(), e.id, entryKey{placement.KindModel, o.Name}) {
@@ -556,8 +562,7 @@
 		sleep(ctx, time.Second)
 		return errLost
 	case f.earlyConfirm && o.Kind == engine.OrderLoadModel:
-		resend()
-		return nil
+		return w.confirmEarly(e, o, delay)
 	case dup:
 		resend()
 	}
@@ -577,6 +582,27 @@
 	}
 }
 
+// confirmEarly answers a load at once although it completes after delay.
+func (w *world) confirmEarly(e *fakeEngine, o engine.Order, delay time.Duration) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	boot := e.boot
+	pending, err := w.accept(e, o)
+	if pending {
+		e.running--
+		e.done = append(e.done, o.ID)
+		w.wg.Go(func() {
+			time.Sleep(delay)
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			if key := orderKey(o); e.boot == boot && e.memory[key] > 0 {
+				e.loaded[key] = true
+			}
+		})
+	}
+	return err
+}
+
 // noteHeld records what living engines hold at this moment.
 func (w *world) noteHeld() {
 	for id, e := range w.engines {
@@ -600,7 +626,10 @@
 		return engine.Report{}, errLost
 	}
 	r := engine.Report{Boot: e.boot, Capacity: e.capacity, Fences: e.fences, Epoch: e.epoch, Seq: e.seq, Done: slices.Clone(e.done)}
-	for key := range e.loaded {
+	for key := range e.memory {
+		if !e.loaded[key] && !s.w.faults.earlyConfirm {
+			continue
+		}
 		kind, name, _ := strings.Cut(key, "/")
 		r.Residents = append(r.Residents, engine.Resident{Kind: kind, Name: name, Bytes: e.memory[key]})
 	}
--- a/lib/controller/machine_test.go
+++ b/lib/controller/machine_test.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"flag"
 	"fmt"
 	"math/rand/v2"
 	"strings"
@@ -54,7 +55,7 @@
 	w := newWorld(seed)
 	w.faults = f
 	for i := range 6 {
-		w.addEngine(fmt.Sprintf("e%d", i), string(rune('a'+i%3)), 100, i%2 == 0)
+		w.addEngine(fmt.Sprintf("e%d", i), string(rune('a'+i%3)), 100, i%2 == 0 && !f.noFencing)
 	}
 	w.addModels("m0", "m1", "m2", "m3", "m4", "m5", "m6", "m7")
 	m := &machine{w: w}
@@ -167,3 +168,46 @@
 func TestControllerUnderFaults(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) { rapid.Check(struct{ rapid.TB }{t}, run(rough)) })
 }
+
+// Guards the check itself: each rule that is broken on purpose must be found by the property above.
+func TestBrokenRulesAreFound(t *testing.T) {
+	broken := map[string]faults{
+		"intent not written first":       {late: 0.2, lost: 0.1, unanswered: 0.2, skipIntent: true},
+		"doubt dropped at take-over":     {late: 0.5, noFencing: true, dropDoubt: true},
+		"unload before confirmation":     {earlyConfirm: true},
+		"lease not checked before order": {skipLease: true},
+	}
+	for name, f := range broken {
+		t.Run(name, func(t *testing.T) {
+			found := ""
+			defer func(old string) { _ = flag.Set("rapid.checks", old) }(flag.Lookup("rapid.checks").Value.String())
+			_ = flag.Set("rapid.checks", "300") // the first failure ends it
+			synctest.Test(t, func(t *testing.T) {
+				rec := &recorder{TB: t}
+				func() {
+					defer func() { _ = recover() }()
+					rapid.Check(rec, run(f))
+				}()
+				found = rec.failure
+			})
+			if found == "" {
+				t.Fatal("the broken rule was not found")
+			}
+			t.Log(found)
+		})
+	}
+}
+
+// recorder keeps the failure of a property instead of failing the test.
+type recorder struct {
+	rapid.TB
+	failure string
+}
+
+func (r *recorder) Errorf(format string, args ...any) { r.failure = fmt.Sprintf(format, args...) }
+func (r *recorder) Fatalf(format string, args ...any) {
+	r.failure = fmt.Sprintf(format, args...)
+	panic(r)
+}
+func (r *recorder) FailNow()            { panic(r) }
+func (r *recorder) Logf(string, ...any) {}
--- a/lib/placement/planner.go
+++ b/lib/placement/planner.go
@@ -12,6 +12,7 @@
 	High          float64       // least utilisation over a model's targets above which it gets another copy
 	Low           float64       // utilisation that the remaining copies may reach when one is removed
 	Gain          float64       // a new copy must go to a target whose utilisation is lower by this much
+	Rising        float64       // head-room factor while the short-term demand is over twice the long-term one
 	QueueDrain    time.Duration // time in which queued requests shall be worked off
 	MinResidence  time.Duration // a copy loaded for demand stays this long
 	AdapterIdle   float64       // long-term requests a second below which an adapter counts as idle
@@ -23,10 +24,11 @@
 }
 
 // DefaultConfig returns the thresholds in use. High and Low lie apart so that a removed copy is not
-// wanted again at the same demand.
+// wanted again at the same demand. Rising makes up for the short average, which shows 40% of a jump a
+// second after it.
 func DefaultConfig() Config {
 	return Config{
-		High: 0.7, Low: 0.45, Gain: 0.2, QueueDrain: 5 * time.Second, MinResidence: 30 * time.Second,
+		High: 0.7, Low: 0.45, Gain: 0.2, Rising: 1.5, QueueDrain: 5 * time.Second, MinResidence: 30 * time.Second,
 		AdapterIdle: 0.01, PrefillRate: 8000, DecodeRate: 2000, QueuedPrompt: 500, QueuedOutput: 200,
 		SpareInFlight: 1,
 	}
@@ -49,6 +51,7 @@
 	w := p.newWorld(in)
 	p.refill(in)
 	w.budget = p.budget(in, w)
+	w.ahead = w.budget + max(1, in.Limits.FullSpeedLoads)
 	start := w.budget
 	w.tidy()
 	w.restore()
@@ -90,6 +93,7 @@
 	inFlight int // model loads
 	adapting int // adapter loads
 	budget   int // model loads that may start
+	ahead    int // copies beyond the budget for which room may yet be made or kept
 	actions  []Action
 }
 
@@ -102,7 +106,7 @@
 	decode  float64
 	copies  []*hold // model copies that count
 	idle    []*hold // resident adapters
-	holds   map[string]*hold
+	holds   map[holdKey]*hold
 }
 
 type hold struct {
@@ -119,12 +123,18 @@
 	work     float64 // target seconds a second, short-term with the queue
 	keep     float64 // the larger of short and long-term work
 	adapters int64   // bytes of its largest adapter
+	on       map[*target]*hold
 	zones    map[string]int
 }
 
 func (t *target) usable() bool { return t.Alive && !t.Leaving && !t.Blocked }
 
-func key(kind, name string) string { return kind + "/" + name }
+type holdKey struct {
+	adapter bool
+	name    string
+}
+
+func key(kind, name string) holdKey { return holdKey{kind == KindAdapter, name} }
 
 func (p *Planner) newWorld(in *Input) *world {
 	w := &world{
@@ -132,7 +142,7 @@
 		adapter: make(map[string]AdapterSpec, len(in.Adapters)), byID: make(map[string]*target, len(in.Targets)),
 	}
 	for _, s := range in.Models {
-		m := &model{ModelSpec: s, zones: map[string]int{}}
+		m := &model{ModelSpec: s, zones: map[string]int{}, on: map[*target]*hold{}}
 		m.MinCopies = max(1, m.MinCopies)
 		w.models = append(w.models, m)
 		w.byName[s.Name] = m
@@ -153,7 +163,7 @@
 }
 
 func (w *world) addTarget(s TargetState) {
-	t := &target{TargetState: s, free: s.Capacity, prefill: s.PrefillRate, decode: s.DecodeRate, holds: map[string]*hold{}}
+	t := &target{TargetState: s, free: s.Capacity, prefill: s.PrefillRate, decode: s.DecodeRate, holds: make(map[holdKey]*hold, len(s.Held))}
 	if t.prefill <= 0 {
 		t.prefill = w.cfg.PrefillRate
 	}
@@ -185,7 +195,9 @@
 }
 
 func (w *world) addCopy(t *target, h *hold) {
-	h.m = w.byName[h.Name]
+	if h.m = w.byName[h.Name]; h.m != nil {
+		h.m.on[t] = h
+	}
 	if h.State == Loading && t.Alive {
 		w.inFlight++
 	}
@@ -229,7 +241,11 @@
 		if long.Requests > 0.01 {
 			each = work(long) / long.Requests
 		}
-		m.work = work(short) + float64(d.Queue)*each/w.cfg.QueueDrain.Seconds()
+		m.work = work(short)
+		if short.Requests > 2*long.Requests {
+			m.work *= w.cfg.Rising
+		}
+		m.work += float64(d.Queue) * each / w.cfg.QueueDrain.Seconds()
 		m.keep = math.Max(m.work, work(long))
 	}
 	w.share()
@@ -369,9 +385,17 @@
 // add plans one more copy of m, or the unloads that make room for it. It reports whether it did either.
 // Forced copies may take room from redundant copies that carry load.
 func (w *world) add(m *model, prio int, reason string, forced bool) bool {
+	if w.ahead == 0 || !w.tryAdd(m, prio, reason, forced) {
+		return false
+	}
+	w.ahead--
+	return true
+}
+
+func (w *world) tryAdd(m *model, prio int, reason string, forced bool) bool {
 	fits := func(t *target) bool { return w.suits(m, t, forced) }
 	if t := w.choose(m, func(t *target) bool { return fits(t) && w.retained(m, t) }); t != nil {
-		w.action(Load, t.holds[key(KindModel, m.Name)], prio, reason)
+		w.action(Load, m.on[t], prio, reason)
 		w.claimRetained(m, t)
 		return true
 	}
@@ -395,12 +419,12 @@
 
 // retained reports whether a copy of m on t is about to be unloaded and can be kept instead.
 func (w *world) retained(m *model, t *target) bool {
-	h := t.holds[key(KindModel, m.Name)]
+	h := m.on[t]
 	return h != nil && h.State == Retiring
 }
 
 func (w *world) claimRetained(m *model, t *target) {
-	h := t.holds[key(KindModel, m.Name)]
+	h := m.on[t]
 	h.State = Resident
 	t.soon -= h.Bytes
 	m.copies = append(m.copies, h)
@@ -418,7 +442,7 @@
 	if !t.usable() || m.Bytes > t.Capacity {
 		return false
 	}
-	if h := t.holds[key(KindModel, m.Name)]; h != nil && h.State != Retiring {
+	if h := m.on[t]; h != nil && h.State != Retiring {
 		return false
 	}
 	return forced || t.load+w.cfg.Gain <= w.pressure(m)
@@ -433,7 +457,7 @@
 		if !t.usable() || !ok(t) {
 			continue
 		}
-		if h := t.holds[key(KindModel, m.Name)]; h != nil && h.State != Retiring {
+		if h := m.on[t]; h != nil && h.State != Retiring {
 			continue
 		}
 		score := 2*float64(m.zones[t.Zone]) + t.load + 0.2*float64(t.free)/float64(max(1, t.Capacity))
@@ -553,7 +577,7 @@
 
 func (w *world) load(m *model, t *target, prio int, reason string) {
 	h := &hold{Held: Held{Kind: KindModel, Name: m.Name, Bytes: m.Bytes, State: Loading, Since: w.now}, t: t, m: m}
-	t.holds[key(KindModel, m.Name)] = h
+	m.on[t] = h
 	t.free -= m.Bytes
 	m.loading++
 	m.zones[t.Zone]++
--- /dev/null
+++ b/lib/placement/planner_test.go
@@ -0,0 +1,291 @@
+package placement
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"cuminhook.org/cuminhook/lib/weights"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": "7", "rapid.checks": "40"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+const (
+	simStep   = 250 * time.Millisecond
+	simLoad   = 2 * time.Second
+	simRetire = 3 * time.Second
+)
+
+// sim carries out planned actions on a virtual clock.
+type sim struct {
+	in      Input
+	planner *Planner
+	actions []Action // of the last step
+	had     map[string]bool
+}
+
+func newSim(zones, targets, models int, capacity, bytes int64) *sim {
+	s := &sim{planner: New(DefaultConfig()), had: map[string]bool{}}
+	s.in = Input{
+		Now: time.Unix(1000, 0), Demand: map[string]Demand{},
+		Limits: weights.Limits{LoadsPerSecond: 2, FullSpeedLoads: 3, AdapterLoadsAtSpeed: 25},
+	}
+	for i := range targets {
+		s.in.Targets = append(s.in.Targets, TargetState{
+			ID: fmt.Sprintf("t%03d", i), Zone: fmt.Sprintf("z%d", i%zones), Capacity: capacity, Alive: true,
+		})
+	}
+	for i := range models {
+		s.in.Models = append(s.in.Models, ModelSpec{Name: fmt.Sprintf("m%03d", i), Bytes: bytes, MinCopies: 1})
+	}
+	return s
+}
+
+func (s *sim) target(id string) *TargetState {
+	i := slices.IndexFunc(s.in.Targets, func(t TargetState) bool { return t.ID == id })
+	return &s.in.Targets[i]
+}
+
+// copies counts the routable copies of a model on living targets.
+func (s *sim) copies(name string) (n int, zones map[string]bool) {
+	zones = map[string]bool{}
+	for _, t := range s.in.Targets {
+		for _, h := range t.Held {
+			if t.Alive && h.Kind == KindModel && h.Name == name && h.State == Resident {
+				n, zones[t.Zone] = n+1, true
+			}
+		}
+	}
+	return n, zones
+}
+
+func (s *sim) setDemand(name string, requests float64) {
+	r := Rates{requests, requests * 500, requests * 200}
+	s.in.Demand[name] = Demand{Short: r, Long: r}
+}
+
+// step advances the clock, ends loads and unloads, plans, and applies the actions.
+func (s *sim) step(t interface{ Fatalf(string, ...any) }) {
+	s.in.Now = s.in.Now.Add(simStep)
+	for i := range s.in.Targets {
+		tg := &s.in.Targets[i]
+		tg.Held = slices.DeleteFunc(tg.Held, func(h Held) bool { return h.State == Retiring && s.in.Now.Sub(h.Since) >= simRetire })
+		for j := range tg.Held {
+			if h := &tg.Held[j]; h.State == Loading && s.in.Now.Sub(h.Since) >= simLoad {
+				h.State, h.Since = Resident, s.in.Now
+				s.had[h.Name] = true
+			}
+		}
+	}
+	s.actions = s.planner.Plan(&s.in)
+	for _, a := range s.actions {
+		s.apply(a)
+	}
+	for _, tg := range s.in.Targets {
+		var sum int64
+		for _, h := range tg.Held {
+			sum += h.Bytes
+		}
+		if sum > tg.Capacity {
+			t.Fatalf("%s holds %d of %d bytes after %+v", tg.ID, sum, tg.Capacity, s.actions)
+		}
+	}
+	for _, m := range s.in.Models {
+		if n, _ := s.copies(m.Name); n == 0 && s.had[m.Name] {
+			t.Fatalf("last copy of %s unloaded: %+v", m.Name, s.actions)
+		}
+	}
+}
+
+func (s *sim) apply(a Action) {
+	tg := s.target(a.Target)
+	i := slices.IndexFunc(tg.Held, func(h Held) bool { return h.Kind == a.Kind && h.Name == a.Name })
+	switch {
+	case a.Op == Unload:
+		tg.Held[i].State, tg.Held[i].Since = Retiring, s.in.Now
+	case i >= 0:
+		tg.Held[i].State = Resident
+	default:
+		tg.Held = append(tg.Held, Held{a.Kind, a.Name, a.Bytes, Loading, s.in.Now})
+	}
+}
+
+func (s *sim) run(t interface{ Fatalf(string, ...any) }, d time.Duration) (actions int) {
+	for range d / simStep {
+		s.step(t)
+		actions += len(s.actions)
+	}
+	return actions
+}
+
+func drawSim(t *rapid.T) *sim {
+	targets := rapid.IntRange(2, 10).Draw(t, "targets")
+	s := newSim(rapid.IntRange(1, 4).Draw(t, "zones"), targets, rapid.IntRange(1, 2*targets).Draw(t, "models"), 100, 0)
+	for i := range s.in.Models {
+		m := &s.in.Models[i]
+		m.Bytes = rapid.Int64Range(10, 45).Draw(t, "bytes")
+		m.MinCopies = rapid.IntRange(1, 2).Draw(t, "copies")
+		for a := range rapid.IntRange(0, 2).Draw(t, "adapters") {
+			spec := AdapterSpec{fmt.Sprintf("%s-a%d", m.Name, a), m.Name, rapid.Int64Range(1, 5).Draw(t, "bytes")}
+			s.in.Adapters = append(s.in.Adapters, spec)
+			s.setDemand(spec.Name, rapid.Float64Range(0, 2).Draw(t, "requests"))
+		}
+		s.setDemand(m.Name, rapid.Float64Range(0, 12).Draw(t, "requests"))
+	}
+	return s
+}
+
+// Guards against overcommitted memory and unloads of last copies while the demand jumps about.
+func TestMemoryAndLastCopy(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := drawSim(t)
+		for range rapid.IntRange(1, 6).Draw(t, "phases") {
+			s.run(t, time.Duration(rapid.IntRange(1, 60).Draw(t, "seconds"))*time.Second)
+			for _, m := range s.in.Models {
+				s.setDemand(m.Name, rapid.Float64Range(0, 60).Draw(t, "requests"))
+			}
+		}
+	})
+}
+
+// Guards against plans that undo each other: under constant demand the actions must come to an end.
+func TestNoOscillation(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := drawSim(t)
+		s.run(t, 5*time.Minute)
+		if n := s.run(t, 5*time.Minute); n > 0 {
+			s.run(t, time.Minute)
+			t.Fatalf("%d actions after five minutes of constant demand, last step %+v", n, s.actions)
+		}
+	})
+}
+
+// Guards against a slow reaction: ten times the demand must order a new copy within two seconds, also while
+// every target is full of copies that nobody needs.
+func TestBurstOrdersCopy(t *testing.T) {
+	s := newSim(4, 20, 30, 100, 30)
+	tracker := NewTracker()
+	feed := func(hot int64) {
+		for i := range 30 {
+			n := int64(1)
+			if i == 5 {
+				n = hot
+			}
+			tracker.Add(s.in.Now, fmt.Sprintf("m%03d", i), n, 500*n, 200*n)
+		}
+		s.in.Demand = tracker.Snapshot(s.in.Now)
+	}
+	for range 120 {
+		feed(1)
+		s.run(t, time.Second)
+	}
+	// The burst starts now. Gateways report it after a second.
+	s.run(t, time.Second)
+	feed(10)
+	ordered := false
+	for range time.Second / simStep {
+		s.step(t)
+		ordered = ordered || slices.ContainsFunc(s.actions, func(a Action) bool {
+			return a.Op == Load && a.Name == "m005" || a.Op == Unload && a.Reason == "makes room for m005"
+		})
+	}
+	if !ordered {
+		t.Fatal("no copy ordered within two seconds")
+	}
+	for range 20 {
+		feed(10)
+		s.run(t, time.Second)
+	}
+	if n, _ := s.copies("m005"); n < 2 {
+		t.Fatalf("%d copies after the burst", n)
+	}
+}
+
+// Guards against a queue that grows unnoticed while the averages are still low.
+func TestQueueOrdersCopy(t *testing.T) {
+	s := newSim(2, 4, 2, 100, 30)
+	s.run(t, 10*time.Second)
+	before, _ := s.copies("m000")
+	s.in.Demand["m000"] = Demand{Queue: 300}
+	s.run(t, 10*time.Second)
+	if after, _ := s.copies("m000"); after <= before {
+		t.Fatalf("%d copies before the queue, %d after", before, after)
+	}
+}
+
+// Guards against the loss of a zone: models with a copy elsewhere stay reachable, the others are loaded
+// first, and all come back where there is room.
+func TestZoneLoss(t *testing.T) {
+	s := newSim(4, 20, 30, 100, 30)
+	for i := range 30 {
+		s.setDemand(fmt.Sprintf("m%03d", i), 1)
+	}
+	s.run(t, 3*time.Minute)
+	spread := 0
+	for _, m := range s.in.Models {
+		if _, zones := s.copies(m.Name); len(zones) > 1 {
+			spread++
+		}
+	}
+	// 60 copies fit; all but what adapters' room or the tightest fits prevent must be in two zones.
+	if spread < 28 {
+		t.Fatalf("only %d of 30 models in two zones", spread)
+	}
+	lost := 0
+	for i := range s.in.Targets {
+		if s.in.Targets[i].Zone == "z1" {
+			s.in.Targets[i].Alive, s.in.Targets[i].Held = false, nil
+		}
+	}
+	for _, m := range s.in.Models {
+		if n, _ := s.copies(m.Name); n == 0 {
+			s.had[m.Name] = false
+			lost++
+		}
+	}
+	s.step(t)
+	for i, a := range s.actions {
+		if i < min(lost, 2) && a.Priority != PriorityLost {
+			t.Fatalf("action %d is %+v with %d models lost", i, a, lost)
+		}
+	}
+	s.run(t, time.Minute)
+	for _, m := range s.in.Models {
+		if n, _ := s.copies(m.Name); n == 0 {
+			t.Errorf("%s has no copy a minute after the loss of a zone", m.Name)
+		}
+	}
+}
+
+func benchSim(b *testing.B, zones, targets, models int) {
+	s := newSim(zones, targets, models, 100, 30)
+	for i := range models {
+		s.setDemand(fmt.Sprintf("m%03d", i), float64(i%5))
+	}
+	s.in.Limits = weights.Limits{LoadsPerSecond: 1000, FullSpeedLoads: 1000, AdapterLoadsAtSpeed: 25}
+	s.run(b, 30*time.Second)
+	b.ReportAllocs()
+	b.ResetTimer()
+	for b.Loop() {
+		s.in.Now = s.in.Now.Add(simStep)
+		s.planner.Plan(&s.in)
+	}
+}
+
+func BenchmarkPlanToday(b *testing.B) { benchSim(b, 4, 20, 30) }
+
+// One of 12 cells with 10,000 targets altogether.
+func BenchmarkPlanCell(b *testing.B) { benchSim(b, 3, 834, 510) }
