Bound what readers keep for other hosts, and refuse to start history again

Cause: a host kept every body of the log, up to 512 KB each, encoded a whole state for each host that started from it, and a writer that started after the key-value service lost its data would have begun at revision 1. Change: readers keep at most 8 MB of bodies, newest first, and one encoded state for up to 64 tickets; hosts that lack more load the state. A writer refuses to write on top of a manifest older than manifest.Config.Known, which confview.Known computes from this host and the members. Writers keep the body they stored and do not read it back. A test on virtual time shows that the key-value client closes a silent connection after 1 s and repeats nothing. Conclusion: a host starts from another one without the key-value service also when that host has dropped the bodies.

--- a/cmd/cuminhook-admin/main.go
+++ b/cmd/cuminhook-admin/main.go
@@ -86,7 +86,8 @@
 	if err != nil {
 		return err
 	}
-	api := adminapi.New(m, manifest.NewWriter(store, m, manifest.Config{}), adminapi.Config{Token: s.Token, Log: log})
+	writer := manifest.NewWriter(store, m, manifest.Config{Known: func() int64 { return confview.Known(m) }})
+	api := adminapi.New(m, writer, adminapi.Config{Token: s.Token, Log: log})
 	return serve(ctx, s.Listen, api, m)
 }
 
--- a/lib/confview/confview.go
+++ b/lib/confview/confview.go
@@ -61,3 +61,12 @@
 	// Self is this host's id.
 	Self() string
 }
+
+// Known returns the highest manifest revision that this host or another member is known to have.
+func Known(v View) int64 {
+	highest := v.Snapshot().Manifest.Revision
+	for _, m := range v.Members() {
+		highest = max(highest, m.Revision)
+	}
+	return highest
+}
--- /dev/null
+++ b/lib/kv/httpkv/httpkv_test.go
@@ -0,0 +1,47 @@
+package httpkv
+
+import (
+	"errors"
+	"io"
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"cuminhook.org/cuminhook/lib/kv"
+)
+
+// Guards against a call that hangs on a connection that went silent, a later call on that connection, and a
+// repetition of the call by the client. Time is virtual.
+func TestSilentConnectionIsClosed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, err := New("http://127.0.0.1:1")
+		if err != nil {
+			t.Fatal(err)
+		}
+		dials, closed := 0, 0
+		s.client.DialTimeout = func(string, time.Duration) (net.Conn, error) {
+			dials++
+			client, server := net.Pipe()
+			go func() {
+				_, _ = io.Copy(io.Discard, server) // until the client closes
+				closed++
+				server.Close()
+			}()
+			return client, nil
+		}
+		start := time.Now()
+		if _, err := s.Put(t.Context(), "k", nil, 0, 0); !errors.Is(err, kv.ErrUnknown) || time.Since(start) != callTimeout {
+			t.Fatal(err, time.Since(start))
+		}
+		synctest.Wait()
+		if _, err := s.Get(t.Context(), "k"); !errors.Is(err, kv.ErrUnavailable) {
+			t.Fatal(err)
+		}
+		synctest.Wait()
+		if dials != 2 || closed != 2 {
+			t.Fatalf("%d connections dialled, %d closed", dials, closed)
+		}
+		time.Sleep(3 * maxIdle) // the client's cleaner ends
+	})
+}
--- a/lib/manifest/reader.go
+++ b/lib/manifest/reader.go
@@ -71,12 +71,24 @@
 	State    *ticket.State
 }
 
+// objectBudget bounds the bytes of the bodies that a reader keeps for other hosts. A thousand tickets usually
+// have a tenth of that; with larger ones, hosts that are far behind load a whole state instead.
+const objectBudget = 8 << 20
+
 // Reader follows the manifest. It never returns to a lower revision, and it loads only what it lacks. It is
 // a StateSource for other hosts. All methods are safe for concurrent use.
 type Reader struct {
 	mu      sync.Mutex
 	newest  *Loaded           // guarded by mu; nil before the first load
 	objects map[string][]byte // guarded by mu; chunks and bodies that newest refers to, as far as known
+	size    int               // guarded by mu; bytes of objects
+	encoded encodedState      // guarded by mu
+}
+
+// encodedState is kept for the next host that starts.
+type encodedState struct {
+	seq  int64
+	data []byte
 }
 
 // NewReader returns a reader that holds nothing.
@@ -127,37 +139,50 @@
 		return r.newest
 	}
 	for key, value := range fetched {
-		r.objects[key] = value
+		r.keep(key, value)
 	}
 	old := r.newest
 	r.newest = next
 	// Nothing becomes obsolete while the chunks stay, and reading them all for every ticket is slow.
-	if old == nil || !slices.Equal(old.Manifest.Chunks, next.Manifest.Chunks) {
+	if old == nil || !slices.Equal(old.Manifest.Chunks, next.Manifest.Chunks) || r.size > objectBudget {
 		r.prune()
 	}
 	return next
 }
 
-// prune drops objects that the newest manifest no longer refers to; mu is held.
+// remember keeps an object that this host wrote.
+func (r *Reader) remember(key string, value []byte) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.keep(key, value)
+}
+
+// keep adds an object; mu is held.
+func (r *Reader) keep(key string, value []byte) {
+	r.size += len(value) - len(r.objects[key])
+	r.objects[key] = value
+}
+
+// prune keeps the chunks that the newest manifest refers to, and of the bodies the newest that fit into the
+// budget; mu is held.
 func (r *Reader) prune() {
 	m := r.newest.Manifest
-	keep := map[string]bool{}
-	addBodies := func(refs []TicketRef) {
-		for _, t := range refs {
-			keep[BodyKey(t.Number, t.SHA256)] = true
+	old := r.objects
+	r.objects, r.size = map[string][]byte{}, 0
+	keepBodies := func(refs []TicketRef) {
+		for _, t := range slices.Backward(refs) {
+			key := BodyKey(t.Number, t.SHA256)
+			if value, ok := old[key]; ok && r.size+len(value) <= objectBudget {
+				r.keep(key, value)
+			}
 		}
 	}
-	addBodies(m.Tickets)
-	for _, c := range m.Chunks {
+	keepBodies(m.Tickets)
+	for _, c := range slices.Backward(m.Chunks) {
 		key := ChunkKey(c)
-		keep[key] = true
-		if refs, err := decodeChunk(c, r.objects[key]); err == nil {
-			addBodies(refs)
-		}
-	}
-	for key := range r.objects {
-		if !keep[key] {
-			delete(r.objects, key)
+		if refs, err := decodeChunk(c, old[key]); err == nil {
+			r.keep(key, old[key])
+			keepBodies(refs)
 		}
 	}
 }
@@ -183,14 +208,27 @@
 	return out, nil
 }
 
-// State implements StateSource.
+// State implements StateSource. Encoding takes a tenth of a second at the large size, so one encoding serves
+// all hosts that start until it is ChunkSize tickets old; they follow the log from there.
 func (r *Reader) State(context.Context) (int64, []byte, error) {
 	l := r.Newest()
 	if l == nil {
 		return 0, nil, ErrNoManifest
 	}
+	r.mu.Lock()
+	last := r.encoded
+	r.mu.Unlock()
+	if last.data != nil && l.Manifest.Seq-last.seq < ChunkSize && last.seq+1 >= l.Manifest.firstRef() {
+		return last.seq, last.data, nil
+	}
 	data, err := ticket.EncodeState(l.State)
-	return l.Manifest.Seq, data, err
+	if err != nil {
+		return 0, nil, err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.encoded = encodedState{l.Manifest.Seq, data}
+	return l.Manifest.Seq, data, nil
 }
 
 // loader performs one load.
--- a/lib/manifest/writer.go
+++ b/lib/manifest/writer.go
@@ -29,11 +29,18 @@
 // ErrNoChange is returned by the function passed to Update when there is nothing to write.
 var ErrNoChange = errors.New("manifest: no change")
 
+// errVanished is returned when hosts have a manifest and the key-value service has none.
+var errVanished = errors.New("manifest: it vanished from the key-value service; restore it before sending tickets")
+
 // errRetry marks errors after which the manifest is read again.
 var errRetry = errors.New("manifest: read again")
 
-// Config holds what tests replace.
+// Config holds the optional parts of a writer.
 type Config struct {
+	// Known returns the highest manifest revision that this host or another one is known to have. The writer
+	// writes nothing on top of a lower one: the key-value service has lost data then, and hosts would not
+	// install what is written. Nil: only the revisions that the writer itself saw count.
+	Known func() int64
 	// SkipClockCheck switches off the check right before the CAS. Only negative controls set it.
 	SkipClockCheck bool
 }
@@ -85,9 +92,11 @@
 		if _, err := cur.State.Apply(t); err != nil {
 			return nil, Restriction{}, err
 		}
-		if err := w.create(ctx, BodyKey(t.Number, receipt.SHA256), t.Canonical().Encode()); err != nil {
+		key, body := BodyKey(t.Number, receipt.SHA256), t.Canonical().Encode()
+		if err := w.create(ctx, key, body); err != nil {
 			return nil, Restriction{}, err
 		}
+		w.reader.remember(key, body)
 		next := cur.Manifest.Clone()
 		if err := w.append(ctx, next, TicketRef{Number: t.Number, SHA256: receipt.SHA256}); err != nil {
 			return nil, Restriction{}, err
@@ -114,6 +123,7 @@
 		if err := w.create(ctx, ChunkKey(chunk), data); err != nil {
 			return err
 		}
+		w.reader.remember(ChunkKey(chunk), data)
 		m.Chunks, m.Tickets = append(m.Chunks, chunk), nil
 	}
 	m.Seq++
@@ -264,8 +274,8 @@
 	p.sent = true
 	switch {
 	case err == nil:
-		// The next write starts from here without reading the body again.
-		_, _ = w.reader.LoadRaw(ctx, raw, StoreSource{w.store})
+		// The next write starts from here. An error shows again then.
+		_, _ = w.reader.LoadRaw(ctx, raw, boundedSource{w})
 		return next, nil
 	case errors.Is(err, kv.ErrUnknown):
 		p.pending, p.version, p.raw = true, version, raw
@@ -281,8 +291,8 @@
 	defer cancel()
 	e, err := w.get(ctx, Key)
 	if errors.Is(err, kv.ErrNotFound) {
-		if w.reader.Newest() != nil {
-			return nil, 0, errors.New("manifest: it vanished from the key-value service; restore it before sending tickets")
+		if w.reader.Newest() != nil || w.known() > 0 {
+			return nil, 0, errVanished
 		}
 		return &Loaded{Manifest: Initial(), State: ticket.Empty()}, 0, nil
 	}
@@ -293,12 +303,19 @@
 	if err != nil {
 		return nil, 0, retry(err)
 	}
-	if !bytes.Equal(cur.Raw, e.Value) {
+	if !bytes.Equal(cur.Raw, e.Value) || cur.Manifest.Revision < w.known() {
 		return nil, 0, fmt.Errorf("%w: the key-value service returned an older manifest", errRetry)
 	}
 	return cur, e.Version, nil
 }
 
+func (w *Writer) known() int64 {
+	if w.config.Known == nil {
+		return 0
+	}
+	return w.config.Known()
+}
+
 // boundedSource reads objects with one deadline per call.
 type boundedSource struct{ w *Writer }
 
