Copy the numbers of the last writers in shards

Cause: every host copied the map of last writers, tombstones included, for each ticket, and searched it for tombstones to drop whenever there were many. Change: ticket.State.Writers is the new type ticket.Writers, an immutable map in 256 shards, in place of a map. Tombstones below the floor are dropped when the entries have doubled, and in EncodeState, so that encodings stay equal.

--- a/lib/adminapi/adminapi.go
+++ b/lib/adminapi/adminapi.go
@@ -298,7 +298,8 @@
 			} else {
 				value = state.Object(ref)
 			}
-			out.Objects = append(out.Objects, Object{ref.Kind, ref.Name, state.Writers[ref.String()], value})
+			number, _ := state.Writers.Get(ref)
+			out.Objects = append(out.Objects, Object{ref.Kind, ref.Name, number, value})
 		}
 	}
 	return out
@@ -323,14 +324,15 @@
 	m, state := s.newest()
 	ref := ticket.Ref{Kind: kind, Name: name}
 	value := state.Object(ref)
+	number, written := state.Writers.Get(ref)
 	if value == nil {
 		message := fmt.Sprintf("%s does not exist at revision %d", ref, m.Revision)
-		if number, ok := state.Writers[ref.String()]; ok {
+		if written {
 			message += fmt.Sprintf("; ticket %d deleted it", number)
 		}
 		return nil, notFound("%s", message)
 	}
-	return Object{kind, name, state.Writers[ref.String()], value}, nil
+	return Object{kind, name, number, value}, nil
 }
 
 func notFound(format string, args ...any) error {
--- a/lib/ticket/apply.go
+++ b/lib/ticket/apply.go
@@ -18,7 +18,6 @@
 		Models:        map[string]Model{},
 		Adapters:      map[string]Adapter{},
 		Routes:        map[string]Route{},
-		Writers:       map[string]int64{},
 	}
 }
 
@@ -69,7 +68,7 @@
 		return conflict
 	}
 	for ref := range t.Touched() {
-		if newest := s.Writers[ref.String()]; t.Number < newest {
+		if newest, _ := s.Writers.Get(ref); t.Number < newest {
 			conflict.Reason = refusal.Superseded
 			conflict.Message = fmt.Sprintf("%s was last written by the newer ticket %d", ref, newest)
 			conflict.Remedy = fmt.Sprintf("read the present state and send the change under a number above %d", newest)
@@ -168,7 +167,7 @@
 	if touched[KindRoute] {
 		next.Routes = maps.Clone(s.Routes)
 	}
-	next.Writers = maps.Clone(s.Writers)
+	next.Writers = s.Writers.With(ts)
 	return &next
 }
 
@@ -202,9 +201,6 @@
 	for _, r := range t.Routes {
 		s.Routes[r.Name] = r
 	}
-	for ref := range t.Touched() {
-		s.Writers[ref.String()] = t.Number
-	}
 }
 
 // dropKeys removes the keys that t deletes or replaces: a key written again with another hash must not stay
@@ -231,18 +227,23 @@
 	s.pruneTombstones()
 }
 
-// pruneTombstones drops tombstones below the floor once they outnumber the rest. Every ticket that one of
-// them could refuse as superseded is refused as too old already.
+// pruneTombstones drops tombstones below the floor whenever the entries have doubled. Hosts that follow the log
+// in other batches do so at other times; EncodeState evens this out.
 func (s *State) pruneTombstones() {
-	live := len(s.Organisations) + len(s.Keys) + len(s.Models) + len(s.Adapters) + len(s.Routes)
-	if len(s.Writers) < 2*live+1024 || s.Floor == 0 {
-		return
+	if s.Writers.Len() >= s.pruneAt && s.Floor > 0 {
+		s.Writers = s.prunedWriters()
+		s.pruneAt = 2*s.Writers.Len() + 1024
 	}
-	keep := map[string]bool{}
+}
+
+// prunedWriters returns the writers without the tombstones below the floor. Every ticket that one of them could
+// refuse as superseded is refused as too old already.
+func (s *State) prunedWriters() Writers {
+	keys := make(map[string]bool, len(s.Keys))
 	for _, k := range s.Keys {
-		keep[Ref{KindKey, k.Name}.String()] = true
+		keys[Ref{KindKey, k.Name}.String()] = true
 	}
-	maps.DeleteFunc(s.Writers, func(index string, number int64) bool {
-		return number < s.Floor && !keep[index] && !s.hasIndex(index)
+	return s.Writers.filter(func(index string, number int64) bool {
+		return number >= s.Floor || keys[index] || s.hasIndex(index)
 	})
 }
--- a/lib/ticket/state.go
+++ b/lib/ticket/state.go
@@ -12,15 +12,17 @@
 // maxStateBytes bounds a decoded state against damaged input.
 const maxStateBytes = 256 << 20
 
-// EncodeState returns s as compressed JSON. Equal states have equal encodings.
+// EncodeState returns s as compressed JSON. States after the same tickets have equal encodings.
 func EncodeState(s *State) ([]byte, error) {
+	canonical := *s
+	canonical.Writers = s.prunedWriters()
 	var buf bytes.Buffer
 	// Hashes make up most of the state and hardly shrink, so a higher level costs time only.
 	w, err := gzip.NewWriterLevel(&buf, gzip.BestSpeed)
 	if err != nil {
 		return nil, fmt.Errorf("ticket: encode state: %w", err)
 	}
-	if err := json.NewEncoder(w).Encode(s); err != nil {
+	if err := json.NewEncoder(w).Encode(canonical); err != nil {
 		return nil, fmt.Errorf("ticket: encode state: %w", err)
 	}
 	if err := w.Close(); err != nil {
--- a/lib/ticket/types.go
+++ b/lib/ticket/types.go
@@ -55,11 +55,13 @@
 	Adapters      map[string]Adapter
 	Routes        map[string]Route
 	// Writers holds for each object, deleted ones included, the number of the ticket that wrote it
-	// last. The index is kind, slash, name.
-	Writers map[string]int64
+	// last.
+	Writers Writers
 	// Accepted holds the content hash of each ticket number at or above Floor.
 	Accepted Numbers
 	Floor    int64
+
+	pruneAt int // length of Writers from which tombstones are worth pruning
 }
 
 // Kind is the kind of an object.
