Finish tickets on a planned stop, and count outcomes

Cause: the admin program had no metrics, no readiness, and would have served other hosts without a token; an unexpected error after a lost answer was reported as if nothing could have been written. Change: cuminhook-admin serves /metrics, /health and /ready, opens its ports before it joins the mesh, leaves the mesh only after the tickets in progress, and refuses to listen beyond loopback without a token. Counters for tickets by outcome, for manifest writes by outcome and for retries by cause, and a histogram of write times. Every error while a write can still land is outcome_unknown. Conclusion: a planned stop of the admin program cuts no ticket.

--- a/cmd/cuminhook-admin/main.go
+++ b/cmd/cuminhook-admin/main.go
@@ -6,11 +6,14 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"net"
+	"net/netip"
 	"os"
 	"os/signal"
 	"syscall"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/spf13/cobra"
 	"github.com/valyala/fasthttp"
 
@@ -36,7 +39,13 @@
 	if err := s.Node.Validate(); err != nil {
 		return err
 	}
-	return settings.CheckAddr("listen", s.Listen)
+	if err := settings.CheckAddr("listen", s.Listen); err != nil {
+		return err
+	}
+	if addr := netip.MustParseAddrPort(s.Listen).Addr(); s.Token == "" && !addr.IsLoopback() {
+		return fmt.Errorf("listen: %s is open to other hosts and token is empty; set a token, or listen on 127.0.0.1", addr)
+	}
+	return nil
 }
 
 // mesh is this host's membership of the mesh.
@@ -88,26 +97,61 @@
 	}
 	writer := manifest.NewWriter(store, m, manifest.Config{Known: func() int64 { return confview.Known(m) }})
 	api := adminapi.New(m, writer, adminapi.Config{Token: s.Token, Log: log})
-	return serve(ctx, s.Listen, api, m)
+	listener, err := net.Listen("tcp", s.Listen)
+	if err != nil {
+		return fmt.Errorf("listen: %w; choose another port", err)
+	}
+	state, err := net.Listen("tcp", s.Metrics)
+	if err != nil {
+		return fmt.Errorf("metrics: %w; choose another port", err)
+	}
+	return serve(ctx, listener, state, api, m)
 }
 
-// serve runs API and mesh until ctx ends, then finishes the tickets in progress before it leaves the mesh.
-func serve(ctx context.Context, addr string, api *adminapi.Server, m mesh) error {
+// serve runs API, metrics and mesh until ctx ends, then finishes the tickets in progress before it leaves the
+// mesh.
+func serve(ctx context.Context, listener, state net.Listener, api *adminapi.Server, m mesh) error {
 	meshCtx, leave := context.WithCancel(context.WithoutCancel(ctx))
 	defer leave()
-	server := &fasthttp.Server{
-		Handler: api.Handle, MaxRequestBodySize: adminapi.MaxBody, CloseOnShutdown: true,
-		NoDefaultServerHeader: true, ReadTimeout: 10 * time.Second, IdleTimeout: time.Minute,
-	}
-	failed := make(chan error, 2)
+	apiServer, stateServer := newServer(api.Handle), newServer(stateHandler(m))
+	failed := make(chan error, 3)
 	go func() { failed <- m.Run(meshCtx) }()
-	go func() { failed <- server.ListenAndServe(addr) }()
+	go func() { failed <- stateServer.Serve(state) }()
+	go func() { failed <- apiServer.Serve(listener) }()
 	select {
 	case err := <-failed:
 		return err
 	case <-ctx.Done():
-		stop, cancel := context.WithTimeout(context.Background(), stopTimeout)
-		defer cancel()
-		return server.ShutdownWithContext(stop)
+	}
+	stop, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	err := apiServer.ShutdownWithContext(stop)
+	return errors.Join(err, stateServer.ShutdownWithContext(stop))
+}
+
+func newServer(handler fasthttp.RequestHandler) *fasthttp.Server {
+	return &fasthttp.Server{
+		Handler: handler, MaxRequestBodySize: adminapi.MaxBody, CloseOnShutdown: true,
+		NoDefaultServerHeader: true, ReadTimeout: 10 * time.Second, IdleTimeout: time.Minute,
+	}
+}
+
+// stateHandler answers /metrics, /health and /ready.
+func stateHandler(view confview.View) fasthttp.RequestHandler {
+	return func(c *fasthttp.RequestCtx) {
+		switch string(c.Path()) {
+		case "/metrics":
+			metrics.WritePrometheus(c, true)
+		case "/health":
+			c.SetBodyString("ok\n")
+		case "/ready":
+			if view.Status() == confview.Starting {
+				c.Error("no configuration yet", fasthttp.StatusServiceUnavailable)
+				return
+			}
+			c.SetBodyString("ready\n")
+		default:
+			c.Error("unknown path; use /metrics, /health or /ready", fasthttp.StatusNotFound)
+		}
 	}
 }
--- a/cmd/cuminhookctl/main_test.go
+++ b/cmd/cuminhookctl/main_test.go
@@ -47,7 +47,7 @@
 	store := memkv.New()
 	v := &view{members: []confview.Member{{ID: "gw", Role: "gateway", Revision: 1}}}
 	api := adminapi.New(v, manifest.NewWriter(store, nil, manifest.Config{}), adminapi.Config{Token: "secret"})
-	go fasthttp.Serve(l, api.Handle) //nolint:errcheck
+	go fasthttp.Serve(l, api.Handle)
 	t.Setenv("CUMINHOOK_TOKEN", "secret")
 	return &session{t, "http://" + l.Addr().String(), store, t.TempDir()}
 }
--- a/lib/adminapi/adminapi.go
+++ b/lib/adminapi/adminapi.go
@@ -184,6 +184,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), acceptTimeout)
 	defer cancel()
 	receipt, err := s.writer.Accept(ctx, t)
+	countTicket(receipt, err)
 	if err != nil {
 		s.config.Log.Warn("ticket not confirmed", "number", t.Number, "error", err)
 		return nil, err
--- a/lib/manifest/writer.go
+++ b/lib/manifest/writer.go
@@ -35,6 +35,9 @@
 // errRetry marks errors after which the manifest is read again.
 var errRetry = errors.New("manifest: read again")
 
+// errPaused is the cause of a retry after the clock check failed.
+var errPaused = errors.New("manifest: paused between announcement and write")
+
 // Config holds the optional parts of a writer.
 type Config struct {
 	// Known returns the highest manifest revision that this host or another one is known to have. The writer
@@ -193,7 +196,12 @@
 }
 
 // swap reads, builds, announces and writes until the manifest is as wanted or a refusal is certain.
-func (w *Writer) swap(ctx context.Context, build builder) (*Manifest, error) {
+func (w *Writer) swap(ctx context.Context, build builder) (m *Manifest, err error) {
+	start := time.Now()
+	defer func() {
+		countWrite(err)
+		writeSeconds.UpdateDuration(start)
+	}()
 	select {
 	case <-w.turn:
 		defer func() { w.turn <- struct{}{} }()
@@ -208,18 +216,17 @@
 		if err == nil {
 			return m, nil
 		}
-		if !errors.Is(err, errRetry) {
-			if _, ok := refusal.As(err); ok && p.pending {
-				return nil, outcomeUnknown(err)
-			}
+		again := errors.Is(err, errRetry)
+		silent := time.Since(p.heard) >= silenceTimeout || ctx.Err() != nil
+		switch {
+		case p.pending && (silent || !again):
+			return nil, outcomeUnknown(err)
+		case !again:
 			return nil, err
-		}
-		if time.Since(p.heard) >= silenceTimeout || ctx.Err() != nil {
-			if p.pending {
-				return nil, outcomeUnknown(err)
-			}
+		case silent:
 			return nil, unavailable(err.Error())
 		}
+		countRetry(err)
 		if !errors.Is(err, kv.ErrConflict) {
 			sleep(ctx, retryDelay)
 		}
@@ -268,7 +275,7 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	if time.Since(announced) > announceTimeout && !w.config.SkipClockCheck {
-		return nil, fmt.Errorf("%w: paused between announcement and write", errRetry)
+		return nil, fmt.Errorf("%w: %w", errRetry, errPaused)
 	}
 	_, err = w.store.Put(ctx, Key, raw, version, 0)
 	p.sent = true
--- a/lib/standin/kv/kv_test.go
+++ b/lib/standin/kv/kv_test.go
@@ -23,7 +23,7 @@
 	}
 	s := New(c)
 	server := &fasthttp.Server{Handler: s.Handle, CloseOnShutdown: true, MaxRequestBodySize: 4 << 20}
-	go server.Serve(l) //nolint:errcheck
+	go server.Serve(l)
 	t.Cleanup(func() { l.Close() })
 	return s, "http://" + l.Addr().String()
 }
