--- a/cmd/cuminhook-admin/main.go
+++ b/cmd/cuminhook-admin/main.go
@@ -3,16 +3,21 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"net"
+	"net/netip"
 	"os"
 	"os/signal"
 	"syscall"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/spf13/cobra"
 	"github.com/valyala/fasthttp"
 
 	"cuminhook.org/cuminhook/lib/adminapi"
+	"cuminhook.org/cuminhook/lib/confview"
 	"cuminhook.org/cuminhook/lib/host"
 	"cuminhook.org/cuminhook/lib/manifest"
 	"cuminhook.org/cuminhook/lib/mesh"
@@ -34,7 +39,13 @@
 	if err := s.Node.Validate(); err != nil {
 		return err
 	}
-	return settings.CheckAddr("listen", s.Listen)
+	if err := settings.CheckAddr("listen", s.Listen); err != nil {
+		return err
+	}
+	if addr := netip.MustParseAddrPort(s.Listen).Addr(); s.Token == "" && !addr.IsLoopback() {
+		return fmt.Errorf("listen: %s is open to other hosts and token is empty; set a token, or listen on 127.0.0.1", addr)
+	}
+	return nil
 }
 
 func main() {
@@ -66,28 +77,71 @@
 	if err != nil {
 		return err
 	}
-	writer := manifest.NewWriter(h.Store, h.Mesh, manifest.Config{})
+	known := func() int64 { return confview.Known(h.Mesh) }
+	writer := manifest.NewWriter(h.Store, h.Mesh, manifest.Config{Known: known})
 	api := adminapi.New(h.Mesh, writer, adminapi.Config{Token: s.Token, Log: h.Log})
-	return serve(ctx, s.Listen, api, h.Mesh)
+	listener, err := net.Listen("tcp", s.Listen)
+	if err != nil {
+		return fmt.Errorf("listen: %w; choose another port", err)
+	}
+	state, err := net.Listen("tcp", s.Metrics)
+	if err != nil {
+		return fmt.Errorf("metrics: %w; choose another port", err)
+	}
+	return serve(ctx, listener, state, api, h.Mesh)
+}
+
+// member is this program's part in the mesh.
+type member interface {
+	confview.View
+	// Run takes part in the mesh until ctx ends.
+	Run(ctx context.Context) error
 }
 
-// serve runs API and mesh until ctx ends, then finishes the tickets in progress before it leaves the mesh.
-func serve(ctx context.Context, addr string, api *adminapi.Server, m *mesh.Node) error {
+// serve runs API, metrics and mesh until ctx ends, then finishes the tickets in progress before it leaves the
+// mesh.
+func serve(ctx context.Context, listener, state net.Listener, api *adminapi.Server, m member) error {
 	meshCtx, leave := context.WithCancel(context.WithoutCancel(ctx))
 	defer leave()
-	server := &fasthttp.Server{
-		Handler: api.Handle, MaxRequestBodySize: adminapi.MaxBody, CloseOnShutdown: true,
-		NoDefaultServerHeader: true, ReadTimeout: 10 * time.Second, IdleTimeout: time.Minute,
-	}
-	failed := make(chan error, 2)
+	apiServer, stateServer := newServer(api.Handle), newServer(stateHandler(m))
+	failed := make(chan error, 3)
 	go func() { failed <- m.Run(meshCtx) }()
-	go func() { failed <- server.ListenAndServe(addr) }()
+	go func() { failed <- stateServer.Serve(state) }()
+	go func() { failed <- apiServer.Serve(listener) }()
 	select {
 	case err := <-failed:
 		return err
 	case <-ctx.Done():
-		stop, cancel := context.WithTimeout(context.Background(), stopTimeout)
-		defer cancel()
-		return server.ShutdownWithContext(stop)
+	}
+	stop, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	err := apiServer.ShutdownWithContext(stop)
+	return errors.Join(err, stateServer.ShutdownWithContext(stop))
+}
+
+func newServer(handler fasthttp.RequestHandler) *fasthttp.Server {
+	return &fasthttp.Server{
+		Handler: handler, MaxRequestBodySize: adminapi.MaxBody, CloseOnShutdown: true,
+		NoDefaultServerHeader: true, ReadTimeout: 10 * time.Second, IdleTimeout: time.Minute,
+	}
+}
+
+// stateHandler answers /metrics, /health and /ready.
+func stateHandler(view confview.View) fasthttp.RequestHandler {
+	return func(c *fasthttp.RequestCtx) {
+		switch string(c.Path()) {
+		case "/metrics":
+			metrics.WritePrometheus(c, true)
+		case "/health":
+			c.SetBodyString("ok\n")
+		case "/ready":
+			if view.Status() == confview.Starting {
+				c.Error("no configuration yet", fasthttp.StatusServiceUnavailable)
+				return
+			}
+			c.SetBodyString("ready\n")
+		default:
+			c.Error("unknown path; use /metrics, /health or /ready", fasthttp.StatusNotFound)
+		}
 	}
 }
--- a/lib/adminapi/adminapi.go
+++ b/lib/adminapi/adminapi.go
@@ -184,6 +184,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), acceptTimeout)
 	defer cancel()
 	receipt, err := s.writer.Accept(ctx, t)
+	countTicket(receipt, err)
 	if err != nil {
 		s.config.Log.Warn("ticket not confirmed", "number", t.Number, "error", err)
 		return nil, err
@@ -298,7 +299,8 @@
 			} else {
 				value = state.Object(ref)
 			}
-			out.Objects = append(out.Objects, Object{ref.Kind, ref.Name, state.Writers[ref.String()], value})
+			number, _ := state.Writers.Get(ref)
+			out.Objects = append(out.Objects, Object{ref.Kind, ref.Name, number, value})
 		}
 	}
 	return out
@@ -323,14 +325,15 @@
 	m, state := s.newest()
 	ref := ticket.Ref{Kind: kind, Name: name}
 	value := state.Object(ref)
+	number, written := state.Writers.Get(ref)
 	if value == nil {
 		message := fmt.Sprintf("%s does not exist at revision %d", ref, m.Revision)
-		if number, ok := state.Writers[ref.String()]; ok {
+		if written {
 			message += fmt.Sprintf("; ticket %d deleted it", number)
 		}
 		return nil, notFound("%s", message)
 	}
-	return Object{kind, name, state.Writers[ref.String()], value}, nil
+	return Object{kind, name, number, value}, nil
 }
 
 func notFound(format string, args ...any) error {
