--- /dev/null
+++ b/lib/idem/idem_test.go
@@ -0,0 +1,493 @@
+package idem
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/gob"
+	"errors"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"reflect"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"cuminhook.org/cuminhook/lib/confview"
+	"cuminhook.org/cuminhook/lib/manifest"
+	"cuminhook.org/cuminhook/lib/peer"
+	"cuminhook.org/cuminhook/lib/refusal"
+)
+
+// TestMain pins rapid's seed, which is random by default, and keeps the source tree free of fail files.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.nofailfile", "true")
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
+		_ = f.Value.Set("20260711")
+	}
+	os.Exit(m.Run())
+}
+
+const simHosts = 4
+
+// world is a set of hosts on a faulty network. All fields are guarded by mu.
+type world struct {
+	mu      sync.Mutex
+	rng     *rand.Rand
+	faulty  bool
+	hosts   map[string]*simHost
+	cut     map[[2]string]time.Time // no messages between the pair until then
+	snap    *confview.Snapshot
+	changed time.Time
+	runs    map[Key][]time.Time
+	doubles int
+	results map[refusal.Reason]int
+	wg      sync.WaitGroup
+}
+
+// simHost is a host with its view of the configuration.
+type simHost struct {
+	w       *world
+	id      string
+	life    int
+	m       *Manager // nil while the host is down
+	snap    *confview.Snapshot
+	fresh   time.Time
+	offline time.Time     // no configuration until then
+	lag     time.Duration // with which it learns of a change
+	empty   bool          // AssumeEmpty of its next life
+}
+
+func (h *simHost) Self() string                         { return h.id }
+func (h *simHost) Subscribe() (<-chan struct{}, func()) { return nil, func() {} }
+
+func (h *simHost) Members() []confview.Member {
+	h.w.mu.Lock()
+	defer h.w.mu.Unlock()
+	var out []confview.Member
+	for _, other := range h.w.hosts {
+		out = append(out, confview.Member{ID: other.id, Boot: fmt.Sprint(other.life)})
+	}
+	return out
+}
+
+func (h *simHost) Snapshot() *confview.Snapshot {
+	h.w.mu.Lock()
+	defer h.w.mu.Unlock()
+	return h.snap
+}
+
+func (h *simHost) Status() confview.Status {
+	h.w.mu.Lock()
+	defer h.w.mu.Unlock()
+	if time.Since(h.fresh) <= 2*time.Second {
+		return confview.Fresh
+	}
+	return confview.Isolated
+}
+
+// Call delivers a request with delay, possibly twice or not at all, and its answer likewise.
+func (h *simHost) Call(ctx context.Context, member, method string, args, reply any) error {
+	w := h.w
+	w.mu.Lock()
+	life := h.life
+	to := w.hosts[member]
+	there, back := w.delay(h.id, member), w.delay(h.id, member)
+	again := w.faulty && w.rng.IntN(10) == 0
+	late := time.Duration(w.rng.Int64N(int64(20 * time.Second)))
+	down := to.m == nil
+	w.mu.Unlock()
+	if down {
+		return peer.ErrUnreachable
+	}
+	if again {
+		w.wg.Go(func() { time.Sleep(late); w.deliver(to, method, args, nil) })
+	}
+	answer := make(chan error, 1)
+	out := clone(reply)
+	w.wg.Go(func() {
+		time.Sleep(there)
+		if !w.deliver(to, method, args, out) {
+			return
+		}
+		time.Sleep(back)
+		answer <- nil
+	})
+	select {
+	case <-answer:
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if h.life != life {
+			return peer.ErrTimeout
+		}
+		transfer(out, reply)
+		return nil
+	case <-ctx.Done():
+		return peer.ErrTimeout
+	}
+}
+
+// delay draws the time of a message; an hour stands for a lost one. Callers hold mu.
+func (w *world) delay(a, b string) time.Duration {
+	if b < a {
+		a, b = b, a
+	}
+	if time.Now().Before(w.cut[[2]string{a, b}]) || w.faulty && w.rng.IntN(15) == 0 {
+		return time.Hour
+	}
+	d := time.Duration(w.rng.Int64N(int64(3 * time.Millisecond)))
+	if w.faulty && w.rng.IntN(6) == 0 {
+		d = time.Duration(w.rng.Int64N(int64(3 * time.Second)))
+	}
+	return d
+}
+
+func (w *world) deliver(to *simHost, method string, args, reply any) bool {
+	w.mu.Lock()
+	m := to.m
+	w.mu.Unlock()
+	if m == nil {
+		return false
+	}
+	s := &service{m}
+	switch a := args.(type) {
+	case *ClaimArgs:
+		var r ClaimReply
+		_ = s.Claim(a, &r)
+		transfer(&r, reply)
+	case *CopyArgs:
+		var r CopyReply
+		_ = s.Copy(a, &r)
+		transfer(&r, reply)
+	case *FinishArgs:
+		var r FinishReply
+		_ = s.Finish(a, &r)
+		transfer(&r, reply)
+	case *TakeArgs:
+		var r TakeReply
+		_ = s.Take(a, &r)
+		transfer(&r, reply)
+	default:
+		panic(method)
+	}
+	return true
+}
+
+func transfer(from, to any) {
+	if to != nil {
+		reflect.ValueOf(to).Elem().Set(reflect.ValueOf(from).Elem())
+	}
+}
+
+func clone(reply any) any {
+	switch reply.(type) {
+	case *ClaimReply:
+		return new(ClaimReply)
+	case *CopyReply:
+		return new(CopyReply)
+	case *FinishReply:
+		return new(FinishReply)
+	}
+	return new(TakeReply)
+}
+
+func newWorld(seed uint64, faulty bool) *world {
+	w := &world{
+		rng: rand.New(rand.NewPCG(seed, 1)), faulty: faulty, hosts: map[string]*simHost{},
+		cut: map[[2]string]time.Time{}, runs: map[Key][]time.Time{}, results: map[refusal.Reason]int{},
+		snap: &confview.Snapshot{Manifest: &manifest.Manifest{}},
+	}
+	for i := range simHosts {
+		h := &simHost{w: w, id: string(rune('a' + i)), snap: w.snap, fresh: time.Now()}
+		w.hosts[h.id] = h
+	}
+	for _, h := range w.hosts {
+		h.start()
+	}
+	w.advance(time.Second)
+	owners := make([]string, manifest.SlotCount)
+	for i := range owners {
+		owners[i] = string(rune('a' + i%simHosts))
+	}
+	w.assign(owners)
+	w.advance(5 * time.Second)
+	return w
+}
+
+func (h *simHost) start() {
+	m, err := New(Config{View: h, Caller: h, AssumeEmpty: h.empty})
+	if err != nil {
+		panic(err)
+	}
+	h.w.mu.Lock()
+	h.m = m
+	h.w.mu.Unlock()
+}
+
+func (h *simHost) kill() {
+	h.w.mu.Lock()
+	m := h.m
+	h.m = nil
+	h.life++
+	h.w.mu.Unlock()
+	if m != nil {
+		m.Close()
+	}
+}
+
+// assign writes a slot table; hosts learn of it with their lag.
+func (w *world) assign(owners []string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	m := *w.snap.Manifest
+	m.Revision++
+	m.Slots = m.Slots.Next(owners)
+	w.snap, w.changed = &confview.Snapshot{Manifest: &m}, time.Now()
+	for _, h := range w.hosts {
+		h.lag = 0
+		if w.faulty {
+			h.lag = time.Duration(w.rng.Int64N(int64(1500 * time.Millisecond)))
+		}
+	}
+}
+
+// advance lets time pass and spreads the configuration.
+func (w *world) advance(d time.Duration) {
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		w.mu.Lock()
+		for _, h := range w.hosts {
+			if now := time.Now(); now.Sub(w.changed) >= h.lag && !now.Before(h.offline) {
+				h.snap, h.fresh = w.snap, now
+			}
+		}
+		w.mu.Unlock()
+	}
+}
+
+// attempt claims a key at a host and runs the request if permitted. It returns the stored response.
+func (w *world) attempt(h *simHost, key Key, ending State, took time.Duration) *Response {
+	w.mu.Lock()
+	m, life := h.m, h.life
+	w.mu.Unlock()
+	if m == nil {
+		return nil
+	}
+	digest := sha256.Sum256(key[:])
+	claim, stored, err := m.Claim(context.Background(), key, digest, 30*time.Second)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if r, ok := refusal.As(err); ok {
+		w.results[r.Reason]++
+	}
+	if stored != nil {
+		w.results["replayed"]++
+	}
+	if claim == nil || h.life != life {
+		return stored
+	}
+	w.results["run"]++
+	if ending != Released {
+		if n := len(w.runs[key]); n > 0 && time.Since(w.runs[key][n-1]) < Retention {
+			w.doubles++
+		}
+		w.runs[key] = append(w.runs[key], time.Now())
+	}
+	w.mu.Unlock()
+	time.Sleep(took)
+	switch ending {
+	case Done:
+		claim.Done(Response{Status: 200, Body: []byte("booked")})
+	case Unknown:
+		claim.Unknown()
+	case Released:
+		claim.Release()
+	}
+	w.mu.Lock()
+	return nil
+}
+
+func (w *world) close() {
+	for _, h := range w.hosts {
+		h.kill()
+	}
+	w.wg.Wait()
+}
+
+// step performs one random action.
+func (w *world) step(pick func(n int) int) {
+	h := w.hosts[string(rune('a'+pick(simHosts)))]
+	switch pick(9) {
+	case 0, 1, 2, 3:
+		key := MakeKey("x", fmt.Sprint(pick(4)))
+		ending := []State{Done, Done, Unknown, Released, Claimed}[pick(5)]
+		took := time.Duration(pick(3000)) * time.Millisecond
+		for range pick(2) + 1 {
+			w.wg.Go(func() { w.attempt(h, key, ending, took) })
+		}
+		w.advance(time.Duration(pick(1000)+1) * time.Millisecond)
+	case 4:
+		w.advance(time.Duration(pick(8000)+1) * time.Millisecond)
+	case 5: // the controller gives the slots of a host, mostly a dead one, to another
+		w.mu.Lock()
+		owners := slices.Clone(w.snap.Manifest.Slots.Owners)
+		w.mu.Unlock()
+		to := string(rune('a' + pick(simHosts)))
+		for i := range owners {
+			if owners[i] == h.id {
+				owners[i] = to
+			}
+		}
+		w.assign(owners)
+	case 6:
+		h.kill()
+		if pick(2) == 0 {
+			w.advance(time.Duration(pick(8000)) * time.Millisecond)
+		}
+		h.start()
+	case 7:
+		w.mu.Lock()
+		a, b := h.id, string(rune('a'+pick(simHosts)))
+		if b < a {
+			a, b = b, a
+		}
+		w.cut[[2]string{a, b}] = time.Now().Add(time.Duration(pick(20)) * time.Second)
+		w.mu.Unlock()
+	default:
+		w.mu.Lock()
+		h.offline = time.Now().Add(time.Duration(pick(10)) * time.Second)
+		w.mu.Unlock()
+	}
+}
+
+// Guards invariant 9: at most one attempt per key runs under kills, restarts, cuts, lost, late and
+// repeated messages, lagging configuration and slot changes.
+func TestAtMostOneRun(t *testing.T) {
+	totals := map[refusal.Reason]int{}
+	rapid.Check(t, func(t *rapid.T) {
+		rapid.SyncTest(t, func(t *rapid.T) {
+			w := newWorld(rapid.Uint64().Draw(t, "network"), true)
+			for range rapid.IntRange(20, 60).Draw(t, "steps") {
+				w.step(func(n int) int { return rapid.IntRange(0, n-1).Draw(t, "pick") })
+			}
+			w.close()
+			for r, n := range w.results {
+				totals[r] += n
+			}
+			if w.doubles > 0 {
+				t.Fatalf("%d requests ran twice", w.doubles)
+			}
+		})
+	})
+	t.Logf("outcomes of claims: %v", totals)
+	if totals["run"] == 0 || totals["replayed"] == 0 {
+		t.Error("no request ran or none was replayed: the test exercises nothing")
+	}
+}
+
+// Guards the check itself: a new owner that takes unknown for absent must be found to run requests twice.
+func TestCheckCatchesForgetfulOwner(t *testing.T) {
+	for seed := range uint64(200) {
+		doubles := 0
+		synctest.Test(t, func(t *testing.T) {
+			w := newWorld(seed, true)
+			for _, h := range w.hosts {
+				h.empty = true
+			}
+			r := rand.New(rand.NewPCG(seed, 2))
+			for range 60 {
+				w.step(r.IntN)
+			}
+			w.close()
+			doubles = w.doubles
+		})
+		if doubles > 0 {
+			t.Logf("caught with seed %d", seed)
+			return
+		}
+	}
+	t.Fatal("not caught in 200 runs")
+}
+
+// Guards the hand-over: after the owner of a key is killed, restarted, or gives its slots up, a repeated
+// request gets the stored response from any host.
+func TestResponseSurvivesOwner(t *testing.T) {
+	for name, disturb := range map[string]func(w *world, owner *simHost, owners []string){
+		"nothing": func(*world, *simHost, []string) {},
+		"killed": func(w *world, owner *simHost, owners []string) {
+			owner.kill()
+			w.advance(5 * time.Second)
+			w.assign(owners)
+		},
+		"restarted": func(_ *world, owner *simHost, _ []string) { owner.kill(); owner.start() },
+		"planned stop": func(w *world, owner *simHost, owners []string) {
+			w.assign(owners)
+			w.wg.Go(func() {
+				ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+				defer cancel()
+				if err := owner.m.Drain(ctx); err != nil {
+					panic(err)
+				}
+				owner.kill()
+			})
+			w.advance(time.Second)
+		},
+		"successor restarted, then owner killed": func(w *world, owner *simHost, owners []string) {
+			succ := w.hosts[Table(w.snap.Manifest.Slots).Successor(MakeKey("x", "k").Slot())]
+			succ.kill()
+			succ.start()
+			w.advance(5 * time.Second) // the owner copies its records again
+			owner.kill()
+			w.assign(owners)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(1, false)
+				key := MakeKey("x", "k")
+				owner := w.hosts[Table(w.snap.Manifest.Slots).Owner(key.Slot())]
+				other := w.hosts["a"]
+				if owner == other {
+					other = w.hosts["b"]
+				}
+				w.attempt(other, key, Done, time.Second)
+				w.advance(time.Second)
+				owners := slices.Clone(w.snap.Manifest.Slots.Owners)
+				for i := range owners {
+					if owners[i] == owner.id {
+						owners[i] = other.id
+					}
+				}
+				disturb(w, owner, owners)
+				w.advance(5 * time.Second)
+				r := w.attempt(other, key, Done, 0)
+				w.close()
+				if r == nil || string(r.Body) != "booked" {
+					t.Errorf("stored response %v, outcomes %v", r, w.results)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a message type that the mesh's codec cannot carry.
+func TestMessagesEncode(t *testing.T) {
+	in := TakeReply{Known: true, Wait: time.Second, Records: []Record{{
+		Key: MakeKey("x", "k"), Claim: "c", Version: 2, State: Done, HasResponse: true, ExpiresIn: time.Minute,
+		Response: Response{Status: 200, ContentType: "text/plain", Body: []byte("b")},
+	}}}
+	var buf bytes.Buffer
+	var out TakeReply
+	if err := errors.Join(gob.NewEncoder(&buf).Encode(in), gob.NewDecoder(&buf).Decode(&out)); err != nil {
+		t.Fatal(err)
+	}
+	if !reflect.DeepEqual(in, out) {
+		t.Fatalf("sent %+v, received %+v", in, out)
+	}
+}
--- a/lib/idem/manager.go
+++ b/lib/idem/manager.go
@@ -53,6 +53,7 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
+	bg     sync.Mutex // orders the start of background work before Close
 }
 
 // New registers the RPC service "Idem" and starts the manager.
@@ -81,7 +82,9 @@
 
 // Close stops the manager.
 func (m *Manager) Close() {
+	m.bg.Lock()
 	m.cancel()
+	m.bg.Unlock()
 	m.wg.Wait()
 }
 
@@ -226,8 +229,12 @@
 
 // syncAll sends all records of slots whose successor does not hold them.
 func (m *Manager) syncAll() {
+	boots := map[string]string{}
+	for _, member := range m.view.Members() {
+		boots[member.ID] = member.Boot
+	}
 	m.mu.Lock()
-	slots := m.store.Unsynced()
+	slots := m.store.Unsynced(boots)
 	m.mu.Unlock()
 	var wg sync.WaitGroup
 	limit := make(chan struct{}, 8)
@@ -238,7 +245,7 @@
 			defer wg.Done()
 			ctx, cancel := context.WithTimeout(m.ctx, syncTimeout)
 			defer cancel()
-			m.copy(ctx, slot, nil)
+			m.copy(ctx, slot, nil, boots)
 			<-limit
 		}()
 	}
@@ -246,8 +253,11 @@
 }
 
 // copy sends record r, and all records of the slot if the successor needs them. It returns the table
-// version under which the successor acknowledged.
-func (m *Manager) copy(ctx context.Context, slot int, r *Record) (version int64, ok bool) {
+// version under which the successor acknowledged. Boots, if not nil, holds the members' lives known
+// before the call.
+func (m *Manager) copy(
+	ctx context.Context, slot int, r *Record, boots map[string]string,
+) (version int64, ok bool) {
 	m.mu.Lock()
 	successor := m.store.table.Successor(slot)
 	args := m.store.CopyFor(m.now(), slot, r, 0)
@@ -261,9 +271,9 @@
 			return 0, false
 		}
 		if reply.OK {
-			if r == nil || args.Nonce != 0 {
+			if boots != nil {
 				m.mu.Lock()
-				m.store.Synced(slot, successor, args.Version)
+				m.store.Synced(slot, successor, boots[successor], args.Version)
 				m.mu.Unlock()
 			}
 			return args.Version, true
@@ -352,7 +362,7 @@
 	}
 	ctx, cancel := context.WithTimeout(m.ctx, copyTimeout)
 	defer cancel()
-	version, ok := m.copy(ctx, slot, &rec)
+	version, ok := m.copy(ctx, slot, &rec, nil)
 	// The status is checked again right before permission is given.
 	if ok && m.refresh() == nil && !m.given(slot) {
 		m.mu.Lock()
@@ -381,13 +391,15 @@
 		m.background(func() {
 			ctx, cancel := context.WithTimeout(m.ctx, syncTimeout)
 			defer cancel()
-			m.copy(ctx, slot, &rec)
+			m.copy(ctx, slot, &rec, nil)
 		})
 	}
 	return true
 }
 
 func (m *Manager) background(fn func()) {
+	m.bg.Lock()
+	defer m.bg.Unlock()
 	if m.ctx.Err() != nil {
 		return
 	}
--- a/lib/idem/store.go
+++ b/lib/idem/store.go
@@ -90,11 +90,8 @@
 	TooLarge                        // done, and the response was too large to keep
 )
 
-// Table is the slot table as far as this package needs it.
-type Table struct {
-	Version int64
-	Owners  []string
-}
+// Table is the slot table.
+type Table manifest.SlotTable
 
 // Owner is the owner of a slot, empty if none.
 func (t Table) Owner(slot int) string {
@@ -132,6 +129,7 @@
 	unconfirmed int64  // time at which an owner without records becomes ready
 	records     map[Key]*Record
 	syncedTo    string // successor that holds all records
+	syncedBoot  string // the life of the successor that got them
 	syncedAt    int64  // under this table version
 }
 
@@ -191,7 +189,7 @@
 				owner: s.self, successor: t.Successor(i), version: t.Version, notBefore: now + int64(settleTime),
 			}
 			o.unconfirmed = now + int64(unconfirmed)
-		case was && t.Version == old.Version+1 && o.fence <= old.Version:
+		case was && manifest.SlotTable(t).Kept(i, old.Version) && o.fence <= old.Version:
 			// Kept without a gap. A source not yet reached stays valid: nobody else can have taken over.
 		case was && o.ready && o.fence <= old.Version:
 			// Another host may have owned the slot in a table that this host missed, and may have taken
@@ -531,20 +529,25 @@
 	return n
 }
 
-// Unsynced returns the slots whose successor does not hold all records under the present table.
-func (s *Store) Unsynced() []int {
+// Unsynced returns the slots whose successor does not hold all records under the present table. Boots
+// holds the present life of each member, as far as it is known.
+func (s *Store) Unsynced(boots map[string]string) []int {
 	var out []int
 	for i := range s.own {
 		o := &s.own[i]
-		succ := s.table.Successor
-		if o.owned && o.ready && succ(i) != "" && (o.syncedTo != succ(i) || o.syncedAt != s.table.Version) {
+		if !o.owned || !o.ready {
+			continue
+		}
+		succ := s.table.Successor(i)
+		if succ != "" && (o.syncedTo != succ || o.syncedBoot != boots[succ] || o.syncedAt != s.table.Version) {
 			out = append(out, i)
 		}
 	}
 	return out
 }
 
-// Synced notes that member holds all records of the slot under the table version.
-func (s *Store) Synced(slot int, member string, version int64) {
-	s.own[slot].syncedTo, s.own[slot].syncedAt = member, version
+// Synced notes that this life of member holds all records of the slot under the table version.
+func (s *Store) Synced(slot int, member, boot string, version int64) {
+	o := &s.own[slot]
+	o.syncedTo, o.syncedBoot, o.syncedAt = member, boot, version
 }
--- a/lib/manifest/types.go
+++ b/lib/manifest/types.go
@@ -34,6 +34,8 @@
 type SlotTable struct {
 	Version int64    `json:"v"`
 	Owners  []string `json:"o"` // SlotCount entries
+	// Since holds for each slot the version from which its owner has it; filled by Next.
+	Since []int64 `json:"s,omitempty"`
 }
 
 // Manifest is the value of Key.
--- a/lib/quota/bucket.go
+++ b/lib/quota/bucket.go
@@ -6,7 +6,10 @@
 // host over the configuration in force and lends between hosts.
 package quota
 
-import "math"
+import (
+	"math"
+	"slices"
+)
 
 // Times in nanoseconds; the core measures time as an offset from an arbitrary start.
 const (
@@ -17,13 +20,18 @@
 	// StartDelay is the time between learning of a new slot and generating its tokens. The previous
 	// owner spends for at most 2 s after its last confirmation, and its loans live for 1 s more.
 	StartDelay = 3 * second
-	// historySeconds bounds how long after a charge its unused part can be refunded.
-	historySeconds = 128
+	// stepLen is the resolution of the headroom history. The cap of a lender rises at the end of a step,
+	// so one-second steps would keep it lowered for longer than most loans last.
+	stepLen = second / 8
+	// historySteps bounds how long after a charge its unused part can be refunded: 128 s.
+	historySteps = 1024
 	// maxParts is the number of loans that a charge keeps track of; what it took from further loans is
 	// not given back.
 	maxParts = 8
 	// maxGrants bounds the loans that a lender accepts returns for.
 	maxGrants = 512
+	// lentSteps exceeds the steps that a loan can last.
+	lentSteps = 16
 )
 
 // Loan is a loan held by the borrower.
@@ -35,22 +43,18 @@
 	// returned is the sum given back so far. The message to the lender carries the sum, so that a lost
 	// or repeated message neither creates nor loses more tokens.
 	returned float64
+	ended    bool // nothing is left to spend
 	queued   bool // listed in Bucket.returns
 }
 
 // grant is a loan as the lender records it.
 type grant struct {
 	id       uint64
-	at       int64
+	until    int64 // start of a step; the cap is lowered until then
 	amount   float64
 	returned float64
 }
 
-type lent struct {
-	until  int64
-	amount float64
-}
-
 type part struct {
 	loan   *Loan
 	amount float64
@@ -73,12 +77,12 @@
 	rate  float64 // tokens a second of the slots owned
 	cap   float64 // burst of the slots owned
 
-	lentSum  float64
-	lent     []lent // by time of expiry
+	lentSum  float64            // of the grants that have not ended
+	lent     [lentSteps]float64 // the same by the step in which they end
+	grants   []grant            // oldest first
 	held     []*Loan
 	heldSum  float64
-	grants   []grant // oldest first
-	headroom [historySeconds]float64
+	headroom [historySteps]float64
 	returns  []*Loan // loans with something to give back to their lenders
 	expired  float64 // tokens of held loans that expired unspent
 	loanLife int64   // lender's side
@@ -93,50 +97,38 @@
 // limit is the most that the level may be: the cap less what is lent.
 func (b *Bucket) limit() float64 { return max(0, b.cap-b.lentSum) }
 
-// note records the present headroom in the history of the present second.
+// note records the present headroom in the history of the present step.
 func (b *Bucket) note() {
-	h := &b.headroom[(b.at/second)%historySeconds]
+	h := &b.headroom[(b.at/stepLen)%historySteps]
 	*h = min(*h, b.limit()-b.level)
 }
 
-// accrue generates tokens up to time to within one second of the history.
+// accrue generates tokens up to time to within one step of the history.
 func (b *Bucket) accrue(to int64) {
 	b.level = min(b.level+b.rate*float64(to-b.at)/float64(second), max(b.limit(), b.level))
 	b.at = to
 	b.note()
 }
 
-// step generates tokens up to time to, which no expiry precedes.
-func (b *Bucket) step(to int64) {
-	if to/second-b.at/second > historySeconds {
-		// Everything in the history is overwritten below.
-		b.accrue(to - historySeconds*second)
-	}
-	for sec := b.at / second; sec < to/second; sec++ {
-		b.accrue((sec+1)*second - 1)
-		b.at = (sec + 1) * second
-		b.headroom[(sec+1)%historySeconds] = math.MaxFloat64
-		b.note()
-	}
-	b.accrue(to)
-}
-
 // Advance brings the bucket to time now.
 func (b *Bucket) Advance(now int64) {
 	if now <= b.at {
 		return
 	}
-	for len(b.lent) > 0 && b.lent[0].until <= now {
-		if b.lent[0].until > b.at {
-			b.step(b.lent[0].until)
-		}
-		b.lentSum -= b.lent[0].amount
-		b.lent = b.lent[:copy(b.lent, b.lent[1:])]
-		if len(b.lent) == 0 {
-			b.lentSum = 0 // drops the rounding error
+	if now/stepLen-b.at/stepLen > historySteps {
+		b.accrue(now - historySteps*stepLen) // the history up to there is overwritten below
+	}
+	for step := b.at/stepLen + 1; step <= now/stepLen; step++ {
+		b.accrue(step*stepLen - 1)
+		b.at = step * stepLen
+		// The end of the former step; the new one begins with the cap of the loans that ended.
+		if ended := &b.lent[step%lentSteps]; *ended > 0 {
+			b.lentSum = max(0, b.lentSum-*ended)
+			*ended = 0
 		}
+		b.headroom[step%historySteps] = b.limit() - b.level
 	}
-	b.step(now)
+	b.accrue(now)
 	b.dropExpired()
 }
 
@@ -148,6 +140,7 @@
 		case l.expires <= b.at:
 			b.heldSum -= l.left
 			b.expired += l.left
+			l.ended = true
 			b.queueReturn(l, l.left)
 			l.left = 0
 		case l.left > 0:
@@ -212,6 +205,10 @@
 		l.left -= take
 		b.heldSum -= take
 		rest -= take
+		if l.left <= 0 {
+			l.ended = true
+			b.queueReturn(l, 0)
+		}
 		if k < maxParts {
 			c.parts[k] = part{loan: l, amount: take}
 			k++
@@ -224,12 +221,12 @@
 
 // room is the least headroom since time at, zero when the history does not reach back that far.
 func (b *Bucket) room(at int64) float64 {
-	if b.at/second-at/second >= historySeconds {
+	if b.at/stepLen-at/stepLen >= historySteps {
 		return 0
 	}
 	least := math.MaxFloat64
-	for sec := at / second; sec <= b.at/second; sec++ {
-		least = min(least, b.headroom[sec%historySeconds])
+	for step := at / stepLen; step <= b.at/stepLen; step++ {
+		least = min(least, b.headroom[step%historySteps])
 	}
 	return max(0, least)
 }
@@ -242,8 +239,8 @@
 		return 0
 	}
 	b.level += n
-	for sec := at / second; sec <= b.at/second; sec++ {
-		b.headroom[sec%historySeconds] -= n
+	for step := at / stepLen; step <= b.at/stepLen; step++ {
+		b.headroom[step%historySteps] -= n
 	}
 	return n
 }
@@ -282,33 +279,50 @@
 		return 0, spare
 	}
 	b.level -= granted
-	b.lentSum += granted
-	b.lent = append(b.lent, lent{until: b.at + b.loanLife, amount: granted})
 	if len(b.grants) >= maxGrants {
 		b.grants = b.grants[:copy(b.grants, b.grants[maxGrants/4:])]
 	}
-	b.grants = append(b.grants, grant{id: id, at: b.at, amount: granted})
+	g := grant{id: id, until: ceilStep(b.at + b.loanLife), amount: granted}
+	if g.until > b.at {
+		b.lentSum += granted
+		b.lent[g.until/stepLen%lentSteps] += granted
+	}
+	b.grants = append(b.grants, g)
 	return granted, spare - granted
 }
 
+func ceilStep(t int64) int64 { return (t + stepLen - 1) / stepLen * stepLen }
+
 // Return takes back what a borrower did not use of loan id; sum is the total over all messages about
-// this loan. The amount is bounded like a refund of a charge made when the loan was granted.
-func (b *Bucket) Return(now int64, id uint64, sum float64) float64 {
+// this loan. The result is as if the loan had been smaller. Before the loan ends that is always possible,
+// since a smaller loan would have left level and cap higher by the same amount. Later it is bounded like
+// the refund of a charge made when the loan ended. Ended tells that the borrower holds nothing of the
+// loan any more, so the cap rises before the loan expires.
+func (b *Bucket) Return(now int64, id uint64, sum float64, ended bool) float64 {
 	b.Advance(now)
-	for i := range b.grants {
-		g := &b.grants[i]
-		if g.id != id {
-			continue
-		}
-		sum = min(sum, g.amount)
-		n := sum - g.returned
-		if n <= 0 {
-			return 0
-		}
-		g.returned = sum
-		return b.give(g.at, n)
+	i := slices.IndexFunc(b.grants, func(g grant) bool { return g.id == id })
+	if i < 0 {
+		return 0
+	}
+	g := &b.grants[i]
+	n := max(0, min(sum, g.amount)-g.returned)
+	if g.until <= b.at {
+		g.returned += n
+		return b.give(g.until, n)
 	}
-	return 0
+	lent := &b.lent[g.until/stepLen%lentSteps]
+	g.returned += n
+	*lent -= n
+	b.lentSum = max(0, b.lentSum-n)
+	n = max(0, min(n, b.limit()-b.level)) // the cap may have been lowered for another reason
+	b.level += n
+	if until := ceilStep(b.at + 1); ended && until < g.until {
+		rest := g.amount - g.returned
+		*lent -= rest
+		b.lent[until/stepLen%lentSteps] += rest
+		g.until = until
+	}
+	return n
 }
 
 // Borrow adds a loan of n tokens whose request was sent at time sent.
@@ -316,7 +330,7 @@
 	b.Advance(now)
 	l.expires, l.left = sent+LoanLife, n
 	if l.expires <= b.at {
-		l.left = 0
+		l.left, l.ended = 0, true
 		b.expired += n
 		b.queueReturn(l, n)
 		return
--- a/lib/quota/loan.go
+++ b/lib/quota/loan.go
@@ -18,7 +18,7 @@
 	// askAtOnce is the number of members asked in parallel, and maxRounds how often, so that one
 	// shortage causes at most askAtOnce x maxRounds calls.
 	askAtOnce = 4
-	maxRounds = 2
+	maxRounds = 3
 	// scanMembers bounds the members compared for a round; map iteration starts at a random one.
 	scanMembers = 64
 	// noLoanPause follows a round that did not give enough, so that an organisation far above its rate
@@ -31,21 +31,24 @@
 
 // usage measures the tokens spent over about the last second.
 type usage struct {
-	sec       int64
-	cur, prev float64
+	sec          int64
+	cur, prev    float64
+	count, prevN int // charges
 }
 
 func (u *usage) add(now int64, n float64) {
 	u.roll(now)
 	u.cur += n
+	u.count++
 }
 
 func (u *usage) roll(now int64) {
 	switch d := now/second - u.sec; {
 	case d == 1:
 		u.prev, u.cur = u.cur, 0
+		u.prevN, u.count = u.count, 0
 	case d > 1:
-		u.prev, u.cur = 0, 0
+		*u = usage{}
 	default:
 		return
 	}
@@ -58,6 +61,16 @@
 	return u.prev*(1-frac) + u.cur
 }
 
+// ahead is what the next requests are likely to use, without the one that is short: a few large requests
+// a second gain nothing from tokens that expire before the next one.
+func (u *usage) ahead(now int64) float64 {
+	used, n := u.recent(now), u.prevN+u.count
+	if n <= 2 {
+		return 0
+	}
+	return aheadFraction * used * float64(n-2) / float64(n)
+}
+
 // estimate is what a member last said that it could lend.
 type estimate struct {
 	spare float64
@@ -80,11 +93,15 @@
 // ReturnArgs gives back unused parts of loans.
 type ReturnArgs struct{ Returns []Returned }
 
+// ReturnReply tells how much the lender could take back.
+type ReturnReply struct{ Accepted float64 }
+
 // Returned is the unused part of a loan, summed over all messages about it.
 type Returned struct {
 	Organisation string
 	ID           uint64
 	Sum          float64
+	Ended        bool // the borrower holds nothing of the loan any more
 }
 
 // service is the RPC service "Quota".
@@ -93,7 +110,7 @@
 // Lend grants a loan.
 func (s *service) Lend(args *LendArgs, reply *LendReply) error {
 	m := s.m
-	now := m.now()
+	now := m.clock()
 	t, err := m.current(now)
 	if err != nil {
 		return nil // a host that may not spend grants nothing
@@ -115,8 +132,8 @@
 }
 
 // Return takes back unused parts of loans.
-func (s *service) Return(args *ReturnArgs, _ *struct{}) error {
-	now := s.m.now()
+func (s *service) Return(args *ReturnArgs, reply *ReturnReply) error {
+	now := s.m.clock()
 	t := s.m.table.Load()
 	if t == nil {
 		return nil
@@ -124,7 +141,9 @@
 	for _, r := range args.Returns {
 		if b := t.orgs[r.Organisation]; b != nil {
 			b.mu.Lock()
-			b.pend.returned += b.core.Return(now, r.ID, r.Sum)
+			n := b.core.Return(now, r.ID, r.Sum, r.Ended)
+			b.pend.returned += n
+			reply.Accepted += n
 			b.mu.Unlock()
 		}
 	}
@@ -179,7 +198,7 @@
 func (m *Manager) borrow(b *bucket) {
 	asked := map[string]bool{}
 	for {
-		now := m.now()
+		now := m.clock()
 		t, err := m.current(now)
 		b.mu.Lock()
 		m.settle(b, now, err)
@@ -237,7 +256,7 @@
 	for _, w := range b.waiters {
 		need += float64(w.tokens)
 	}
-	need += aheadFraction * b.use.recent(now)
+	need += b.use.ahead(now)
 	var best [askAtOnce]struct {
 		member string
 		spare  float64
@@ -247,10 +266,10 @@
 		if scanned++; scanned > scanMembers {
 			break
 		}
-		if asked[member] {
-			continue
-		}
 		spare := b.estimate(now, member, slots)
+		if asked[member] && spare < 1 {
+			continue // it gave all it had
+		}
 		i := n
 		for i > 0 && best[i-1].spare < spare {
 			if i < askAtOnce {
@@ -309,10 +328,10 @@
 }
 
 func (m *Manager) askOne(ctx context.Context, b *bucket, a ask) {
-	sent := m.now()
+	sent := m.clock()
 	var reply LendReply
 	err := m.caller.Call(ctx, a.member, "Quota.Lend", &LendArgs{b.name, a.amount}, &reply)
-	now := m.now()
+	now := m.clock()
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if err != nil {
@@ -322,41 +341,54 @@
 		}
 		return
 	}
-	b.spare[a.member] = estimate{spare: float64(reply.Spare), at: now}
+	b.granted(now, sent, a.member, &reply)
+}
+
+// granted adds a loan whose request was sent at time sent. Callers hold b.mu.
+func (b *bucket) granted(now, sent int64, member string, reply *LendReply) {
+	b.spare[member] = estimate{spare: float64(reply.Spare), at: now}
 	if reply.Granted > 0 {
 		b.pend.borrowed += reply.Granted
-		b.core.Borrow(now, sent, &Loan{Member: a.member, ID: reply.ID}, float64(reply.Granted))
+		b.core.Borrow(now, sent, &Loan{Member: member, ID: reply.ID}, float64(reply.Granted))
 	}
 }
 
 // flush publishes the counters and sends the returns queued. A lost message is not repeated: its tokens
 // are lost unless a later message about the same loan carries the sum.
 func (m *Manager) flush() {
+	for member, args := range m.collectReturns() {
+		m.wg.Add(1)
+		go func() {
+			defer m.wg.Done()
+			ctx, cancel := context.WithTimeout(m.ctx, time.Second)
+			defer cancel()
+			_ = m.caller.Call(ctx, member, "Quota.Return", args, new(ReturnReply))
+		}()
+	}
+}
+
+// collectReturns publishes the counters and returns what is to be given back, by lender.
+func (m *Manager) collectReturns() map[string]*ReturnArgs {
 	t := m.table.Load()
 	if t == nil {
-		return
+		return nil
 	}
-	now := m.now()
-	returns := map[string][]Returned{}
+	now := m.clock()
+	returns := map[string]*ReturnArgs{}
 	for _, b := range t.orgs {
 		b.mu.Lock()
 		b.core.Advance(now)
 		b.publish()
 		for _, l := range b.core.returns {
 			l.queued = false
-			returns[l.Member] = append(returns[l.Member], Returned{b.name, l.ID, l.returned})
+			if returns[l.Member] == nil {
+				returns[l.Member] = &ReturnArgs{}
+			}
+			returns[l.Member].Returns = append(returns[l.Member].Returns, Returned{b.name, l.ID, l.returned, l.ended})
 		}
 		clear(b.core.returns)
 		b.core.returns = b.core.returns[:0]
 		b.mu.Unlock()
 	}
-	for member, rs := range returns {
-		m.wg.Add(1)
-		go func() {
-			defer m.wg.Done()
-			ctx, cancel := context.WithTimeout(m.ctx, time.Second)
-			defer cancel()
-			_ = m.caller.Call(ctx, member, "Quota.Return", &ReturnArgs{rs}, new(struct{}))
-		}()
-	}
+	return returns
 }
--- a/lib/quota/manager.go
+++ b/lib/quota/manager.go
@@ -19,9 +19,6 @@
 const (
 	// tick is how often validity of the configuration is recorded and returns are sent.
 	tick = 100 * time.Millisecond
-	// maxGap is the longest time without confirmation after which nobody else can have generated for
-	// this host's slots; it equals the life of a confirmation.
-	maxGap = 2 * second
 )
 
 // Config is what a Manager needs.
@@ -38,8 +35,8 @@
 	view    confview.View
 	caller  peer.Caller
 	noLoans bool
-	start   time.Time
-	boot    uint64 // random upper half of loan ids, so that returns to an earlier process are ignored
+	clock   func() int64 // nanoseconds, monotonic, above zero
+	boot    uint64       // random upper half of loan ids, so that returns to an earlier process are ignored
 	loans   atomic.Uint64
 	table   atomic.Pointer[table]
 	// validUntil is the last time at which the table in use was known to be in force.
@@ -87,24 +84,27 @@
 
 // New registers the RPC service "Quota" and starts the manager.
 func New(cfg Config) (*Manager, error) {
-	m := &Manager{
-		view: cfg.View, caller: cfg.Caller, noLoans: cfg.NoLoans,
-		// The offset starts above zero, so that zero is earlier than every recorded time.
-		start: time.Now().Add(-time.Second), boot: uint64(rand.Uint32()) << 32,
-		startDelay: StartDelay, loanLife: LoanLife,
-		slotStart: map[int]int64{},
-	}
+	start := time.Now()
+	m := newManager(cfg, func() int64 { return int64(time.Since(start)) + second }, rand.Uint32())
 	if cfg.Registrar != nil {
 		if err := cfg.Registrar.Register("Quota", &service{m}); err != nil {
 			return nil, fmt.Errorf("quota: cannot register the service: %w", err)
 		}
 	}
-	m.ctx, m.cancel = context.WithCancel(context.Background())
 	m.wg.Add(1)
 	go m.run()
 	return m, nil
 }
 
+func newManager(cfg Config, clock func() int64, boot uint32) *Manager {
+	m := &Manager{
+		view: cfg.View, caller: cfg.Caller, noLoans: cfg.NoLoans, clock: clock,
+		boot: uint64(boot) << 32, startDelay: StartDelay, loanLife: LoanLife, slotStart: map[int]int64{},
+	}
+	m.ctx, m.cancel = context.WithCancel(context.Background())
+	return m
+}
+
 // Close stops generating and spending, for a planned stop.
 func (m *Manager) Close() {
 	m.closed.Store(true)
@@ -112,8 +112,6 @@
 	m.wg.Wait()
 }
 
-func (m *Manager) now() int64 { return int64(time.Since(m.start)) }
-
 func (m *Manager) run() {
 	defer m.wg.Done()
 	changes, cancel := m.view.Subscribe()
@@ -128,11 +126,16 @@
 		case <-t.C:
 			m.flush()
 		}
-		// The time is taken before the status, so that the status covers it.
-		now := m.now()
-		if _, err := m.current(now); err == nil {
-			m.validUntil.Store(now)
-		}
+		m.observe()
+	}
+}
+
+// observe records that the table in use is in force. The time is taken before the status, so that the
+// status covers it.
+func (m *Manager) observe() {
+	now := m.clock()
+	if _, err := m.current(now); err == nil {
+		m.validUntil.Store(now)
 	}
 }
 
@@ -221,16 +224,14 @@
 			}
 		}
 	}
-	// After a gap in which the host could not spend and several tables passed, a slot may have had
-	// another owner in between.
-	continuous := slots.Version <= m.version+1 || now-m.validUntil.Load() <= maxGap
 	started := make(map[int]int64, len(slots.Owners))
 	for i, owner := range slots.Owners {
 		if owner != m.view.Self() || lost[i] {
 			continue
 		}
 		from, owned := m.slotStart[i]
-		if !owned || !continuous {
+		// If this host missed a table, the slot may have had another owner, who may still spend.
+		if !owned || !slots.Kept(i, m.version) {
 			from = now + m.startDelay
 		}
 		started[i] = from
@@ -271,7 +272,7 @@
 	if tokens <= 0 {
 		return c, nil
 	}
-	now := m.now()
+	now := m.clock()
 	t, err := m.current(now)
 	if err != nil {
 		return c, err
@@ -317,7 +318,7 @@
 	if b == nil {
 		return
 	}
-	now := m.now()
+	now := m.clock()
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.pend.refunded += b.core.Refund(now, c, used)
--- a/lib/quota/manager_test.go
+++ b/lib/quota/manager_test.go
@@ -17,9 +17,10 @@
 	"cuminhook.org/cuminhook/lib/ticket"
 )
 
-// TestMain pins rapid's seed, which is random by default.
+// TestMain pins rapid's seed, which is random by default, and keeps the source tree free of fail files.
 func TestMain(m *testing.M) {
 	flag.Parse()
+	_ = flag.Set("rapid.nofailfile", "true")
 	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
 		_ = f.Value.Set("20260711")
 	}
@@ -72,7 +73,7 @@
 				}
 				defer m.Close()
 				m.startDelay = 0
-				t, _ := m.current(m.now())
+				t, _ := m.current(m.clock())
 				for _, bkt := range t.orgs {
 					bkt.core.level = bkt.core.cap
 				}
