--- /dev/null
+++ b/lib/fairqueue/fairqueue_test.go
@@ -0,0 +1,217 @@
+package fairqueue
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// TestMain pins rapid's seed, which is random by default, and keeps the source tree free of fail files.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.nofailfile", "true")
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
+		_ = f.Value.Set("20260711")
+	}
+	os.Exit(m.Run())
+}
+
+// checkHeaps fails if an index or an order is broken.
+func checkHeaps(t *rapid.T, q *Queue, all []*Entry) {
+	if q.Len() != len(all) {
+		t.Fatalf("%d entries, want %d", q.Len(), len(all))
+	}
+	n := 0
+	for i, f := range q.flows {
+		if f.pos != i || q.backlog[f.backPos] != f || len(f.entries) == 0 || q.byName[f.name] != f {
+			t.Fatalf("flow %s is inconsistent", f.name)
+		}
+		waiting := 0.0
+		for j, e := range f.entries {
+			waiting += float64(e.Tokens)
+			if e.flowPos != j || q.deadlines[e.queuePos] != e || e.flow != f {
+				t.Fatalf("an entry of %s has a wrong index", f.name)
+			}
+			if j > 0 && earlierEntry(e, f.entries[(j-1)/2]) {
+				t.Fatalf("heap of %s is out of order", f.name)
+			}
+		}
+		if waiting != f.waiting {
+			t.Fatalf("%s has %v tokens waiting, recorded %v", f.name, waiting, f.waiting)
+		}
+		if i > 0 && q.flows.Less(i, (i-1)/2) || q.backlog.Less(i, (i-1)/2) && i > 0 {
+			t.Fatal("flows are out of order")
+		}
+		n += len(f.entries)
+	}
+	if n != q.Len() || len(q.byName) != len(q.flows)+len(q.idle) {
+		t.Fatalf("%d entries in flows, %d in all; %d names", n, q.Len(), len(q.byName))
+	}
+}
+
+// Guards against lost, repeated or misordered entries under pushes, pops, removals, expiry and overflow.
+func TestQueueKeepsEntries(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := New(20)
+		var all []*Entry
+		drop := func(e *Entry) {
+			i := slices.Index(all, e)
+			if i < 0 {
+				t.Fatal("an entry left twice or never entered")
+			}
+			all = slices.Delete(all, i, i+1)
+		}
+		now := int64(0)
+		t.Repeat(map[string]func(*rapid.T){
+			"push": func(t *rapid.T) {
+				e := &Entry{
+					Organisation: rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "org"),
+					Weight:       rapid.Int64Range(0, 3).Draw(t, "weight"),
+					Tokens:       rapid.Int64Range(1, 100).Draw(t, "tokens"),
+					Deadline:     now + rapid.Int64Range(1, 50).Draw(t, "deadline"),
+				}
+				all = append(all, e)
+				if d := q.Push(e); d != nil {
+					drop(d)
+				}
+			},
+			"pop": func(t *rapid.T) {
+				e := q.Pop()
+				if (e == nil) != (len(all) == 0) {
+					t.Fatalf("popped %v of %d", e, len(all))
+				}
+				if e == nil {
+					return
+				}
+				drop(e)
+				for _, other := range all {
+					if other.Organisation == e.Organisation && earlierEntry(other, e) {
+						t.Fatal("a later deadline of the same organisation was served first")
+					}
+				}
+			},
+			"remove": func(t *rapid.T) {
+				if len(all) > 0 {
+					e := rapid.SampledFrom(all).Draw(t, "entry")
+					drop(e)
+					if !q.Remove(e) || q.Remove(e) {
+						t.Fatal("an entry must leave exactly once")
+					}
+				}
+			},
+			"expire": func(t *rapid.T) {
+				now += rapid.Int64Range(0, 20).Draw(t, "time")
+				for e := q.Expired(now); e != nil; e = q.Expired(now) {
+					drop(e)
+				}
+				for _, e := range all {
+					if e.Deadline <= now {
+						t.Fatal("an expired entry stays")
+					}
+				}
+			},
+			"": func(t *rapid.T) { checkHeaps(t, q, all) },
+		})
+	})
+}
+
+// Guards fairness: while two organisations both wait, their service per weight differs by at most their
+// largest requests per weight, however much one of them has waiting and whatever the sizes are.
+func TestServiceFollowsWeights(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := New(1 << 20)
+		n := rapid.IntRange(2, 5).Draw(t, "organisations")
+		weight, served, largest := make([]int64, n), make([]float64, n), make([]float64, n)
+		left := make([]int, n)
+		for i := range n {
+			weight[i] = rapid.Int64Range(1, 4).Draw(t, "weight")
+			left[i] = rapid.IntRange(1, 200).Draw(t, "entries")
+			size := rapid.Int64Range(1, 1000).Draw(t, "largest")
+			for j := range left[i] {
+				e := &Entry{
+					Organisation: fmt.Sprint(i), Weight: weight[i], Tokens: 1 + (int64(j)*7919)%size, Deadline: int64(j), Value: i,
+				}
+				largest[i] = max(largest[i], float64(e.Tokens)/float64(weight[i]))
+				q.Push(e)
+			}
+		}
+		for e := q.Pop(); e != nil; e = q.Pop() {
+			i := e.Value.(int)
+			served[i] += float64(e.Tokens) / float64(weight[i])
+			left[i]--
+			for a := range n {
+				for b := range n {
+					// All waited from the start; an organisation that is done drops out.
+					if left[a] > 0 && left[b] > 0 && served[a]-served[b] > largest[a]+largest[b]+1e-6 {
+						t.Fatalf("organisation %d got %v per weight, %d got %v", a, served[a], b, served[b])
+					}
+				}
+			}
+		}
+	})
+}
+
+// Guards against one organisation's backlog delaying another: a request of an organisation without
+// backlog is served after at most one request of each other organisation. With all requests under one
+// name, as a control, it waits for the whole backlog.
+func TestBacklogDoesNotDelayOthers(t *testing.T) {
+	for name, fair := range map[string]bool{"by organisation": true, "control: one queue": false} {
+		t.Run(name, func(t *testing.T) {
+			org := func(name string) string {
+				if fair {
+					return name
+				}
+				return "all"
+			}
+			q := New(1 << 20)
+			for i := range int64(10_000) {
+				q.Push(&Entry{Organisation: org("busy"), Tokens: 100, Deadline: i})
+				if i%2 == 0 {
+					q.Push(&Entry{Organisation: org("other"), Tokens: 100, Deadline: i})
+				}
+			}
+			for range 1000 {
+				q.Pop()
+			}
+			if ahead := q.Ahead(org("light"), 1, 1<<40); fair && ahead > 2 {
+				t.Errorf("estimate: %v ahead of a request without backlog", ahead)
+			}
+			light := &Entry{Organisation: org("light"), Tokens: 100, Deadline: 1 << 40}
+			q.Push(light)
+			before := 0
+			for q.Pop() != light {
+				before++
+			}
+			t.Logf("%d requests before the light one", before)
+			if (before <= 2) != fair {
+				t.Errorf("%d requests were served before it", before)
+			}
+		})
+	}
+}
+
+// Measures push and pop with a backlog, the cost added to a request that has to wait.
+func BenchmarkPushPop(b *testing.B) {
+	for _, orgs := range []int{5, 500} {
+		b.Run(fmt.Sprintf("orgs=%d", orgs), func(b *testing.B) {
+			q := New(1 << 20)
+			names := make([]string, orgs)
+			for i := range names {
+				names[i] = fmt.Sprintf("org-%d", i)
+			}
+			for i := range 4096 {
+				q.Push(&Entry{Organisation: names[i%orgs], Tokens: 500, Deadline: int64(i)})
+			}
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				e := q.Pop()
+				e.Organisation, e.Deadline = names[i%orgs], int64(i)
+				q.Push(e)
+			}
+		})
+	}
+}
--- a/lib/filter/admission/gate.go
+++ b/lib/filter/admission/gate.go
@@ -50,8 +50,8 @@
 	a.value += smoothing * (x - a.value)
 }
 
-// ticket is the state of one request at a gate.
-type ticket struct {
+// waiter is the state of one request at a gate.
+type waiter struct {
 	entry   fairqueue.Entry
 	ready   chan error // receives once; nil admits
 	decided bool       // admitted or dropped; guarded by gate.mu
@@ -108,7 +108,7 @@
 		g.mu.Unlock()
 		return nil
 	}
-	t := &ticket{
+	t := &waiter{
 		entry: fairqueue.Entry{
 			Organisation: ex.Organisation, Weight: weight, Tokens: max(1, ex.Charge), Deadline: deadline,
 		},
@@ -116,7 +116,7 @@
 	}
 	t.entry.Value = t
 	if dropped := g.queue.Push(&t.entry); dropped != nil {
-		g.decide(dropped.Value.(*ticket), queueFull(g.model))
+		g.decide(dropped.Value.(*waiter), queueFull(g.model))
 	}
 	g.pump(now)
 	g.mu.Unlock()
@@ -136,7 +136,7 @@
 }
 
 // leave completes the wait of t, which was admitted if err is nil.
-func (g *gate) leave(ex *pipeline.Exchange, t *ticket, err error) error {
+func (g *gate) leave(ex *pipeline.Exchange, t *waiter, err error) error {
 	now := time.Now()
 	g.met.wait.Update(now.Sub(t.since).Seconds())
 	g.mu.Lock()
@@ -178,7 +178,7 @@
 }
 
 // decide tells the waiting request its outcome. Callers hold g.mu.
-func (g *gate) decide(t *ticket, err error) {
+func (g *gate) decide(t *waiter, err error) {
 	t.decided = true
 	t.ready <- err
 }
@@ -186,7 +186,7 @@
 // pump drops expired requests and admits waiting ones while there is room. Callers hold g.mu.
 func (g *gate) pump(now time.Time) {
 	for e := g.queue.Expired(now.UnixNano()); e != nil; e = g.queue.Expired(now.UnixNano()) {
-		g.decide(e.Value.(*ticket), unreachable("it waited for the model until its deadline"))
+		g.decide(e.Value.(*waiter), unreachable("it waited for the model until its deadline"))
 	}
 	limit := g.limit(g.model)
 	for g.outstanding < limit {
@@ -195,7 +195,7 @@
 			break
 		}
 		g.outstanding++
-		g.decide(e.Value.(*ticket), nil)
+		g.decide(e.Value.(*waiter), nil)
 	}
 	g.met.waiting.Store(int64(g.queue.Len()))
 	g.arm(now)
--- a/lib/quota/bound_test.go
+++ b/lib/quota/bound_test.go
@@ -96,7 +96,9 @@
 
 func (h *simHost) restart() {
 	h.life++
-	h.m = newManager(Config{View: h, NoLoans: true}, func() int64 { return h.w.now + h.offset }, uint32(h.life))
+	h.m = newManager(Config{
+		View: h, NoLoans: true, Clock: func() int64 { return h.w.now + h.offset },
+	}, uint32(h.life))
 	switch h.w.fault {
 	case lenderKeepsCap:
 		h.m.loanLife = -stepLen // ended when it is granted
--- a/lib/quota/manager.go
+++ b/lib/quota/manager.go
@@ -28,6 +28,8 @@
 	Registrar peer.Registrar
 	// NoLoans turns borrowing off; it is the baseline with static shares.
 	NoLoans bool
+	// Clock returns monotonic nanoseconds, above zero; nil uses the process's clock.
+	Clock func() int64
 }
 
 // Manager holds the buckets of this host. It is safe for concurrent use.
@@ -84,8 +86,11 @@
 
 // New registers the RPC service "Quota" and starts the manager.
 func New(cfg Config) (*Manager, error) {
-	start := time.Now()
-	m := newManager(cfg, func() int64 { return int64(time.Since(start)) + second }, rand.Uint32())
+	if cfg.Clock == nil {
+		start := time.Now()
+		cfg.Clock = func() int64 { return int64(time.Since(start)) + second }
+	}
+	m := newManager(cfg, rand.Uint32())
 	if cfg.Registrar != nil {
 		if err := cfg.Registrar.Register("Quota", &service{m}); err != nil {
 			return nil, fmt.Errorf("quota: cannot register the service: %w", err)
@@ -96,9 +101,9 @@
 	return m, nil
 }
 
-func newManager(cfg Config, clock func() int64, boot uint32) *Manager {
+func newManager(cfg Config, boot uint32) *Manager {
 	m := &Manager{
-		view: cfg.View, caller: cfg.Caller, noLoans: cfg.NoLoans, clock: clock,
+		view: cfg.View, caller: cfg.Caller, noLoans: cfg.NoLoans, clock: cfg.Clock,
 		boot: uint64(boot) << 32, startDelay: StartDelay, loanLife: LoanLife, slotStart: map[int]int64{},
 	}
 	m.ctx, m.cancel = context.WithCancel(context.Background())
