--- a/lib/engine/httpengine/protocol.go
+++ b/lib/engine/httpengine/protocol.go
@@ -1,4 +1,6 @@
-// Package httpengine is the adapter for engines that speak HTTP with server-sent events.
+// Package httpengine is the adapter for engines that speak HTTP with server-sent events. Engines number their
+// events from 1, close a stream with EndMarker and send a comment at least every second while a stream has
+// no event, since a stream without bytes for 2 s counts as silent.
 package httpengine
 
 // Header fields of the engine protocol.
--- a/lib/filter/dispatch/eject.go
+++ b/lib/filter/dispatch/eject.go
@@ -12,6 +12,9 @@
 	maxEjection   = 30 * time.Second
 	// drainEjection keeps work from a target that said it is leaving until the host list says so too.
 	drainEjection = 30 * time.Second
+	// trialLimit readmits a target whose trial request is still under way without failure: a long stream
+	// must not keep its target out.
+	trialLimit = 5 * time.Second
 )
 
 // ejector keeps work from failing targets. After the ejection one trial request readmits a target. The
@@ -24,7 +27,7 @@
 type ejection struct {
 	failures int // in a row
 	until    time.Time
-	trial    bool // a trial request is under way
+	trial    time.Time // start of the trial request under way; zero if there is none
 }
 
 // usable reports whether id may get work now.
@@ -32,7 +35,11 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	t := e.targets[id]
-	return t == nil || !t.trial && !time.Now().Before(t.until)
+	if t == nil {
+		return true
+	}
+	now := time.Now()
+	return !now.Before(t.until) && (t.trial.IsZero() || now.Sub(t.trial) >= trialLimit)
 }
 
 // start notes that id got a request.
@@ -40,7 +47,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if t := e.targets[id]; t != nil {
-		t.trial = true
+		t.trial = time.Now()
 	}
 }
 
@@ -55,7 +62,7 @@
 		return
 	case Cancelled:
 		if t != nil {
-			t.trial = false
+			t.trial = time.Time{}
 		}
 		return
 	}
@@ -67,7 +74,7 @@
 		e.targets[id] = t
 	}
 	t.failures++
-	t.trial = false
+	t.trial = time.Time{}
 	length := min(firstEjection<<min(t.failures-1, 10), maxEjection)
 	if v == Draining {
 		length = drainEjection
--- a/lib/gateway/gateway.go
+++ b/lib/gateway/gateway.go
@@ -67,6 +67,9 @@
 
 // New returns a gateway.
 func New(cfg Config) *Gateway {
+	if cfg.Set == nil {
+		cfg.Set = metrics.NewSet()
+	}
 	if cfg.Picker == nil {
 		cfg.Picker = dispatch.NewLeastOutstanding(cfg.View)
 	}
@@ -88,7 +91,7 @@
 	l := cfg.Limits
 	server := pipeline.NewServer(pipeline.ServerConfig{
 		First: h, MaxBody: l.MaxBody, MaxHeader: l.MaxHeader, ReadTimeout: l.ReadTimeout, WriteTimeout: l.WriteTimeout,
-		IdleTimeout: l.IdleTimeout, MaxConns: l.MaxConns, MaxConnsPerIP: l.MaxConnsPerIP, Log: cfg.Log,
+		IdleTimeout: l.IdleTimeout, MaxConns: l.MaxConns, MaxConnsPerIP: l.MaxConnsPerIP, Log: cfg.Log, Set: cfg.Set,
 	})
 	return &Gateway{server: server, dispatch: last}
 }
@@ -100,7 +103,7 @@
 func (g *Gateway) Serve(ln net.Listener) error { return g.server.Serve(ln) }
 
 // Stop serves on for delay, in which load balancers notice that the host is not ready, then closes the
-// listeners and waits for open requests and streams. It cuts them only if ctx ends first.
+// listeners and waits for open requests and streams. It returns an error if ctx ends first.
 func (g *Gateway) Stop(ctx context.Context, delay time.Duration) error {
 	g.server.BeginStop()
 	timer := time.NewTimer(delay)
--- a/lib/pipeline/pipeline.go
+++ b/lib/pipeline/pipeline.go
@@ -80,12 +80,12 @@
 // Outcome is how an exchange ended.
 type Outcome struct {
 	Status       int
-	Reason       refusal.Reason // empty if answered
-	Run          refusal.RunState
-	Complete     bool  // the caller got the whole answer
-	Ran          bool  // a target ran the request, or may have
-	PromptTokens int64 // as reported by the target; -1 if unknown
-	OutputTokens int64 // -1 if unknown
+	Reason       refusal.Reason   // empty if answered
+	Run          refusal.RunState // empty if answered
+	Complete     bool             // the caller got the whole answer
+	Ran          bool             // a target ran the request, or may have
+	PromptTokens int64            // as reported by the target; -1 if unknown
+	OutputTokens int64            // -1 if unknown
 	FirstToken   time.Duration
 	Body         []byte // whole answer for idempotency records; nil for streams
 }
--- a/lib/pipeline/server.go
+++ b/lib/pipeline/server.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/google/uuid"
 	"github.com/valyala/fasthttp"
 
@@ -31,6 +32,7 @@
 	MaxConns      int
 	MaxConnsPerIP int // zero: unlimited
 	Log           *slog.Logger
+	Set           *metrics.Set // nil: a set of its own
 }
 
 // Server accepts callers' connections and passes each request to the first filter.
@@ -45,6 +47,9 @@
 	if cfg.Log == nil {
 		cfg.Log = slog.New(slog.DiscardHandler)
 	}
+	if cfg.Set == nil {
+		cfg.Set = metrics.NewSet()
+	}
 	s := &Server{cfg: cfg}
 	s.http = &fasthttp.Server{
 		Handler:                      s.handle,
@@ -78,8 +83,8 @@
 // to other hosts while new connections are still accepted.
 func (s *Server) BeginStop() { s.stopping.Store(true) }
 
-// Stop closes the listeners and idle connections and waits for open requests and streams. It cuts them
-// only if ctx ends first.
+// Stop closes the listeners and idle connections and waits for open requests and streams. It returns an
+// error if ctx ends first; the end of the process then cuts them.
 func (s *Server) Stop(ctx context.Context) error {
 	s.BeginStop()
 	if err := s.http.ShutdownWithContext(ctx); err != nil {
@@ -105,8 +110,7 @@
 	}
 	if !ex.Detached() {
 		ex.Finish(Outcome{
-			Status: h.Response.StatusCode(), Run: refusal.NotRun, Complete: true,
-			PromptTokens: -1, OutputTokens: -1,
+			Status: h.Response.StatusCode(), Complete: true, PromptTokens: -1, OutputTokens: -1,
 		})
 	}
 }
@@ -167,5 +171,9 @@
 		r.Message = fmt.Sprintf("the request did not arrive within %s", s.cfg.ReadTimeout)
 		r.Remedy = "send the request faster or in smaller parts"
 	}
-	WriteRefusal(h, r, uuid.NewString())
+	// No filter sees such a request, so it is counted and logged here.
+	id := uuid.NewString()
+	s.cfg.Set.GetOrCreateCounter(fmt.Sprintf(`cuminhook_refusals_total{reason=%q}`, string(r.Reason))).Inc()
+	s.cfg.Log.Info("request not read", "request_id", id, "status", r.Status, "reason", string(r.Reason), "run", string(r.Run))
+	WriteRefusal(h, r, id)
 }
--- a/lib/standin/engine/engine.go
+++ b/lib/standin/engine/engine.go
@@ -105,7 +105,7 @@
 		e.residents[r.Kind+"/"+r.Name] = resident{Resident: r}
 	}
 	e.cache.size, e.cache.gap = cfg.CacheSize, cfg.CacheGap
-	e.http = &fasthttp.Server{Handler: e.handle, Name: "standin-engine", CloseOnShutdown: true, MaxRequestBodySize: 64 << 20}
+	e.http = &fasthttp.Server{Handler: e.handle, Name: "standin-engine", CloseOnShutdown: true, MaxRequestBodySize: 64 << 20, Logger: quiet{}}
 	return e
 }
 
@@ -308,3 +308,9 @@
 	}
 	return nil
 }
+
+// quiet drops fasthttp's messages about injected faults.
+type quiet struct{}
+
+// Printf implements fasthttp.Logger.
+func (quiet) Printf(string, ...any) {}
--- /dev/null
+++ b/lib/standin/engine/engine_test.go
@@ -0,0 +1,54 @@
+package engine
+
+import (
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"cuminhook.org/cuminhook/lib/engine"
+)
+
+// Guards against a stand-in that is kinder than an engine: one that carries out fenced orders, takes more
+// than its memory, or counts a model as loaded before its load time.
+func TestOrders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		load := func(e *Engine, name string, size, epoch, seq int64) error {
+			return e.Order(engine.Order{ID: name, Kind: engine.OrderLoadModel, Name: name, Bytes: size, Epoch: epoch, Seq: seq})
+		}
+		for _, fences := range []bool{true, false} {
+			e := New(Config{Capacity: 100, LoadRate: 10, Fences: fences})
+			start := time.Now()
+			if err := load(e, "a", 60, 2, 1); err != nil || time.Since(start) != 6*time.Second {
+				t.Errorf("load: %v after %s", err, time.Since(start))
+			}
+			if err := load(e, "b", 41, 2, 2); !errors.Is(err, engine.ErrOrderRefused) {
+				t.Errorf("above the capacity: %v", err)
+			}
+			if err := load(e, "c", 40, 1, 9); errors.Is(err, engine.ErrFenced) != fences {
+				t.Errorf("old epoch, fencing %t: %v", fences, err)
+			}
+			if r := e.Report(); r.Fences != fences || r.Done[0] != "a" {
+				t.Errorf("report %+v", r)
+			}
+		}
+	})
+}
+
+// Guards against cache events that arrive at once, complete, or for an unbounded cache.
+func TestCacheEventsAreLateWithGaps(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := prefixCache{size: 2, gap: 3}
+		for _, p := range []uint64{1, 2, 1, 3} { // stores 1 and 2, then evicts 2 (event 3, lost) for 3
+			c.touch(p)
+		}
+		if n := len(c.after(0, time.Second)); n != 0 || len(c.used) != 2 {
+			t.Errorf("%d events at once, %d prefixes kept", n, len(c.used))
+		}
+		time.Sleep(time.Second)
+		events := c.after(0, time.Second)
+		if len(events) != 3 || events[2].Seq != 4 || events[2].Prefix != 3 {
+			t.Errorf("events %+v", events)
+		}
+	})
+}
--- a/lib/standin/engine/http.go
+++ b/lib/standin/engine/http.go
@@ -173,7 +173,7 @@
 func (e *Engine) whole(h *fasthttp.RequestCtx, r *run) {
 	e.wait(r)
 	e.mu.Lock()
-	id, text, usage, cancelled := r.id, r.text, r.usage(), r.cancelled
+	id, text, usage, cancelled := r.id, r.text.String(), r.usage(), r.cancelled
 	e.setLoadLocked(h)
 	e.mu.Unlock()
 	if cancelled {
--- a/lib/standin/engine/run.go
+++ b/lib/standin/engine/run.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"fmt"
 	"strconv"
+	"strings"
 	"time"
 
 	"cuminhook.org/cuminhook/lib/engine/httpengine"
@@ -23,7 +24,7 @@
 	cancel    chan struct{} // closed by a cancellation
 	changed   chan struct{} // closed and replaced at each change
 	events    []string      // data of the events so far
-	text      string
+	text      strings.Builder
 	cancelled bool
 	started   bool
 	done      bool
@@ -118,7 +119,7 @@
 
 func (e *Engine) emitLocked(r *run, i int) {
 	token := Token(r.prompt, i)
-	r.text += token
+	r.text.WriteString(token)
 	r.events = append(r.events, `{"id":`+strconv.Quote(r.id)+`,"choices":[{"index":0,"delta":{"content":`+strconv.Quote(token)+`}}]}`)
 	r.changedLocked()
 }
--- a/lib/standin/service/service.go
+++ b/lib/standin/service/service.go
@@ -54,7 +54,7 @@
 // New returns a service.
 func New() *Service {
 	s := &Service{closed: make(chan struct{}), runs: map[string]int{}}
-	s.http = &fasthttp.Server{Handler: s.handle, Name: "standin-service", CloseOnShutdown: true}
+	s.http = &fasthttp.Server{Handler: s.handle, Name: "standin-service", CloseOnShutdown: true, Logger: quiet{}}
 	return s
 }
 
@@ -204,3 +204,9 @@
 	h.HijackSetNoResponse(true)
 	h.Hijack(func(net.Conn) {})
 }
+
+// quiet drops fasthttp's messages about injected faults.
+type quiet struct{}
+
+// Printf implements fasthttp.Logger.
+func (quiet) Printf(string, ...any) {}
--- a/test/datapath/answer_test.go
+++ b/test/datapath/answer_test.go
@@ -214,7 +214,8 @@
 	return false
 }
 
-// Guards against a target that sees a caller's key. A harmless word in the same places does reach targets
+// Guards against a target or a log line that sees a caller's key, and a log line with text of the caller
+// other than a request id. A harmless word in the same places does reach targets
 // from some of them: that is the control.
 func TestNoTargetSeesTheKey(t *testing.T) {
 	reached := 0
@@ -225,18 +226,24 @@
 		bubble(t, engines.Config{}, nil, func(r *rig) {
 			path, body, headers := positions[place](encodings[encoding](key))
 			r.call("POST", path, body, append(headers, "Authorization: "+scheme+key)...)
-			if sent := r.sent.String(); reveals(sent, key) {
+			if sent, _ := r.texts(); reveals(sent, key) {
 				rt.Errorf("%s, %s: a target received %s", place, encoding, sent)
 			}
 			path, body, headers = positions[place](encodings[encoding]("harmless-word"))
 			r.call("POST", path, body, append(headers, bearer)...)
-			sent := r.sent.String()
+			sent, _ := r.texts()
 			if reveals(sent, key) {
 				rt.Errorf("%s, %s: a target received the Authorization header", place, encoding)
 			}
 			if reveals(sent, "harmless-word") {
 				reached++
 			}
+			r.closeOnce()
+			_, log := r.texts()
+			ownText := reveals(log, "harmless-word") && place != "request id"
+			if reveals(log, key) || ownText || !strings.Contains(log, `"status"`) {
+				rt.Errorf("%s, %s: log %s", place, encoding, log)
+			}
 		})
 	})
 	if reached == 0 {
--- a/test/datapath/limits_test.go
+++ b/test/datapath/limits_test.go
@@ -52,8 +52,8 @@
 			}
 			_ = conn.Close()
 		}
-		if r.sent.Len() > 0 {
-			t.Errorf("a target received %q", r.sent.String())
+		if sent, _ := r.texts(); sent != "" {
+			t.Errorf("a target received %q", sent)
 		}
 	})
 }
--- a/test/datapath/rig_test.go
+++ b/test/datapath/rig_test.go
@@ -8,8 +8,10 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"errors"
 	"flag"
 	"fmt"
+	"log/slog"
 	"net"
 	"os"
 	"strings"
@@ -43,7 +45,7 @@
 
 func TestMain(m *testing.M) {
 	flag.Parse()
-	if err := flag.Set("rapid.seed", "20261204"); err != nil {
+	if err := errors.Join(flag.Set("rapid.seed", "20261204"), flag.Set("rapid.nofailfile", "true")); err != nil {
 		panic(err)
 	}
 	// fasthttp's first server starts a goroutine that never ends; it must not belong to a bubble.
@@ -71,9 +73,11 @@
 	ln       map[string]*fasthttputil.InmemoryListener
 	set      *metrics.Set
 	cancel   context.CancelFunc
+	closed   bool
 
 	mu   sync.Mutex
 	sent bytes.Buffer // all that was written to targets; guarded by mu
+	log  bytes.Buffer // the gateway's log; guarded by mu
 }
 
 func state() *ticket.State {
@@ -127,6 +131,7 @@
 	cfg := gateway.Config{
 		Limits: gateway.DefaultLimits(), View: r.view, Services: httpservice.New(r.dial),
 		Engine: httpengine.New(httpengine.Config{Dial: r.dial}), Set: r.set,
+		Log: slog.New(slog.NewJSONHandler(locked{&r.mu, &r.log}, &slog.HandlerOptions{Level: slog.LevelDebug})),
 	}
 	if change != nil {
 		change(&cfg)
@@ -157,12 +162,29 @@
 }
 
 func (c recorded) Write(p []byte) (int, error) {
-	c.r.mu.Lock()
-	c.r.sent.Write(p)
-	c.r.mu.Unlock()
+	_, _ = locked{&c.r.mu, &c.r.sent}.Write(p)
 	return c.Conn.Write(p)
 }
 
+// locked writes to a buffer under a lock.
+type locked struct {
+	mu  *sync.Mutex
+	buf *bytes.Buffer
+}
+
+func (l locked) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.buf.Write(p)
+}
+
+// texts returns what targets received and what the gateway logged so far.
+func (r *rig) texts() (sent, log string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.sent.String(), r.log.String()
+}
+
 // counter returns a metric of the gateway.
 func (r *rig) counter(name string) uint64 { return r.set.GetOrCreateCounter(name).Get() }
 
@@ -186,12 +208,20 @@
 // serverCleanup is longer than the period in which fasthttp's worker pool looks whether it was stopped.
 const serverCleanup = 11 * time.Second
 
+// closeOnce is close for tests that look at the rig after it.
+func (r *rig) closeOnce() {
+	if !r.closed {
+		r.closed = true
+		r.close()
+	}
+}
+
 // bubble runs f with a rig in virtual time.
 func bubble(t *testing.T, ecfg engines.Config, change func(*gateway.Config), f func(r *rig)) {
 	synctest.Test(t, func(t *testing.T) {
 		r := newRig(t, ecfg, change)
 		f(r)
-		r.close()
+		r.closeOnce()
 	})
 }
 
