Bound connections with a reason and notice silent targets by TCP

Cause: connections above the limits got plain text without a reason, and with a limit for each address fasthttp hides the connection on which a caller's leaving is noticed. Plain services on a silent connection were noticed at the deadline only, and pooled connections of a restarted target failed their next request.

Change: the listener counts connections and refuses with queue_full; targets' connections get keepalive and user timeout of 4 s; a pooled connection that was closed by its peer is not reused. Tests for both and for orders to engines that are lost, delayed, repeated or fenced.

--- a/lib/httpconn/httpconn.go
+++ b/lib/httpconn/httpconn.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"cuminhook.org/cuminhook/lib/tcpopt"
 )
 
 // ErrNotSent is wrapped by errors of requests of which no byte was written.
@@ -31,6 +33,10 @@
 	DialTimeout = time.Second
 )
 
+// targetOptions let the kernel close a connection that went silent within about 4 s, without regard to how
+// long the target takes to answer.
+var targetOptions = tcpopt.Options{Idle: time.Second, Interval: time.Second, Count: 3, UserTimeout: 4 * time.Second}
+
 // Dialer opens a connection to an IP:port.
 type Dialer func(ctx context.Context, addr string) (net.Conn, error)
 
@@ -83,7 +89,7 @@
 		c := list[len(list)-1]
 		list = list[:len(list)-1]
 		p.idle[addr] = list
-		if time.Since(c.lastUse) < idleTimeout {
+		if time.Since(c.lastUse) < idleTimeout && !tcpopt.Stale(c.Conn) {
 			return c
 		}
 		_ = c.Conn.Close()
@@ -104,6 +110,8 @@
 	if err != nil {
 		return nil, err
 	}
+	// Without the options a silent target is noticed at the request's deadline only.
+	_ = tcpopt.Set(nc, targetOptions)
 	c := &Conn{Conn: nc, addr: addr, pool: p}
 	c.br = bufio.NewReaderSize(nc, bufferSize)
 	c.bw = bufio.NewWriterSize(countingWriter{c}, bufferSize)
--- a/lib/pipeline/conn.go
+++ b/lib/pipeline/conn.go
@@ -12,6 +12,8 @@
 // byte ahead in the background; the next Read stops that and returns the byte.
 type watchedConn struct {
 	net.Conn
+	onClose func()
+	closed  sync.Once
 
 	mu       sync.Mutex
 	watching bool
@@ -83,6 +85,12 @@
 	c.mu.Unlock()
 }
 
+// Close implements net.Conn.
+func (c *watchedConn) Close() error {
+	c.closed.Do(c.onClose)
+	return c.Conn.Close()
+}
+
 // Read implements net.Conn.
 func (c *watchedConn) Read(p []byte) (int, error) {
 	c.Unwatch()
--- a/lib/pipeline/server.go
+++ b/lib/pipeline/server.go
@@ -29,17 +29,20 @@
 	ReadTimeout   time.Duration // whole request
 	WriteTimeout  time.Duration // whole answer; streams set a deadline for each write
 	IdleTimeout   time.Duration // between requests
-	MaxConns      int
-	MaxConnsPerIP int // zero: unlimited
+	MaxConns      int           // zero: unlimited
+	MaxConnsPerIP int           // zero: unlimited
 	Log           *slog.Logger
 	Set           *metrics.Set // nil: a set of its own
 }
 
 // Server accepts callers' connections and passes each request to the first filter.
 type Server struct {
-	cfg      ServerConfig
-	http     *fasthttp.Server
-	stopping atomic.Bool
+	cfg   ServerConfig
+	http  *fasthttp.Server
+	conns connCount
+	// rejecting counts connections above the limits that are being answered.
+	rejecting atomic.Int64
+	stopping  atomic.Bool
 }
 
 // NewServer returns a server with the settings of cfg.
@@ -52,11 +55,12 @@
 	}
 	s := &Server{cfg: cfg}
 	s.http = &fasthttp.Server{
-		Handler:                      s.handle,
-		ErrorHandler:                 s.readError,
-		Name:                         "cuminhook",
-		Concurrency:                  cfg.MaxConns,
-		MaxConnsPerIP:                cfg.MaxConnsPerIP,
+		Handler:      s.handle,
+		ErrorHandler: s.readError,
+		Name:         "cuminhook",
+		// The listener refuses connections above MaxConns with a reason; fasthttp's bound stays above it,
+		// since its workers end shortly after their connections.
+		Concurrency:                  2*cfg.MaxConns + 1000,
 		ReadBufferSize:               cfg.MaxHeader,
 		ReadTimeout:                  cfg.ReadTimeout,
 		WriteTimeout:                 cfg.WriteTimeout,
@@ -77,7 +81,7 @@
 func (l quietLogger) Printf(format string, _ ...any) { l.log.Debug("http server", "message", format) }
 
 // Serve accepts connections on ln until Stop.
-func (s *Server) Serve(ln net.Listener) error { return s.http.Serve(listener{ln}) }
+func (s *Server) Serve(ln net.Listener) error { return s.http.Serve(listener{ln, s}) }
 
 // BeginStop makes every further answer carry "Connection: close", so that callers and load balancers move
 // to other hosts while new connections are still accepted.
--- /dev/null
+++ b/lib/tcpopt/tcpopt_test.go
@@ -0,0 +1,85 @@
+package tcpopt
+
+import (
+	"net"
+	"syscall"
+	"testing"
+	"time"
+)
+
+func pair(t *testing.T) (in, out *net.TCPConn) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	c, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	s, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = s.Close() })
+	return s.(*net.TCPConn), c.(*net.TCPConn)
+}
+
+// Guards against connections without the options that notice a silent peer.
+func TestSet(t *testing.T) {
+	in, _ := pair(t)
+	if err := Set(in, Options{Idle: 2 * time.Second, Interval: time.Second, Count: 3, UserTimeout: 5 * time.Second}); err != nil {
+		t.Fatal(err)
+	}
+	raw, err := in.SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, opt := range map[string]struct{ level, option, want int }{
+		"user timeout": {syscall.IPPROTO_TCP, tcpUserTimeout, 5000}, "keepalive": {syscall.SOL_SOCKET, syscall.SO_KEEPALIVE, 1},
+		"idle": {syscall.IPPROTO_TCP, syscall.TCP_KEEPIDLE, 2}, "interval": {syscall.IPPROTO_TCP, syscall.TCP_KEEPINTVL, 1},
+		"count": {syscall.IPPROTO_TCP, syscall.TCP_KEEPCNT, 3},
+	} {
+		var got int
+		var optErr error
+		if err := raw.Control(func(fd uintptr) { got, optErr = syscall.GetsockoptInt(int(fd), opt.level, opt.option) }); err != nil {
+			t.Fatal(err)
+		}
+		if optErr != nil || got != opt.want {
+			t.Errorf("%s: %d %v, want %d", name, got, optErr, opt.want)
+		}
+	}
+}
+
+// Guards against the reuse of a connection that its peer closed or wrote to. An open, silent one is the
+// control.
+func TestStale(t *testing.T) {
+	in, out := pair(t)
+	if Stale(out) {
+		t.Error("an open connection is called stale")
+	}
+	if _, err := in.Write([]byte("a")); err != nil {
+		t.Fatal(err)
+	}
+	arrived := func(c *net.TCPConn) { // waits for bytes or the end without taking them
+		raw, err := c.SyscallConn()
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = raw.Read(func(fd uintptr) bool {
+			var b [1]byte
+			_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+			return err != syscall.EAGAIN
+		})
+	}
+	if arrived(out); !Stale(out) {
+		t.Error("a connection with unasked bytes is not called stale")
+	}
+	in, out = pair(t)
+	_ = in.Close()
+	if arrived(out); !Stale(out) {
+		t.Error("a closed connection is not called stale")
+	}
+}
--- /dev/null
+++ b/test/datapath/control_test.go
@@ -0,0 +1,61 @@
+package datapath
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"cuminhook.org/cuminhook/lib/engine"
+	"cuminhook.org/cuminhook/lib/engine/httpengine"
+	"cuminhook.org/cuminhook/lib/gateway"
+	engines "cuminhook.org/cuminhook/lib/standin/engine"
+)
+
+// Guards against an order whose outcome is unknown but is reported as done or refused: the controller's
+// ledger would give its memory away.
+func TestOrdersUnderFaults(t *testing.T) {
+	for name, c := range map[string]struct {
+		faults  engines.Faults
+		order   engine.Order
+		want    error // nil: unknown outcome
+		done    bool  // carried out in the end
+		succeed bool
+	}{
+		"carried out": {order: engine.Order{Epoch: 2, Seq: 2, Bytes: 10}, done: true, succeed: true},
+		"lost":        {faults: engines.Faults{LoseOrders: 1}, order: engine.Order{Epoch: 2, Seq: 2, Bytes: 10}},
+		"answer lost": {faults: engines.Faults{LoseOrderAcks: 1}, order: engine.Order{Epoch: 2, Seq: 2, Bytes: 10}, done: true},
+		"delayed":     {faults: engines.Faults{DelayOrders: 9 * time.Second}, order: engine.Order{Epoch: 2, Seq: 2, Bytes: 10}, done: true},
+		"fenced":      {order: engine.Order{Epoch: 1, Seq: 9, Bytes: 10}, want: engine.ErrFenced},
+		"repeated":    {order: engine.Order{Epoch: 2, Seq: 1, Bytes: 10}, want: engine.ErrFenced},
+		"too large":   {order: engine.Order{Epoch: 2, Seq: 2, Bytes: 101}, want: engine.ErrOrderRefused},
+		"unreachable": {order: engine.Order{Epoch: 2, Seq: 2, Bytes: 10}, want: engine.ErrNotRun},
+	} {
+		bubble(t, engines.Config{Capacity: 100, Fences: true}, func(*gateway.Config) {}, func(r *rig) {
+			client := httpengine.New(httpengine.Config{Dial: r.dial})
+			send := func(o engine.Order) error {
+				ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+				defer cancel()
+				return client.Order(ctx, "e0", o)
+			}
+			if err := send(engine.Order{ID: "first", Kind: engine.OrderFence, Epoch: 2, Seq: 1}); err != nil {
+				t.Fatal(err)
+			}
+			r.engines[0].SetFaults(c.faults)
+			if name == "unreachable" {
+				_ = r.ln["e0"].Close()
+			}
+			c.order.ID, c.order.Kind, c.order.Name = "second", engine.OrderLoadModel, "m"
+			err := send(c.order)
+			known := errors.Is(err, engine.ErrFenced) || errors.Is(err, engine.ErrOrderRefused) || errors.Is(err, engine.ErrNotRun)
+			if c.succeed != (err == nil) || c.want != nil && !errors.Is(err, c.want) || c.want == nil && known {
+				t.Errorf("%s: %v, want %v", name, err, c.want)
+			}
+			time.Sleep(10 * time.Second) // virtual
+			report := r.engines[0].Report()
+			if done := len(report.Residents) == 1; done != c.done || done != (len(report.Done) == 2) {
+				t.Errorf("%s: report %+v, carried out %t wanted", name, report, c.done)
+			}
+		})
+	}
+}
--- a/test/datapath/limits_test.go
+++ b/test/datapath/limits_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"maps"
+	"net"
 	"slices"
 	"strings"
 	"testing"
@@ -76,3 +77,39 @@
 		}
 	})
 }
+
+// Guards against callers that take all connections: those above a limit get a reason, and closed ones make
+// room again.
+func TestConnectionLimits(t *testing.T) {
+	for name, limit := range map[string]func(*gateway.Config){
+		"all":         func(c *gateway.Config) { c.Limits.MaxConns = 3 },
+		"per address": func(c *gateway.Config) { c.Limits.MaxConnsPerIP = 3 },
+	} {
+		bubble(t, engines.Config{}, limit, func(r *rig) {
+			var held []net.Conn
+			for range 3 {
+				c, err := r.ln["gw"].Dial()
+				if err != nil {
+					t.Fatal(err)
+				}
+				held = append(held, c)
+				if a := exchange(c, "GET", "/open/a", ""); a.status != 200 {
+					t.Errorf("%s: %+v", name, a)
+				}
+			}
+			for range 2 {
+				if a := r.call("GET", "/open/a", ""); a.status != 503 || a.refusal().Error.Reason != "queue_full" || a.refusal().Error.Run != "not_run" {
+					t.Errorf("%s: above the limit: %+v", name, a)
+				}
+			}
+			_ = held[0].Close()
+			time.Sleep(time.Second) // virtual
+			if a := r.call("GET", "/open/a", ""); a.status != 200 {
+				t.Errorf("%s: after a close: %+v", name, a)
+			}
+			for _, c := range held {
+				_ = c.Close()
+			}
+		})
+	}
+}
