--- a/lib/filter/admission/admission_test.go
+++ b/lib/filter/admission/admission_test.go
@@ -246,7 +246,7 @@
 	retries := 0
 	for range 1000 {
 		b.Request("x")
-		for b.Retry("x") {
+		for b.Allow("x") {
 			retries++
 		}
 	}
