Spend from per-core stripes of a bucket

Cause: ten cores that spent for one organisation contended for one lock: 315 ns for a decision, against 155 ns on one core. Change: a bucket parks a small part of its tokens in 16 stripes that are spent from with one compare-and-swap. Parked tokens count as level until they are folded back, so generation and refunds err towards fewer tokens. A change of the configuration, a loan and a spend that would fail fold them first.

--- a/lib/quota/bucket.go
+++ b/lib/quota/bucket.go
@@ -77,6 +77,7 @@
 	rate  float64 // tokens a second of the slots owned
 	cap   float64 // burst of the slots owned
 
+	parked   float64            // taken out in advance of spending; counts as level
 	lentSum  float64            // of the grants that have not ended
 	lent     [lentSteps]float64 // the same by the step in which they end
 	grants   []grant            // oldest first
@@ -94,8 +95,8 @@
 	return b
 }
 
-// limit is the most that the level may be: the cap less what is lent.
-func (b *Bucket) limit() float64 { return max(0, b.cap-b.lentSum) }
+// limit is the most that the level may be: the cap less what is lent or parked.
+func (b *Bucket) limit() float64 { return max(0, b.cap-b.lentSum-b.parked) }
 
 // note records the present headroom in the history of the present step.
 func (b *Bucket) note() {
@@ -219,6 +220,23 @@
 	return true
 }
 
+// Park takes n tokens out of the level, to be spent without the bucket. Until Unpark all of them count as
+// unspent, which errs towards fewer tokens generated and refunded.
+func (b *Bucket) Park(now int64, n float64) {
+	b.Advance(now)
+	b.level -= n
+	b.parked += n
+}
+
+// Unpark takes back what is left of given tokens parked earlier.
+func (b *Bucket) Unpark(now int64, given, left float64) {
+	b.Advance(now)
+	if b.parked -= given; b.parked < 1e-6 {
+		b.parked = 0 // drops the rounding error
+	}
+	b.level += left
+}
+
 // room is the least headroom since time at, zero when the history does not reach back that far.
 func (b *Bucket) room(at int64) float64 {
 	if b.at/stepLen-at/stepLen >= historySteps {
--- a/lib/quota/loan.go
+++ b/lib/quota/loan.go
@@ -36,10 +36,10 @@
 	count, prevN int // charges
 }
 
-func (u *usage) add(now int64, n float64) {
+func (u *usage) add(now int64, n float64, count int) {
 	u.roll(now)
 	u.cur += n
-	u.count++
+	u.count += count
 }
 
 func (u *usage) roll(now int64) {
@@ -124,6 +124,7 @@
 	if len(b.waiters) > 0 {
 		return nil
 	}
+	b.foldAll(now)
 	id := m.boot | m.loans.Add(1)&math.MaxUint32
 	granted, spare := b.core.Lend(now, id, float64(args.Amount), b.use.recent(now))
 	b.pend.lent += int64(granted)
@@ -252,7 +253,7 @@
 // plan chooses the members with the highest estimated spare tokens and divides the amount needed among
 // them. Callers hold b.mu.
 func (b *bucket) plan(now int64, t *table, asked map[string]bool) []ask {
-	need := -b.core.Available(now)
+	need := -b.available(now)
 	for _, w := range b.waiters {
 		need += float64(w.tokens)
 	}
@@ -377,6 +378,7 @@
 	returns := map[string]*ReturnArgs{}
 	for _, b := range t.orgs {
 		b.mu.Lock()
+		b.foldAll(now)
 		b.core.Advance(now)
 		b.publish()
 		for _, l := range b.core.returns {
--- a/lib/quota/manager.go
+++ b/lib/quota/manager.go
@@ -43,6 +43,7 @@
 	table   atomic.Pointer[table]
 	// validUntil is the last time at which the table in use was known to be in force.
 	validUntil atomic.Int64
+	stripes    int // per bucket
 	startDelay int64
 	loanLife   int64
 
@@ -71,6 +72,8 @@
 type bucket struct {
 	name string
 	met  *counters
+	// stripes are spent from without mu.
+	stripes stripes
 
 	mu          sync.Mutex
 	core        *Bucket
@@ -104,7 +107,7 @@
 func newManager(cfg Config, boot uint32) *Manager {
 	m := &Manager{
 		view: cfg.View, caller: cfg.Caller, noLoans: cfg.NoLoans, clock: cfg.Clock,
-		boot: uint64(boot) << 32, startDelay: StartDelay, loanLife: LoanLife, slotStart: map[int]int64{},
+		boot: uint64(boot) << 32, stripes: maxStripes, startDelay: StartDelay, loanLife: LoanLife, slotStart: map[int]int64{},
 	}
 	m.ctx, m.cancel = context.WithCancel(context.Background())
 	return m
@@ -208,7 +211,7 @@
 			b = old.orgs[name]
 		}
 		if b == nil {
-			b = newBucket(name, now, m.loanLife)
+			b = newBucket(name, now, m.loanLife, m.stripes)
 		}
 		part := float64(active) / float64(manifest.SlotCount)
 		b.configure(validUntil, now, rate, burst, part)
@@ -254,9 +257,10 @@
 	return rate, burst
 }
 
-func newBucket(name string, now, loanLife int64) *bucket {
+func newBucket(name string, now, loanLife int64, stripes int) *bucket {
 	b := &bucket{name: name, met: newCounters(name), core: NewBucket(now), spare: map[string]estimate{}}
 	b.core.loanLife = loanLife
+	b.stripes.init(stripes)
 	return b
 }
 
@@ -266,6 +270,7 @@
 	b.rate, b.burst = rate, burst
 	r, c := float64(rate)*part, float64(burst)*part
 	if r != b.core.rate || c != b.core.cap {
+		b.foldAll(min(validUntil, now))
 		b.core.Configure(validUntil, now, r, c)
 	}
 }
@@ -286,6 +291,9 @@
 	if b == nil {
 		return c, unknownOrganisation(organisation)
 	}
+	if b.spendFast(now, tokens, &c) {
+		return c, nil
+	}
 	b.mu.Lock()
 	if tokens > b.burst {
 		err := b.burstTooSmall(tokens)
@@ -309,11 +317,14 @@
 // spend takes tokens at once. Callers hold b.mu.
 func (b *bucket) spend(now, tokens int64, c *Charge) bool {
 	if !b.core.Spend(now, tokens, c) {
-		return false
+		if b.foldAll(now); !b.core.Spend(now, tokens, c) {
+			return false
+		}
 	}
 	c.bucket = b
-	b.use.add(b.core.at, float64(tokens))
+	b.use.add(b.core.at, float64(tokens), 1)
 	b.pend.spent += tokens
+	b.refill(now, tokens)
 	return true
 }
 
@@ -352,7 +363,7 @@
 	b.met.exceeded.Inc()
 	wait := time.Minute
 	if b.rate > 0 {
-		short := float64(tokens) - b.core.Available(now)
+		short := float64(tokens) - b.available(now)
 		wait = min(wait, time.Duration(short/float64(b.rate)*float64(time.Second)))
 	}
 	return &refusal.Error{
--- a/lib/quota/manager_test.go
+++ b/lib/quota/manager_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"runtime"
+	"sync"
 	"sync/atomic"
 	"testing"
 
@@ -113,3 +114,45 @@
 		}
 	})
 }
+
+// Guards against tokens created or lost when several cores spend from the stripes of one bucket while
+// the tick folds them and others lend.
+func TestConcurrentSpendsAddUp(t *testing.T) {
+	var now atomic.Int64
+	now.Store(second)
+	v := &fixedView{self: "a"}
+	v.snap.Store(snapshot(1, []ticket.Organisation{{Name: org, Rate: 0, Burst: 1e6}}, func(int) string { return "a" }))
+	v.status.Store(int32(confview.Fresh))
+	m := newManager(Config{View: v, NoLoans: true, Clock: now.Load}, 1)
+	m.startDelay = 0
+	tab, err := m.current(now.Load())
+	if err != nil {
+		t.Fatal(err)
+	}
+	tab.orgs[org].core.level = 1e6
+	var spent, lent atomic.Int64
+	var wg sync.WaitGroup
+	for range 8 {
+		wg.Go(func() {
+			for i := int64(0); ; i++ {
+				if _, err := m.Spend(context.Background(), org, 1+i%7); err != nil {
+					return
+				}
+				spent.Add(1 + i%7)
+			}
+		})
+	}
+	wg.Go(func() {
+		for range 200 {
+			m.collectReturns()
+			var r LendReply
+			_ = (&service{m}).Lend(&LendArgs{org, 100}, &r)
+			lent.Add(r.Granted)
+		}
+	})
+	wg.Wait()
+	left := tab.orgs[org].available(now.Load())
+	if sum := spent.Load() + lent.Load() + int64(left); sum != 1e6 || left >= 7 {
+		t.Errorf("spent %d, lent %d, left %v: sum %d", spent.Load(), lent.Load(), left, sum)
+	}
+}
