--- a/lib/controller/controller.go
+++ b/lib/controller/controller.go
@@ -37,6 +37,8 @@
 	// refused order is tried again.
 	retryFirst = time.Second
 	retryMax   = 30 * time.Second
+	// campaignRetry is the pause after a failed campaign.
+	campaignRetry = time.Second
 	// keepPeriod is the period of the work on the manifest.
 	keepPeriod = time.Second
 )
@@ -130,7 +132,7 @@
 		if err != nil {
 			if ctx.Err() == nil {
 				c.deps.Log.Warn("campaign failed", "err", err)
-				sleep(ctx, time.Second)
+				sleep(ctx, campaignRetry)
 			}
 			continue
 		}
--- a/lib/controller/fakes_test.go
+++ b/lib/controller/fakes_test.go
@@ -328,8 +328,26 @@
 		return 0, kv.ErrConflict
 	}
 	if w.chance(w.faults.kvUnknown / 2) {
-		return 0, kv.ErrUnknown // without effect
+		if w.chance(0.5) { // takes effect later, if it still can
+			w.wg.Go(func() {
+				time.Sleep(time.Second)
+				w.mu.Lock()
+				defer w.mu.Unlock()
+				if w.kv[key].Version == expect {
+					w.write(key, value)
+				}
+			})
+		}
+		return 0, kv.ErrUnknown
 	}
+	w.write(key, value)
+	if w.chance(w.faults.kvUnknown / 2) {
+		return 0, kv.ErrUnknown
+	}
+	return w.kvVersion, nil
+}
+
+func (w *world) write(key string, value []byte) {
 	w.kvVersion++
 	if w.faults.skipIntent && strings.Contains(key, "/target/") {
 		value = withoutDoubt(value)
@@ -338,10 +356,6 @@
 		w.noteView(w.kv[key].Value, value)
 	}
 	w.kv[key] = kv.Entry{Key: key, Value: value, Version: w.kvVersion}
-	if w.chance(w.faults.kvUnknown / 2) {
-		return 0, kv.ErrUnknown
-	}
-	return w.kvVersion, nil
 }
 
 func (s *procKV) Wait(context.Context, string, kv.Version, time.Duration) (kv.Entry, error) {
--- a/lib/controller/keep.go
+++ b/lib/controller/keep.go
@@ -79,10 +79,12 @@
 	return nil
 }
 
+// updateManifest writes the wanted slots and witnesses. The witness list is wanted relative to the one known
+// before: a repeated attempt after a lost answer must not make a second change at once.
 func (tm *term) updateManifest(ctx context.Context, k *keeper) error {
 	ctx, cancel := context.WithTimeout(ctx, 2*kvDeadline)
 	defer cancel()
-	changedWitnesses := false
+	var base, wanted []string
 	_, err := tm.deps.Manifest.Update(ctx, func(m *manifest.Manifest) (manifest.Restriction, error) {
 		if !tm.held() {
 			return manifest.Restriction{}, errTermOver
@@ -91,15 +93,19 @@
 		if next == nil {
 			return manifest.Restriction{}, errNoChange
 		}
-		changedWitnesses = !slices.Equal(next.witnesses, m.Witnesses)
+		if wanted == nil {
+			base, wanted = slices.Clone(m.Witnesses), next.witnesses
+		}
 		r := manifest.Restriction{Base: m.Revision, SlotsLost: lost(m.Slots.Owners, next.owners)}
 		if !slices.Equal(m.Slots.Owners, next.owners) {
 			m.Slots = manifest.SlotTable{Version: m.Slots.Version + 1, Owners: next.owners}
 		}
-		m.Witnesses = next.witnesses
+		if slices.Equal(m.Witnesses, base) {
+			m.Witnesses = wanted
+		}
 		return r, nil
 	})
-	if changedWitnesses {
+	if !slices.Equal(base, wanted) {
 		k.witnessed = time.Now() // also after an error: the write may have taken effect
 	}
 	return err
--- /dev/null
+++ b/lib/controller/keep_test.go
@@ -0,0 +1,104 @@
+package controller
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"cuminhook.org/cuminhook/lib/confview"
+	"cuminhook.org/cuminhook/lib/hostlist"
+	"cuminhook.org/cuminhook/lib/manifest"
+)
+
+// Guards against slots left with dead hosts, an uneven table, and more moves than the change needs.
+func TestAssignSlots(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		hosts := rapid.SliceOfNDistinct(rapid.StringMatching("g[0-9]{2}"), 1, 20, rapid.ID).Draw(t, "hosts")
+		before := assignSlots(nil, hosts)
+		live := hosts[:rapid.IntRange(1, len(hosts)).Draw(t, "live")]
+		after := assignSlots(before, live)
+		count := map[string]int{}
+		moved, dead := 0, 0
+		for i, o := range after {
+			count[o]++
+			if o != before[i] {
+				moved++
+			}
+			if !slices.Contains(live, before[i]) {
+				dead++
+			}
+		}
+		for _, h := range live {
+			if n := manifest.SlotCount / len(live); count[h] < n || count[h] > n+1 {
+				t.Fatalf("%s owns %d of %d slots among %d hosts", h, count[h], manifest.SlotCount, len(live))
+			}
+		}
+		if moved != dead {
+			t.Fatalf("%d slots moved, %d had to", moved, dead)
+		}
+		if grown := assignSlots(after, hosts); !slices.Equal(grown, assignSlots(grown, hosts)) {
+			t.Fatal("the table changes without a change of hosts")
+		}
+	})
+}
+
+// Guards against two majorities without a common witness: each step adds or removes one host.
+func TestWitnessesChangeOneAtATime(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		listed := map[string]hostlist.Host{}
+		var witnesses []string
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			id := fmt.Sprintf("g%d", rapid.IntRange(0, 11).Draw(t, "host"))
+			if _, ok := listed[id]; ok && rapid.Bool().Draw(t, "remove") {
+				delete(listed, id)
+			} else {
+				listed[id] = hostlist.Host{ID: id, Zone: id[len(id)-1:], Leaving: rapid.Bool().Draw(t, "leaving")}
+			}
+			next := nextWitnesses(witnesses, listed, func(string) bool { return true })
+			if d := len(next) - len(witnesses); d < -1 || d > 1 {
+				t.Fatalf("%v became %v", witnesses, next)
+			}
+			if common := intersect(witnesses, next); len(common) != min(len(witnesses), len(next)) {
+				t.Fatalf("%v became %v", witnesses, next)
+			}
+			witnesses = next
+		}
+	})
+}
+
+func intersect(a, b []string) []string {
+	return slices.DeleteFunc(slices.Clone(a), func(x string) bool { return !slices.Contains(b, x) })
+}
+
+// Guards against a restarting or just started gateway that moves slots: an owner keeps its slots until it
+// is unseen for five seconds, and a new gateway gets none before it was seen for as long.
+func TestOwnersAndNewcomers(t *testing.T) {
+	start := time.Unix(1000, 0)
+	k := &keeper{begun: start, first: map[string]time.Time{}, last: map[string]time.Time{}}
+	owners := []string{"a", "b"}
+	seen := func(at time.Duration, ids ...string) []string {
+		var members []confview.Member
+		for _, id := range ids {
+			members = append(members, confview.Member{ID: id, Role: roleGateway})
+		}
+		k.observe(start.Add(at), members)
+		return k.live(start.Add(at), owners, map[string]hostlist.Host{})
+	}
+	for _, c := range []struct {
+		at   time.Duration
+		ids  []string
+		want []string
+	}{
+		{time.Second, []string{"a", "c"}, []string{"a", "b"}},               // b was never seen by this controller
+		{4 * time.Second, []string{"a", "c"}, []string{"a", "b"}},           // c is new
+		{5 * time.Second, []string{"a", "c"}, []string{"a"}},                // b is gone
+		{6 * time.Second, []string{"a", "b", "c"}, []string{"a", "b", "c"}}, // b is back, c steady
+	} {
+		if got := seen(c.at, c.ids...); !slices.Equal(got, c.want) {
+			t.Errorf("after %v: %v, want %v", c.at, got, c.want)
+		}
+	}
+}
--- a/lib/controller/machine_test.go
+++ b/lib/controller/machine_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -92,7 +93,18 @@
 			time.Sleep(time.Duration(rapid.IntRange(1, 15000).Draw(t, "ms")) * time.Millisecond)
 			locked(func() { w.kvDown = false })
 		},
-		"crash":  func(t *rapid.T) { e := eng(t); locked(func() { w.noteHeld(); e.alive = false }) },
+		"crash": func(t *rapid.T) { e := eng(t); locked(func() { w.noteHeld(); e.alive = false }) },
+		"leave": func(t *rapid.T) {
+			i := rapid.IntRange(0, 5).Draw(t, "engine")
+			locked(func() { w.hosts[i].Leaving = !w.hosts[i].Leaving })
+		},
+		"unlist": func(t *rapid.T) {
+			i := rapid.IntRange(0, 5).Draw(t, "engine")
+			all := w.hosts
+			locked(func() { w.hosts = slices.Delete(slices.Clone(all), i, i+1) })
+			time.Sleep(time.Duration(rapid.IntRange(1, 6000).Draw(t, "ms")) * time.Millisecond)
+			locked(func() { w.hosts = all })
+		},
 		"reboot": func(t *rapid.T) { e := eng(t); locked(func() { w.noteHeld(); w.boot(e) }) },
 		"demand": func(t *rapid.T) {
 			m.demand(rapid.IntRange(0, 7).Draw(t, "model"), rapid.Int64Range(0, 60).Draw(t, "requests"))
@@ -122,6 +134,9 @@
 	w := m.w
 	w.mu.Lock()
 	w.faults, w.kvDown = faults{}, false
+	for i := range w.hosts {
+		w.hosts[i].Leaving = false
+	}
 	for _, e := range w.engines {
 		if !e.alive {
 			w.boot(e)
--- a/lib/controller/term.go
+++ b/lib/controller/term.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -268,7 +269,8 @@
 	now := time.Now()
 	tm.state.Lock()
 	defer tm.state.Unlock()
-	for _, t := range tm.targets {
+	for _, id := range slices.Sorted(maps.Keys(tm.targets)) {
+		t := tm.targets[id]
 		if t.busy || !t.due(now) {
 			continue
 		}
--- a/lib/weights/weights.go
+++ b/lib/weights/weights.go
@@ -1,7 +1,16 @@
 // Package weights is the interface to the platform's rate-limited weight store.
 package weights
 
-import "context"
+import (
+	"context"
+	"errors"
+)
+
+// Errors of a Store.
+var (
+	ErrNotFound    = errors.New("weights: no such artifact; upload the weights first")
+	ErrUnavailable = errors.New("weights: store unavailable; retry later")
+)
 
 // Limits are the store's limits for model loads, as configured by the operators.
 type Limits struct {
@@ -18,6 +27,6 @@
 
 // Store tells what weights exist. Engines fetch the weights themselves.
 type Store interface {
-	// Lookup returns the artifact or an error that wraps ErrNotFound.
+	// Lookup returns the artifact, or an error that wraps ErrNotFound or ErrUnavailable.
 	Lookup(ctx context.Context, name string) (Artifact, error)
 }
