--- a/Makefile
+++ b/Makefile
@@ -14,5 +14,8 @@
 bench:
 	$(GO) test -run '^$$' -bench . -benchmem ./lib/...
 
+measure:
+	$(GO) run ./cmd/cuminhook-replay measure examples/trinacria/deployment.yaml examples/virtasen/deployment.yaml
+
 demo: build
 	./scripts/demo.sh
