Estimate a model's work by the larger of prefill and decode

Cause: the planner added prefill and decode time, although engines overlap them, so that at 0.9 load every target looked overloaded and no move looked useful. Change: work is the larger of the two.

--- a/lib/placement/planner.go
+++ b/lib/placement/planner.go
@@ -236,7 +236,7 @@
 	for _, m := range w.models {
 		d := w.demand[m.Name]
 		short, long := d.Short, d.Long
-		work := func(r Rates) float64 { return r.Prompt/prefill + r.Output/decode }
+		work := func(r Rates) float64 { return max(r.Prompt/prefill, r.Output/decode) }
 		each := w.cfg.QueuedPrompt/prefill + w.cfg.QueuedOutput/decode
 		if long.Requests > 0.01 {
 			each = work(long) / long.Requests
