Count prompts that wait for prefill in the routing cost

Cause: two targets with free batch slots looked equal although one had several prompts in front of its prefill. Change: each target counts the prompt tokens of own requests without a first token, less what its prefix cache covers, and the reported ones of others.

--- a/lib/router/router.go
+++ b/lib/router/router.go
@@ -60,7 +60,9 @@
 	Adapter      string
 	Prefix       uint64 // zero if none
 	PromptTokens int64
-	Bounded      bool // pass over targets at which this gateway has its share of outstanding work
+	PrefixTokens int64 // part of the prompt that Prefix covers
+	Bounded      bool  // pass over targets at which this gateway has its share of outstanding work
+	filling      int64 // tokens that the chosen target has to fill
 	exclude      [excludeMax]*Target
 	excluded     int
 }
@@ -147,7 +149,11 @@
 	if best == nil {
 		return nil, false
 	}
-	best.begin()
+	q.filling = q.PromptTokens
+	if q.Prefix != 0 && r.prefix.get(q.Prefix) == best.hash {
+		q.filling -= q.PrefixTokens
+	}
+	best.begin(q.filling)
 	if q.Prefix != 0 {
 		r.prefix.put(q.Prefix, best.hash)
 	}
@@ -238,9 +244,11 @@
 		return
 	}
 	cost := t.wait(s.now) + t.distance
-	if t.hash != s.holder {
-		cost += t.prefill(s.q.PromptTokens)
+	tokens := s.q.PromptTokens
+	if t.hash == s.holder {
+		tokens -= s.q.PrefixTokens
 	}
+	cost += t.prefill(tokens)
 	if s.best == nil || cost < s.cost {
 		s.best, s.cost = t, cost
 	}
--- a/lib/router/target.go
+++ b/lib/router/target.go
@@ -41,9 +41,11 @@
 	distance time.Duration
 	slots    atomic.Int64
 	own      atomic.Int64 // requests outstanding from this gateway
+	ownToks  atomic.Int64 // prompt tokens of those without a first token
 
 	// Load of other gateways at the target at the time of the newest report.
 	others   atomic.Int64
+	toks     atomic.Int64 // prompt tokens waiting for prefill, of other gateways
 	reported atomic.Int64 // unix nanoseconds
 
 	serviceTime atomic.Uint64 // float64 seconds, moving average
@@ -68,9 +70,18 @@
 // Slots returns the target's batch slots.
 func (t *Target) Slots() int64 { return t.slots.Load() }
 
-func (t *Target) begin() { t.own.Add(1) }
+func (t *Target) begin(prompt int64) {
+	t.own.Add(1)
+	t.ownToks.Add(prompt)
+}
+
+// Started records the first token of a request that Pick counted. Calls after the first have no effect.
+func (t *Target) Started(q *Request) {
+	t.ownToks.Add(-q.filling)
+	q.filling = 0
+}
 
-// Done ends a request that Pick counted.
+// Done ends a request that Pick counted. Without a first token, Started is called before.
 func (t *Target) Done(now time.Time, res Result) {
 	t.own.Add(-1)
 	if res.Failed {
@@ -119,6 +130,7 @@
 	}
 	t.reported.Store(sent.UnixNano())
 	t.others.Store(max(int64(load.Running+load.Queued)-t.own.Load(), 0))
+	t.toks.Store(max(load.QueuedToks-t.ownToks.Load(), 0))
 	if load.Slots > 0 {
 		t.slots.Store(int64(load.Slots))
 	}
@@ -145,9 +157,16 @@
 	return busy
 }
 
-// wait estimates the time until a batch slot is free.
+// wait estimates the time until a batch slot is free and the prompts ahead are filled.
 func (t *Target) wait(now time.Time) time.Duration {
-	busy := t.busy(now)
+	ahead := float64(t.ownToks.Load())
+	if toks := t.toks.Load(); toks > 0 {
+		ahead += float64(toks) * decay(now.UnixNano()-t.reported.Load())
+	}
+	return t.slotWait(t.busy(now)) + t.prefill(int64(ahead))
+}
+
+func (t *Target) slotWait(busy float64) time.Duration {
 	slots := float64(max(t.slots.Load(), 1))
 	service := math.Float64frombits(t.serviceTime.Load())
 	if over := busy + 1 - slots; over > 0 {
