Return unused loans in the replay and count missed admissions net

Cause: the replay lost what borrowers give back, and its count of refusals inside the rate charged the reference for refused calls but not for calls that the hosts admitted a moment before the reference had the tokens, so that one timing difference counted again and again. Change: quota.Bucket.TakeReturns, delivered every 100 ms; the reference owes what it lacks.

--- a/lib/replay/host.go
+++ b/lib/replay/host.go
@@ -21,6 +21,7 @@
 	isolation   = 2 * time.Second // a host cut off from all others stops after this time
 	silentAfter = 4 * time.Second // bound for the detection of a silent connection
 	expiryTick  = 20 * time.Millisecond
+	returnTick  = 100 * time.Millisecond
 	queueLimit  = 10_000
 	// loanAhead is the part of a second's rate that is borrowed beyond the need.
 	loanAhead = 1.0 / 16
@@ -94,6 +95,25 @@
 	if h.s.policy.fair {
 		h.s.clk.every(expiryTick, end, h.expire)
 	}
+	if h.s.policy.sharing == shareLoans {
+		h.s.clk.every(returnTick, end, h.returnLoans)
+	}
+}
+
+// returnLoans gives unused tokens of loans back to their lenders.
+func (h *entryHost) returnLoans() {
+	if h.down || h.cut {
+		return
+	}
+	for _, o := range h.s.d.Organisations {
+		own := h.buckets[o.Name]
+		own.Advance(h.s.quotaTime())
+		own.TakeReturns(func(lender string, id uint64, sum float64, ended bool) {
+			if l := h.s.hostByID(lender); !l.down && !l.cut {
+				l.buckets[o.Name].Return(h.s.quotaTime(), id, sum, ended)
+			}
+		})
+	}
 }
 
 func (h *entryHost) bucket(org string) *quota.Bucket {
--- a/lib/replay/report.go
+++ b/lib/replay/report.go
@@ -137,16 +137,17 @@
 // charged and refunded as the hosts were, would have refused too. A call that it would have admitted is charged to
 // it, so that one missed request counts once.
 func (s *sim) outsideRate() map[*call]bool {
-	buckets := map[string]*quota.Bucket{}
+	shared := map[string]*sharedBucket{}
 	for _, o := range s.d.Organisations {
 		b := quota.NewBucket(0)
 		b.Configure(0, 0, float64(o.Rate), float64(o.Burst))
-		buckets[o.Name] = b
+		shared[o.Name] = &sharedBucket{Bucket: b}
 	}
 	charges := map[*call]*quota.Charge{}
 	out := map[*call]bool{}
 	for _, st := range s.chargeSteps() {
-		b, now := buckets[st.c.rec.Organisation], int64(st.at+warmStart)
+		b, now := shared[st.c.rec.Organisation], int64(st.at+warmStart)
+		b.payDebt(now)
 		switch {
 		case st.refund:
 			if c := charges[st.c]; c != nil {
@@ -154,17 +155,40 @@
 			}
 		case st.c.refused == string(refusal.RateExceeded):
 			var c quota.Charge
-			out[st.c] = !b.Spend(now, st.c.charge, &c)
+			out[st.c] = b.debt > 0 || !b.Spend(now, st.c.charge, &c)
 		default:
-			var c quota.Charge
-			if b.Spend(now, st.c.charge, &c) {
-				charges[st.c] = &c
-			}
+			charges[st.c] = b.force(now, st.c.charge)
 		}
 	}
 	return out
 }
 
+// sharedBucket is the bucket of one organisation, shared by all hosts. The hosts may admit a call a moment before
+// this bucket has its tokens; they are then owed.
+type sharedBucket struct {
+	*quota.Bucket
+	debt int64
+}
+
+func (b *sharedBucket) payDebt(now int64) {
+	if pay := min(b.debt, int64(b.Available(now))); pay > 0 {
+		var c quota.Charge
+		if b.Spend(now, pay, &c) {
+			b.debt -= pay
+		}
+	}
+}
+
+// force charges tokens, as debt where the bucket lacks them. Debt is not refunded.
+func (b *sharedBucket) force(now, tokens int64) *quota.Charge {
+	var c quota.Charge
+	if b.debt == 0 && b.Spend(now, tokens, &c) {
+		return &c
+	}
+	b.debt += tokens
+	return nil
+}
+
 // chargeStep is the arrival of a call or the end of its charge.
 type chargeStep struct {
 	at     time.Duration
