--- a/lib/quota/bucket.go
+++ b/lib/quota/bucket.go
@@ -98,17 +98,17 @@
 // limit is the most that the level may be: the cap less what is lent or parked.
 func (b *Bucket) limit() float64 { return max(0, b.cap-b.lentSum-b.parked) }
 
-// note records the present headroom in the history of the present step.
-func (b *Bucket) note() {
-	h := &b.headroom[(b.at/stepLen)%historySteps]
+// note records the present headroom in the history of a step.
+func (b *Bucket) note(step int64) {
+	h := &b.headroom[step%historySteps]
 	*h = min(*h, b.limit()-b.level)
 }
 
-// accrue generates tokens up to time to within one step of the history.
-func (b *Bucket) accrue(to int64) {
+// accrue generates tokens up to time to, which is not after the end of the step.
+func (b *Bucket) accrue(to, step int64) {
 	b.level = min(b.level+b.rate*float64(to-b.at)/float64(second), max(b.limit(), b.level))
 	b.at = to
-	b.note()
+	b.note(step)
 }
 
 // Advance brings the bucket to time now.
@@ -117,11 +117,10 @@
 		return
 	}
 	if now/stepLen-b.at/stepLen > historySteps {
-		b.accrue(now - historySteps*stepLen) // the history up to there is overwritten below
+		b.accrue(now-historySteps*stepLen, 0) // the whole history is overwritten below
 	}
 	for step := b.at/stepLen + 1; step <= now/stepLen; step++ {
-		b.accrue(step*stepLen - 1)
-		b.at = step * stepLen
+		b.accrue(step*stepLen, step-1)
 		// The end of the former step; the new one begins with the cap of the loans that ended.
 		if ended := &b.lent[step%lentSteps]; *ended > 0 {
 			b.lentSum = max(0, b.lentSum-*ended)
@@ -129,7 +128,7 @@
 		}
 		b.headroom[step%historySteps] = b.limit() - b.level
 	}
-	b.accrue(now)
+	b.accrue(now, now/stepLen)
 	b.dropExpired()
 }
 
@@ -176,7 +175,7 @@
 	}
 	b.rate, b.cap = rate, burst
 	b.level = min(b.level, b.limit())
-	b.note()
+	b.note(b.at / stepLen)
 }
 
 // Available returns the tokens that can be spent at time now.
