Renew stream deadlines less often; test outcomes and connection reuse

Change: read and write deadlines of streams are renewed after a tenth of their length, so that silence is noticed after 1.8 to 2 s and 4.5 to 5 s. Tests for outcomes as admission and idempotency see them, and for the reuse of connections after each kind of improper answer.

--- a/lib/engine/httpengine/stream.go
+++ b/lib/engine/httpengine/stream.go
@@ -31,7 +31,8 @@
 	body   io.Reader
 	parser eventParser
 
-	seq     int64 // last event returned
+	renewed time.Time // latest renewal of the read deadline
+	seq     int64     // last event returned
 	ended   bool
 	closed  bool
 	broken  error
@@ -94,11 +95,15 @@
 	}
 }
 
-// nextBlock waits for the next event or comment for at most the silence limit.
+// nextBlock waits for the next event or comment for at most the silence limit. The deadline is renewed only
+// after a tenth of the limit, since setting it for each event costs a twentieth of a relay's time.
 func (r *reader) nextBlock() (rawEvent, error) {
 	if !r.parser.buffered() {
-		if err := r.conn.SetReadDeadline(time.Now().Add(r.client.silence)); err != nil {
-			return rawEvent{}, err
+		if now := time.Now(); now.Sub(r.renewed) > r.client.silence/10 {
+			r.renewed = now
+			if err := r.conn.SetReadDeadline(now.Add(r.client.silence)); err != nil {
+				return rawEvent{}, err
+			}
 		}
 	}
 	return r.parser.next()
--- a/lib/filter/dispatch/relay.go
+++ b/lib/filter/dispatch/relay.go
@@ -16,7 +16,8 @@
 )
 
 const (
-	// writeTimeout bounds each write to a caller, so that a silent caller is noticed.
+	// writeTimeout bounds each write to a caller, so that a silent caller is noticed. The deadline is renewed
+	// only after a tenth of it, since setting it for each event costs a twentieth of a relay's time.
 	writeTimeout = 5 * time.Second
 	// maxIdleResumes bounds resumptions in a row that brought no event.
 	maxIdleResumes = 2
@@ -37,6 +38,7 @@
 	firstToken time.Duration // since the pick
 	sinceStart time.Duration
 
+	renewed     time.Time // latest renewal of the write deadline
 	buf         []byte
 	sent        int // bytes of buf already returned
 	seq         int64
@@ -78,7 +80,11 @@
 	n := copy(p, r.buf[r.sent:])
 	r.sent += n
 	// The server writes what it was given right after this returns.
-	return n, r.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+	if now := time.Now(); now.Sub(r.renewed) > writeTimeout/10 {
+		r.renewed = now
+		return n, r.conn.SetWriteDeadline(now.Add(writeTimeout))
+	}
+	return n, nil
 }
 
 // fill waits for an event and adds those that have arrived with it, up to about limit bytes.
--- /dev/null
+++ b/test/datapath/outcome_test.go
@@ -0,0 +1,147 @@
+package datapath
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"cuminhook.org/cuminhook/lib/engine"
+	"cuminhook.org/cuminhook/lib/engine/httpengine"
+	"cuminhook.org/cuminhook/lib/gateway"
+	"cuminhook.org/cuminhook/lib/pipeline"
+	"cuminhook.org/cuminhook/lib/refusal"
+	"cuminhook.org/cuminhook/lib/service"
+	"cuminhook.org/cuminhook/lib/service/httpservice"
+	engines "cuminhook.org/cuminhook/lib/standin/engine"
+	services "cuminhook.org/cuminhook/lib/standin/service"
+)
+
+// record is a filter in the place of admission that keeps the outcome of the latest exchange.
+func record(into *atomic.Pointer[pipeline.Outcome]) gateway.Wrap {
+	return func(next pipeline.Handler) pipeline.Handler {
+		return pipeline.HandlerFunc(func(ctx context.Context, ex *pipeline.Exchange) error {
+			ex.OnFinish(func(out pipeline.Outcome) { into.Store(&out) })
+			return next.Serve(ctx, ex)
+		})
+	}
+}
+
+// Guards against an unknown outcome of a call that must not be repeated when only its caller has left. The
+// same call on an idempotent route is given up: that is the control.
+func TestNonIdempotentCallRunsOnWithoutItsCaller(t *testing.T) {
+	for path, want := range map[string]refusal.Reason{"/siren/sound": "", "/siren/state": refusal.CallerGone} {
+		var out atomic.Pointer[pipeline.Outcome]
+		bubble(t, engines.Config{}, func(c *gateway.Config) { c.Admission = record(&out) }, func(r *rig) {
+			for _, s := range r.services {
+				s.SetFaults(services.Faults{Delay: 3 * time.Second})
+			}
+			c, err := r.ln["gw"].Dial()
+			if err != nil {
+				t.Fatal(err)
+			}
+			fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: gw\r\n%s\r\nContent-Length: 0\r\n\r\n", path, bearer)
+			time.Sleep(time.Second) // virtual
+			_ = c.Close()
+			time.Sleep(5 * time.Second)
+			if got := out.Load(); got == nil || got.Reason != want || (got.Status == 200) != (want == "") {
+				t.Errorf("%s: outcome %+v", path, got)
+			}
+		})
+	}
+}
+
+// Guards against wrong refunds: the usage that the engine reported reaches admission, and unknown usage is
+// told from none.
+func TestOutcomeReportsUsage(t *testing.T) {
+	for _, stream := range []bool{false, true} {
+		for _, broken := range []bool{false, true} {
+			var out atomic.Pointer[pipeline.Outcome]
+			change := func(c *gateway.Config) { c.Admission, c.NoResume = record(&out), true }
+			bubble(t, engines.Config{Decode: 50}, change, func(r *rig) {
+				f := engines.Faults{Errors: 9}
+				if stream {
+					f = engines.Faults{DieAfter: 9, DieAtEvent: 5}
+				}
+				for _, e := range r.engines {
+					if broken {
+						e.SetFaults(f)
+					}
+				}
+				r.call("POST", "/v1/chat/completions", chat("a", stream), bearer)
+				time.Sleep(time.Second)
+				got := out.Load()
+				want := int64(12)
+				if broken {
+					want = -1
+				}
+				if got == nil || got.OutputTokens != want || got.Complete == broken || !got.Ran || (got.Reason != "") != broken {
+					t.Errorf("stream %t, broken %t: %+v", stream, broken, got)
+				}
+			})
+		}
+	}
+}
+
+// Guards against the reuse of a connection on which the answer to an earlier request may still arrive. A
+// proper answer's connection is reused: that is the control.
+func TestConnectionsOfImproperAnswersAreNotReused(t *testing.T) {
+	bubble(t, engines.Config{}, nil, func(r *rig) {
+		dials := 0
+		dial := func(ctx context.Context, addr string) (net.Conn, error) {
+			dials++
+			return r.dial(ctx, addr)
+		}
+		model := httpengine.New(httpengine.Config{Dial: dial})
+		plain := httpservice.New(dial)
+		n := 0
+		viaEngine := func() {
+			n++
+			_, _ = model.Do(context.Background(), "e0", &engine.Request{
+				ID: fmt.Sprint(n), Path: "/v1/chat/completions", Body: []byte(chat("a", false)), Idempotent: true,
+			})
+		}
+		viaService := func(idempotent bool) func() {
+			return func() {
+				n++
+				ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+				defer cancel()
+				_, _ = plain.Do(ctx, "s0", &service.Request{ID: fmt.Sprint(n), Method: "GET", Path: "/", Idempotent: idempotent})
+			}
+		}
+		for name, c := range map[string]struct {
+			call   func()
+			ef     engines.Faults
+			sf     services.Faults
+			reused bool
+		}{
+			"engine, proper":           {call: viaEngine, reused: true},
+			"engine, crossed":          {call: viaEngine, ef: engines.Faults{CrossAnswers: 1}},
+			"engine, lost":             {call: viaEngine, ef: engines.Faults{LoseAnswers: 1}},
+			"engine, silent":           {call: viaEngine, ef: engines.Faults{SilentCalls: 1}},
+			"service, proper":          {call: viaService(true), reused: true},
+			"service, crossed":         {call: viaService(true), sf: services.Faults{CrossAnswers: 1}},
+			"service, cut":             {call: viaService(true), sf: services.Faults{CutAnswers: 1}},
+			"service, silent":          {call: viaService(true), sf: services.Faults{Silent: 1}},
+			"service, slow":            {call: viaService(true), sf: services.Faults{Delay: 2 * time.Second}},
+			"service, not idempotent":  {call: viaService(false)},
+			"service, not run, proper": {call: viaService(true), sf: services.Faults{NotRun: 1}, reused: true},
+		} {
+			model.Close()
+			plain.Close()
+			r.engines[0].SetFaults(c.ef)
+			r.services[0].SetFaults(c.sf)
+			c.call()
+			r.services[0].SetFaults(services.Faults{})
+			before := dials
+			c.call()
+			if reused := dials == before; reused != c.reused {
+				t.Errorf("%s: reused %t", name, reused)
+			}
+		}
+		model.Close()
+		plain.Close()
+	})
+}
