Check the key again after admission and before each retry

Cause: a request that waited for admission while its key was withdrawn, or its host became isolated, still reached a target.

Change: dispatch checks key and status right before the first attempt and before each further one. Tests for it, and for batch slots, priorities and the lag of load reports of the stand-in engine.

--- a/lib/filter/dispatch/dispatch.go
+++ b/lib/filter/dispatch/dispatch.go
@@ -17,6 +17,7 @@
 
 	"cuminhook.org/cuminhook/lib/confview"
 	"cuminhook.org/cuminhook/lib/engine"
+	"cuminhook.org/cuminhook/lib/filter/auth"
 	"cuminhook.org/cuminhook/lib/pipeline"
 	"cuminhook.org/cuminhook/lib/refusal"
 	"cuminhook.org/cuminhook/lib/service"
@@ -79,12 +80,24 @@
 	if r := secretsOf(ex).check(ex); r != nil {
 		return r
 	}
+	if err := d.recheck(ex); err != nil {
+		return err
+	}
 	if ex.Kind == pipeline.KindService {
 		return d.service(ctx, ex)
 	}
 	return d.model(ctx, ex)
 }
 
+// recheck refuses a request whose key became invalid while it waited for admission.
+func (d *Dispatch) recheck(ex *pipeline.Exchange) error {
+	if ex.Organisation == "" {
+		return nil
+	}
+	_, err := auth.Check(d.cfg.View.Snapshot(), d.cfg.View.Status(), ex.KeyHash)
+	return err
+}
+
 // attemptID returns an id that no other attempt has. Callers may repeat their request ids, and targets
 // look requests up by id.
 func (d *Dispatch) attemptID(ex *pipeline.Exchange) string {
@@ -155,6 +168,11 @@
 	if a.made >= maxAttempts || a.ran && !ex.Idempotent || !time.Now().Before(ex.AnswerBy) {
 		return failed(a)
 	}
+	if invalid, ok := refusal.As(d.recheck(ex)); ok {
+		r := *invalid
+		r.Run = a.run()
+		return &r
+	}
 	reason := retryReason(err)
 	// A target that announces its leaving or the loss of a model is part of planned changes, which must
 	// not use up the budget for failures.
--- a/lib/standin/engine/engine_test.go
+++ b/lib/standin/engine/engine_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"cuminhook.org/cuminhook/lib/engine"
+	"cuminhook.org/cuminhook/lib/prompt"
 )
 
 // Guards against a stand-in that is kinder than an engine: one that carries out fenced orders, takes more
@@ -52,3 +53,39 @@
 		}
 	})
 }
+
+// Guards against a batch that ignores its slots or the priorities, and a load report without lag.
+func TestBatchSlotsPrioritiesAndLoadLag(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e, begin := New(Config{Slots: 1, Decode: 1, LoadLag: 2 * time.Second}), time.Now()
+		start := func(id string, priority int) *run {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			e.loadLocked()
+			return e.startLocked(id, priority, prompt.Prompt{Tokens: 5}, 2)
+		}
+		first, low, high := start("first", 0), start("low", 9), start("high", 1)
+		load := func() engine.Load {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			return e.loadLocked()
+		}
+		if l := load(); l.Running != 0 || l.Slots != 1 {
+			t.Errorf("load without lag: %+v", l)
+		}
+		time.Sleep(2 * time.Second)
+		if l := load(); l.Running != 1 || l.Queued != 2 || l.QueuedToks != 10 {
+			t.Errorf("load after the lag: %+v", l)
+		}
+		e.wait(first)
+		e.wait(high)
+		if e.mu.Lock(); low.done {
+			t.Error("the lower priority ran first")
+		}
+		e.mu.Unlock()
+		e.wait(low)
+		if took := time.Since(begin); took != 6*time.Second {
+			t.Errorf("three runs of 2 s in one slot took %s", took)
+		}
+	})
+}
--- a/test/datapath/outcome_test.go
+++ b/test/datapath/outcome_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"cuminhook.org/cuminhook/lib/confview"
 	"cuminhook.org/cuminhook/lib/engine"
 	"cuminhook.org/cuminhook/lib/engine/httpengine"
 	"cuminhook.org/cuminhook/lib/gateway"
@@ -17,6 +18,7 @@
 	"cuminhook.org/cuminhook/lib/service/httpservice"
 	engines "cuminhook.org/cuminhook/lib/standin/engine"
 	services "cuminhook.org/cuminhook/lib/standin/service"
+	"cuminhook.org/cuminhook/lib/ticket"
 )
 
 // record is a filter in the place of admission that keeps the outcome of the latest exchange.
@@ -53,6 +55,35 @@
 	}
 }
 
+// Guards against a request that runs although its key was withdrawn, or the host became isolated, while it
+// waited for admission. Without a change it runs: that is the control.
+func TestKeyIsCheckedAfterAdmission(t *testing.T) {
+	wait := func(next pipeline.Handler) pipeline.Handler {
+		return pipeline.HandlerFunc(func(ctx context.Context, ex *pipeline.Exchange) error {
+			time.Sleep(3 * time.Second) // virtual
+			return next.Serve(ctx, ex)
+		})
+	}
+	for reason, change := range map[string]func(*rig){
+		"":             func(*rig) {},
+		"key_unknown":  func(r *rig) { r.view.Set(snapshot(&ticket.State{Routes: state().Routes, Models: state().Models})) },
+		"config_stale": func(r *rig) { r.view.SetStatus(confview.Isolated, false) },
+	} {
+		for path, body := range map[string]string{"/siren/sound": "{}", "/v1/chat/completions": chat("a", false)} {
+			bubble(t, engines.Config{}, func(c *gateway.Config) { c.Admission = wait }, func(r *rig) {
+				time.AfterFunc(time.Second, func() { change(r) })
+				a := r.call("POST", path, body, bearer)
+				if e := a.refusal().Error; e.Reason != reason || (e.Run == "not_run") != (reason != "") {
+					t.Errorf("%q, %s: %+v", reason, path, a)
+				}
+				if sent, _ := r.texts(); (sent == "") != (reason != "") {
+					t.Errorf("%q, %s: a target received %q", reason, path, sent)
+				}
+			})
+		}
+	}
+}
+
 // Guards against wrong refunds: the usage that the engine reported reaches admission, and unknown usage is
 // told from none.
 func TestOutcomeReportsUsage(t *testing.T) {
