Bound the request bodies of all callers together

Cause: with 20,000 connections and 8 MB for each body, slow callers could have had 160 GB of unfinished requests in memory.

Change: the server counts the bytes read for requests that have not ended. Above limits.max_buffered (512 MB) requests of more than 64 KB are refused queue_full, not_run; smaller ones go on.

Conclusion: the memory for requests has a bound that depends on no caller.

--- a/cmd/cuminhook-gateway/settings.go
+++ b/cmd/cuminhook-gateway/settings.go
@@ -35,6 +35,9 @@
 			return fmt.Errorf("limits.%s: %d is not positive; leave it out for the default", key, n)
 		}
 	}
+	if l.MaxBuffered < int64(l.MaxBody) {
+		return fmt.Errorf("limits.max_buffered: %d is below limits.max_body %d; no body of that size would be accepted", l.MaxBuffered, l.MaxBody)
+	}
 	durations := map[string]time.Duration{
 		"limits.read_timeout": l.ReadTimeout, "limits.write_timeout": l.WriteTimeout, "limits.idle_timeout": l.IdleTimeout,
 		"stop_limit": c.StopLimit,
--- a/cmd/cuminhook-gateway/settings_test.go
+++ b/cmd/cuminhook-gateway/settings_test.go
@@ -31,7 +31,7 @@
 		t.Errorf("printed settings: %v\n%s", err, text)
 	}
 	for _, wrong := range []string{
-		"limits: {max_body: 0}", "limits: {read_timeout: 0s}", "limits: {max_conns_per_ip: -1}", "stop_delay: -1s", "listen: here", "lisen: 127.0.0.1:1",
+		"limits: {max_body: 0}", "limits: {max_buffered: 1}", "limits: {read_timeout: 0s}", "limits: {max_conns_per_ip: -1}", "stop_delay: -1s", "listen: here", "lisen: 127.0.0.1:1",
 	} {
 		cfg := defaults()
 		body := minimal
--- a/lib/gateway/gateway.go
+++ b/lib/gateway/gateway.go
@@ -24,6 +24,7 @@
 // Limits bound what callers may use.
 type Limits struct {
 	MaxBody       int           `yaml:"max_body"`         // bytes
+	MaxBuffered   int64         `yaml:"max_buffered"`     // bytes of all requests in memory together
 	MaxHeader     int           `yaml:"max_header"`       // bytes, request line included
 	MaxConns      int           `yaml:"max_conns"`        // callers' connections
 	MaxConnsPerIP int           `yaml:"max_conns_per_ip"` // zero: unlimited, as behind a load balancer
@@ -36,7 +37,7 @@
 // connections live longer than those of load balancers, which commonly keep them for 60 s.
 func DefaultLimits() Limits {
 	return Limits{
-		MaxBody: 8 << 20, MaxHeader: 16 << 10, MaxConns: 20_000,
+		MaxBody: 8 << 20, MaxBuffered: 512 << 20, MaxHeader: 16 << 10, MaxConns: 20_000,
 		ReadTimeout: 10 * time.Second, WriteTimeout: 10 * time.Second, IdleTimeout: 75 * time.Second,
 	}
 }
@@ -90,7 +91,7 @@
 	h = requestid.New(h, requestid.Config{})
 	l := cfg.Limits
 	server := pipeline.NewServer(pipeline.ServerConfig{
-		First: h, MaxBody: l.MaxBody, MaxHeader: l.MaxHeader, ReadTimeout: l.ReadTimeout, WriteTimeout: l.WriteTimeout,
+		First: h, MaxBody: l.MaxBody, MaxBuffered: l.MaxBuffered, MaxHeader: l.MaxHeader, ReadTimeout: l.ReadTimeout, WriteTimeout: l.WriteTimeout,
 		IdleTimeout: l.IdleTimeout, MaxConns: l.MaxConns, MaxConnsPerIP: l.MaxConnsPerIP, Log: cfg.Log, Set: cfg.Set,
 	})
 	return &Gateway{server: server, dispatch: last}
--- a/lib/pipeline/conn.go
+++ b/lib/pipeline/conn.go
@@ -5,6 +5,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -12,8 +13,10 @@
 // byte ahead in the background; the next Read stops that and returns the byte.
 type watchedConn struct {
 	net.Conn
-	onClose func()
-	closed  sync.Once
+	s      *Server
+	ip     string
+	closed sync.Once
+	held   atomic.Int64 // bytes read for requests that have not ended
 
 	mu       sync.Mutex
 	watching bool
@@ -26,6 +29,12 @@
 	deadline time.Time // read deadline set by the server, applied when no watch is active
 }
 
+// smallRequest is the size in bytes up to which requests are read whatever the memory in use.
+const smallRequest = 64 << 10
+
+// errBuffersFull means that the bodies of all callers together exceed the limit.
+var errBuffersFull = errors.New("pipeline: request bodies in memory exceed the limit; retry on another host")
+
 // past is a deadline that interrupts a pending read.
 var past = time.Unix(1, 0)
 
@@ -87,10 +96,27 @@
 
 // Close implements net.Conn.
 func (c *watchedConn) Close() error {
-	c.closed.Do(c.onClose)
+	c.closed.Do(func() {
+		c.s.conns.remove(c.ip)
+		c.release()
+	})
 	return c.Conn.Close()
 }
 
+// hold counts n bytes read. It returns errBuffersFull when all callers together sent too much that is still
+// in memory; small requests pass, so that they are not refused for the sake of large ones.
+func (c *watchedConn) hold(n int) error {
+	held := c.held.Add(int64(n))
+	all := c.s.buffered.Add(int64(n))
+	if limit := c.s.cfg.MaxBuffered; limit > 0 && all > limit && held > smallRequest {
+		return errBuffersFull
+	}
+	return nil
+}
+
+// release is called when a request ended and when the connection is closed.
+func (c *watchedConn) release() { c.s.buffered.Add(-c.held.Swap(0)) }
+
 // Read implements net.Conn.
 func (c *watchedConn) Read(p []byte) (int, error) {
 	c.Unwatch()
@@ -105,7 +131,11 @@
 	if err != nil {
 		return 0, err
 	}
-	return c.Conn.Read(p)
+	n, err := c.Conn.Read(p)
+	if full := c.hold(n); full != nil {
+		return 0, full
+	}
+	return n, err
 }
 
 // SetReadDeadline implements net.Conn.
--- a/lib/pipeline/listener.go
+++ b/lib/pipeline/listener.go
@@ -48,7 +48,7 @@
 		if err := tcpopt.Set(conn, callerOptions); err != nil {
 			l.s.cfg.Log.Warn("TCP options not set", "error", err)
 		}
-		return &watchedConn{Conn: conn, onClose: func() { l.s.conns.remove(ip) }}, nil
+		return &watchedConn{Conn: conn, s: l.s, ip: ip}, nil
 	}
 }
 
--- a/lib/pipeline/server.go
+++ b/lib/pipeline/server.go
@@ -25,6 +25,7 @@
 type ServerConfig struct {
 	First         Handler
 	MaxBody       int           // bytes
+	MaxBuffered   int64         // bytes of all requests in memory together; zero: unlimited
 	MaxHeader     int           // bytes, request line included
 	ReadTimeout   time.Duration // whole request
 	WriteTimeout  time.Duration // whole answer; streams set a deadline for each write
@@ -42,6 +43,7 @@
 	conns connCount
 	// rejecting counts connections above the limits that are being answered.
 	rejecting atomic.Int64
+	buffered  atomic.Int64 // bytes read for requests that have not ended
 	stopping  atomic.Bool
 }
 
@@ -103,6 +105,7 @@
 	conn, watched := h.Conn().(*watchedConn)
 	if watched {
 		conn.Watch(func() { cancel(ErrCallerGone) })
+		ex.OnFinish(func(Outcome) { conn.release() })
 	}
 	ex.OnFinish(func(Outcome) { cancel(nil) })
 	err := s.serve(ctx, ex)
@@ -166,6 +169,9 @@
 		r.Reason, r.Status = refusal.BodyTooLarge, fasthttp.StatusRequestEntityTooLarge
 		r.Message = fmt.Sprintf("the body exceeds %d bytes", s.cfg.MaxBody)
 		r.Remedy = "send a shorter body"
+	case errors.Is(err, errBuffersFull):
+		r.Reason, r.Status, r.RetryAfter = refusal.QueueFull, fasthttp.StatusServiceUnavailable, time.Second
+		r.Message, r.Remedy = "too many large requests are in memory", "retry after a short delay"
 	case errors.As(err, &small):
 		r.Status = fasthttp.StatusRequestHeaderFieldsTooLarge
 		r.Message = fmt.Sprintf("the request line and header exceed %d bytes", s.cfg.MaxHeader)
--- a/test/datapath/limits_test.go
+++ b/test/datapath/limits_test.go
@@ -113,3 +113,41 @@
 		})
 	}
 }
+
+// Guards against slow callers that fill the memory together with bodies below the limit for each. Small
+// requests go on, and memory is free again once the large ones have ended.
+func TestBodiesOfAllCallersAreBounded(t *testing.T) {
+	limit := func(c *gateway.Config) { c.Limits.MaxBuffered = 1 << 20 }
+	bubble(t, engines.Config{}, limit, func(r *rig) {
+		large := strings.Repeat("a", 500_000)
+		call := func() answer { return r.call("POST", "/open/a", large) }
+		if a := call(); a.status != 200 {
+			t.Errorf("alone: %+v", a)
+		}
+		var slow []net.Conn
+		for range 2 {
+			c, err := r.ln["gw"].Dial()
+			if err != nil {
+				t.Fatal(err)
+			}
+			fmt.Fprintf(c, "POST /open/a HTTP/1.1\r\nHost: a\r\nContent-Length: 500001\r\n\r\n%s", large)
+			slow = append(slow, c)
+		}
+		time.Sleep(time.Second) // virtual
+		if a := call(); a.status != 503 || a.refusal().Error.Reason != "queue_full" || a.refusal().Error.Run != "not_run" {
+			t.Errorf("beside two slow callers: status %d, %s", a.status, a.body)
+		}
+		if a := r.call("POST", "/open/a", large[:1000]); a.status != 200 {
+			t.Errorf("small: %+v", a)
+		}
+		fmt.Fprint(slow[0], "a")
+		_ = slow[1].Close()
+		time.Sleep(time.Second)
+		for range 5 {
+			if a := call(); a.status != 200 {
+				t.Errorf("afterwards: status %d, %s", a.status, a.body)
+			}
+		}
+		_ = slow[0].Close()
+	})
+}
