Reuse engine connections after streams

Cause: the end of an exchange ended its context, which closed the connection of a finished stream before it was returned to the pool. Each stream dialled anew.

Change: a finished stream is closed before the exchange ends; the rest of its body is awaited without holding up the caller.

Conclusion: streams share connections like whole answers; broken ones still never do.

--- a/lib/engine/httpengine/stream.go
+++ b/lib/engine/httpengine/stream.go
@@ -133,9 +133,14 @@
 	if r.stop != nil {
 		r.stop()
 	}
-	r.conn.Release(r.ended && r.bodyEnded())
-	fasthttp.ReleaseResponse(r.resp)
-	if r.ended || r.broken != nil {
+	if r.ended {
+		// The end of the body is often a packet of its own, for which nobody should wait.
+		r.conn.Detach()
+		go r.release()
+		return nil
+	}
+	r.release()
+	if r.broken != nil {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
@@ -143,6 +148,11 @@
 	return r.client.Cancel(ctx, r.addr, r.id)
 }
 
+func (r *reader) release() {
+	r.conn.Release(r.ended && r.bodyEnded())
+	fasthttp.ReleaseResponse(r.resp)
+}
+
 func (r *reader) bodyEnded() bool {
 	if err := r.conn.SetReadDeadline(time.Now().Add(trailerWait)); err != nil {
 		return false
--- a/lib/filter/dispatch/relay.go
+++ b/lib/filter/dispatch/relay.go
@@ -166,7 +166,10 @@
 		out.Reason, out.Run, out.Status = refusal.CallerGone, refusal.Unknown, statusCallerGone
 	}
 	r.release(result)
-	// The end of a finished body may take a moment to arrive, which must not delay the caller.
-	go func() { _ = r.reader.Close() }()
+	if r.ended {
+		_ = r.reader.Close() // before Finish, which ends the context and with it the connection
+	} else {
+		go func() { _ = r.reader.Close() }() // waits for the engine to cancel the work
+	}
 	r.ex.Finish(out)
 }
--- a/lib/httpconn/httpconn.go
+++ b/lib/httpconn/httpconn.go
@@ -57,7 +57,8 @@
 	bw      *bufio.Writer
 	written int64 // bytes of the present request
 	lastUse time.Time
-	stop    func() bool // detaches the context of the present request
+	stop    func() bool // detaches the context of the present request; nil once it was called
+	intact  bool        // the context did not close the connection before it was detached
 }
 
 // Get returns a connection to addr; fresh demands one dialled for this call. Errors wrap ErrNotSent. The
@@ -77,6 +78,7 @@
 		}
 	}
 	c.written = 0
+	c.intact = true
 	c.stop = context.AfterFunc(ctx, func() { _ = c.Conn.Close() })
 	return c, nil
 }
@@ -200,11 +202,20 @@
 	return nil
 }
 
+// Detach keeps the end of the context from closing the connection any more. It is for the rest of an answer
+// that ended properly.
+func (c *Conn) Detach() {
+	if c.stop != nil {
+		c.intact = c.stop()
+		c.stop = nil
+	}
+}
+
 // Release gives the connection back. reuse states that the answer ended properly; any other connection
 // is closed, as a late answer could otherwise reach another request.
 func (c *Conn) Release(reuse bool) {
-	detached := c.stop()
-	if !reuse || !detached || c.br.Buffered() > 0 {
+	c.Detach()
+	if !reuse || !c.intact || c.br.Buffered() > 0 {
 		_ = c.Conn.Close()
 		return
 	}
--- a/test/datapath/outcome_test.go
+++ b/test/datapath/outcome_test.go
@@ -176,3 +176,37 @@
 		plain.Close()
 	})
 }
+
+// Guards against a new connection for each stream. Streams that broke are not followed on their connection:
+// that is the control.
+func TestStreamsReuseConnections(t *testing.T) {
+	for _, broken := range []bool{false, true} {
+		var dials atomic.Int64
+		var r *rig
+		dial := func(ctx context.Context, addr string) (net.Conn, error) {
+			dials.Add(1)
+			return r.dial(ctx, addr)
+		}
+		change := func(c *gateway.Config) { c.Engine, c.NoResume = httpengine.New(httpengine.Config{Dial: dial}), true }
+		bubble(t, engines.Config{Decode: 50}, change, func(rig *rig) {
+			r = rig
+			snap := snapshot(state())
+			snap.Placement.Targets = snap.Placement.Targets[:1]
+			r.view.Set(snap)
+			if broken {
+				r.engines[0].SetFaults(engines.Faults{DieAfter: 9, DieAtEvent: 3})
+			}
+			for range 5 {
+				r.call("POST", "/v1/chat/completions", chat("a", true), bearer)
+				time.Sleep(time.Second) // virtual
+			}
+			want := int64(1)
+			if broken {
+				want = 10 // each has a connection of its own and one for the cancellation
+			}
+			if n := dials.Load(); n != want {
+				t.Errorf("broken %t: %d connections for 5 streams, want %d", broken, n, want)
+			}
+		})
+	}
+}
