--- a/lib/filter/dispatch/eject_test.go
+++ b/lib/filter/dispatch/eject_test.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// Guards against a failing target that keeps getting work, one that gets a crowd at once when it is
+// Guards against a failing target that keeps getting work, one that gets many requests at once when it is
 // readmitted, and one that stays out because its trial is a long stream.
 func TestEjection(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/lib/standin/engine/engine_test.go
+++ b/lib/standin/engine/engine_test.go
@@ -10,7 +10,7 @@
 	"cuminhook.org/cuminhook/lib/prompt"
 )
 
-// Guards against a stand-in that is kinder than an engine: one that carries out fenced orders, takes more
+// Guards against a stand-in that is more permissive than an engine: one that carries out fenced orders, takes more
 // than its memory, or counts a model as loaded before its load time.
 func TestOrders(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
