Describe tickets for operators, and read bodies in parallel

Cause: there was no page on the ticket format, and a host that starts from the key-value service read about a thousand bodies one after the other. Conclusion: none on speed, which was not measured.

--- a/lib/manifest/compact.go
+++ b/lib/manifest/compact.go
@@ -104,7 +104,7 @@
 	for i := range cur.Manifest.Snapshot.Parts {
 		keys = append(keys, SnapshotKey(cur.Manifest.Snapshot, i))
 	}
-	l := loader{reader: w.reader, src: boundedSource{w}, fetched: map[string][]byte{}}
+	l := loader{reader: w.reader, src: StoreSource{w.store}, fetched: map[string][]byte{}}
 	replaced := cur.Manifest.Chunks[:max(len(cur.Manifest.Chunks)-1, 0)]
 	for _, c := range replaced {
 		key := ChunkKey(c)
@@ -199,7 +199,7 @@
 }
 
 func (w *Writer) delete(ctx context.Context, key string) error {
-	e, err := w.get(ctx, key)
+	e, err := get(ctx, w.store, key)
 	if errors.Is(err, kv.ErrNotFound) {
 		return nil
 	}
--- a/lib/manifest/reader.go
+++ b/lib/manifest/reader.go
@@ -8,6 +8,8 @@
 	"slices"
 	"sync"
 
+	"golang.org/x/sync/errgroup"
+
 	"cuminhook.org/cuminhook/lib/kv"
 	"cuminhook.org/cuminhook/lib/ticket"
 )
@@ -36,12 +38,15 @@
 	State(ctx context.Context) (seq int64, encoded []byte, err error)
 }
 
-// StoreSource is the key-value service as a source.
+// StoreSource is the key-value service as a source. Each of its calls has a deadline of callTimeout.
 type StoreSource struct{ Store kv.Store }
 
+// parallelGets bounds the reads that one load has in flight; a host that starts reads up to about 1,100 bodies.
+const parallelGets = 8
+
 // Manifest implements Source.
 func (s StoreSource) Manifest(ctx context.Context) ([]byte, error) {
-	e, err := s.Store.Get(ctx, Key)
+	e, err := get(ctx, s.Store, Key)
 	if errors.Is(err, kv.ErrNotFound) {
 		return nil, ErrNoManifest
 	}
@@ -50,20 +55,37 @@
 
 // Objects implements Source.
 func (s StoreSource) Objects(ctx context.Context, keys []string) (map[string][]byte, error) {
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(parallelGets)
+	values, found := make([][]byte, len(keys)), make([]bool, len(keys))
+	for i, key := range keys {
+		group.Go(func() error {
+			e, err := get(ctx, s.Store, key)
+			if errors.Is(err, kv.ErrNotFound) {
+				return nil
+			}
+			values[i], found[i] = e.Value, err == nil
+			return err
+		})
+	}
+	if err := group.Wait(); err != nil {
+		return nil, err
+	}
 	out := make(map[string][]byte, len(keys))
-	for _, key := range keys {
-		e, err := s.Store.Get(ctx, key)
-		if errors.Is(err, kv.ErrNotFound) {
-			continue
-		}
-		if err != nil {
-			return nil, err
+	for i, key := range keys {
+		if found[i] {
+			out[key] = values[i]
 		}
-		out[key] = e.Value
 	}
 	return out, nil
 }
 
+func get(ctx context.Context, store kv.Store, key string) (kv.Entry, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return store.Get(ctx, key)
+}
+
 // Loaded is a manifest with the state that it stands for. It is immutable.
 type Loaded struct {
 	Manifest *Manifest
--- a/lib/manifest/writer.go
+++ b/lib/manifest/writer.go
@@ -282,7 +282,7 @@
 	switch {
 	case err == nil:
 		// The next write starts from here. An error shows again then.
-		_, _ = w.reader.LoadRaw(ctx, raw, boundedSource{w})
+		_, _ = w.reader.LoadRaw(ctx, raw, StoreSource{w.store})
 		return next, nil
 	case errors.Is(err, kv.ErrUnknown):
 		p.pending, p.version, p.raw = true, version, raw
@@ -296,7 +296,7 @@
 func (w *Writer) read(ctx context.Context) (*Loaded, kv.Version, error) {
 	ctx, cancel := context.WithTimeout(ctx, silenceTimeout)
 	defer cancel()
-	e, err := w.get(ctx, Key)
+	e, err := get(ctx, w.store, Key)
 	if errors.Is(err, kv.ErrNotFound) {
 		if w.reader.Newest() != nil || w.known() > 0 {
 			return nil, 0, errVanished
@@ -306,7 +306,7 @@
 	if err != nil {
 		return nil, 0, retry(err)
 	}
-	cur, err := w.reader.LoadRaw(ctx, e.Value, boundedSource{w})
+	cur, err := w.reader.LoadRaw(ctx, e.Value, StoreSource{w.store})
 	if err != nil {
 		return nil, 0, retry(err)
 	}
@@ -323,36 +323,6 @@
 	return w.config.Known()
 }
 
-// boundedSource reads objects with one deadline per call.
-type boundedSource struct{ w *Writer }
-
-// Manifest implements Source.
-func (s boundedSource) Manifest(ctx context.Context) ([]byte, error) {
-	return StoreSource{s.w.store}.Manifest(ctx)
-}
-
-// Objects implements Source.
-func (s boundedSource) Objects(ctx context.Context, keys []string) (map[string][]byte, error) {
-	out := make(map[string][]byte, len(keys))
-	for _, key := range keys {
-		e, err := s.w.get(ctx, key)
-		if errors.Is(err, kv.ErrNotFound) {
-			continue
-		}
-		if err != nil {
-			return nil, err
-		}
-		out[key] = e.Value
-	}
-	return out, nil
-}
-
-func (w *Writer) get(ctx context.Context, key string) (kv.Entry, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	return w.store.Get(ctx, key)
-}
-
 // create stores an object under its content hash; that it exists already is success.
 func (w *Writer) create(ctx context.Context, key string, value []byte) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
--- a/lib/ticket/ticket_test.go
+++ b/lib/ticket/ticket_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"os"
 	"reflect"
 	"strings"
 	"testing"
@@ -117,3 +118,21 @@
 	}
 	return b.String()
 }
+
+// Guards against an example in the operators' page that is refused.
+func TestExampleInDocs(t *testing.T) {
+	page, err := os.ReadFile("../../docs/tickets.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, text, _ := strings.Cut(string(page), "```yaml\n")
+	text, _, _ = strings.Cut(text, "```")
+	example := mustParse(t, text)
+	if len(example.Routes) != 1 {
+		t.Fatal("the example lacks kinds of objects")
+	}
+	example.Delete = nil // its object does not exist in an empty state
+	if _, err := Empty().Apply(example); err != nil {
+		t.Fatal(err)
+	}
+}
