Show listed gateways that were never heard of as silent

Cause: the demo printed "in force everywhere: true" for ticket 1 while the gateway entry-3 had not joined yet: coverage counted known members only. Change: the gateways of the platform's host list that are not members and not leaving are added as silent. Conclusion: a gateway that is cut off from its start can no longer be missed.

--- a/lib/adminapi/adminapi.go
+++ b/lib/adminapi/adminapi.go
@@ -16,6 +16,7 @@
 	"github.com/valyala/fasthttp"
 
 	"cuminhook.org/cuminhook/lib/confview"
+	"cuminhook.org/cuminhook/lib/hostlist"
 	"cuminhook.org/cuminhook/lib/manifest"
 	"cuminhook.org/cuminhook/lib/refusal"
 	"cuminhook.org/cuminhook/lib/ticket"
@@ -82,7 +83,7 @@
 const (
 	HasYes    Has = "yes"
 	HasNo     Has = "no"
-	HasSilent Has = "silent" // not heard of for 3 s
+	HasSilent Has = "silent" // not heard of for 3 s, or never
 )
 
 // Member is a host with what is known of it.
@@ -258,6 +259,7 @@
 	list := append(s.view.Members(), confview.Member{
 		ID: s.view.Self(), Role: "admin", Revision: s.view.Snapshot().Manifest.Revision, Status: s.view.Status(),
 	})
+	list = append(list, s.unheard(list)...)
 	out := make([]Member, 0, len(list))
 	for _, m := range list {
 		member := Member{
@@ -275,6 +277,22 @@
 	return out
 }
 
+// unheard returns the gateways of the platform's host list that this host has never heard of. Without them a
+// ticket would count as in force everywhere while a gateway is cut off or has just started.
+func (s *Server) unheard(known []confview.Member) []confview.Member {
+	var out []confview.Member
+	for _, h := range s.view.Snapshot().Hosts {
+		listed := func(m confview.Member) bool { return m.ID == h.ID }
+		if h.Role != hostlist.RoleEntry || h.Leaving || slices.ContainsFunc(known, listed) {
+			continue
+		}
+		out = append(out, confview.Member{
+			ID: h.ID, Role: "gateway", Zone: h.Zone, Addr: h.Addr, Status: confview.Starting, AgeMS: silentAfter.Milliseconds(),
+		})
+	}
+	return out
+}
+
 func has(m confview.Member, revision int64) Has {
 	switch {
 	case m.Revision >= revision:
--- a/lib/adminapi/adminapi_test.go
+++ b/lib/adminapi/adminapi_test.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"cuminhook.org/cuminhook/lib/confview"
+	"cuminhook.org/cuminhook/lib/hostlist"
 	"cuminhook.org/cuminhook/lib/kv/memkv"
 	"cuminhook.org/cuminhook/lib/manifest"
 	"cuminhook.org/cuminhook/lib/placement"
@@ -20,10 +21,11 @@
 type fakeView struct {
 	reader  *manifest.Reader
 	members []confview.Member
+	hosts   []hostlist.Host
 }
 
 func (f *fakeView) Snapshot() *confview.Snapshot {
-	s := &confview.Snapshot{Manifest: manifest.Initial(), State: ticket.Empty(), Placement: &placement.View{}}
+	s := &confview.Snapshot{Manifest: manifest.Initial(), State: ticket.Empty(), Placement: &placement.View{}, Hosts: f.hosts}
 	if l := f.reader.Newest(); l != nil {
 		s.Manifest, s.State = l.Manifest, l.State
 	}
@@ -128,3 +130,24 @@
 		t.Fatal(code, p)
 	}
 }
+
+// Guards against a ticket shown as in force everywhere while a listed gateway was never heard of.
+func TestListedHostCountsAsSilent(t *testing.T) {
+	view := &fakeView{
+		reader:  manifest.NewReader(),
+		members: []confview.Member{{ID: "entry-1", Role: "gateway", Revision: 9}},
+		hosts: []hostlist.Host{
+			{ID: "entry-1", Role: hostlist.RoleEntry}, {ID: "entry-2", Role: hostlist.RoleEntry},
+			{ID: "entry-3", Role: hostlist.RoleEntry, Leaving: true}, {ID: "engine-1", Role: hostlist.RoleEngine},
+		},
+	}
+	var silent []string
+	for _, m := range New(view, fakeWriter{}, Config{}).members(1) {
+		if m.Has == HasSilent {
+			silent = append(silent, m.ID)
+		}
+	}
+	if len(silent) != 1 || silent[0] != "entry-2" {
+		t.Errorf("silent: %v, want entry-2", silent)
+	}
+}
