Leave the queue wait out of the estimated time to the first token

Cause: the admission gate took Outcome.FirstToken, which counts from the start of the exchange, for the time since admission, and dispatch reported the time of the whole answer as its first token. A burst raised the estimate, which refused more requests than the engines' speed justifies. Ruled out: the fair queue's own estimate of requests ahead, which is exact.

--- a/lib/filter/admission/admission_test.go
+++ b/lib/filter/admission/admission_test.go
@@ -107,7 +107,7 @@
 		Kind: pipeline.KindModel, Organisation: org, BaseModel: "m", Charge: 100, Start: start, Deadline: start.Add(timeout),
 	}
 	err := f.Serve(ctx, ex)
-	out := pipeline.Outcome{Ran: err == nil, PromptTokens: 10, OutputTokens: 20, FirstToken: time.Second}
+	out := pipeline.Outcome{Ran: err == nil, PromptTokens: 10, OutputTokens: 20, FirstToken: time.Since(start)}
 	res := result{org: org, elapsed: time.Since(start), prio: ex.Priority}
 	if r, ok := refusal.As(err); ok {
 		res.reason, res.run = r.Reason, r.Run
@@ -207,6 +207,32 @@
 	})
 }
 
+// Guards against the wait in the queue counting as time that engines need, which makes every burst refuse requests
+// that could be answered, and against requests that use an engine although their first token comes too late.
+func TestEstimateLeavesOutQueueWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, _, _ := newFilter(2, 0)
+		var wg sync.WaitGroup
+		for range 40 { // the last ones wait for 19 s
+			wg.Go(func() { send(t.Context(), f, "org-0", time.Hour) })
+		}
+		wg.Wait()
+		if first := f.gate("m").first.value; first < 0.9 || first > 1.1 {
+			t.Errorf("estimated %.1f s to the first token, engines take 1 s", first)
+		}
+		for range 2 {
+			wg.Go(func() { send(t.Context(), f, "org-0", time.Hour) })
+		}
+		time.Sleep(time.Millisecond)
+		// A place is free after 1 s, and the first token would come after 2 s.
+		got := send(t.Context(), f, "org-0", 1800*time.Millisecond)
+		if got.reason != refusal.DeadlineUnreachable || got.run != refusal.NotRun {
+			t.Errorf("%+v", got)
+		}
+		wg.Wait()
+	})
+}
+
 // Guards the bound of the queue: the organisation with the longest backlog makes room.
 func TestFullQueueDropsLongestBacklog(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/lib/filter/admission/gate.go
+++ b/lib/filter/admission/gate.go
@@ -162,8 +162,9 @@
 		g.subtract(org, tokens)
 		if out.Ran {
 			g.hold.add(end.Sub(now).Seconds())
-			if out.FirstToken > 0 {
-				g.first.add(out.FirstToken.Seconds())
+			// The wait at this gate is not part of it: it would raise the estimate, which refuses more.
+			if first := ex.Start.Add(out.FirstToken).Sub(now); out.FirstToken > 0 && first > 0 {
+				g.first.add(first.Seconds())
 			}
 		}
 		g.pump(end)
@@ -194,6 +195,10 @@
 		if e == nil {
 			break
 		}
+		if g.late(now, e.Deadline) {
+			g.decide(e.Value.(*waiter), unreachable("it waited too long for the model"))
+			continue
+		}
 		g.outstanding++
 		g.decide(e.Value.(*waiter), nil)
 	}
@@ -201,6 +206,15 @@
 	g.arm(now)
 }
 
+// late reports whether a request admitted now would very likely miss its deadline. Under overload, requests that use
+// an engine and still miss leave less for the others. Callers hold g.mu.
+func (g *gate) late(now time.Time, deadline int64) bool {
+	if deadline == math.MaxInt64 || g.first.n < minSamples {
+		return false
+	}
+	return now.Add(time.Duration(g.first.value*float64(time.Second))).UnixNano() > deadline
+}
+
 // arm sets the timer for the earliest deadline, and for a change of the limit. Callers hold g.mu.
 func (g *gate) arm(now time.Time) {
 	deadline, ok := g.queue.NextDeadline()
--- a/lib/filter/dispatch/model.go
+++ b/lib/filter/dispatch/model.go
@@ -123,8 +123,7 @@
 	ex.HTTP.SetContentType("application/json")
 	ex.HTTP.Response.SetBodyRaw(body)
 	ex.Finish(pipeline.Outcome{
-		Status: status, Complete: true, Ran: true, PromptTokens: prompt, OutputTokens: output,
-		FirstToken: time.Since(ex.Start), Body: body,
+		Status: status, Complete: true, Ran: true, PromptTokens: prompt, OutputTokens: output, Body: body,
 	})
 }
 
--- a/lib/pipeline/pipeline.go
+++ b/lib/pipeline/pipeline.go
@@ -86,7 +86,7 @@
 	Ran          bool             // a target ran the request, or may have
 	PromptTokens int64            // as reported by the target; -1 if unknown
 	OutputTokens int64            // -1 if unknown
-	FirstToken   time.Duration
+	FirstToken   time.Duration    // since Exchange.Start; zero if unknown, as for whole answers
 	Body         []byte // whole answer for idempotency records; nil for streams
 }
 
