Keep the history of slot owners in the table that the controller writes

Cause: the controller built slot tables without the version from which each owner has its slot, so that a host that missed a version treated slots which it had kept as taken over by others and asked for their records again. Change: the controller uses SlotTable.Next. Figures: package tests pass; the loss was found by reading, no run showed it. Conclusion: Kept now has its data.

--- a/lib/controller/keep.go
+++ b/lib/controller/keep.go
@@ -98,7 +98,7 @@
 		}
 		r := manifest.Restriction{Base: m.Revision, SlotsLost: lost(m.Slots.Owners, next.owners)}
 		if !slices.Equal(m.Slots.Owners, next.owners) {
-			m.Slots = manifest.SlotTable{Version: m.Slots.Version + 1, Owners: next.owners}
+			m.Slots = m.Slots.Next(next.owners)
 		}
 		if slices.Equal(m.Witnesses, base) {
 			m.Witnesses = wanted
