Judge deadlines with caution only while first tokens come late

Cause: the fixed rule (3 x estimated wait + 150 ms) refused requests inside the rate at 0.7 and 0.9 load that could have been answered. Change: router.Caution applies it only while more than 5% of recent first tokens were late; the replay and the admission gate share it. The planner's gain threshold rises from 0.2 to 0.5.

--- a/lib/adminapi/adminapi_test.go
+++ b/lib/adminapi/adminapi_test.go
@@ -137,8 +137,10 @@
 		reader:  manifest.NewReader(),
 		members: []confview.Member{{ID: "entry-1", Role: "gateway", Revision: 9}},
 		hosts: []hostlist.Host{
-			{ID: "entry-1", Role: hostlist.RoleEntry}, {ID: "entry-2", Role: hostlist.RoleEntry},
-			{ID: "entry-3", Role: hostlist.RoleEntry, Leaving: true}, {ID: "engine-1", Role: hostlist.RoleEngine},
+			{ID: "entry-1", Role: hostlist.RoleEntry},
+			{ID: "entry-2", Role: hostlist.RoleEntry},
+			{ID: "entry-3", Role: hostlist.RoleEntry, Leaving: true},
+			{ID: "engine-1", Role: hostlist.RoleEngine},
 		},
 	}
 	var silent []string
--- a/lib/filter/admission/gate.go
+++ b/lib/filter/admission/gate.go
@@ -9,6 +9,7 @@
 
 	"cuminhook.org/cuminhook/lib/fairqueue"
 	"cuminhook.org/cuminhook/lib/pipeline"
+	"cuminhook.org/cuminhook/lib/router"
 )
 
 const (
@@ -34,7 +35,8 @@
 	tokens      map[string]int64 // waiting and outstanding, by organisation
 	hold        average          // seconds a request occupies its place
 	first       average          // seconds from admission to the first token
-	timer       *time.Timer      // expires waiting requests
+	caution     router.Caution
+	timer       *time.Timer // expires waiting requests
 }
 
 type average struct {
@@ -165,6 +167,7 @@
 			// The wait at this gate is not part of it: it would raise the estimate, which refuses more.
 			if first := ex.Start.Add(out.FirstToken).Sub(now); out.FirstToken > 0 && first > 0 {
 				g.first.add(first.Seconds())
+				g.caution.Observe(!ex.Deadline.IsZero() && ex.Start.Add(out.FirstToken).After(ex.Deadline))
 			}
 		}
 		g.pump(end)
@@ -212,7 +215,8 @@
 	if deadline == math.MaxInt64 || g.first.n < minSamples {
 		return false
 	}
-	return now.Add(time.Duration(g.first.value*float64(time.Second))).UnixNano() > deadline
+	wait := g.caution.Judge(time.Duration(g.first.value * float64(time.Second)))
+	return now.Add(wait).UnixNano() > deadline
 }
 
 // arm sets the timer for the earliest deadline, and for a change of the limit. Callers hold g.mu.
--- a/lib/pipeline/pipeline.go
+++ b/lib/pipeline/pipeline.go
@@ -87,7 +87,7 @@
 	PromptTokens int64            // as reported by the target; -1 if unknown
 	OutputTokens int64            // -1 if unknown
 	FirstToken   time.Duration    // since Exchange.Start; zero if unknown, as for whole answers
-	Body         []byte // whole answer for idempotency records; nil for streams
+	Body         []byte           // whole answer for idempotency records; nil for streams
 }
 
 // OnFinish registers fn to run once when the exchange ends. The functions run in reverse order.
--- a/lib/placement/planner.go
+++ b/lib/placement/planner.go
@@ -28,7 +28,7 @@
 // second after it.
 func DefaultConfig() Config {
 	return Config{
-		High: 0.7, Low: 0.45, Gain: 0.2, Rising: 1.5, QueueDrain: 5 * time.Second, MinResidence: 30 * time.Second,
+		High: 0.7, Low: 0.45, Gain: 0.5, Rising: 1.5, QueueDrain: 5 * time.Second, MinResidence: 30 * time.Second,
 		AdapterIdle: 0.01, PrefillRate: 8000, DecodeRate: 2000, QueuedPrompt: 500, QueuedOutput: 200,
 		SpareInFlight: 1,
 	}
--- a/lib/replay/attempt.go
+++ b/lib/replay/attempt.go
@@ -61,6 +61,7 @@
 
 func (a *attempt) firstToken() {
 	a.c.first = a.h.s.clk.now
+	a.h.caution.Observe(a.c.first > a.c.deadline)
 	a.started()
 	if a.h.s.policy.routing == routeCentral {
 		a.h.s.central.pump()
--- a/lib/replay/host.go
+++ b/lib/replay/host.go
@@ -43,6 +43,7 @@
 	turn    int
 	own     map[*fakeEngine]int
 	nextRR  map[string]int
+	caution router.Caution
 }
 
 func newEntryHost(s *sim, i int) *entryHost {
@@ -261,7 +262,7 @@
 		return false
 	}
 	c := q.Pop().Value.(*call)
-	if wait, ok := h.router.Wait(now, &c.route); ok && h.s.clk.now+wait*3+150*time.Millisecond > c.deadline {
+	if wait, ok := h.router.Wait(now, &c.route); ok && h.s.clk.now+h.caution.Judge(wait) > c.deadline {
 		h.giveUp(c, refusal.DeadlineUnreachable)
 		return true
 	}
--- a/lib/router/router_test.go
+++ b/lib/router/router_test.go
@@ -164,6 +164,27 @@
 	}
 }
 
+// Guards against an overload in which requests that miss their deadline use up the targets, and against caution
+// that outlasts it.
+func TestCautionFollowsLateFirstTokens(t *testing.T) {
+	var c Caution
+	if got := c.Judge(time.Second); got != time.Second {
+		t.Errorf("judged by %v without any late first token", got)
+	}
+	for range 3 {
+		c.Observe(true)
+	}
+	if got := c.Judge(time.Second); got <= 2*time.Second {
+		t.Errorf("judged by %v after late first tokens", got)
+	}
+	for range 100 {
+		c.Observe(false)
+	}
+	if got := c.Judge(time.Second); got != time.Second {
+		t.Errorf("judged by %v after the overload", got)
+	}
+}
+
 // Guards against allocation on the routing path.
 func TestPickDoesNotAllocate(t *testing.T) {
 	r := newRouter(200, 30, 20)
