Estimate the utilisation of targets without a bias

Cause: the rounds that spread a model's work over its copies started from zero and were damped, so every utilisation came out an eighth too low, and the thresholds did not mean what they say.

Change: the first round is not damped; High and Gain are raised to what they amounted to before.

--- a/lib/placement/planner.go
+++ b/lib/placement/planner.go
@@ -28,7 +28,7 @@
 // second after it.
 func DefaultConfig() Config {
 	return Config{
-		High: 0.7, Low: 0.45, Gain: 0.2, Rising: 1.5, QueueDrain: 5 * time.Second, MinResidence: 30 * time.Second,
+		High: 0.8, Low: 0.45, Gain: 0.23, Rising: 1.5, QueueDrain: 5 * time.Second, MinResidence: 30 * time.Second,
 		AdapterIdle: 0.01, PrefillRate: 8000, DecodeRate: 2000, QueuedPrompt: 500, QueuedOutput: 200,
 		SpareInFlight: 1,
 	}
@@ -253,7 +253,7 @@
 
 func (w *world) share() {
 	loads := make(map[*target]float64, len(w.targets))
-	for range 3 {
+	for round := range 3 {
 		for _, m := range w.models {
 			sum := 0.0
 			for _, h := range m.copies {
@@ -264,7 +264,11 @@
 			}
 		}
 		for _, t := range w.targets {
-			t.load = (t.load + loads[t]) / 2
+			if round == 0 {
+				t.load = loads[t]
+			} else {
+				t.load = (t.load + loads[t]) / 2
+			}
 		}
 		clear(loads)
 	}
