--- a/lib/controller/bench_test.go
+++ b/lib/controller/bench_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"log/slog"
 	"runtime"
 	"sync"
@@ -81,7 +80,7 @@
 		s.reports[h.Addr] = r
 	}
 	c := New(Config{Cell: testCell, Limits: weights.Limits{LoadsPerSecond: 2, FullSpeedLoads: 3, AdapterLoadsAtSpeed: 25}}, Deps{
-		KV: s, View: s, Engines: s, Lease: s, Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
+		KV: s, View: s, Engines: s, Lease: s, Log: slog.New(slog.DiscardHandler),
 	})
 	tm := &term{
 		Controller: c, epoch: 1, begun: time.Now(), store: ledger.NewStore(s, testCell), planner: c.deps.NewPlanner(),
--- a/lib/controller/fakes_test.go
+++ b/lib/controller/fakes_test.go
@@ -6,7 +6,6 @@
 	"errors"
 	"flag"
 	"fmt"
-	"io"
 	"log/slog"
 	"math/rand/v2"
 	"os"
@@ -154,7 +153,7 @@
 	p := &process{w: w, cancel: cancel}
 	p.c = New(Config{Cell: testCell, Limits: weights.Limits{LoadsPerSecond: 2, FullSpeedLoads: 3, AdapterLoadsAtSpeed: 25}, ReportsPerSecond: w.reports}, Deps{
 		KV: (*procKV)(p), View: (*procView)(p), Engines: (*procEngines)(p), Lease: (*procLease)(p), NewPlanner: planner,
-		Log: slog.New(slog.NewTextHandler(logOutput(), nil)),
+		Log: slog.New(slog.DiscardHandler),
 	})
 	w.mu.Lock()
 	w.procs = append(w.procs, p)
@@ -163,13 +162,6 @@
 	return p
 }
 
-func logOutput() io.Writer {
-	if os.Getenv("CUMINHOOK_TEST_LOG") != "" {
-		return os.Stderr
-	}
-	return io.Discard
-}
-
 func (w *world) stop() {
 	w.mu.Lock()
 	procs := slices.Clone(w.procs)
