Keep orders within one start of an engine, and list loads in progress

Cause: the adapter ignored Order.Boot, so that an order of a paused controller could reach a restarted engine; the stand-in's report left out loads in progress, so that a controller that fenced during a load freed its memory. Change: the order goes out on the connection on which the engine has just reported the wanted boot id; the stand-in lists loads from their acceptance, carries out an order id once and keeps 64 ids in its report. Adds the stand-in of the weight store as a subcommand. Figures: the new case "other start" and the new test fail without the change (order carried out; no resident in the report) and pass with it. Conclusion: the contract that the ledger assumes now holds for the adapter.

--- a/cmd/cuminhook-standin/main.go
+++ b/cmd/cuminhook-standin/main.go
@@ -19,6 +19,7 @@
 		newEngineCommand(),
 		newKVCommand(),
 		newServiceCommand(),
+		newWeightsCommand(),
 	}
 }
 
--- a/lib/engine/httpengine/client.go
+++ b/lib/engine/httpengine/client.go
@@ -206,14 +206,27 @@
 	return err
 }
 
-// Order implements engine.Control.
+// Order implements engine.Control. The order goes out on a connection on which the engine has just reported the
+// boot id that the order is meant for, because a connection cannot outlast a start of the engine.
 func (c *Client) Order(ctx context.Context, addr string, o engine.Order) error {
 	body, err := json.Marshal(o)
 	if err != nil {
 		return err
 	}
+	conn, err := c.pool.Get(ctx, addr, true)
+	if err != nil {
+		return fmt.Errorf("%w: %w", engine.ErrNotRun, err)
+	}
+	defer conn.Release(false)
+	var report engine.Report
+	if _, err := exchange(ctx, conn, message{fasthttp.MethodGet, addr, PathReport, nil, false}, &report); err != nil {
+		return fmt.Errorf("%w: no report of %s before the order: %w", engine.ErrNotRun, addr, err)
+	}
+	if o.Boot != "" && report.Boot != o.Boot {
+		return fmt.Errorf("%w: engine at %s was restarted", engine.ErrNotRun, addr)
+	}
 	var refused Refused
-	status, err := c.call(ctx, fasthttp.MethodPost, addr, PathOrders, body, &refused)
+	status, err := exchange(ctx, conn, message{fasthttp.MethodPost, addr, PathOrders, body, true}, &refused)
 	switch {
 	case errors.Is(err, httpconn.ErrNotSent):
 		return fmt.Errorf("%w: %w", engine.ErrNotRun, err)
@@ -241,22 +254,36 @@
 
 // call sends a control request on a connection dialled for it, because a pooled one may be silent.
 func (c *Client) call(ctx context.Context, method, addr, path string, body []byte, into any) (status int, err error) {
+	conn, err := c.pool.Get(ctx, addr, true)
+	if err != nil {
+		return 0, err
+	}
+	defer conn.Release(false)
+	return exchange(ctx, conn, message{method, addr, path, body, true}, into)
+}
+
+// message is a control request. Last closes the connection after it.
+type message struct {
+	method, addr, path string
+	body               []byte
+	last               bool
+}
+
+// exchange sends a control request on conn and decodes the answer.
+func exchange(ctx context.Context, conn *httpconn.Conn, m message, into any) (status int, err error) {
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(resp)
-	req.Header.SetMethod(method)
-	req.SetRequestURI("http://" + addr + path)
-	req.SetConnectionClose()
-	if body != nil {
-		req.Header.SetContentType("application/json")
-		req.SetBodyRaw(body)
+	req.Header.SetMethod(m.method)
+	req.SetRequestURI("http://" + m.addr + m.path)
+	if m.last {
+		req.SetConnectionClose()
 	}
-	conn, err := c.pool.Get(ctx, addr, true)
-	if err != nil {
-		return 0, err
+	if m.body != nil {
+		req.Header.SetContentType("application/json")
+		req.SetBodyRaw(m.body)
 	}
-	defer conn.Release(false)
 	if err := conn.Send(req, sendTimeout); err != nil {
 		return 0, err
 	}
@@ -269,7 +296,7 @@
 	}
 	if into != nil && len(resp.Body()) > 0 {
 		if err := json.Unmarshal(resp.Body(), into); err != nil {
-			return 0, fmt.Errorf("httpengine: answer of %s to %s: %w", addr, path, err)
+			return 0, fmt.Errorf("httpengine: answer of %s to %s: %w", m.addr, m.path, err)
 		}
 	}
 	return resp.StatusCode(), nil
--- a/lib/standin/engine/engine.go
+++ b/lib/standin/engine/engine.go
@@ -7,6 +7,7 @@
 	"context"
 	"fmt"
 	"net"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -222,8 +223,11 @@
 
 var _ heap.Interface = (*runQueue)(nil)
 
-// order carries an order out.
+// orderLocked accepts an order.
 func (e *Engine) orderLocked(o engine.Order) error {
+	if o.Boot != "" && o.Boot != e.cfg.Boot {
+		return fmt.Errorf("%w: meant for another start of the engine", engine.ErrOrderRefused)
+	}
 	if e.cfg.Fences {
 		if o.Epoch < e.epoch || o.Epoch == e.epoch && o.Seq <= e.seq && o.Kind != engine.OrderFence {
 			return fmt.Errorf("%w: epoch %d sequence %d is not above %d, %d", engine.ErrFenced, o.Epoch, o.Seq, e.epoch, e.seq)
@@ -277,9 +281,8 @@
 		Done: append([]string(nil), e.done...), Load: e.loadLocked(),
 	}
 	for _, res := range e.residents {
-		if !res.loading {
-			r.Residents = append(r.Residents, res.Resident)
-		}
+		res.Loading = res.loading
+		r.Residents = append(r.Residents, res.Resident)
 	}
 	return r
 }
@@ -287,6 +290,10 @@
 // Order carries an order out and returns when it has taken effect.
 func (e *Engine) Order(o engine.Order) error {
 	e.mu.Lock()
+	if slices.Contains(e.done, o.ID) {
+		e.mu.Unlock()
+		return nil // carried out before
+	}
 	err := e.orderLocked(o)
 	e.mu.Unlock()
 	if err != nil {
@@ -303,12 +310,15 @@
 			e.residents[key] = r
 		}
 	}
-	if e.done = append(e.done, o.ID); len(e.done) > 1024 {
+	if e.done = append(e.done, o.ID); len(e.done) > keptOrders {
 		e.done = e.done[1:]
 	}
 	return nil
 }
 
+// keptOrders is the number of order ids in a report.
+const keptOrders = 64
+
 // quiet drops fasthttp's messages about injected faults.
 type quiet struct{}
 
--- a/test/datapath/control_test.go
+++ b/test/datapath/control_test.go
@@ -29,6 +29,7 @@
 		"fenced":      {order: engine.Order{Epoch: 1, Seq: 9, Bytes: 10}, want: engine.ErrFenced},
 		"repeated":    {order: engine.Order{Epoch: 2, Seq: 1, Bytes: 10}, want: engine.ErrFenced},
 		"too large":   {order: engine.Order{Epoch: 2, Seq: 2, Bytes: 101}, want: engine.ErrOrderRefused},
+		"other start": {order: engine.Order{Epoch: 2, Seq: 2, Bytes: 10, Boot: "gone"}, want: engine.ErrNotRun},
 		"unreachable": {order: engine.Order{Epoch: 2, Seq: 2, Bytes: 10}, want: engine.ErrNotRun},
 	} {
 		bubble(t, engines.Config{Capacity: 100, Fences: true}, func(*gateway.Config) {}, func(r *rig) {
@@ -59,3 +60,24 @@
 		})
 	}
 }
+
+// Guards against a report that leaves out a load in progress: a controller that fences then frees its memory.
+func TestReportListsLoadInProgress(t *testing.T) {
+	bubble(t, engines.Config{Capacity: 100, LoadRate: 10, Fences: true}, func(*gateway.Config) {}, func(r *rig) {
+		client := httpengine.New(httpengine.Config{Dial: r.dial})
+		ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+		defer cancel()
+		done := make(chan error, 1)
+		go func() {
+			done <- client.Order(ctx, "e0", engine.Order{ID: "a", Kind: engine.OrderLoadModel, Name: "m", Bytes: 60, Epoch: 1, Seq: 1})
+		}()
+		time.Sleep(time.Second) // virtual; the load takes 6 s
+		report, err := client.Report(ctx, "e0")
+		if err != nil || len(report.Residents) != 1 || !report.Residents[0].Loading {
+			t.Errorf("%+v, %v", report, err)
+		}
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+}
