--- a/lib/quota/manager_test.go
+++ b/lib/quota/manager_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"runtime"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -156,3 +157,68 @@
 		t.Errorf("spent %d, lent %d, left %v: sum %d", spent.Load(), lent.Load(), left, sum)
 	}
 }
+
+// Guards two rules that the random test reaches too rarely to depend on: a configuration generates only
+// up to the time for which it was known to be valid, and a slot that may have had another owner in a
+// table that this host missed starts anew.
+func TestGenerationFollowsKnownConfiguration(t *testing.T) {
+	now := second
+	v := &fixedView{self: "a"}
+	v.status.Store(int32(confview.Fresh))
+	orgs := []ticket.Organisation{{Name: org, Rate: 6400, Burst: 640000}}
+	owners := make([]string, manifest.SlotCount)
+	for i := range owners {
+		owners[i] = "a"
+	}
+	others := slices.Clone(owners)
+	others[0] = "b"
+	table := manifest.SlotTable{}.Next(owners)
+	install := func(rev int64, slots manifest.SlotTable) {
+		s := snapshot(rev, orgs, func(int) string { return "" })
+		s.Manifest.Slots = slots
+		v.snap.Store(s)
+	}
+	m := newManager(Config{View: v, NoLoans: true, Clock: func() int64 { return now }}, 1)
+	level := func() float64 {
+		t.Helper()
+		tab, err := m.current(now)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return tab.orgs[org].available(now)
+	}
+	install(1, table)
+	m.observe()
+	if now += StartDelay; level() != 0 {
+		t.Errorf("%v tokens at the start", level())
+	}
+	now += second
+	m.observe()
+	if level() != 6400 {
+		t.Errorf("%v tokens after a second", level())
+	}
+	// Ten seconds without confirmation, then one slot fewer: the time in between is not generated.
+	now += 10 * second
+	table = table.Next(others)
+	install(2, table)
+	if level() != 6400 {
+		t.Errorf("%v tokens after the gap", level())
+	}
+	m.observe()
+	// The slot is back, and so is another one that was away in a table between: both start after 3 s.
+	away := slices.Clone(others)
+	away[1] = "b"
+	table = table.Next(away).Next(owners)
+	install(4, table)
+	before := level()
+	now += second
+	if got := level() - before; got != 6200 {
+		t.Errorf("%v tokens in a second with 62 of 64 slots", got)
+	}
+	now += 2 * second
+	before = level()
+	now += second
+	if got := level() - before; got != 6400 {
+		t.Errorf("%v tokens in a second with all slots", got)
+	}
+}
