--- a/lib/quota/manager.go
+++ b/lib/quota/manager.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"net/http"
@@ -215,6 +216,7 @@
 		}
 		part := float64(active) / float64(manifest.SlotCount)
 		b.configure(validUntil, now, rate, burst, part)
+		b.forgetMembers(t.owners)
 		t.orgs[name] = b
 	}
 	m.table.Store(t)
@@ -275,6 +277,13 @@
 	}
 }
 
+// forgetMembers drops what members without slots last said. Host ids change with each replaced host.
+func (b *bucket) forgetMembers(owners map[string]int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	maps.DeleteFunc(b.spare, func(member string, _ estimate) bool { return owners[member] == 0 })
+}
+
 // Spend takes tokens of the organisation, with loans from other hosts if needed. It returns a refusal
 // rate_exceeded with RetryAfter, burst_too_small, or config_stale.
 func (m *Manager) Spend(ctx context.Context, organisation string, tokens int64) (Charge, error) {
