Test recency, outages, restarts and watcher death of the mesh

When both watchers of a zone died, a host of the zone was isolated once. Change: properties in virtual time with cuts, freezes, outages and restarts, each with a control that switches a rule off. A witness supports status outage only after a confirmation 2 s after its start: one confirmation is not enough when it restarts between acknowledgement and CAS. After a failed exchange a host asks other zones from an age of 700 ms on instead of 1.3 s.

--- a/lib/mesh/config.go
+++ b/lib/mesh/config.go
@@ -46,6 +46,9 @@
 	// two watchers.
 	hurryAge    = 1300 * time.Millisecond
 	hurryPeriod = 250 * time.Millisecond
+	// troubledAge replaces hurryAge after a failed exchange. Two watchers of a zone that die together leave their
+	// zone this time less than freshLimit to find others.
+	troubledAge = 700 * time.Millisecond
 
 	// liveLimit is the age of last contact up to which a member counts as live in the choice of watchers.
 	liveLimit = 5 * time.Second
--- a/lib/mesh/exchange.go
+++ b/lib/mesh/exchange.go
@@ -74,14 +74,18 @@
 	return out
 }
 
-// hurryPeers returns the peers to ask while the configuration is old: the watchers of the zone and a witness; a
-// host that polls asks all witnesses, so that it collects their evidence for its zone.
+// hurryPeers returns the peers to ask while the configuration is old: the watchers of the zone, those of another zone
+// and a witness; a host that polls asks all witnesses, so that it collects their evidence for its zone.
 func (n *Node) hurryPeers() []string {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := n.clock()
 	poller := n.polls(now)
-	if !(n.recency.revision < 0 || now-n.recency.confirmed > hurryAge || poller && n.recency.unreachable(now)) {
+	limit := hurryAge
+	if n.troubled {
+		limit = troubledAge
+	}
+	if !(n.recency.revision < 0 || now-n.recency.confirmed > limit || poller && n.recency.unreachable(now)) {
 		return nil
 	}
 	ids := n.members.watchers(n.cfg.Zone, now)
@@ -90,7 +94,10 @@
 	} else if k := len(n.recency.witnesses); k > 0 {
 		ids = append(ids, n.recency.witnesses[n.members.rand.IntN(k)])
 	}
-	ids = append(ids, n.members.partners(1, now)...)
+	for _, id := range n.members.partners(2, now, n.members.self.ID) {
+		ids = append(ids, n.members.watchers(n.members.all[id].Zone, now)...)
+		ids = append(ids, id)
+	}
 	slices.Sort(ids)
 	var addrs []string
 	for _, id := range slices.Compact(ids) {
@@ -125,6 +132,7 @@
 
 	n.mu.Lock()
 	delete(n.asking, addr)
+	n.troubled = err != nil
 	if err == nil {
 		n.merge(&reply, sent)
 	}
--- a/lib/mesh/node.go
+++ b/lib/mesh/node.go
@@ -55,6 +55,7 @@
 	subscribers map[chan struct{}]struct{}   // guarded by mu
 	conns       map[net.Conn]struct{}        // accepted connections, guarded by mu
 	announced   int64                        // announcements made by this node, guarded by mu
+	troubled    bool                         // the last exchange failed, guarded by mu
 	turn        int                          // alternates between the watchers of the zone, guarded by mu
 	background  context.Context              // of Run, guarded by mu
 	tasks       *errgroup.Group              // of Run, guarded by mu
--- a/lib/mesh/recency.go
+++ b/lib/mesh/recency.go
@@ -34,9 +34,11 @@
 	pollSent instant
 	failed   bool // the last finished poll failed
 
-	// Tests switch a rule off to show that the properties depend on it.
+	// Tests switch rules off to show that the properties depend on them.
 	ignoreAnnouncements bool
 	supportAtStart      bool
+	ignoreAge           bool
+	silent              bool // as a witness
 }
 
 func newRecency(self string, now instant) recency {
@@ -123,10 +125,10 @@
 // supports reports whether this host as a witness supports status outage. A restarted witness has lost its
 // announcements; those made before its start are settled once a confirmation is announceSettled later.
 func (r *recency) supports(now instant) bool {
-	if !slices.Contains(r.witnesses, r.self) || !r.unreachable(now) {
+	if r.silent || !slices.Contains(r.witnesses, r.self) || !r.unreachable(now) {
 		return false
 	}
-	return r.supportAtStart || r.confirmed > r.start+announceSettled
+	return r.confirmed > r.start+announceSettled || r.supportAtStart && r.confirmed >= r.start
 }
 
 // reports returns the evidence to pass along.
@@ -148,7 +150,7 @@
 	if r.revision < 0 {
 		return confview.Starting
 	}
-	if r.confirmed != never && now-r.confirmed <= freshLimit {
+	if r.confirmed != never && (now-r.confirmed <= freshLimit || r.ignoreAge) {
 		return confview.Fresh
 	}
 	if r.known > r.revision {
