Release prompts counted by the router, and tell the controller of failed targets

Change: dispatch calls Target.Started at a stream's first event and the picker at the end of every attempt; failed attempts go into the demand report. Half of a prompt counts as cached where its prefix was sent before.

--- a/cmd/cuminhook-gateway/run.go
+++ b/cmd/cuminhook-gateway/run.go
@@ -51,7 +51,7 @@
 	reports := demand.NewSender(node, node, uuid.NewString(), func() map[string]int { return queue.Queues() })
 	gw := gateway.New(gateway.Config{
 		Limits: cfg.Limits, View: node, Engine: httpengine.New(httpengine.Config{}), Services: httpservice.New(nil),
-		Picker: gateway.NewRouterPicker(node, cfg.Zone), Budget: budget, Log: log, Set: set,
+		Picker: gateway.NewRouterPicker(node, cfg.Zone, reports.Suspect), Budget: budget, Log: log, Set: set,
 		Admission: func(next pipeline.Handler) pipeline.Handler {
 			queue = admission.New(next, admission.Config{View: node, Quota: tokens, Retries: budget, Demand: reports})
 			return queue
--- a/lib/filter/dispatch/model.go
+++ b/lib/filter/dispatch/model.go
@@ -150,6 +150,9 @@
 		release(Result{Verdict: verdict(ctx, err), OutputTokens: -1})
 		return err
 	}
+	if target.Started != nil {
+		target.Started()
+	}
 	r := &relay{
 		d: d, ex: ex, ctx: ctx, cancel: cancel, target: target, release: release, id: req.ID, reader: reader,
 		firstToken: time.Since(picked), sinceStart: time.Since(ex.Start), conn: ex.HTTP.Conn(),
--- a/lib/filter/dispatch/picker.go
+++ b/lib/filter/dispatch/picker.go
@@ -30,6 +30,8 @@
 type Target struct {
 	ID   string
 	Addr string // IP:port
+	// Started is called at the first event of a stream; nil if the picker need not know.
+	Started func()
 }
 
 // Verdict tells how an attempt at a target ended.
@@ -100,7 +102,7 @@
 	}
 	p.outstanding[best.ID]++
 	p.eject.start(best.ID)
-	target := Target{best.ID, best.Addr}
+	target := Target{ID: best.ID, Addr: best.Addr}
 	return target, func(res Result) { p.release(target.ID, res) }, nil
 }
 
--- a/lib/gateway/picker.go
+++ b/lib/gateway/picker.go
@@ -12,24 +12,36 @@
 	"cuminhook.org/cuminhook/lib/router"
 )
 
+// prefixShare is the part of a prompt that is taken as cached where its prefix was sent before. Engines do not
+// report how much of a prompt they found cached.
+const prefixShare = 0.5
+
 // RouterPicker chooses targets with lib/router and keeps its topology at the newest snapshot.
 type RouterPicker struct {
 	view   confview.View
 	router *router.Router
 	seen   atomic.Pointer[confview.Snapshot]
 	mu     sync.Mutex // held while a new topology is made
+	// suspect learns of targets that failed a request; may be nil.
+	suspect func(target string)
 }
 
-// NewRouterPicker returns a picker for the gateway in the zone.
-func NewRouterPicker(view confview.View, zone string) *RouterPicker {
-	return &RouterPicker{view: view, router: router.New(router.Config{Zone: zone, Rand: rand.Uint64})}
+// NewRouterPicker returns a picker for the gateway in the zone. Suspect, if not nil, is called with each target that
+// failed a request.
+func NewRouterPicker(view confview.View, zone string, suspect func(target string)) *RouterPicker {
+	return &RouterPicker{
+		view: view, router: router.New(router.Config{Zone: zone, Rand: rand.Uint64}), suspect: suspect,
+	}
 }
 
 // Pick implements dispatch.Picker.
 func (p *RouterPicker) Pick(req dispatch.PickRequest) (dispatch.Target, func(dispatch.Result), error) {
 	p.refresh()
 	began := time.Now()
-	q := router.Request{Model: req.Model, Adapter: req.Adapter, Prefix: req.PrefixHash, PromptTokens: req.PromptTokens}
+	q := router.Request{
+		Model: req.Model, Adapter: req.Adapter, Prefix: req.PrefixHash, PromptTokens: req.PromptTokens,
+		PrefixTokens: int64(float64(req.PromptTokens) * prefixShare),
+	}
 	for _, id := range req.Avoid {
 		if t := p.router.Target(id); t != nil {
 			q.Exclude(t)
@@ -44,11 +56,16 @@
 	if !ok {
 		return dispatch.Target{}, nil, dispatch.ErrNoTarget
 	}
-	return dispatch.Target{ID: t.ID, Addr: t.Addr}, func(res dispatch.Result) { p.done(t, began, res) }, nil
+	target := dispatch.Target{ID: t.ID, Addr: t.Addr, Started: func() { t.Started(&q) }}
+	return target, func(res dispatch.Result) { p.done(t, &q, began, res) }, nil
 }
 
-func (p *RouterPicker) done(t *router.Target, began time.Time, res dispatch.Result) {
+func (p *RouterPicker) done(t *router.Target, q *router.Request, began time.Time, res dispatch.Result) {
 	now := time.Now()
+	t.Started(q)
+	if res.Verdict == dispatch.Failed && p.suspect != nil {
+		p.suspect(t.ID)
+	}
 	out := router.Result{Failed: res.Verdict == dispatch.Failed || res.Verdict == dispatch.Draining, FirstToken: res.FirstToken}
 	if res.Verdict == dispatch.Answered {
 		out.Total = now.Sub(began)
