Check the key again before the events of a stream go out

Cause: the key of an open stream was checked on changes and every 250 ms. A gateway that had been paused (SIGSTOP for about 3 s) relayed the events that had collected in its socket before that check ran: 147 events after the withdrawal of the key, seen by the process test of withdrawn keys.

Change: the relay checks key and status after it waited for events and before they go out, once per Read of the server. Events that are found to be for an invalid key are dropped and the stream ends as broken.

Conclusion: a paused gateway sends no event of a withdrawn key after it resumes, except what it had already checked.

--- a/lib/filter/dispatch/relay.go
+++ b/lib/filter/dispatch/relay.go
@@ -87,8 +87,22 @@
 	return n, nil
 }
 
-// fill waits for an event and adds those that have arrived with it, up to about limit bytes.
+// fill adds what goes out next. The key is checked after the wait and not before: a process that was paused finds
+// events of the whole pause in its socket, and its periodic check of open streams may run after they went out.
 func (r *relay) fill(limit int) error {
+	if err := r.collect(limit); err != nil || r.broken {
+		return err
+	}
+	if invalid := r.d.recheck(r.ex); invalid != nil {
+		r.cancel(errors.Join(errKeyInvalid, invalid))
+		r.buf, r.ended = r.buf[:0], false
+		r.fail()
+	}
+	return nil
+}
+
+// collect waits for an event and adds those that have arrived with it, up to about limit bytes.
+func (r *relay) collect(limit int) error {
 	pending, _ := r.reader.(engine.Pending)
 	for {
 		ev, err := r.reader.Next(r.ctx)
--- a/test/datapath/stream_test.go
+++ b/test/datapath/stream_test.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"cuminhook.org/cuminhook/lib/confview"
@@ -155,6 +156,39 @@
 	}
 }
 
+// Guards against events for a key that is no longer valid in the time until the periodic check of open streams: a
+// gateway that was paused has many of them in its socket.
+func TestNoEventForInvalidKey(t *testing.T) {
+	bubble(t, engines.Config{Decode: 50}, nil, func(r *rig) {
+		c, br := r.openStream(key, "one")
+		defer c.Close()
+		time.Sleep(50 * time.Millisecond) // virtual; 2 of 12 events
+		synctest.Wait()
+		generated := 0
+		for _, e := range r.engines {
+			for _, l := range e.Runs("") {
+				generated += l.Events
+			}
+		}
+		r.view.SetStatus(confview.Isolated, false)
+		events, end := 0, ""
+		for end == "" {
+			line, err := br.ReadString('\n')
+			switch {
+			case err != nil:
+				end = err.Error()
+			case strings.Contains(line, "stream_broken"), strings.Contains(line, "[DONE]"):
+				end = line
+			case strings.HasPrefix(line, "data: "):
+				events++
+			}
+		}
+		if !strings.Contains(end, "stream_broken") || events > generated {
+			t.Errorf("%d events of %d generated while the key was valid; end %q", events, generated, end)
+		}
+	})
+}
+
 // streamEnd reads a stream up to its end and returns how it ended.
 func streamEnd(br *bufio.Reader) string {
 	for {
