Show the metrics of the mesh node

Cause: the mesh registered revision, age and status of the configuration and its counters in a set of metrics of its own that no program wrote under /metrics. The process test of an outage found no cuminhook_config_revision at a gateway.

Change: lib/host registers the set, and the controller also writes the registered sets, as gateway and admin do already.

Conclusion: /metrics of all three programs shows the recency of the configuration.

--- a/cmd/cuminhook-controller/run.go
+++ b/cmd/cuminhook-controller/run.go
@@ -6,6 +6,7 @@
 	"net"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/valyala/fasthttp"
 
 	"cuminhook.org/cuminhook/lib/confview"
@@ -104,6 +105,7 @@
 		switch string(ctx.Path()) {
 		case "/metrics":
 			c.WriteMetrics(ctx)
+			metrics.WritePrometheus(ctx, true) // the node's and those of the process
 		case "/health":
 			ctx.SetBodyString("ok\n")
 		case "/ready":
--- a/lib/host/host.go
+++ b/lib/host/host.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"os"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/rotisserie/eris"
 
 	"cuminhook.org/cuminhook/lib/hostlist"
@@ -35,12 +36,14 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "settings key hosts")
 	}
+	set := metrics.NewSet()
 	node, err := mesh.New(
 		mesh.Config{Host: s.Host, Role: role, Zone: s.Zone, Listen: s.Mesh, Seeds: s.Seeds, Cell: s.CellName()},
-		mesh.Deps{Store: store, Hosts: list, Log: log},
+		mesh.Deps{Store: store, Hosts: list, Log: log, Metrics: set},
 	)
 	if err != nil {
 		return nil, err
 	}
+	metrics.RegisterSet(set) // the programs show the registered sets under /metrics
 	return &Host{Store: store, Hosts: list, Mesh: node, Log: log}, nil
 }
