Test a long outage of the key-value service with separate processes

Change: the test takes the key-value service away for 12 s under load at all gateways, kills a gateway and starts it again in the outage, and sends a ticket in the outage and again after it.

--- /dev/null
+++ b/test/process/outage_test.go
@@ -0,0 +1,125 @@
+//go:build linux
+
+package process
+
+import (
+	"sync"
+	"testing"
+	"time"
+
+	"cuminhook.org/cuminhook/lib/refusal"
+	"cuminhook.org/cuminhook/lib/ticket"
+)
+
+// outageTime is how long keyed requests must go on at least.
+const outageTime = 12 * time.Second
+
+// Guards against gateways that stop serving in an outage of the key-value service, against a restarted gateway that
+// serves an older revision than the others have, and against a ticket that is accepted twice or refused for a wrong
+// reason because of the outage.
+func TestOutage(t *testing.T) {
+	t.Parallel()
+	const restarted = 2
+	r := newRig(t, engineArgs{"--capacity", "100"})
+	m := model("kestrel", 10, 1)
+	r.accept(first(m))
+	r.reachable(m)
+	// Without this ticket, a gateway shows otherKey as valid: that is the older revision.
+	accepted := r.accept(&ticket.Ticket{Delete: []ticket.Ref{{Kind: ticket.KindKey, Name: "acme-2"}}})
+	time.Sleep(time.Until(accepted.Add(inForce)))
+	newest, err := r.revision(restarted)
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	outage := map[string]bool{"outage": true}
+	r.fault(r.kv+"/fault", outage)
+	began := time.Now()
+	stop := make(chan struct{})
+	var load sync.WaitGroup
+	for i := range gateways {
+		if i == restarted {
+			continue
+		}
+		load.Go(func() {
+			for n := 0; ; n++ {
+				select {
+				case <-stop:
+					t.Logf("gateway %d: %d requests in the outage", i, n)
+					return
+				case <-time.After(20 * time.Millisecond):
+				}
+				if a := r.ask(i, key, chatPath, chat(m.Name, 1, false)); a.status != 200 || a.err != nil {
+					t.Errorf("gateway %d, %s into the outage: %v", i, time.Since(began), a)
+				}
+			}
+		})
+	}
+	for time.Since(began) < outageTime/2 {
+		if a := r.ask(restarted, key, chatPath, chat(m.Name, 1, false)); a.status != 200 || a.err != nil {
+			t.Errorf("gateway %d, %s into the outage: %v", restarted, time.Since(began), a)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	r.kill(entry(restarted))
+	r.restart(restarted)
+	r.wait("the restarted gateway serves in the outage", func() bool {
+		if revision, err := r.revision(restarted); err == nil && revision != 0 && revision < newest {
+			t.Errorf("restarted gateway shows revision %d, the others had %d", revision, newest)
+		}
+		if a := r.ask(restarted, otherKey, "/v1/models", ""); a.status == 200 {
+			t.Errorf("restarted gateway serves a key that was withdrawn before: %v", a)
+		}
+		a := r.ask(restarted, key, chatPath, chat(m.Name, 1, false))
+		return a.status == 200 && a.err == nil
+	})
+
+	if revision, err := r.revision(restarted); err != nil || revision != newest {
+		t.Errorf("restarted gateway shows revision %d, %v, want %d", revision, err, newest)
+	}
+
+	next := &ticket.Ticket{Number: r.number + 1, Keys: []ticket.Key{keyObject("acme-3", "acme-key-3")}}
+	_, err = r.api.Apply(next.Encode())
+	refused, ok := refusal.As(err)
+	if !ok || refused.Reason != refusal.StoreUnavailable || refused.Run != refusal.NotRun {
+		t.Errorf("ticket in the outage: %v", err)
+	}
+	for time.Since(began) < outageTime {
+		if a := r.ask(restarted, key, "/v1/models", ""); a.status != 200 || a.err != nil {
+			t.Errorf("restarted gateway, %s into the outage: %v", time.Since(began), a)
+		}
+		if a := r.ask(0, "acme-key-3", "/v1/models", ""); a.reason != refusal.KeyUnknown {
+			t.Errorf("key of a refused ticket: %v", a)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	close(stop)
+	load.Wait()
+
+	outage["outage"] = false
+	r.fault(r.kv+"/fault", outage)
+	accepted = r.accept(next)
+	first, err := r.api.Apply(next.Encode())
+	if err != nil || !first.Repeated {
+		t.Errorf("same ticket again: %+v %v", first, err)
+	}
+	second, err := r.api.Apply(next.Encode())
+	if err != nil || !second.Repeated || second.Revision != first.Revision {
+		t.Errorf("same ticket a third time: %+v %v, before %+v", second, err, first)
+	}
+	listed := 0
+	for _, ref := range r.manifest().Tickets {
+		if ref.Number == next.Number {
+			listed++
+		}
+	}
+	if listed != 1 {
+		t.Errorf("the ticket is listed %d times", listed)
+	}
+	time.Sleep(time.Until(accepted.Add(inForce)))
+	for i := range gateways {
+		if a := r.ask(i, "acme-key-3", "/v1/models", ""); a.status != 200 {
+			t.Errorf("gateway %d: key of the accepted ticket: %v", i, a)
+		}
+	}
+}
--- a/test/process/rig_test.go
+++ b/test/process/rig_test.go
@@ -5,10 +5,12 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -16,6 +18,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -223,6 +226,19 @@
 	}
 }
 
+// kill ends a process at once.
+func (r *rig) kill(name string) {
+	r.t.Helper()
+	r.signal(name, syscall.SIGKILL)
+	<-r.procs[name].done
+}
+
+// restart starts gateway i again, without the statement that none ran before.
+func (r *rig) restart(i int) {
+	r.t.Helper()
+	r.start(entry(i), "cuminhook-gateway", "--config", filepath.Join(r.dir, entry(i)+".yaml"))
+}
+
 // close ends every process and, after a failure, shows the end of each log.
 func (r *rig) close() {
 	for name, p := range r.procs {
@@ -442,3 +458,35 @@
 func (s *stream) events() int {
 	return strings.Count(s.text(), "data: {") - strings.Count(s.text(), string(refusal.StreamBroken))
 }
+
+// fault sends faults to a stand-in.
+func (r *rig) fault(url string, faults any) {
+	r.t.Helper()
+	body, err := json.Marshal(faults)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	resp, err := r.client.Post("http://"+url, "application/json", bytes.NewReader(body))
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	resp.Body.Close()
+	if resp.StatusCode != 200 {
+		r.t.Fatalf("%s: %s", url, resp.Status)
+	}
+}
+
+// revision returns the manifest revision that gateway i shows.
+func (r *rig) revision(i int) (int64, error) {
+	resp, err := r.client.Get("http://" + r.states[i] + "/metrics")
+	if err != nil {
+		return 0, err
+	}
+	defer resp.Body.Close()
+	for in := bufio.NewScanner(resp.Body); in.Scan(); {
+		if text, ok := strings.CutPrefix(in.Text(), "cuminhook_config_revision "); ok {
+			return strconv.ParseInt(text, 10, 64)
+		}
+	}
+	return 0, errors.New("no revision in the metrics")
+}
