Name the remedy in more error messages

Some errors of the replay, of cuminhookctl and of the status pages stated what was wrong and not what to do.

They now name the remedy; the status pages of the controller and the gateway list their paths in the answer to an unknown one, as the admin program does.

--- a/cmd/cuminhook-controller/run.go
+++ b/cmd/cuminhook-controller/run.go
@@ -113,7 +113,7 @@
 			}
 			ctx.SetBodyString(view.Status().String() + "\n")
 		default:
-			ctx.Error("not found\n", fasthttp.StatusNotFound)
+			ctx.Error("unknown path; use /metrics, /health or /ready\n", fasthttp.StatusNotFound)
 		}
 	}
 }
--- a/cmd/cuminhook-replay/main.go
+++ b/cmd/cuminhook-replay/main.go
@@ -67,7 +67,7 @@
 func loadTrace(path string, d *replay.Deployment) ([]replay.Record, error) {
 	f, err := os.Open(path)
 	if err != nil {
-		return nil, err
+		return nil, fmt.Errorf("trace: %w; pass an existing file with --trace", err)
 	}
 	defer f.Close()
 	return replay.ReadTrace(f, d)
--- a/cmd/cuminhookctl/main.go
+++ b/cmd/cuminhookctl/main.go
@@ -124,7 +124,7 @@
 	if a.tokenFile != "" {
 		data, err := os.ReadFile(a.tokenFile)
 		if err != nil {
-			return nil, usageError{fmt.Errorf("cannot read the token: %w", err)}
+			return nil, usageError{fmt.Errorf("cannot read the token: %w; pass a readable file with --token-file", err)}
 		}
 		token = trimLine(data)
 	}
--- a/cmd/cuminhookctl/tickets.go
+++ b/cmd/cuminhookctl/tickets.go
@@ -159,7 +159,7 @@
 		RunE: func(_ *cobra.Command, args []string) error {
 			number, err := strconv.ParseInt(args[0], 10, 64)
 			if err != nil {
-				return usageError{fmt.Errorf("%q is not a ticket number", args[0])}
+				return usageError{fmt.Errorf("%q is not a ticket number; pass a positive whole number", args[0])}
 			}
 			client, err := a.client()
 			if err != nil {
@@ -215,14 +215,14 @@
 	if path != "-" {
 		file, err := os.Open(path)
 		if err != nil {
-			return nil, usageError{fmt.Errorf("cannot read the ticket: %w", err)}
+			return nil, usageError{fmt.Errorf("cannot read the ticket: %w; pass a readable file, or - for standard input", err)}
 		}
 		defer file.Close()
 		in = file
 	}
 	data, err := io.ReadAll(io.LimitReader(in, ticket.MaxBytes+1))
 	if err != nil {
-		return nil, usageError{fmt.Errorf("cannot read the ticket: %w", err)}
+		return nil, usageError{fmt.Errorf("cannot read the ticket: %w; pass a readable file, or - for standard input", err)}
 	}
 	return ticket.Parse(data)
 }
--- a/lib/gateway/status.go
+++ b/lib/gateway/status.go
@@ -77,5 +77,6 @@
 		h.SetBodyString(state + "\n")
 	default:
 		h.SetStatusCode(fasthttp.StatusNotFound)
+		h.SetBodyString("unknown path; use /metrics, /health or /ready\n")
 	}
 }
--- a/lib/pipeline/server.go
+++ b/lib/pipeline/server.go
@@ -94,7 +94,7 @@
 func (s *Server) Stop(ctx context.Context) error {
 	s.BeginStop()
 	if err := s.http.ShutdownWithContext(ctx); err != nil {
-		return fmt.Errorf("pipeline: requests still open at the end of the stop: %w", err)
+		return fmt.Errorf("pipeline: requests still open at the end of the stop: %w; raise stop_limit", err)
 	}
 	return nil
 }
--- a/lib/replay/trace.go
+++ b/lib/replay/trace.go
@@ -202,15 +202,15 @@
 	switch r.Fault {
 	case FaultTargetDown, FaultTargetSilent, FaultOrderLost, FaultOrderLate:
 		if !c.targets[r.Target] {
-			return fmt.Errorf("target %q is not in the deployment", r.Target)
+			return fmt.Errorf("target %q is not in the deployment; add it there or correct target", r.Target)
 		}
 	case FaultZoneDown:
 		if !c.zones[r.Zone] {
-			return fmt.Errorf("availability zone %q is not in the deployment", r.Zone)
+			return fmt.Errorf("availability zone %q is not in the deployment; use a zone of its targets or entries", r.Zone)
 		}
 	case FaultHostCut:
 		if !c.hosts[r.Host] {
-			return fmt.Errorf("entry host %q is not in the deployment", r.Host)
+			return fmt.Errorf("entry host %q is not in the deployment; add it there or correct host", r.Host)
 		}
 	case FaultKVDown:
 	default:
