--- a/lib/mesh/members.go
+++ b/lib/mesh/members.go
@@ -21,7 +21,8 @@
 	self record // Revision and Status are filled in when sent
 	rand *rand.Rand
 	all  map[string]*member
-	next int // position in the rotation of records sent
+	ids  []string // of all, in order
+	next int      // position in the rotation of records sent
 }
 
 func newMembers(self record, r *rand.Rand) members {
@@ -37,6 +38,8 @@
 	old, ok := m.all[rec.ID]
 	if !ok {
 		m.all[rec.ID] = &member{record: rec, seen: seen}
+		i, _ := slices.BinarySearch(m.ids, rec.ID)
+		m.ids = slices.Insert(m.ids, i, rec.ID)
 		return
 	}
 	if seen <= old.seen {
@@ -51,11 +54,13 @@
 
 // expire drops members not heard of for forgetLimit.
 func (m *members) expire(now instant) {
-	for id, o := range m.all {
-		if now-o.seen > forgetLimit {
+	m.ids = slices.DeleteFunc(m.ids, func(id string) bool {
+		old := now-m.all[id].seen > forgetLimit
+		if old {
 			delete(m.all, id)
 		}
-	}
+		return old
+	})
 }
 
 func (m *members) live(id string, now instant) bool {
@@ -94,9 +99,9 @@
 	return ids
 }
 
-// records returns up to n records to send, own zone first, in rotation over the table.
+// records returns up to n records to send, in rotation over the table.
 func (m *members) records(n int, now instant) []record {
-	ids := m.sorted()
+	ids := m.ids
 	if len(ids) == 0 {
 		return nil
 	}
@@ -111,31 +116,30 @@
 	return out
 }
 
-func (m *members) sorted() []string {
-	ids := make([]string, 0, len(m.all))
-	for id := range m.all {
-		ids = append(ids, id)
-	}
-	slices.Sort(ids)
-	return ids
-}
-
 // partners returns up to n distinct live members at random, leaving out those in skip.
 func (m *members) partners(n int, now instant, skip ...string) []string {
-	var ids []string
-	for _, id := range m.sorted() {
-		if m.live(id, now) && !slices.Contains(skip, id) {
-			ids = append(ids, id)
+	var out []string
+	usable := func(id string) bool {
+		return m.live(id, now) && !slices.Contains(skip, id) && !slices.Contains(out, id)
+	}
+	// Most members are live, so that a few draws suffice; the pass over the table finds the last ones.
+	for range min(4*n, len(m.ids)) {
+		if id := m.ids[m.rand.IntN(len(m.ids))]; len(out) < n && usable(id) {
+			out = append(out, id)
 		}
 	}
-	m.rand.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
-	return ids[:min(n, len(ids))]
+	for i, k := 0, m.rand.IntN(max(1, len(m.ids))); i < len(m.ids) && len(out) < n; i++ {
+		if id := m.ids[(k+i)%len(m.ids)]; usable(id) {
+			out = append(out, id)
+		}
+	}
+	return out
 }
 
 // view returns the members for confview.
 func (m *members) view(now instant) []confview.Member {
 	out := make([]confview.Member, 0, len(m.all))
-	for _, id := range m.sorted() {
+	for _, id := range m.ids {
 		o := m.all[id]
 		out = append(out, confview.Member{
 			ID: o.ID, Role: o.Role, Zone: o.Zone, Addr: o.Addr, Boot: o.Boot, Leaving: o.Leaving,
