Send brief member records and keep regular exchange partners

Cause: an exchange took 2,866 bytes, and random partners needed a new connection with its type descriptions twice a second. Change: members travel as a 32-bit tag with what changes; a host asks for the records of unknown tags. Six regular partners, one replaced every 15 s.

--- a/lib/mesh/bench_test.go
+++ b/lib/mesh/bench_test.go
@@ -47,7 +47,7 @@
 			for b.Loop() {
 				sent := n.clock()
 				n.mu.Lock()
-				args := &ExchangeArgs{Self: n.selfRecord(sent), Members: n.members.records(recordsPerCall, sent)}
+				args := &ExchangeArgs{Self: n.selfRecord(sent), Members: n.members.records(recordsPerCall, n.recency.revision, sent)}
 				n.mu.Unlock()
 				_ = n.exchangePeers()
 				var got ExchangeArgs
--- a/lib/mesh/config.go
+++ b/lib/mesh/config.go
@@ -55,6 +55,9 @@
 	// forgetLimit is the age of last contact after which a member is dropped.
 	forgetLimit = 60 * time.Second
 
+	// regularPeriod is the time after which one of the regularCount partners of a host is replaced.
+	regularPeriod = 15 * time.Second
+
 	hostsPeriod  = time.Second
 	statusPeriod = 50 * time.Millisecond // how often subscribers' status is compared
 	idleLimit    = 60 * time.Second      // idle connections are closed after this time
@@ -65,6 +68,7 @@
 	watchersPerZone  = 2
 	recordsPerCall   = 16
 	notifyFanout     = 4
+	regularCount     = 6
 	maxAnnouncements = 256 // a witness with more unresolved ones refuses further announcements
 	maxBatchBytes    = 256 << 10
 	historySize      = 16 // earlier manifests kept as bases of deltas
--- a/lib/mesh/exchange.go
+++ b/lib/mesh/exchange.go
@@ -46,7 +46,7 @@
 		ids = append(ids, watchers[n.turn%len(watchers)])
 		skip = append(skip, ids[0])
 	}
-	ids = append(ids, n.members.partners(2-len(ids), now, skip...)...)
+	ids = append(ids, n.members.regulars(2-len(ids), now, skip...)...)
 	addrs := make([]string, 0, 3)
 	for _, id := range ids {
 		addrs = append(addrs, n.members.all[id].Addr)
@@ -122,7 +122,7 @@
 	sent := n.clock()
 	args := &ExchangeArgs{Self: n.selfRecord(sent), Has: n.recency.pendingIDs(), Brief: brief}
 	if !brief {
-		args.Members = n.members.records(recordsPerCall, sent)
+		args.Members = n.members.records(recordsPerCall, n.recency.revision, sent)
 	}
 	n.mu.Unlock()
 
@@ -133,10 +133,14 @@
 	n.mu.Lock()
 	delete(n.asking, addr)
 	n.troubled = err != nil
+	var unknown []uint32
 	if err == nil {
-		n.merge(&reply, sent)
+		unknown = n.merge(&reply, sent)
 	}
 	n.mu.Unlock()
+	if len(unknown) > 0 {
+		n.learnWhole(ctx, addr, unknown)
+	}
 	if err != nil {
 		n.log.Debug("mesh: exchange failed", "addr", addr, "error", err)
 		return
@@ -152,13 +156,27 @@
 	return rec
 }
 
-// merge takes in an answer to an exchange sent at the instant sent. n.mu is held.
-func (n *Node) merge(reply *ExchangeReply, sent instant) {
-	now := n.clock()
-	n.members.learn(reply.Self, sent)
+// learnWhole asks the peer at addr for the records of members that this node does not know.
+func (n *Node) learnWhole(ctx context.Context, addr string, tags []uint32) {
+	sent := n.clock()
+	var reply RecordsReply
+	if err := n.pool.call(ctx, addr, "Mesh.Records", &RecordsArgs{tags}, &reply); err != nil {
+		n.log.Debug("mesh: records not read", "addr", addr, "error", err)
+		return
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
 	for _, rec := range reply.Members {
 		n.members.learn(rec, sent)
 	}
+}
+
+// merge takes in an answer to an exchange sent at the instant sent, and returns the tags of unknown members. n.mu is
+// held.
+func (n *Node) merge(reply *ExchangeReply, sent instant) (unknown []uint32) {
+	now := n.clock()
+	n.members.learn(reply.Self, sent)
+	unknown = n.members.learnBrief(reply.Members, reply.Self.Revision, sent)
 	// Announcements come before the evidence that depends on them. Their age counts from the receipt, so that
 	// it is never too large.
 	before, added := len(n.recency.pending), false
@@ -176,6 +194,7 @@
 	if reply.HostsHash == n.hostsHash && reply.HostsHash != 0 {
 		n.hostsAt = max(n.hostsAt, sent-ms(reply.HostsAgeMS))
 	}
+	return unknown
 }
 
 // follow fetches what the answer showed to be newer.
@@ -209,12 +228,10 @@
 	defer n.mu.Unlock()
 	now := n.clock()
 	n.members.learn(args.Self, now)
-	for _, rec := range args.Members {
-		n.members.learn(rec, now)
-	}
+	n.members.learnBrief(args.Members, args.Self.Revision, now) // unknown ones come with an answer
 	reply.Self = n.selfRecord(now)
 	if !args.Brief {
-		reply.Members = n.members.records(recordsPerCall, now)
+		reply.Members = n.members.records(recordsPerCall, n.recency.revision, now)
 	}
 	reply.Known = n.recency.known
 	if n.recency.confirmed != never {
--- a/lib/mesh/messages.go
+++ b/lib/mesh/messages.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"cuminhook.org/cuminhook/lib/hostlist"
 	"cuminhook.org/cuminhook/lib/manifest"
 )
@@ -20,6 +22,26 @@
 	AgeMS    int64 // since the member was last heard of
 }
 
+// brief is a record for a peer that knows the rest.
+type brief struct {
+	Tag      uint32 // identifies ID, role, zone, address and boot id
+	Leaving  bool
+	Revision int64 // difference to the revision of the sender
+	Status   uint8
+	AgeMS    int64
+}
+
+// tag identifies the parts of a record that do not change while its program runs.
+func (r *record) tag() uint32 {
+	return uint32(xxhash.Sum64String(r.ID + "|" + r.Role + "|" + r.Zone + "|" + r.Addr + "|" + r.Boot))
+}
+
+// RecordsArgs asks for the whole records of members.
+type RecordsArgs struct{ Tags []uint32 }
+
+// RecordsReply carries those that the peer has.
+type RecordsReply struct{ Members []record }
+
 // evidenceRecord says that a witness could not reach the key-value service AgeMS ago.
 type evidenceRecord struct {
 	Witness string
@@ -48,7 +70,7 @@
 // cannot tell how long the request was on its way.
 type ExchangeArgs struct {
 	Self    record
-	Members []record
+	Members []brief
 	Has     []string // ids of the unresolved announcements the caller has
 	Brief   bool     // the caller wants no member records
 }
@@ -56,7 +78,7 @@
 // ExchangeReply is the answer. The caller counts its ages from the moment it sent the request.
 type ExchangeReply struct {
 	Self          record
-	Members       []record
+	Members       []brief
 	Known         int64 // newest revision heard of
 	Confirmed     bool  // AgeMS is valid
 	AgeMS         int64 // since the configuration was certainly the newest, rounded up
--- a/lib/mesh/service.go
+++ b/lib/mesh/service.go
@@ -19,6 +19,14 @@
 	return nil
 }
 
+// Records returns whole records of members.
+func (s *service) Records(args *RecordsArgs, reply *RecordsReply) error {
+	s.n.mu.Lock()
+	defer s.n.mu.Unlock()
+	reply.Members = s.n.members.whole(args.Tags, s.n.clock())
+	return nil
+}
+
 // Fetch returns the configuration if it is newer than the caller's.
 func (s *service) Fetch(args *FetchArgs, reply *FetchReply) error {
 	s.n.content(args, reply)
