Count witnesses that left the host list as gone

Recovery worked only by starting a gateway under a lost host id. And the controller could remove a live witness before one that was gone. Ruled out: a lower majority or a forced reset, both of which let a host in status outage miss an announcement. Change: the writer announces to the witnesses that are still listed and counts the others as acknowledged (they do not run, so no host counts them for an outage); gone witnesses leave the list first. Admin and controller share one constructor of the writer.

--- a/cmd/cuminhook-admin/main.go
+++ b/cmd/cuminhook-admin/main.go
@@ -19,7 +19,6 @@
 	"cuminhook.org/cuminhook/lib/adminapi"
 	"cuminhook.org/cuminhook/lib/confview"
 	"cuminhook.org/cuminhook/lib/host"
-	"cuminhook.org/cuminhook/lib/manifest"
 	"cuminhook.org/cuminhook/lib/mesh"
 	"cuminhook.org/cuminhook/lib/settings"
 )
@@ -77,8 +76,7 @@
 	if err != nil {
 		return err
 	}
-	known := func() int64 { return confview.Known(h.Mesh) }
-	writer := manifest.NewWriter(h.Store, h.Mesh, manifest.Config{Known: known})
+	writer := h.NewWriter()
 	api := adminapi.New(h.Mesh, writer, adminapi.Config{Token: s.Token, Log: h.Log})
 	listener, err := net.Listen("tcp", s.Listen)
 	if err != nil {
--- a/cmd/cuminhook-controller/run.go
+++ b/cmd/cuminhook-controller/run.go
@@ -43,7 +43,7 @@
 
 // deps connects the controller with the host.
 func deps(s *config, h *host.Host) controller.Deps {
-	writer := manifest.NewWriter(h.Store, h.Mesh, manifest.Config{})
+	writer := h.NewWriter()
 	d := controller.Deps{
 		KV: h.Store, View: h.Mesh, Engines: httpengine.New(httpengine.Config{}), Log: h.Log,
 		Lease: campaign{lease.New(h.Store, "cell/"+s.CellName(), h.Mesh.Self(), leaseTTL)},
--- a/lib/confview/confview.go
+++ b/lib/confview/confview.go
@@ -2,6 +2,8 @@
 package confview
 
 import (
+	"slices"
+
 	"cuminhook.org/cuminhook/lib/hostlist"
 	"cuminhook.org/cuminhook/lib/manifest"
 	"cuminhook.org/cuminhook/lib/placement"
@@ -70,3 +72,11 @@
 	}
 	return highest
 }
+
+// Gone reports whether the platform's host list does not name the gateway any more. Without a list nobody is gone.
+func Gone(v View, id string) bool {
+	hosts := v.Snapshot().Hosts
+	entry := func(h hostlist.Host) bool { return h.Role == hostlist.RoleEntry }
+	named := func(h hostlist.Host) bool { return entry(h) && h.ID == id }
+	return slices.ContainsFunc(hosts, entry) && !slices.ContainsFunc(hosts, named)
+}
--- a/lib/controller/keep.go
+++ b/lib/controller/keep.go
@@ -250,16 +250,21 @@
 }
 
 // nextWitnesses returns the witness list with at most one host removed or one added: any two majorities of
-// it and of the list before share a witness. A witness goes when the host list does not name it any more
-// or names it as leaving.
+// it and of the list before share a witness. A witness goes when the host list does not name it any more, and only
+// then one that is leaving or above the number of its zone: removing a live witness while others are gone could
+// leave no majority.
 func nextWitnesses(witnesses []string, listed map[string]hostlist.Host, steady func(id string) bool) []string {
+	gone := func(id string) bool { _, ok := listed[id]; return !ok }
 	zones := map[string]int{}
-	for i, id := range witnesses {
-		h, ok := listed[id]
-		if !ok || h.Leaving || zones[h.Zone] == witnessesPerZone {
+	surplus := func(id string) bool {
+		zone := listed[id].Zone
+		zones[zone]++
+		return listed[id].Leaving || zones[zone] > witnessesPerZone
+	}
+	for _, leaves := range []func(id string) bool{gone, surplus} {
+		if i := slices.IndexFunc(witnesses, leaves); i >= 0 {
 			return slices.Delete(slices.Clone(witnesses), i, i+1)
 		}
-		zones[h.Zone]++
 	}
 	var add string
 	for id, h := range listed {
--- a/lib/controller/keep_test.go
+++ b/lib/controller/keep_test.go
@@ -69,6 +69,17 @@
 	})
 }
 
+// Guards against a live witness leaving the list before one that is gone, after which no majority may be left.
+func TestGoneWitnessesLeaveFirst(t *testing.T) {
+	listed := map[string]hostlist.Host{
+		"live-1": {ID: "live-1", Zone: "z", Leaving: true}, "live-2": {ID: "live-2", Zone: "z"},
+	}
+	got := nextWitnesses([]string{"live-1", "live-2", "gone"}, listed, func(string) bool { return true })
+	if !slices.Equal(got, []string{"live-1", "live-2"}) {
+		t.Errorf("%v", got)
+	}
+}
+
 func intersect(a, b []string) []string {
 	return slices.DeleteFunc(slices.Clone(a), func(x string) bool { return !slices.Contains(b, x) })
 }
--- a/lib/host/host.go
+++ b/lib/host/host.go
@@ -8,10 +8,12 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/rotisserie/eris"
 
+	"cuminhook.org/cuminhook/lib/confview"
 	"cuminhook.org/cuminhook/lib/hostlist"
 	"cuminhook.org/cuminhook/lib/hostlist/httplist"
 	"cuminhook.org/cuminhook/lib/kv"
 	"cuminhook.org/cuminhook/lib/kv/httpkv"
+	"cuminhook.org/cuminhook/lib/manifest"
 	"cuminhook.org/cuminhook/lib/mesh"
 	"cuminhook.org/cuminhook/lib/settings"
 )
@@ -47,3 +49,11 @@
 	metrics.RegisterSet(set) // the programs show the registered sets under /metrics
 	return &Host{Store: store, Hosts: list, Mesh: node, Log: log}, nil
 }
+
+// NewWriter returns a writer of the manifest.
+func (h *Host) NewWriter() *manifest.Writer {
+	return manifest.NewWriter(h.Store, h.Mesh, manifest.Config{
+		Known: func() int64 { return confview.Known(h.Mesh) },
+		Gone:  func(witness string) bool { return confview.Gone(h.Mesh, witness) },
+	})
+}
--- a/lib/manifest/writer.go
+++ b/lib/manifest/writer.go
@@ -44,6 +44,10 @@
 	// writes nothing on top of a lower one: the key-value service has lost data then, and hosts would not
 	// install what is written. Nil: only the revisions that the writer itself saw count.
 	Known func() int64
+	// Gone reports whether the platform's host list does not name a witness any more. Such a witness does not run,
+	// so no host can count it for an outage, and it counts as having acknowledged: otherwise the loss of a majority
+	// would block every write, also the one that replaces them. Nil: none is gone.
+	Gone func(witness string) bool
 	// SkipClockCheck switches off the check right before the CAS. Only negative controls set it.
 	SkipClockCheck bool
 }
@@ -340,17 +344,24 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
 	defer cancel()
-	acked, err := w.announcer.Announce(ctx, r, witnesses)
-	if acked > len(witnesses)/2 {
+	present := slices.Clone(witnesses)
+	if w.config.Gone != nil {
+		present = slices.DeleteFunc(present, w.config.Gone)
+	}
+	gone := len(witnesses) - len(present)
+	acked, err := w.announcer.Announce(ctx, r, present)
+	if acked+gone > len(witnesses)/2 {
 		return nil
 	}
-	message := fmt.Sprintf("%d of %d witnesses acknowledged the change within %v", acked, len(witnesses), announceTimeout)
+	message := fmt.Sprintf("%d of %d witnesses acknowledged the change within %v, and %d are gone from the host list",
+		acked, len(witnesses), announceTimeout, gone)
 	if err != nil {
 		message += ": " + err.Error()
 	}
 	return &refusal.Error{
 		Reason: refusal.NoMajority, Run: refusal.NotRun, Status: 503, Message: message,
-		Remedy:     "send the same ticket again; if this persists, check the gateways listed by 'cuminhookctl members'",
+		Remedy: "send the same ticket again; if this persists, start the gateways that 'cuminhookctl members' shows as " +
+			"silent, or take hosts that are gone off the platform's host list",
 		RetryAfter: time.Second,
 	}
 }
--- a/lib/manifest/writer_test.go
+++ b/lib/manifest/writer_test.go
@@ -160,6 +160,38 @@
 	})
 }
 
+// Guards against the loss of a majority of the witnesses blocking every write for good, and against a witness that is
+// only silent counting as gone.
+func TestGoneWitnessesDoNotBlock(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ann := &witnesses{acked: 3}
+		gone := map[string]bool{}
+		w := NewWriter(memkv.New(), ann, Config{Gone: func(id string) bool { return gone[id] }})
+		for _, id := range []string{"a", "b", "c"} {
+			_, err := w.Update(t.Context(), func(m *Manifest) (Restriction, error) {
+				m.Witnesses = append(m.Witnesses, id)
+				return Restriction{}, nil
+			})
+			if err != nil {
+				t.Fatal(err)
+			}
+		}
+		ann.acked = 1
+		gone["a"] = true
+		if _, err := w.Accept(t.Context(), orgTicket(1, "a", 5)); err != nil {
+			t.Errorf("one of three gone, one acknowledged: %v", err)
+		}
+		ann.acked = 0
+		if _, err := w.Accept(t.Context(), orgTicket(2, "a", 5)); !hasReason(err, refusal.NoMajority) {
+			t.Errorf("one of three gone, two silent: %v", err)
+		}
+		gone["b"] = true
+		if _, err := w.Accept(t.Context(), orgTicket(2, "a", 5)); err != nil {
+			t.Errorf("two of three gone: %v", err)
+		}
+	})
+}
+
 // Guards against two witnesses being changed in one write, after which two majorities need not meet.
 func TestWitnessesChangeOneByOne(t *testing.T) {
 	if checkWitnesses([]string{"a", "b", "c"}, []string{"a", "b", "d"}) == nil ||
