Count attained requests by organisation and by model

Cause: attainment, the worst-served organisation and refusals could not be read from the metrics of a gateway. Change: counters of requests, of answers in time and of refusals by reason, each by organisation and by model. The two labels are apart: their product would be tens of thousands of series at 510 models.

--- a/lib/filter/accesslog/accesslog.go
+++ b/lib/filter/accesslog/accesslog.go
@@ -57,6 +57,7 @@
 	if out.Reason != "" {
 		set.GetOrCreateCounter(fmt.Sprintf(`cuminhook_refusals_total{reason=%q}`, string(out.Reason))).Inc()
 	}
+	f.measure(ex, out)
 	if out.FirstToken > 0 {
 		set.GetOrCreateHistogram("cuminhook_first_token_seconds").Update(out.FirstToken.Seconds())
 	}
@@ -73,3 +74,31 @@
 		slog.Int64("prompt_tokens", out.PromptTokens), slog.Int64("output_tokens", out.OutputTokens),
 	)
 }
+
+// measure counts what attainment and the worst-served organisation are computed from. Organisation and model are
+// separate counters, because their product would be tens of thousands of series. A streamed answer is in time by its
+// first token, a whole one by the bound for the whole answer.
+func (f *filter) measure(ex *pipeline.Exchange, out pipeline.Outcome) {
+	if ex.Organisation == "" || ex.Kind != pipeline.KindModel && ex.Kind != pipeline.KindService {
+		return
+	}
+	inTime := out.Complete && out.Status < 400
+	if ex.Stream && !ex.Deadline.IsZero() {
+		inTime = inTime && !ex.Start.Add(out.FirstToken).After(ex.Deadline)
+	}
+	f.count("organisation", ex.Organisation, inTime, out)
+	if ex.BaseModel != "" {
+		f.count("model", ex.BaseModel, inTime, out)
+	}
+}
+
+func (f *filter) count(label, value string, inTime bool, out pipeline.Outcome) {
+	set := f.cfg.Set
+	set.GetOrCreateCounter(fmt.Sprintf(`cuminhook_%s_requests_total{%s=%q}`, label, label, value)).Inc()
+	if inTime {
+		set.GetOrCreateCounter(fmt.Sprintf(`cuminhook_%s_attained_total{%s=%q}`, label, label, value)).Inc()
+	}
+	if out.Reason != "" {
+		set.GetOrCreateCounter(fmt.Sprintf(`cuminhook_%s_refused_total{%s=%q,reason=%q}`, label, label, value, string(out.Reason))).Inc()
+	}
+}
