Show orders by kind, the admin's zone and status, and say what rate refusals mean

Cause: moves could be read from log lines only; the admin program was ready while isolated without saying so, had no zone among the members and did not announce its planned stop; a refusal said "above its rate" also before the first tokens were generated.

--- a/cmd/cuminhook-admin/main.go
+++ b/cmd/cuminhook-admin/main.go
@@ -77,7 +77,7 @@
 		return err
 	}
 	writer := h.NewWriter()
-	api := adminapi.New(h.Mesh, writer, adminapi.Config{Token: s.Token, Log: h.Log})
+	api := adminapi.New(h.Mesh, writer, adminapi.Config{Token: s.Token, Log: h.Log, Zone: s.Zone})
 	listener, err := net.Listen("tcp", s.Listen)
 	if err != nil {
 		return fmt.Errorf("listen: %w; choose another port", err)
@@ -94,6 +94,8 @@
 	confview.View
 	// Run takes part in the mesh until ctx ends.
 	Run(ctx context.Context) error
+	// Leave tells the other hosts that this program is leaving.
+	Leave(ctx context.Context)
 }
 
 // serve runs API, metrics and mesh until ctx ends, then finishes the tickets in progress before it leaves the
@@ -137,7 +139,7 @@
 				c.Error("no configuration yet", fasthttp.StatusServiceUnavailable)
 				return
 			}
-			c.SetBodyString("ready\n")
+			c.SetBodyString(view.Status().String() + "\n")
 		default:
 			c.Error("unknown path; use /metrics, /health or /ready", fasthttp.StatusNotFound)
 		}
--- a/lib/adminapi/adminapi.go
+++ b/lib/adminapi/adminapi.go
@@ -41,6 +41,7 @@
 type Config struct {
 	Token string // if set, requests must carry it as "Authorization: Bearer <token>"
 	Log   *slog.Logger
+	Zone  string // availability zone of this host, shown among the members
 }
 
 // Server answers the API's requests.
@@ -257,7 +258,7 @@
 // members lists this host and all others; with a revision other than zero it tells which of them have it.
 func (s *Server) members(revision int64) []Member {
 	list := append(s.view.Members(), confview.Member{
-		ID: s.view.Self(), Role: "admin", Revision: s.view.Snapshot().Manifest.Revision, Status: s.view.Status(),
+		ID: s.view.Self(), Role: "admin", Zone: s.config.Zone, Revision: s.view.Snapshot().Manifest.Revision, Status: s.view.Status(),
 	})
 	list = append(list, s.unheard(list)...)
 	out := make([]Member, 0, len(list))
--- a/lib/controller/metrics.go
+++ b/lib/controller/metrics.go
@@ -1,9 +1,12 @@
 package controller
 
 import (
+	"fmt"
 	"io"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"cuminhook.org/cuminhook/lib/engine"
 )
 
 // meters are the metrics of a controller.
@@ -33,4 +36,12 @@
 }
 
 // WriteMetrics writes the metrics in the Prometheus text format.
-func (c *Controller) WriteMetrics(w io.Writer) { c.met.set.WritePrometheus(w) }
+func (c *Controller) WriteMetrics(w io.Writer) {
+	c.met.set.WritePrometheus(w)
+	metrics.WritePrometheus(w, true) // the packages' own counters and those of the process
+}
+
+// order counts orders sent by kind; load_model counts the moves.
+func (m *meters) order(kind engine.OrderKind) *metrics.Counter {
+	return m.set.GetOrCreateCounter(fmt.Sprintf(`cuminhook_controller_orders_total{kind=%q}`, string(kind)))
+}
--- a/lib/controller/target.go
+++ b/lib/controller/target.go
@@ -391,6 +391,7 @@
 		return errTermOver
 	}
 	j.tm.met.orders.Inc()
+	j.tm.met.order(o.Kind).Inc()
 	return j.tm.deps.Engines.Order(ctx, addr, o)
 }
 
--- a/lib/quota/manager.go
+++ b/lib/quota/manager.go
@@ -377,7 +377,7 @@
 	}
 	return &refusal.Error{
 		Reason: refusal.RateExceeded, Run: refusal.NotRun, Status: http.StatusTooManyRequests,
-		Message:    fmt.Sprintf("organisation %q is above its rate of %d tokens a second", b.name, b.rate),
+		Message:    fmt.Sprintf("organisation %q has no tokens left; its rate is %d a second", b.name, b.rate),
 		Remedy:     "send the request again after the stated time",
 		RetryAfter: max(wait, 10*time.Millisecond),
 	}
