--- a/Makefile
+++ b/Makefile
@@ -14,6 +14,11 @@
 bench:
 	$(GO) test -run '^$$' -bench . -benchmem ./lib/...
 
+capacity:
+	$(GO) test -run '^$$' -benchmem -benchtime 200ms \
+		-bench 'Exchange|Memory|Spread|Pick|Spend|Admit|PushPop|PlanCell|TickCell|Report|Replay|EncodeState|DecodeState' \
+		./lib/mesh ./lib/router ./lib/quota ./lib/filter/admission ./lib/fairqueue ./lib/placement ./lib/controller ./lib/ticket
+
 measure:
 	$(GO) run ./cmd/cuminhook-replay measure examples/trinacria/deployment.yaml examples/virtasen/deployment.yaml
 
