--- a/lib/kv/httpkv/httpkv.go
+++ b/lib/kv/httpkv/httpkv.go
@@ -16,7 +16,7 @@
 )
 
 const (
-	// callTimeout bounds a call whose context has no earlier deadline.
+	// callTimeout is the default of Store.Timeout.
 	callTimeout = time.Second
 	// maxIdle is below the service's idle timeout, so that a write does not meet a connection that the
 	// service is closing; its outcome would be unknown.
@@ -59,6 +59,8 @@
 type Store struct {
 	client *fasthttp.HostClient
 	base   string
+	// Timeout bounds a call whose context has no earlier deadline. It is set before the first call.
+	Timeout time.Duration
 }
 
 var errDial = errors.New("httpkv: cannot connect")
@@ -69,7 +71,7 @@
 	if err != nil || u.Scheme != "http" || u.Host == "" {
 		return nil, fmt.Errorf("httpkv: %q is not a base URL; write it as http://IP:port", base)
 	}
-	return &Store{base: "http://" + u.Host + PathPrefix, client: NewClient(u.Host)}, nil
+	return &Store{base: "http://" + u.Host + PathPrefix, client: NewClient(u.Host), Timeout: callTimeout}, nil
 }
 
 // NewClient returns a client for one host without retries.
@@ -100,7 +102,7 @@
 
 // Wait implements kv.Store.
 func (s *Store) Wait(ctx context.Context, key string, after kv.Version, wait time.Duration) (kv.Entry, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, wait+s.Timeout)
 	defer cancel()
 	return first(s.call(ctx, "wait", Request{Key: key, Version: after, MS: wait.Milliseconds()}, kv.ErrUnavailable))
 }
@@ -155,7 +157,7 @@
 // answer came back.
 func (s *Store) call(ctx context.Context, name string, in Request, lost error) (Response, error) {
 	var out Response
-	deadline := time.Now().Add(callTimeout)
+	deadline := time.Now().Add(s.Timeout)
 	if d, ok := ctx.Deadline(); ok && (name == "wait" || d.Before(deadline)) {
 		deadline = d
 	}
