Let engines report their rates to the planner

Cause: the planner has rates per target, but reports lacked them, so that the running controller planned with 8,000 and 2,000 tokens a second everywhere. Change: optional prefill and decode rates in engine.Report; the controller passes them on and the stand-in reports its own. Conclusion: engines that tell nothing keep the defaults.

--- a/lib/controller/target.go
+++ b/lib/controller/target.go
@@ -49,6 +49,8 @@
 	suspected bool
 	period    time.Duration // between reports while the target answers
 	slots     int
+	prefill   float64 // tokens a second, zero if unknown
+	decode    float64 // tokens a second of a full batch, zero if unknown
 	queue     []placement.Action
 	retiring  map[entryKey]*retirement
 	refused   map[entryKey]backoff
@@ -99,6 +101,7 @@
 func (t *target) planned(now time.Time) placement.TargetState {
 	s := placement.TargetState{
 		ID: t.id, Zone: t.host.Zone, Leaving: t.host.Leaving, Slots: t.slots, Alive: t.alive(now), Blocked: true,
+		PrefillRate: t.prefill, DecodeRate: t.decode,
 	}
 	l := t.ledger
 	if l == nil {
@@ -377,6 +380,7 @@
 	}
 	j.t.reported, j.t.failing = start, time.Time{}
 	j.t.slots = r.Load.Slots
+	j.t.prefill, j.t.decode = r.PrefillRate, r.DecodeRate
 	return r, nil
 }
 
--- a/lib/engine/engine.go
+++ b/lib/engine/engine.go
@@ -124,6 +124,10 @@
 	Residents []Resident `json:"residents"`
 	Done      []string   `json:"done"` // ids of recent orders that were carried out
 	Load      Load       `json:"load"`
+	// PrefillRate is in prompt tokens a second with nothing else running, DecodeRate in output tokens a second of a
+	// full batch; zero if the engine does not tell.
+	PrefillRate float64 `json:"prefill_rate,omitempty"`
+	DecodeRate  float64 `json:"decode_rate,omitempty"`
 }
 
 // Control gives orders to the engine at addr.
--- a/lib/standin/engine/engine.go
+++ b/lib/standin/engine/engine.go
@@ -296,6 +296,7 @@
 	r := engine.Report{
 		Boot: e.cfg.Boot, Capacity: e.cfg.Capacity, Fences: e.cfg.Fences, Epoch: e.epoch, Seq: e.seq,
 		Done: append([]string(nil), e.done...), Load: e.loadLocked(),
+		PrefillRate: e.cfg.Prefill, DecodeRate: e.cfg.Decode * float64(e.cfg.Slots),
 	}
 	for _, res := range e.residents {
 		res.Loading = res.loading
