--- a/cmd/cuminhook-admin/main.go
+++ b/cmd/cuminhook-admin/main.go
@@ -12,7 +12,6 @@
 	"syscall"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	"github.com/spf13/cobra"
 	"github.com/valyala/fasthttp"
 
@@ -103,10 +102,10 @@
 func serve(ctx context.Context, listener, state net.Listener, api *adminapi.Server, m member) error {
 	meshCtx, leave := context.WithCancel(context.WithoutCancel(ctx))
 	defer leave()
-	apiServer, stateServer := newServer(api.Handle), newServer(stateHandler(m))
+	apiServer, status := newServer(api.Handle), host.NewStatus(m)
 	failed := make(chan error, 3)
 	go func() { failed <- m.Run(meshCtx) }()
-	go func() { failed <- stateServer.Serve(state) }()
+	go func() { failed <- status.Serve(state) }()
 	go func() { failed <- apiServer.Serve(listener) }()
 	select {
 	case err := <-failed:
@@ -115,8 +114,9 @@
 	}
 	stop, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
-	err := apiServer.ShutdownWithContext(stop)
-	return errors.Join(err, stateServer.ShutdownWithContext(stop))
+	status.SetStopping()
+	m.Leave(stop)
+	return errors.Join(apiServer.ShutdownWithContext(stop), status.Close())
 }
 
 func newServer(handler fasthttp.RequestHandler) *fasthttp.Server {
@@ -125,23 +125,3 @@
 		NoDefaultServerHeader: true, ReadTimeout: 10 * time.Second, IdleTimeout: time.Minute,
 	}
 }
-
-// stateHandler answers /metrics, /health and /ready.
-func stateHandler(view confview.View) fasthttp.RequestHandler {
-	return func(c *fasthttp.RequestCtx) {
-		switch string(c.Path()) {
-		case "/metrics":
-			metrics.WritePrometheus(c, true)
-		case "/health":
-			c.SetBodyString("ok\n")
-		case "/ready":
-			if view.Status() == confview.Starting {
-				c.Error("no configuration yet", fasthttp.StatusServiceUnavailable)
-				return
-			}
-			c.SetBodyString(view.Status().String() + "\n")
-		default:
-			c.Error("unknown path; use /metrics, /health or /ready", fasthttp.StatusNotFound)
-		}
-	}
-}
--- a/cmd/cuminhook-controller/run.go
+++ b/cmd/cuminhook-controller/run.go
@@ -6,10 +6,6 @@
 	"net"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
-	"github.com/valyala/fasthttp"
-
-	"cuminhook.org/cuminhook/lib/confview"
 	"cuminhook.org/cuminhook/lib/controller"
 	"cuminhook.org/cuminhook/lib/demand"
 	"cuminhook.org/cuminhook/lib/engine/httpengine"
@@ -72,9 +68,9 @@
 	if err != nil {
 		return fmt.Errorf("metrics: cannot listen on %s: %w; choose a free address", s.Metrics, err)
 	}
-	srv := &fasthttp.Server{Handler: pages(c, h.Mesh), ReadTimeout: 5 * time.Second, WriteTimeout: 5 * time.Second}
-	go func() { _ = srv.Serve(ln) }()
-	defer func() { _ = srv.Shutdown() }()
+	status := host.NewStatus(h.Mesh, c.Metrics())
+	go func() { _ = status.Serve(ln) }()
+	defer func() { _ = status.Close() }()
 
 	nodeCtx, stopNode := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopNode()
@@ -89,6 +85,7 @@
 		return err
 	case <-ctx.Done():
 	}
+	status.SetStopping()
 	h.Mesh.Leave(nodeCtx)
 	select {
 	case err := <-done:
@@ -98,24 +95,3 @@
 		return nil
 	}
 }
-
-// pages serves /metrics, /health and /ready.
-func pages(c *controller.Controller, view confview.View) fasthttp.RequestHandler {
-	return func(ctx *fasthttp.RequestCtx) {
-		switch string(ctx.Path()) {
-		case "/metrics":
-			c.WriteMetrics(ctx)
-			metrics.WritePrometheus(ctx, true) // the node's and those of the process
-		case "/health":
-			ctx.SetBodyString("ok\n")
-		case "/ready":
-			if view.Status() == confview.Starting {
-				ctx.Error("starting: no configuration yet\n", fasthttp.StatusServiceUnavailable)
-				return
-			}
-			ctx.SetBodyString(view.Status().String() + "\n")
-		default:
-			ctx.Error("unknown path; use /metrics, /health or /ready\n", fasthttp.StatusNotFound)
-		}
-	}
-}
--- a/cmd/cuminhook-gateway/run.go
+++ b/cmd/cuminhook-gateway/run.go
@@ -73,7 +73,7 @@
 	// Mesh and watches go on until the last open stream has ended.
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	status := gateway.NewStatus(node, set)
+	status := host.NewStatus(node, set)
 	group, groupCtx := errgroup.WithContext(background)
 	group.Go(func() error { return ignoreCancel(node.Run(groupCtx)) })
 	group.Go(func() error { gw.Run(groupCtx); return nil })
--- a/lib/controller/fakes_test.go
+++ b/lib/controller/fakes_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"flag"
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
@@ -23,20 +22,10 @@
 	"cuminhook.org/cuminhook/lib/placement"
 	"cuminhook.org/cuminhook/lib/ticket"
 	"cuminhook.org/cuminhook/lib/weights"
+	"cuminhook.org/cuminhook/test/rapidtest"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	for name, value := range map[string]string{"rapid.seed": "7", "rapid.checks": "20", "rapid.nofailfile": "true"} {
-		if set := os.Getenv("CUMINHOOK_" + strings.ToUpper(strings.ReplaceAll(name, ".", "_"))); set != "" {
-			value = set
-		}
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { os.Exit(rapidtest.Run(m, "7", "20")) }
 
 var errLost = errors.New("test: answer lost")
 
--- a/lib/controller/metrics.go
+++ b/lib/controller/metrics.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"io"
 
 	"github.com/VictoriaMetrics/metrics"
 
@@ -35,11 +34,8 @@
 	}
 }
 
-// WriteMetrics writes the metrics in the Prometheus text format.
-func (c *Controller) WriteMetrics(w io.Writer) {
-	c.met.set.WritePrometheus(w)
-	metrics.WritePrometheus(w, true) // the packages' own counters and those of the process
-}
+// Metrics returns the controller's set.
+func (c *Controller) Metrics() *metrics.Set { return c.met.set }
 
 // order counts orders sent by kind; load_model counts the moves.
 func (m *meters) order(kind engine.OrderKind) *metrics.Counter {
--- a/lib/fairqueue/fairqueue_test.go
+++ b/lib/fairqueue/fairqueue_test.go
@@ -1,24 +1,17 @@
 package fairqueue
 
 import (
-	"flag"
 	"fmt"
 	"os"
 	"slices"
 	"testing"
 
 	"pgregory.net/rapid"
+
+	"cuminhook.org/cuminhook/test/rapidtest"
 )
 
-// TestMain pins rapid's seed, which is random by default, and keeps the source tree free of fail files.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	_ = flag.Set("rapid.nofailfile", "true")
-	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
-		_ = f.Value.Set("20260711")
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { os.Exit(rapidtest.Run(m, "20260711", "")) }
 
 // checkHeaps fails if an index or an order is broken.
 func checkHeaps(t *rapid.T, q *Queue, all []*Entry) {
--- a/lib/gateway/status.go
+++ b/lib/host/status.go
@@ -1,4 +1,4 @@
-package gateway
+package host
 
 import (
 	"net"
@@ -17,17 +17,17 @@
 	statusConns   = 64
 )
 
-// Status serves /metrics, /health and /ready to the platform.
+// Status serves /metrics, /health and /ready of a program to the platform.
 type Status struct {
 	view     confview.View
-	set      *metrics.Set
+	sets     []*metrics.Set
 	stopping atomic.Bool
 	http     *fasthttp.Server
 }
 
-// NewStatus returns the status server of a host.
-func NewStatus(view confview.View, set *metrics.Set) *Status {
-	s := &Status{view: view, set: set}
+// NewStatus returns the status server of a program. It shows the given sets, the registered ones and the process's.
+func NewStatus(view confview.View, sets ...*metrics.Set) *Status {
+	s := &Status{view: view, sets: sets}
 	s.http = &fasthttp.Server{
 		Handler: s.handle, GetOnly: true, ReadTimeout: statusTimeout, WriteTimeout: statusTimeout,
 		Concurrency: statusConns, Name: "cuminhook", CloseOnShutdown: true, SecureErrorLogMessage: true,
@@ -65,7 +65,9 @@
 	switch string(h.Path()) {
 	case "/metrics":
 		h.SetContentType("text/plain; version=0.0.4")
-		s.set.WritePrometheus(h)
+		for _, set := range s.sets {
+			set.WritePrometheus(h)
+		}
 		metrics.WritePrometheus(h, true) // the packages' own counters and those of the process
 	case "/health":
 		h.SetBodyString("alive\n")
--- a/lib/gateway/status_test.go
+++ b/lib/host/status_test.go
@@ -1,4 +1,4 @@
-package gateway
+package host
 
 import (
 	"strings"
--- a/lib/idem/idem_test.go
+++ b/lib/idem/idem_test.go
@@ -6,7 +6,6 @@
 	"crypto/sha256"
 	"encoding/gob"
 	"errors"
-	"flag"
 	"fmt"
 	"math/rand/v2"
 	"os"
@@ -23,17 +22,10 @@
 	"cuminhook.org/cuminhook/lib/manifest"
 	"cuminhook.org/cuminhook/lib/peer"
 	"cuminhook.org/cuminhook/lib/refusal"
+	"cuminhook.org/cuminhook/test/rapidtest"
 )
 
-// TestMain pins rapid's seed, which is random by default, and keeps the source tree free of fail files.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	_ = flag.Set("rapid.nofailfile", "true")
-	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
-		_ = f.Value.Set("20260711")
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { os.Exit(rapidtest.Run(m, "20260711", "")) }
 
 const simHosts = 4
 
--- a/lib/lease/campaign_test.go
+++ b/lib/lease/campaign_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
 	"math/rand/v2"
 	"os"
@@ -17,16 +16,10 @@
 
 	"cuminhook.org/cuminhook/lib/kv"
 	"cuminhook.org/cuminhook/lib/kv/memkv"
+	"cuminhook.org/cuminhook/test/rapidtest"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	// rapid draws its seed at random by default.
-	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
-		_ = f.Value.Set("7")
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { os.Exit(rapidtest.Run(m, "7", "")) }
 
 const ttl = 5 * time.Second
 
--- a/lib/ledger/ledger_test.go
+++ b/lib/ledger/ledger_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"flag"
 	"fmt"
 	"os"
 	"slices"
@@ -11,15 +10,10 @@
 	"pgregory.net/rapid"
 
 	"cuminhook.org/cuminhook/lib/engine"
+	"cuminhook.org/cuminhook/test/rapidtest"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if err := flag.Set("rapid.seed", "7"); err != nil {
-		panic(err)
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { os.Exit(rapidtest.Run(m, "7", "")) }
 
 // machine is a ledger with an engine that obeys every order it receives. Orders on the wire may arrive at
 // any time, twice or never.
--- a/lib/manifest/history_test.go
+++ b/lib/manifest/history_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"errors"
-	"flag"
 	"fmt"
 	"math"
 	"os"
@@ -21,12 +20,10 @@
 	"cuminhook.org/cuminhook/lib/kv/memkv"
 	"cuminhook.org/cuminhook/lib/refusal"
 	"cuminhook.org/cuminhook/lib/ticket"
+	"cuminhook.org/cuminhook/test/rapidtest"
 )
 
-func TestMain(m *testing.M) {
-	flag.Set("rapid.seed", "1") // fixed, so that a run can be repeated
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { os.Exit(rapidtest.Run(m, "1", "")) }
 
 // call is one call of an operator.
 type call struct {
--- a/lib/mesh/fake_test.go
+++ b/lib/mesh/fake_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"flag"
 	"fmt"
 	"io"
 	"log/slog"
@@ -15,25 +14,13 @@
 	"testing"
 	"time"
 
-	_ "pgregory.net/rapid" // defines the flag rapid.seed
-
 	"cuminhook.org/cuminhook/lib/hostlist"
 	"cuminhook.org/cuminhook/lib/kv"
 	"cuminhook.org/cuminhook/lib/manifest"
+	"cuminhook.org/cuminhook/test/rapidtest"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	// rapid draws its seed at random by default.
-	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
-		_ = f.Value.Set("7")
-	}
-	// A case takes about a tenth of a second; long runs pass -rapid.checks.
-	if f := flag.Lookup("rapid.checks"); f.Value.String() == f.DefValue {
-		_ = f.Value.Set("20")
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { os.Exit(rapidtest.Run(m, "7", "20")) }
 
 // world is an in-memory network with a key-value service and faults. Hosts are named by their address.
 type world struct {
--- a/lib/placement/planner_test.go
+++ b/lib/placement/planner_test.go
@@ -1,7 +1,6 @@
 package placement
 
 import (
-	"flag"
 	"fmt"
 	"os"
 	"slices"
@@ -11,17 +10,10 @@
 	"pgregory.net/rapid"
 
 	"cuminhook.org/cuminhook/lib/weights"
+	"cuminhook.org/cuminhook/test/rapidtest"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	for name, value := range map[string]string{"rapid.seed": "7", "rapid.checks": "40"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { os.Exit(rapidtest.Run(m, "7", "40")) }
 
 const (
 	simStep   = 250 * time.Millisecond
--- a/lib/quota/manager_test.go
+++ b/lib/quota/manager_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
 	"os"
 	"runtime"
@@ -17,17 +16,10 @@
 	"cuminhook.org/cuminhook/lib/manifest"
 	"cuminhook.org/cuminhook/lib/placement"
 	"cuminhook.org/cuminhook/lib/ticket"
+	"cuminhook.org/cuminhook/test/rapidtest"
 )
 
-// TestMain pins rapid's seed, which is random by default, and keeps the source tree free of fail files.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	_ = flag.Set("rapid.nofailfile", "true")
-	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
-		_ = f.Value.Set("20260711")
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { os.Exit(rapidtest.Run(m, "20260711", "")) }
 
 // fixedView is a view whose snapshot and status are set by the test.
 type fixedView struct {
--- a/lib/ticket/apply_test.go
+++ b/lib/ticket/apply_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"encoding/json"
-	"flag"
 	"fmt"
 	"maps"
 	"os"
@@ -14,12 +13,10 @@
 	"pgregory.net/rapid"
 
 	"cuminhook.org/cuminhook/lib/refusal"
+	"cuminhook.org/cuminhook/test/rapidtest"
 )
 
-func TestMain(m *testing.M) {
-	flag.Set("rapid.seed", "1") // fixed, so that a run can be repeated
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { os.Exit(rapidtest.Run(m, "1", "")) }
 
 // testRetained is small, so that short sequences reach the floor.
 const testRetained = 4
--- a/test/datapath/rig_test.go
+++ b/test/datapath/rig_test.go
@@ -8,8 +8,6 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
-	"errors"
-	"flag"
 	"fmt"
 	"log/slog"
 	"net"
@@ -36,6 +34,7 @@
 	engines "cuminhook.org/cuminhook/lib/standin/engine"
 	services "cuminhook.org/cuminhook/lib/standin/service"
 	"cuminhook.org/cuminhook/lib/ticket"
+	"cuminhook.org/cuminhook/test/rapidtest"
 )
 
 const (
@@ -44,10 +43,6 @@
 )
 
 func TestMain(m *testing.M) {
-	flag.Parse()
-	if err := errors.Join(flag.Set("rapid.seed", "20261204"), flag.Set("rapid.nofailfile", "true")); err != nil {
-		panic(err)
-	}
 	// fasthttp's first server starts a goroutine that never ends; it must not belong to a bubble.
 	ln := fasthttputil.NewInmemoryListener()
 	s := &fasthttp.Server{Handler: func(*fasthttp.RequestCtx) {}}
@@ -60,7 +55,7 @@
 	_, _ = bufio.NewReader(c).ReadString('\n')
 	_ = c.Close()
 	_ = s.Shutdown()
-	os.Exit(m.Run())
+	os.Exit(rapidtest.Run(m, "20261204", ""))
 }
 
 // rig is a gateway with two engines and two services on in-memory connections.
--- a/test/datapath/status_test.go
+++ b/test/datapath/status_test.go
@@ -6,7 +6,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"cuminhook.org/cuminhook/lib/confview"
-	"cuminhook.org/cuminhook/lib/gateway"
+	"cuminhook.org/cuminhook/lib/host"
 	"cuminhook.org/cuminhook/lib/manifest"
 	engines "cuminhook.org/cuminhook/lib/standin/engine"
 )
@@ -38,7 +38,7 @@
 					t.Errorf("%s, %s: reason %q, want %q", status, name, got[0], got[1])
 				}
 			}
-			s := gateway.NewStatus(r.view, metrics.NewSet())
+			s := host.NewStatus(r.view, metrics.NewSet())
 			if ready, ok := s.Ready(); ready != want.ready || ok != status.Serving() {
 				t.Errorf("%s: ready %q %t", status, ready, ok)
 			}
