--- a/cmd/cuminhook-standin/engine.go
+++ b/cmd/cuminhook-standin/engine.go
@@ -74,6 +74,7 @@
 	f.Int64Var(&cfg.Capacity, "capacity", 80<<30, "accelerator memory in bytes")
 	f.Float64Var(&cfg.LoadRate, "load-rate", 4<<30, "bytes a second while loading; 0 for no delay")
 	f.BoolVar(&cfg.Fences, "fences", true, "refuse orders with an old fencing number")
+	f.BoolVar(&cfg.Overcommit, "overcommit", false, "carry out loads beyond the capacity instead of refusing them")
 	f.StringVar(&cfg.Boot, "boot", "", "boot id; random if empty")
 	f.IntVar(&cfg.CacheSize, "cache", 64, "prompt prefixes kept")
 	f.DurationVar(&cfg.CacheDelay, "cache-delay", time.Second, "age at which cache events are published")
--- a/lib/standin/engine/engine.go
+++ b/lib/standin/engine/engine.go
@@ -25,6 +25,7 @@
 	Capacity    int64         // bytes
 	LoadRate    float64       // bytes a second for loads; zero: at once
 	Fences      bool          // refuses orders with an old fencing number
+	Overcommit  bool          // carries out loads beyond Capacity, so that tests see overcommitment by the sender
 	Boot        string        // boot id; empty: random
 	CacheSize   int           // prompt prefixes kept
 	CacheDelay  time.Duration // age at which a cache event is published
@@ -72,6 +73,7 @@
 	seq       int64               //
 	residents map[string]resident // by kind, slash, name
 	done      []string            // ids of orders carried out
+	peak      int64               // most bytes ever held, those of loads in progress included
 	cache     prefixCache
 	loadLog   []loadSample
 }
@@ -249,10 +251,11 @@
 				return fmt.Errorf("%w: base model %s is not loaded", engine.ErrOrderRefused, o.Model)
 			}
 		}
-		if used := e.usedLocked(); used+o.Bytes > e.cfg.Capacity {
+		if used := e.usedLocked(); used+o.Bytes > e.cfg.Capacity && !e.cfg.Overcommit {
 			return fmt.Errorf("%w: %d bytes held, %d asked, capacity %d", engine.ErrOrderRefused, used, o.Bytes, e.cfg.Capacity)
 		}
 		e.residents[key] = resident{engine.Resident{Kind: kind, Name: o.Name, Bytes: o.Bytes}, e.cfg.LoadRate > 0}
+		e.peak = max(e.peak, e.usedLocked())
 	case engine.OrderUnloadModel, engine.OrderUnloadAdapter:
 		delete(e.residents, key)
 	default:
@@ -268,6 +271,20 @@
 	return used
 }
 
+// Memory is the use of the accelerator memory in bytes.
+type Memory struct {
+	Capacity int64 `json:"capacity"`
+	Held     int64 `json:"held"` // loads in progress included
+	Peak     int64 `json:"peak"` // largest Held so far
+}
+
+// Memory returns the use of the accelerator memory.
+func (e *Engine) Memory() Memory {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return Memory{Capacity: e.cfg.Capacity, Held: e.usedLocked(), Peak: e.peak}
+}
+
 // Report returns the engine's account of itself.
 func (e *Engine) Report() engine.Report {
 	e.mu.Lock()
--- a/lib/standin/engine/http.go
+++ b/lib/standin/engine/http.go
@@ -21,6 +21,7 @@
 const (
 	PathRuns   = "/debug/runs"   // GET ?prefix=: log of runs
 	PathFaults = "/debug/faults" // PUT: Faults
+	PathMemory = "/debug/memory" // GET: Memory
 	PathCache  = "/v1/cache/events"
 )
 
@@ -42,6 +43,8 @@
 		events := e.cache.after(after, e.cfg.CacheDelay)
 		e.mu.Unlock()
 		writeJSON(h, fasthttp.StatusOK, events)
+	case path == PathMemory:
+		writeJSON(h, fasthttp.StatusOK, e.Memory())
 	case path == PathRuns:
 		writeJSON(h, fasthttp.StatusOK, e.Runs(string(h.QueryArgs().Peek("prefix"))))
 	case path == PathFaults:
--- a/test/process/rig_test.go
+++ b/test/process/rig_test.go
@@ -476,6 +476,16 @@
 	}
 }
 
+// read fetches JSON from a stand-in.
+func (r *rig) read(url string, out any) error {
+	resp, err := r.client.Get("http://" + url)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	return json.NewDecoder(resp.Body).Decode(out)
+}
+
 // revision returns the manifest revision that gateway i shows.
 func (r *rig) revision(i int) (int64, error) {
 	resp, err := r.client.Get("http://" + r.states[i] + "/metrics")
