--- a/lib/standin/service/service.go
+++ b/lib/standin/service/service.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"net"
 	"sync"
 	"time"
@@ -16,6 +17,7 @@
 // Paths beside the service itself, for tests and demo.
 const (
 	PathRuns   = "/debug/runs"   // GET: runs by idempotency key or request id
+	PathCalls  = "/debug/calls"  // GET: runs by request id
 	PathFaults = "/debug/faults" // PUT: Faults
 )
 
@@ -40,6 +42,7 @@
 	mu     sync.Mutex
 	faults Faults         // guarded by mu, like all below
 	runs   map[string]int // by idempotency key, or request id if there is none
+	calls  map[string]int // runs by request id
 	seen   []Seen
 }
 
@@ -53,7 +56,7 @@
 
 // New returns a service.
 func New() *Service {
-	s := &Service{closed: make(chan struct{}), runs: map[string]int{}}
+	s := &Service{closed: make(chan struct{}), runs: map[string]int{}, calls: map[string]int{}}
 	s.http = &fasthttp.Server{Handler: s.handle, Name: "standin-service", CloseOnShutdown: true, Logger: quiet{}}
 	return s
 }
@@ -78,11 +81,14 @@
 func (s *Service) Runs() map[string]int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	out := make(map[string]int, len(s.runs))
-	for k, v := range s.runs {
-		out[k] = v
-	}
-	return out
+	return maps.Clone(s.runs)
+}
+
+// Calls returns the runs by request id.
+func (s *Service) Calls() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.calls)
 }
 
 // Seen returns the calls as they arrived.
@@ -105,8 +111,12 @@
 
 func (s *Service) handle(h *fasthttp.RequestCtx) {
 	switch string(h.Path()) {
-	case PathRuns:
-		body, err := json.Marshal(s.Runs())
+	case PathRuns, PathCalls:
+		runs := s.Runs
+		if string(h.Path()) == PathCalls {
+			runs = s.Calls
+		}
+		body, err := json.Marshal(runs())
 		if err != nil {
 			h.SetStatusCode(fasthttp.StatusInternalServerError)
 		}
@@ -161,11 +171,12 @@
 }
 
 func (s *Service) run(h *fasthttp.RequestCtx, id string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls[id]++
 	if key := h.Request.Header.Peek("Idempotency-Key"); len(key) > 0 {
 		id = string(key)
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.runs[id]++
 	return s.runs[id]
 }
--- a/test/process/controller_test.go
+++ b/test/process/controller_test.go
@@ -37,6 +37,11 @@
 
 	done := make(chan struct{})
 	var sampler sync.WaitGroup
+	endSampler := sync.OnceFunc(func() {
+		close(done)
+		sampler.Wait()
+	})
+	defer endSampler()
 	sampler.Go(func() {
 		for over := false; !over; {
 			select {
@@ -75,8 +80,7 @@
 	if again := r.activeController(); again == active {
 		t.Errorf("%s holds the lease after it was killed", again)
 	}
-	close(done)
-	sampler.Wait()
+	endSampler()
 	for i, addr := range r.engines {
 		var memory engines.Memory
 		if err := r.read(addr+engines.PathMemory, &memory); err != nil {
--- a/test/process/outage_test.go
+++ b/test/process/outage_test.go
@@ -37,6 +37,11 @@
 	began := time.Now()
 	stop := make(chan struct{})
 	var load sync.WaitGroup
+	endLoad := sync.OnceFunc(func() {
+		close(stop)
+		load.Wait()
+	})
+	defer endLoad()
 	for i := range gateways {
 		if i == restarted {
 			continue
@@ -93,8 +98,7 @@
 		}
 		time.Sleep(20 * time.Millisecond)
 	}
-	close(stop)
-	load.Wait()
+	endLoad()
 
 	outage["outage"] = false
 	r.fault(r.kv+"/fault", outage)
--- a/test/process/rig_test.go
+++ b/test/process/rig_test.go
@@ -98,17 +98,28 @@
 	client   *http.Client
 }
 
-// freeAddrs returns addresses on loopback that were free a moment ago.
+// given holds the addresses that a rig has: the kernel chooses a port again until its program listens.
+var (
+	givenMu sync.Mutex
+	given   = map[string]bool{} // guarded by givenMu
+)
+
+// freeAddrs returns addresses on loopback that were free a moment ago and that no other rig has.
 func freeAddrs(t *testing.T, n int) []string {
 	t.Helper()
+	givenMu.Lock()
+	defer givenMu.Unlock()
 	var addrs []string
-	for range n {
+	for tries := 0; len(addrs) < n; tries++ {
 		ln, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
+		if err != nil || tries > 100*n {
+			t.Fatal("no free ports", err)
 		}
 		defer ln.Close() // after the last one, so that all differ
-		addrs = append(addrs, ln.Addr().String())
+		if addr := ln.Addr().String(); !given[addr] {
+			given[addr] = true
+			addrs = append(addrs, addr)
+		}
 	}
 	return addrs
 }
@@ -179,6 +190,13 @@
 	}
 	// The controllers have to enter the gateways as witnesses and slot owners first.
 	r.wait("three witnesses and all slots have owners", func() bool {
+		for name, p := range r.procs {
+			select {
+			case <-p.done:
+				t.Fatalf("%s has ended", name)
+			default:
+			}
+		}
 		m := r.manifest()
 		return m != nil && len(m.Witnesses) == gateways && !strings.Contains(strings.Join(m.Slots.Owners, ",")+",", ",,")
 	})
