--- a/lib/confview/confview.go
+++ b/lib/confview/confview.go
@@ -80,3 +80,10 @@
 	named := func(h hostlist.Host) bool { return entry(h) && h.ID == id }
 	return slices.ContainsFunc(hosts, entry) && !slices.ContainsFunc(hosts, named)
 }
+
+// Read returns the snapshot with a status that holds for it. The status is read first: between the two a newer
+// snapshot may be installed, and a status that it made fresh must not be taken for the older one.
+func Read(v View) (*Snapshot, Status) {
+	status := v.Status()
+	return v.Snapshot(), status
+}
--- a/lib/filter/auth/auth.go
+++ b/lib/filter/auth/auth.go
@@ -33,7 +33,7 @@
 
 // Serve implements pipeline.Handler.
 func (f *filter) Serve(ctx context.Context, ex *pipeline.Exchange) error {
-	snap, status := f.cfg.View.Snapshot(), f.cfg.View.Status()
+	snap, status := confview.Read(f.cfg.View)
 	if status == confview.Starting {
 		return starting()
 	}
--- a/lib/filter/dispatch/dispatch.go
+++ b/lib/filter/dispatch/dispatch.go
@@ -97,7 +97,8 @@
 	if ex.Organisation == "" {
 		return nil
 	}
-	_, err := auth.Check(d.cfg.View.Snapshot(), d.cfg.View.Status(), ex.KeyHash)
+	snap, status := confview.Read(d.cfg.View)
+	_, err := auth.Check(snap, status, ex.KeyHash)
 	return err
 }
 
--- a/lib/filter/dispatch/registry.go
+++ b/lib/filter/dispatch/registry.go
@@ -50,7 +50,7 @@
 
 // check ends the exchanges whose key is no longer valid.
 func (r *registry) check(view confview.View) {
-	snap, status := view.Snapshot(), view.Status()
+	snap, status := confview.Read(view)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for key, entries := range r.open {
