--- a/lib/refusal/refusal.go
+++ b/lib/refusal/refusal.go
@@ -16,7 +16,6 @@
 	KeyUnknown             Reason = "key_unknown"
 	ConfigStale            Reason = "config_stale"
 	Starting               Reason = "starting"
-	Stopping               Reason = "stopping"
 	BadRequest             Reason = "bad_request"
 	BodyTooLarge           Reason = "body_too_large"
 	RequestTimeout         Reason = "request_timeout"
--- a/test/process/stop_test.go
+++ b/test/process/stop_test.go
@@ -11,7 +11,6 @@
 	"testing"
 	"time"
 
-	"cuminhook.org/cuminhook/lib/refusal"
 	services "cuminhook.org/cuminhook/lib/standin/service"
 )
 
@@ -68,8 +67,6 @@
 					once.Do(func() { close(refused) })
 				case !a.began && !early:
 					counts["not begun"]++
-				case a.err == nil && a.run == refusal.NotRun && a.reason == refusal.Stopping && !early:
-					counts["stopping"]++
 				default:
 					t.Errorf("%s, early %t: %v", kind, early, a)
 				}
