Withhold a whole answer whose key became invalid

Cause: streams are checked before each read, but a whole answer that arrived just after the withdrawal, or first of all when a paused gateway went on, was passed to the caller; the periodic check comes every 250 ms only. Change: dispatch checks the key again before the answer; the refusal says unknown, because the engine ran the request, and is not retried.

--- a/lib/filter/dispatch/model.go
+++ b/lib/filter/dispatch/model.go
@@ -50,6 +50,9 @@
 		if err == nil {
 			return nil
 		}
+		if r, ok := refusal.As(err); ok {
+			return r
+		}
 		if !provablyNotRun(err) {
 			d.cancelAt(target.Addr, req.ID)
 		}
@@ -114,6 +117,12 @@
 	if err != nil {
 		return err
 	}
+	// The key may have been withdrawn while the engine worked, or while this process was paused.
+	if r, ok := refusal.As(d.recheck(ex)); ok {
+		withheld := *r
+		withheld.Run = refusal.Unknown
+		return &withheld
+	}
 	d.answer(ex, resp.Status, resp.Body, resp.PromptTokens, resp.OutputTokens)
 	return nil
 }
--- a/test/datapath/outcome_test.go
+++ b/test/datapath/outcome_test.go
@@ -84,6 +84,27 @@
 	}
 }
 
+// Guards against a whole answer that reaches a caller whose key was withdrawn just before it arrived, as when a
+// paused gateway goes on. Without a change it is answered: that is the control.
+func TestWholeAnswerIsWithheldFromInvalidKey(t *testing.T) {
+	for reason, change := range map[string]func(*rig){
+		"":             func(*rig) {},
+		"config_stale": func(r *rig) { r.view.SetStatus(confview.Isolated, false) },
+	} {
+		bubble(t, engines.Config{Decode: 50}, nil, func(r *rig) {
+			start := time.Now()
+			r.call("POST", "/v1/chat/completions", chat("a", false), bearer)
+			took := time.Since(start)
+			// Later than the periodic check of open requests.
+			time.AfterFunc(took-time.Millisecond, func() { change(r) })
+			a := r.call("POST", "/v1/chat/completions", chat("a", false), bearer)
+			if e := a.refusal().Error; e.Reason != reason || reason != "" && e.Run != "unknown" {
+				t.Errorf("%q: %+v", reason, a)
+			}
+		})
+	}
+}
+
 // Guards against wrong refunds: the usage that the engine reported reaches admission, and unknown usage is
 // told from none.
 func TestOutcomeReportsUsage(t *testing.T) {
