--- a/cmd/cuminhook-admin/example_settings_test.go
+++ b/cmd/cuminhook-admin/example_settings_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 
+	"cuminhook.org/cuminhook/lib/settings"
 	"cuminhook.org/cuminhook/test/settingstest"
 )
 
@@ -11,3 +12,13 @@
 	s := Settings{}
 	settingstest.CheckExample(t, "../../examples/settings/admin.yaml", &s)
 }
+
+// Guards against example deployments that the program refuses.
+func TestExampleDeployments(t *testing.T) {
+	for _, name := range []string{"trinacria", "virtasen"} {
+		s := Settings{}
+		if err := settings.Load("../../examples/"+name+"/settings/admin.yaml", &s); err != nil {
+			t.Error(err)
+		}
+	}
+}
