Remove routing code that nothing calls

Cause: the read-through found methods of the router without a caller: cache events, a measured prefill rate, counts of copies and slots. Change: they go; the prefill rate is a constant, which it was in effect. Conclusion: no behaviour changed.

--- a/lib/gateway/picker.go
+++ b/lib/gateway/picker.go
@@ -66,7 +66,7 @@
 	if res.Verdict == dispatch.Failed && p.suspect != nil {
 		p.suspect(t.ID)
 	}
-	out := router.Result{Failed: res.Verdict == dispatch.Failed || res.Verdict == dispatch.Draining, FirstToken: res.FirstToken}
+	out := router.Result{Failed: res.Verdict == dispatch.Failed || res.Verdict == dispatch.Draining}
 	if res.Verdict == dispatch.Answered {
 		out.Total = now.Sub(began)
 	}
--- a/lib/router/prefix.go
+++ b/lib/router/prefix.go
@@ -27,7 +27,3 @@
 func (p *prefixTable) put(prefix uint64, target uint32) {
 	p.entries[prefix&p.mask].Store(prefix&upperHalf | uint64(target))
 }
-
-func (p *prefixTable) drop(prefix uint64, target uint32) {
-	p.entries[prefix&p.mask].CompareAndSwap(prefix&upperHalf|uint64(target), 0)
-}
--- a/lib/router/router.go
+++ b/lib/router/router.go
@@ -20,8 +20,9 @@
 	excludeMax = 4
 
 	defaultServiceTime = 2 * time.Second
-	defaultPrefillRate = 8000 // tokens a second, until measured
-	reportHalfLife     = 2 * time.Second
+	// prefillRate is in prompt tokens a second. Engines do not tell gateways theirs; it weighs prompts against waits.
+	prefillRate    = 8000
+	reportHalfLife = 2 * time.Second
 )
 
 // Config holds the costs that a Router weighs.
@@ -139,9 +140,6 @@
 // SetGateways tells how many gateways share the targets; it bounds this gateway's outstanding work.
 func (r *Router) SetGateways(n int) { r.gateways.Store(int64(max(n, 1))) }
 
-// Copies returns the number of routable targets of the model or adapter.
-func (r *Router) Copies(name string) int { return len(r.topo.Load().names[name]) }
-
 // Pick chooses a target for the request and counts the request as outstanding there until Done.
 // It reports false if no target can take the model now.
 func (r *Router) Pick(now time.Time, q *Request) (*Target, bool) {
@@ -176,19 +174,6 @@
 	}
 }
 
-// PrefixCached records a cache event: the target holds or has dropped the prefix.
-func (r *Router) PrefixCached(id string, prefix uint64, held bool) {
-	t := r.Target(id)
-	if t == nil {
-		return
-	}
-	if held {
-		r.prefix.put(prefix, t.hash)
-	} else {
-		r.prefix.drop(prefix, t.hash)
-	}
-}
-
 func (r *Router) cheapest(now time.Time, q *Request) (*Target, time.Duration) {
 	topo := r.topo.Load()
 	name := q.Model
@@ -248,7 +233,7 @@
 	if t.hash == s.holder {
 		tokens -= s.q.PrefixTokens
 	}
-	cost += t.prefill(tokens)
+	cost += prefill(tokens)
 	if s.best == nil || cost < s.cost {
 		s.best, s.cost = t, cost
 	}
--- a/lib/router/target.go
+++ b/lib/router/target.go
@@ -25,10 +25,8 @@
 
 // Result is how an attempt at a target ended.
 type Result struct {
-	Failed       bool          // the target failed; refusals by the target because of load are not failures
-	PromptTokens int64         // zero if unknown
-	FirstToken   time.Duration // zero if unknown
-	Total        time.Duration // zero if unknown
+	Failed bool          // the target failed; refusals by the target because of load are not failures
+	Total  time.Duration // zero if unknown
 }
 
 // Target is the routing state of one target. Its fields are atomics, so that picks need no lock.
@@ -49,7 +47,6 @@
 	reported atomic.Int64 // unix nanoseconds
 
 	serviceTime atomic.Uint64 // float64 seconds, moving average
-	prefillRate atomic.Uint64 // float64 tokens a second, moving average
 
 	failures     atomic.Int32
 	ejections    atomic.Int32
@@ -60,16 +57,12 @@
 	t := &Target{ID: v.ID, Addr: v.Addr, Zone: v.Zone, distance: distance}
 	t.hash = uint32(xxhash.Sum64String(v.ID)) | 1 // zero stands for no target
 	t.serviceTime.Store(math.Float64bits(defaultServiceTime.Seconds()))
-	t.prefillRate.Store(math.Float64bits(defaultPrefillRate))
 	return t
 }
 
 // Outstanding returns the requests of this gateway at the target.
 func (t *Target) Outstanding() int64 { return t.own.Load() }
 
-// Slots returns the target's batch slots.
-func (t *Target) Slots() int64 { return t.slots.Load() }
-
 func (t *Target) begin(prompt int64) {
 	t.own.Add(1)
 	t.ownToks.Add(prompt)
@@ -96,13 +89,6 @@
 	}
 }
 
-// ObservePrefill records the time that the engine took for an uncached prompt.
-func (t *Target) ObservePrefill(tokens int64, took time.Duration) {
-	if tokens > 0 && took > 0 {
-		blend(&t.prefillRate, float64(tokens)/took.Seconds())
-	}
-}
-
 func (t *Target) fail(now time.Time) {
 	readmitted := t.ejectedUntil.Load() != 0
 	if t.failures.Add(1) < ejectAfter && !readmitted {
@@ -163,7 +149,7 @@
 	if toks := t.toks.Load(); toks > 0 {
 		ahead += float64(toks) * decay(now.UnixNano()-t.reported.Load())
 	}
-	return t.slotWait(t.busy(now)) + t.prefill(int64(ahead))
+	return t.slotWait(t.busy(now)) + prefill(int64(ahead))
 }
 
 func (t *Target) slotWait(busy float64) time.Duration {
@@ -176,9 +162,8 @@
 	return time.Duration(busy / slots * float64(time.Millisecond))
 }
 
-func (t *Target) prefill(tokens int64) time.Duration {
-	rate := math.Float64frombits(t.prefillRate.Load())
-	return time.Duration(float64(tokens) / rate * float64(time.Second))
+func prefill(tokens int64) time.Duration {
+	return time.Duration(float64(tokens) / prefillRate * float64(time.Second))
 }
 
 // decay returns the weight of a report of the given age in nanoseconds.
