--- a/cmd/cuminhook-controller/run.go
+++ b/cmd/cuminhook-controller/run.go
@@ -11,7 +11,6 @@
 	"cuminhook.org/cuminhook/lib/engine/httpengine"
 	"cuminhook.org/cuminhook/lib/host"
 	"cuminhook.org/cuminhook/lib/lease"
-	"cuminhook.org/cuminhook/lib/manifest"
 	"cuminhook.org/cuminhook/lib/mesh"
 )
 
@@ -31,12 +30,6 @@
 	return epoch, ended, nil
 }
 
-// compactor adapts the manifest writer: a snapshot is followed by the deletion of what it replaced.
-type compactor struct{ *manifest.Writer }
-
-// Snapshot implements controller.Snapshotter.
-func (c compactor) Snapshot(ctx context.Context) error { return c.Compact(ctx) }
-
 // deps connects the controller with the host.
 func deps(s *config, h *host.Host) controller.Deps {
 	writer := h.NewWriter()
@@ -45,7 +38,7 @@
 		Lease: campaign{lease.New(h.Store, "cell/"+s.CellName(), h.Mesh.Self(), leaseTTL)},
 	}
 	if s.KeepManifest {
-		d.Manifest, d.Snapshots = writer, compactor{writer}
+		d.Manifest, d.Compactor = writer, writer
 	}
 	return d
 }
--- a/lib/controller/controller.go
+++ b/lib/controller/controller.go
@@ -43,6 +43,8 @@
 	campaignRetry = time.Second
 	// keepPeriod is the period of the work on the manifest.
 	keepPeriod = time.Second
+	// compactPeriod is the period of compaction, which lists a few keys when there is nothing to do.
+	compactPeriod = time.Minute
 )
 
 // defaultReports is the number of reports a second over all targets. Beyond as many targets, each reports
@@ -71,9 +73,9 @@
 	Update(ctx context.Context, change func(*manifest.Manifest) (manifest.Restriction, error)) (*manifest.Manifest, error)
 }
 
-// Snapshotter writes a snapshot of the accepted tickets and trims the log.
-type Snapshotter interface {
-	Snapshot(ctx context.Context) error
+// Compactor writes a snapshot of the accepted tickets when one is due, and deletes what earlier ones replaced.
+type Compactor interface {
+	Compact(ctx context.Context) error
 }
 
 // Planner plans actions; *placement.Planner implements it.
@@ -89,14 +91,14 @@
 	ReportsPerSecond int
 }
 
-// Deps are the interfaces that a controller works through. Manifest and Snapshots may be nil.
+// Deps are the interfaces that a controller works through. Manifest and Compactor may be nil.
 type Deps struct {
 	KV        kv.Store
 	View      confview.View
 	Engines   engine.Control
 	Lease     Campaign
 	Manifest  Writer
-	Snapshots Snapshotter
+	Compactor Compactor
 	// NewPlanner makes the planner of a term; nil stands for the planner of lib/placement.
 	NewPlanner func() Planner
 	Log        *slog.Logger
--- a/lib/controller/keep.go
+++ b/lib/controller/keep.go
@@ -23,8 +23,6 @@
 	witnessPause = 5 * time.Second
 	// witnessesPerZone is the number of witnesses wanted in each zone.
 	witnessesPerZone = 2
-	// snapshotEvery is the number of tickets after which a snapshot is written.
-	snapshotEvery = 1024
 )
 
 // errNoChange ends an update that has become unnecessary.
@@ -36,6 +34,7 @@
 	first     map[string]time.Time // gateways by the time they were first seen
 	last      map[string]time.Time // hosts by the time they were last seen
 	witnessed time.Time            // last change of the witness list
+	compacted time.Time            // last call of the compactor
 }
 
 // keepManifest works on the manifest until the term ends or a stop is asked for.
@@ -71,12 +70,13 @@
 			return err
 		}
 	}
-	if tm.deps.Snapshots != nil && snap.Manifest.Seq-snap.Manifest.Snapshot.Seq >= snapshotEvery {
-		ctx, cancel := context.WithTimeout(ctx, orderDeadline)
-		defer cancel()
-		return tm.deps.Snapshots.Snapshot(ctx)
+	if tm.deps.Compactor == nil || time.Since(k.compacted) < compactPeriod {
+		return nil
 	}
-	return nil
+	k.compacted = time.Now()
+	ctx, cancel := context.WithTimeout(ctx, orderDeadline)
+	defer cancel()
+	return tm.deps.Compactor.Compact(ctx)
 }
 
 // updateManifest writes the wanted slots and witnesses. The witness list is wanted relative to the one known
--- a/lib/controller/keep_test.go
+++ b/lib/controller/keep_test.go
@@ -1,14 +1,17 @@
 package controller
 
 import (
+	"context"
 	"fmt"
 	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"pgregory.net/rapid"
 
 	"cuminhook.org/cuminhook/lib/confview"
+	"cuminhook.org/cuminhook/lib/confview/viewtest"
 	"cuminhook.org/cuminhook/lib/hostlist"
 	"cuminhook.org/cuminhook/lib/manifest"
 )
@@ -113,3 +116,35 @@
 		}
 	}
 }
+
+type alwaysHeld struct{}
+
+func (alwaysHeld) Held() (int64, bool) { return 1, true }
+
+func (alwaysHeld) Campaign(context.Context) (int64, <-chan struct{}, error) { return 1, nil, nil }
+
+func (alwaysHeld) Resign(context.Context) error { return nil }
+
+type countingCompactor struct{ calls int }
+
+func (c *countingCompactor) Compact(context.Context) error { c.calls++; return nil }
+
+// Guards against compaction that runs only when a snapshot is due: what the last snapshot replaced would stay until
+// 1,024 tickets later instead of 10 minutes.
+func TestCompactionIsPeriodic(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := &countingCompactor{}
+		view := viewtest.New(&confview.Snapshot{Manifest: manifest.Initial()})
+		tm := &term{Controller: &Controller{deps: Deps{View: view, Lease: alwaysHeld{}, Compactor: c}}, epoch: 1}
+		k := &keeper{begun: time.Now(), first: map[string]time.Time{}, last: map[string]time.Time{}}
+		for range 10 * 60 {
+			if err := tm.keep(t.Context(), k); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(time.Second) // virtual
+		}
+		if c.calls != 10 {
+			t.Errorf("%d calls in ten minutes, want one a minute", c.calls)
+		}
+	})
+}
