Forward requests on the platform's hosts: adapter, front door, relay, peers

Change: platform/ speaks their names and calls; an entry host runs one process with a front door for requests that pass through unchanged, limits of organisations, target choice, attempts and relay, over the project's own pipeline and connection pool.

--- /dev/null
+++ b/cmd/cuminhook-entry/main.go
@@ -0,0 +1,99 @@
+// Command cuminhook-entry runs an entry host on the platform: it passes callers' requests to targets, and one host at a
+// time places models and adapters.
+package main
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/spf13/cobra"
+
+	"cuminhook.org/cuminhook/lib/logsink"
+	"cuminhook.org/cuminhook/lib/node"
+	"cuminhook.org/cuminhook/lib/settings"
+	"cuminhook.org/cuminhook/platform"
+)
+
+// gcPercent trades processor time for memory: entry hosts have little of both, and memory at its peak costs more.
+const gcPercent = 60
+
+func main() {
+	if newCommand().Execute() != nil {
+		os.Exit(1)
+	}
+}
+
+func newCommand() *cobra.Command {
+	var path string
+	var check, print bool
+	cmd := &cobra.Command{
+		Use: "cuminhook-entry", Short: "Serve callers and place models on an entry host", Args: cobra.NoArgs, SilenceUsage: true,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			cfg := node.DefaultSettings()
+			if err := settings.Load(path, &cfg); err != nil {
+				return err
+			}
+			switch {
+			case print:
+				text, err := settings.Print(cfg)
+				fmt.Fprint(cmd.OutOrStdout(), text)
+				return err
+			case check:
+				fmt.Fprintf(cmd.OutOrStdout(), "%s: valid\n", path)
+				return nil
+			}
+			return run(cmd.Context(), cfg, path)
+		},
+	}
+	cmd.Flags().StringVar(&path, "config", platform.SettingsPath("/etc/cuminhook/entry.yaml"), "settings file")
+	cmd.Flags().BoolVar(&check, "check-config", false, "check the settings and exit")
+	cmd.Flags().BoolVar(&print, "print-config", false, "print the settings with their defaults and exit")
+	return cmd
+}
+
+func run(ctx context.Context, cfg node.Settings, path string) error {
+	debug.SetGCPercent(gcPercent)
+	sink := logsink.New(os.Stdout)
+	stopLog := make(chan struct{})
+	logDone := make(chan struct{})
+	go func() { sink.Run(stopLog); close(logDone) }()
+	defer func() { close(stopLog); <-logDone }()
+	log := slog.New(slog.NewJSONHandler(sink, nil)).With("host", cfg.Host, "zone", cfg.Zone)
+	set := metrics.NewSet()
+	set.NewGauge("cuminhook_log_lines_dropped", sink.Dropped)
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	go reload(ctx, cfg, path, log)
+	return node.New(node.Config{
+		Settings: cfg, Store: platform.NewStore(cfg.Store), Codec: platform.Codec{}, Door: platform.Door{}, Log: log, Set: set,
+	}).Run(ctx)
+}
+
+// reload checks the settings again on SIGHUP. What they hold takes effect at the next start.
+func reload(ctx context.Context, old node.Settings, path string, log *slog.Logger) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hup:
+		}
+		cfg := node.DefaultSettings()
+		err := settings.Load(path, &cfg)
+		switch {
+		case err != nil:
+			log.Error("settings not reloaded", "error", err.Error())
+		case cfg != old:
+			log.Warn("settings changed; they take effect at the next start")
+		default:
+			log.Info("settings reloaded, nothing changed")
+		}
+	}
+}
--- /dev/null
+++ b/lib/catalog/catalog.go
@@ -0,0 +1,183 @@
+// Package catalog holds the configuration in force: routes, services, organisations and limits. A Catalog is immutable.
+package catalog
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// Kind states what may be repeated.
+type Kind uint8
+
+// Kinds of routes.
+const (
+	NonIdempotent Kind = iota // runs at most once
+	Idempotent                // may run again on another target
+	Stream                    // events; runs at most once unless the route is resumable
+)
+
+// String returns the name used in logs and metrics.
+func (k Kind) String() string {
+	switch k {
+	case Idempotent:
+		return "idempotent"
+	case Stream:
+		return "stream"
+	default:
+		return "non_idempotent"
+	}
+}
+
+// Share is one service of a route and its weight in the split of the route's requests.
+type Share struct {
+	Service string
+	Weight  int
+}
+
+// Route tells which requests go to which service and how they are treated.
+type Route struct {
+	Name        string
+	Host        string
+	Prefix      string // begins and ends with a slash
+	Kind        Kind
+	Timeout     time.Duration // latest final answer
+	Objective   time.Duration // latency for full credit: whole answer, or first event of a stream
+	MaxGap      time.Duration // longest pause between events of a stream that is still in time
+	Priority    int           // 0 is the most urgent
+	Split       []Share       // at least one
+	MaxAttempts int           // targets that may run one request
+	Public      bool          // no key is needed
+	Resumable   bool          // a stream may go on at another target
+}
+
+// Repeatable reports whether a request may run on more than one target.
+func (r *Route) Repeatable() bool {
+	return r.Kind == Idempotent || r.Kind == Stream && r.Resumable
+}
+
+// Model is a model that the engines of a service can hold.
+type Model struct {
+	Name         string
+	MB           float64       // size of the weights
+	FromStore    time.Duration // load time from the weight store
+	FromDisk     time.Duration // load time from the target's disk
+	FromMemory   time.Duration // load time from the target's host memory
+	AdapterMB    float64
+	AdapterCount int
+}
+
+// Engine describes the engines of a service.
+type Engine struct {
+	Slots          int     // requests in one batch
+	CacheTokens    int64   // KV cache
+	BytesPerToken  float64 // of KV cache
+	MB             float64 // for weights and adapters together
+	AdapterSlots   int
+	LoadsPerSecond float64 // from the weight store, over all targets
+	BackupsOfRuns  bool    // targets copy the KV cache of runs to another target on request
+	PrefixFetch    bool    // targets fetch cached prefixes from each other
+	Models         map[string]*Model
+}
+
+// Service is a group of targets that serve the same requests.
+type Service struct {
+	Name       string
+	HealthPath string
+	MaxConns   int     // of one target, over all callers
+	Engine     *Engine // nil for a plain service
+}
+
+// Organisation is a customer with its keys and limits.
+type Organisation struct {
+	Name        string
+	Keys        []string
+	Priority    int     // takes the place of the route's priority if HasPriority
+	HasPriority bool    //
+	Rate        float64 // tokens a second over all hosts; zero: unlimited
+	Burst       float64 // tokens
+	PlainTokens int64   // charge of a request that states no token counts
+}
+
+// Limits bound what a caller may send.
+type Limits struct {
+	HeaderBytes   int
+	BodyBytes     int
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// Content is what a catalog is made of.
+type Content struct {
+	Version       int64
+	Routes        []*Route
+	Services      []*Service
+	Organisations []*Organisation
+	Limits        Limits
+}
+
+// Catalog is one version of the configuration.
+type Catalog struct {
+	Content
+	services map[string]*Service
+	keys     map[string]*Organisation
+	routes   map[string][]*Route // by host, longest prefix first
+}
+
+// New indexes the content. Later entries win over earlier ones of the same name or key.
+func New(c Content) *Catalog {
+	out := &Catalog{
+		Content: c, services: map[string]*Service{}, keys: map[string]*Organisation{}, routes: map[string][]*Route{},
+	}
+	for _, s := range c.Services {
+		out.services[s.Name] = s
+	}
+	for _, o := range c.Organisations {
+		for _, key := range o.Keys {
+			out.keys[key] = o
+		}
+	}
+	for _, r := range c.Routes {
+		host := strings.ToLower(r.Host)
+		out.routes[host] = append(out.routes[host], r)
+	}
+	for _, list := range out.routes {
+		slices.SortStableFunc(list, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
+	}
+	return out
+}
+
+// Match returns the route with the longest prefix of the path, or nil. The host may carry a port.
+func (c *Catalog) Match(host, path string) *Route {
+	host, _, _ = strings.Cut(host, ":")
+	for _, r := range c.routes[strings.ToLower(host)] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// Service returns the service of that name, or nil.
+func (c *Catalog) Service(name string) *Service { return c.services[name] }
+
+// Organisation returns the holder of a key, or nil.
+func (c *Catalog) Organisation(key string) *Organisation { return c.keys[key] }
+
+// RequiresKeys reports whether requests on routes that are not public need a key.
+func (c *Catalog) RequiresKeys() bool { return len(c.Organisations) > 0 }
+
+// ServiceOf returns the service for a request on the route; pick is uniform in [0, 1).
+func (r *Route) ServiceOf(pick float64) string {
+	total := 0
+	for _, s := range r.Split {
+		total += s.Weight
+	}
+	at := pick * float64(total)
+	for _, s := range r.Split {
+		if at -= float64(s.Weight); at < 0 {
+			return s.Service
+		}
+	}
+	return r.Split[len(r.Split)-1].Service
+}
--- a/lib/filter/accesslog/accesslog.go
+++ b/lib/filter/accesslog/accesslog.go
@@ -44,7 +44,7 @@
 }
 
 var kindNames = map[pipeline.Kind]string{
-	pipeline.KindNone: "none", pipeline.KindModel: "model", pipeline.KindModels: "models", pipeline.KindService: "service",
+	pipeline.KindNone: "none", pipeline.KindModel: "model", pipeline.KindModels: "models", pipeline.KindService: "service", pipeline.KindPassage: "passage",
 }
 
 func (f *filter) finish(ex *pipeline.Exchange, out pipeline.Outcome) {
@@ -79,7 +79,7 @@
 // separate counters, because their product would be tens of thousands of series. A streamed answer is in time by its
 // first token, a whole one by the bound for the whole answer.
 func (f *filter) measure(ex *pipeline.Exchange, out pipeline.Outcome) {
-	if ex.Organisation == "" || ex.Kind != pipeline.KindModel && ex.Kind != pipeline.KindService {
+	if ex.Organisation == "" || ex.Kind == pipeline.KindNone || ex.Kind == pipeline.KindModels {
 		return
 	}
 	inTime := out.Complete && out.Status < 400
--- /dev/null
+++ b/lib/filter/orgrate/orgrate.go
@@ -0,0 +1,56 @@
+// Package orgrate is the filter that refuses requests above the rate of their organisation.
+package orgrate
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"cuminhook.org/cuminhook/lib/orglimit"
+	"cuminhook.org/cuminhook/lib/pipeline"
+	"cuminhook.org/cuminhook/lib/refusal"
+)
+
+// minRetry is the shortest time stated; shares of the rate change with each report of the hosts.
+const minRetry = 250 * time.Millisecond
+
+// Config are the settings of the filter.
+type Config struct {
+	Limiter *orglimit.Limiter
+	Log     *slog.Logger
+}
+
+type filter struct {
+	next pipeline.Handler
+	cfg  Config
+}
+
+// New returns the filter.
+func New(next pipeline.Handler, cfg Config) pipeline.Handler { return &filter{next, cfg} }
+
+// Serve implements pipeline.Handler.
+func (f *filter) Serve(ctx context.Context, ex *pipeline.Exchange) error {
+	o := ex.Customer
+	if o == nil {
+		return f.next.Serve(ctx, ex)
+	}
+	ex.Charge = o.PlainTokens
+	if ex.Call.HasTokens {
+		ex.Charge = ex.Call.Tokens()
+	}
+	ok, after := f.cfg.Limiter.Take(o, ex.Charge, time.Now())
+	if !ok {
+		return &refusal.Error{
+			Reason: refusal.RateExceeded, Run: refusal.NotRun, Status: fasthttp.StatusTooManyRequests,
+			Message: "the organisation is above its rate", Remedy: "send it again after the time stated, or raise the rate",
+			RetryAfter: max(after, minRetry),
+		}
+	}
+	err := f.next.Serve(ctx, ex)
+	if r, refused := refusal.As(err); refused && r.Run == refusal.NotRun {
+		f.cfg.Limiter.Refund(o, ex.Charge)
+	}
+	return err
+}
--- /dev/null
+++ b/lib/follow/follow.go
@@ -0,0 +1,343 @@
+// Package follow keeps a host's view of the store up to date: the configuration in force, the targets and the other
+// hosts. Versions never go back, whatever the store answers late.
+package follow
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"strings"
+	"sync"
+	"time"
+
+	"cuminhook.org/cuminhook/lib/catalog"
+	"cuminhook.org/cuminhook/lib/kv"
+	"cuminhook.org/cuminhook/lib/registry"
+)
+
+const (
+	// watchTime is how long one watch waits. A connection that goes silent meanwhile is noticed by keep-alive probes.
+	watchTime = 10 * time.Second
+	// callTime bounds a read of a whole prefix.
+	callTime = 1500 * time.Millisecond
+	// retryFirst and retryMost are the pauses after failed calls. All hosts together stay far below the store's rate.
+	retryFirst = 50 * time.Millisecond
+	retryMost  = 500 * time.Millisecond
+	// unsettledTime is the time after the last failed call in which missing entries may have lapsed only because the
+	// store was away.
+	unsettledTime = 3 * time.Second
+	// expireTime is how often missing entries are looked at.
+	expireTime = 200 * time.Millisecond
+)
+
+// Codec reads the values that the store holds.
+type Codec interface {
+	// ConfigKey is the key of the configuration.
+	ConfigKey() string
+	// TargetPrefix is the prefix of the targets' entries.
+	TargetPrefix() string
+	// Config reads the configuration.
+	Config(value []byte) (*catalog.Catalog, error)
+	// Target reads the entry of the target with the id, which follows the prefix.
+	Target(id string, value []byte) (*registry.Target, error)
+}
+
+// HostPrefix is the prefix of the entries that hosts write about themselves.
+const HostPrefix = "cuminhook/hosts/"
+
+// Handlers are told of changes. They are called one at a time.
+type Handlers struct {
+	Catalog func(*catalog.Catalog, []byte)
+	Targets func([]*registry.Target)
+	Hosts   func(map[string][]byte) // values by host
+}
+
+// Follower follows the store.
+type Follower struct {
+	feed  kv.Feed
+	codec Codec
+	on    Handlers
+	log   *slog.Logger
+
+	mu      sync.Mutex
+	version int64                     // guarded by mu; of the configuration in force
+	table   *registry.Table           // guarded by mu
+	hosts   map[string][]byte         // guarded by mu
+	reached time.Time                 // guarded by mu; latest answer of the store
+	failed  time.Time                 // guarded by mu; latest failed call
+	lost    bool                      // guarded by mu
+	bad     map[string]kv.Version     // guarded by mu; foreign entries that were logged
+	noted   map[string]registry.State // guarded by mu; states of targets that were logged
+}
+
+// New returns a follower.
+func New(feed kv.Feed, codec Codec, on Handlers, log *slog.Logger) *Follower {
+	return &Follower{
+		feed: feed, codec: codec, on: on, log: log, version: -1, table: registry.NewTable(), hosts: map[string][]byte{},
+		bad: map[string]kv.Version{}, noted: map[string]registry.State{},
+	}
+}
+
+// Reached returns the time of the latest answer of the store.
+func (f *Follower) Reached() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.reached
+}
+
+// Run follows the store until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	go f.expire(ctx)
+	var revision kv.Version
+	for ctx.Err() == nil {
+		var err error
+		if revision, err = f.snapshot(ctx); err == nil {
+			err = f.watch(ctx, revision)
+		}
+		if ctx.Err() == nil && err != nil && !errors.Is(err, kv.ErrCompacted) {
+			f.fail(err)
+			pause(ctx, retryFirst)
+		}
+	}
+}
+
+// snapshot reads everything.
+func (f *Follower) snapshot(ctx context.Context) (kv.Version, error) {
+	prefixes := []string{f.codec.ConfigKey(), f.codec.TargetPrefix(), HostPrefix}
+	var revision kv.Version
+	var snaps []kv.Snapshot
+	for i, prefix := range prefixes {
+		snap, err := f.read(ctx, prefix)
+		if err != nil {
+			return 0, err
+		}
+		if i == 0 {
+			revision = snap.Revision
+		}
+		snaps = append(snaps, snap)
+	}
+	f.reach()
+	for _, e := range snaps[0].Entries {
+		f.config(e)
+	}
+	f.replaceTargets(snaps[1].Entries)
+	f.replaceHosts(snaps[2].Entries)
+	return revision, nil
+}
+
+func (f *Follower) read(ctx context.Context, prefix string) (kv.Snapshot, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTime)
+	defer cancel()
+	return f.feed.Snapshot(ctx, prefix)
+}
+
+// watch follows changes until the history is lost. It goes on after failed calls.
+func (f *Follower) watch(ctx context.Context, after kv.Version) error {
+	delay := retryFirst
+	for ctx.Err() == nil {
+		changes, at, err := f.feed.Changes(ctx, "", after, watchTime)
+		switch {
+		case errors.Is(err, kv.ErrCompacted):
+			f.log.Info("history of the store lost", "revision", int64(after))
+			return err
+		case err != nil:
+			f.fail(err)
+			pause(ctx, delay)
+			delay = min(2*delay, retryMost)
+			continue
+		}
+		delay = retryFirst
+		f.reach()
+		f.apply(changes)
+		after = at
+	}
+	return ctx.Err()
+}
+
+func (f *Follower) reach() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.lost {
+		f.lost = false
+		f.log.Info("store regained", "silent_ms", time.Since(f.reached).Milliseconds())
+	}
+	f.reached = time.Now()
+}
+
+func (f *Follower) fail(err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.lost {
+		f.lost = true
+		f.log.Warn("store lost", "error", err.Error())
+	}
+	f.failed = time.Now()
+}
+
+// unsettled reports whether entries may be missing because of an outage; mu is held.
+func (f *Follower) unsettled(now time.Time) bool {
+	return !f.failed.IsZero() && now.Sub(f.failed) < unsettledTime
+}
+
+func (f *Follower) apply(changes []kv.Change) {
+	var targets, hosts bool
+	for _, c := range changes {
+		switch {
+		case c.Key == f.codec.ConfigKey():
+			if !c.Deleted {
+				f.config(c.Entry)
+			}
+		case strings.HasPrefix(c.Key, f.codec.TargetPrefix()):
+			targets = f.target(c) || targets
+		case strings.HasPrefix(c.Key, HostPrefix):
+			f.host(c)
+			hosts = true
+		}
+	}
+	if targets {
+		f.publishTargets()
+	}
+	if hosts {
+		f.publishHosts()
+	}
+}
+
+// config installs a configuration that is newer than the one in force.
+func (f *Follower) config(e kv.Entry) {
+	f.Install(e.Value, "store")
+}
+
+// Install takes a configuration over if it is newer than the one in force. The source is logged.
+func (f *Follower) Install(value []byte, source string) {
+	c, err := f.codec.Config(value)
+	if err != nil {
+		f.log.Error("configuration not installed", "source", source, "error", err.Error())
+		return
+	}
+	f.mu.Lock()
+	old := f.version
+	if c.Version <= old {
+		f.mu.Unlock()
+		return
+	}
+	f.version = c.Version
+	f.mu.Unlock()
+	f.log.Info("configuration installed", "version", c.Version, "before", old, "source", source, "routes", len(c.Routes))
+	f.on.Catalog(c, value)
+}
+
+func (f *Follower) update(key string, value []byte, version kv.Version) registry.Update {
+	id := strings.TrimPrefix(key, f.codec.TargetPrefix())
+	t, err := f.codec.Target(id, value)
+	if err != nil {
+		if f.bad[id] != version {
+			f.bad[id] = version
+			f.log.Warn("entry names no target", "key", key, "error", err.Error())
+		}
+		return registry.Update{ID: id}
+	}
+	return registry.Update{ID: id, Target: t}
+}
+
+func (f *Follower) target(c kv.Change) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	u := registry.Update{ID: strings.TrimPrefix(c.Key, f.codec.TargetPrefix())}
+	if !c.Deleted {
+		u = f.update(c.Key, c.Value, c.Version)
+	}
+	now := time.Now()
+	return f.table.Apply(u, now, u.Target == nil && f.unsettled(now))
+}
+
+func (f *Follower) replaceTargets(entries []kv.Entry) {
+	f.mu.Lock()
+	var all []registry.Update
+	for _, e := range entries {
+		all = append(all, f.update(e.Key, e.Value, e.Version))
+	}
+	now := time.Now()
+	f.table.Replace(all, now, f.unsettled(now))
+	f.mu.Unlock()
+	f.publishTargets()
+}
+
+func (f *Follower) publishTargets() {
+	f.mu.Lock()
+	list := f.table.List()
+	f.note(list)
+	f.mu.Unlock()
+	f.on.Targets(list)
+}
+
+// note logs targets that appeared, changed their state or are gone; mu is held.
+func (f *Follower) note(list []*registry.Target) {
+	seen := make(map[string]bool, len(list))
+	for _, t := range list {
+		seen[t.ID] = true
+		if state, ok := f.noted[t.ID]; !ok || state != t.State {
+			f.noted[t.ID] = t.State
+			f.log.Info("target", "target", t.ID, "service", t.Service, "state", t.State.String(), "beat", t.Beat, "addr", t.Addr)
+		}
+	}
+	for id := range f.noted {
+		if !seen[id] {
+			delete(f.noted, id)
+			f.log.Info("target", "target", id, "state", "gone")
+		}
+	}
+}
+
+func (f *Follower) expire(ctx context.Context) {
+	for pause(ctx, expireTime) {
+		f.mu.Lock()
+		changed := !f.lost && f.table.Expire(time.Now())
+		f.mu.Unlock()
+		if changed {
+			f.publishTargets()
+		}
+	}
+}
+
+func (f *Follower) host(c kv.Change) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	name := strings.TrimPrefix(c.Key, HostPrefix)
+	if c.Deleted {
+		delete(f.hosts, name)
+		return
+	}
+	f.hosts[name] = c.Value
+}
+
+func (f *Follower) replaceHosts(entries []kv.Entry) {
+	f.mu.Lock()
+	clear(f.hosts)
+	for _, e := range entries {
+		f.hosts[strings.TrimPrefix(e.Key, HostPrefix)] = e.Value
+	}
+	f.mu.Unlock()
+	f.publishHosts()
+}
+
+func (f *Follower) publishHosts() {
+	f.mu.Lock()
+	out := make(map[string][]byte, len(f.hosts))
+	for name, value := range f.hosts {
+		out[name] = value
+	}
+	f.mu.Unlock()
+	f.on.Hosts(out)
+}
+
+// pause waits and reports whether ctx has not ended.
+func pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/lib/httpconn/httpconn.go
+++ b/lib/httpconn/httpconn.go
@@ -5,6 +5,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -42,7 +43,10 @@
 
 // Pool keeps unused connections. The zero value dials TCP.
 type Pool struct {
-	Dial Dialer
+	Dial        Dialer
+	DialTimeout time.Duration   // zero: DialTimeout
+	IdleTimeout time.Duration   // unused connections older than this are not used; zero: idleTimeout
+	Options     *tcpopt.Options // nil: targetOptions
 
 	mu   sync.Mutex
 	idle map[string][]*Conn // guarded by mu; newest last
@@ -91,7 +95,7 @@
 		c := list[len(list)-1]
 		list = list[:len(list)-1]
 		p.idle[addr] = list
-		if time.Since(c.lastUse) < idleTimeout && !tcpopt.Stale(c.Conn) {
+		if time.Since(c.lastUse) < cmp.Or(p.IdleTimeout, idleTimeout) && !tcpopt.Stale(c.Conn) {
 			return c
 		}
 		_ = c.Conn.Close()
@@ -100,7 +104,7 @@
 }
 
 func (p *Pool) dial(ctx context.Context, addr string) (*Conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, DialTimeout)
+	ctx, cancel := context.WithTimeout(ctx, cmp.Or(p.DialTimeout, DialTimeout))
 	defer cancel()
 	dial := p.Dial
 	if dial == nil {
@@ -113,7 +117,7 @@
 		return nil, err
 	}
 	// Without the options a silent target is noticed at the request's deadline only.
-	_ = tcpopt.Set(nc, targetOptions)
+	_ = tcpopt.Set(nc, *cmp.Or(p.Options, &targetOptions))
 	c := &Conn{Conn: nc, addr: addr, pool: p}
 	c.br = bufio.NewReaderSize(nc, bufferSize)
 	c.bw = bufio.NewWriterSize(countingWriter{c}, bufferSize)
@@ -147,6 +151,17 @@
 	return err
 }
 
+// SendBytes writes a request that is already encoded. The error wraps ErrNotSent if no byte was written.
+func (c *Conn) SendBytes(head, body []byte) error {
+	buffers := net.Buffers{head, body}
+	n, err := buffers.WriteTo(c.Conn)
+	c.written += n
+	if err != nil && c.written == 0 {
+		return fmt.Errorf("%w: %w", ErrNotSent, err)
+	}
+	return err
+}
+
 // AwaitByte waits until the answer's first byte arrives. Timeout reports whether the error means that the
 // wait may go on.
 func (c *Conn) AwaitByte(timeout time.Duration) error {
--- /dev/null
+++ b/lib/node/node.go
@@ -0,0 +1,191 @@
+// Package node puts together what runs on an entry host: the filters that requests pass, the views of store, targets
+// and peers that they decide on, and the placement duty.
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"golang.org/x/sync/errgroup"
+
+	"cuminhook.org/cuminhook/lib/balance"
+	"cuminhook.org/cuminhook/lib/catalog"
+	"cuminhook.org/cuminhook/lib/filter/accesslog"
+	"cuminhook.org/cuminhook/lib/filter/frontdoor"
+	"cuminhook.org/cuminhook/lib/filter/orgrate"
+	"cuminhook.org/cuminhook/lib/filter/relay"
+	"cuminhook.org/cuminhook/lib/follow"
+	"cuminhook.org/cuminhook/lib/forward"
+	"cuminhook.org/cuminhook/lib/kv"
+	"cuminhook.org/cuminhook/lib/orglimit"
+	"cuminhook.org/cuminhook/lib/passage"
+	"cuminhook.org/cuminhook/lib/peers"
+	"cuminhook.org/cuminhook/lib/pipeline"
+	"cuminhook.org/cuminhook/lib/registry"
+	"cuminhook.org/cuminhook/lib/retry"
+)
+
+const (
+	// maxHeader bounds a request line and header in bytes.
+	maxHeader = 20 << 10
+	// maxBody bounds a body in bytes.
+	maxBody = 5 << 20
+	// maxBuffered bounds the bodies of all requests in memory in bytes.
+	maxBuffered = 64 << 20
+	// readTimeout bounds the arrival of a request.
+	readTimeout = 10 * time.Second
+	// idleTimeout is above every idle limit that operators set, since callers may use a connection up to that.
+	idleTimeout = 2 * time.Minute
+	// maxConns leaves descriptors for connections to targets.
+	maxConns = 2500
+)
+
+// Store is the platform's store as a node uses it.
+type Store interface {
+	kv.Store
+	kv.Feed
+}
+
+// Config is what a node is made of.
+type Config struct {
+	Settings Settings
+	Store    Store
+	Codec    follow.Codec
+	Door     passage.Door
+	Log      *slog.Logger
+	Set      *metrics.Set
+}
+
+// Node is one entry host.
+type Node struct {
+	cfg      Config
+	log      *slog.Logger
+	book     *balance.Book
+	limiter  *orglimit.Limiter
+	retries  *retry.Budget
+	peers    *peers.Node
+	follower *follow.Follower
+	server   *pipeline.Server
+	catalog  atomic.Pointer[catalog.Catalog]
+	targets  atomic.Bool // a list of targets has been read
+	stopping atomic.Bool
+}
+
+// New returns a node. Nothing is dialled before Run.
+func New(cfg Config) *Node {
+	s := cfg.Settings
+	n := &Node{
+		cfg: cfg, log: cfg.Log, book: balance.New(s.Zone, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
+		limiter: orglimit.New(), retries: retry.NewBudget(s.RetryRatio, s.RetrySlack),
+	}
+	n.peers = peers.New(s.Host, s.Peers, peers.Handlers{
+		Fill: n.fill, Heard: n.heard, Silent: n.silent, Hosts: n.setHosts,
+	}, cfg.Log)
+	n.follower = follow.New(cfg.Store, cfg.Codec, follow.Handlers{
+		Catalog: n.setCatalog, Targets: n.setTargets, Hosts: n.peers.SetEntries,
+	}, cfg.Log)
+	n.server = pipeline.NewServer(pipeline.ServerConfig{
+		First: n.filters(), MaxBody: maxBody, MaxBuffered: maxBuffered, MaxHeader: maxHeader, ReadTimeout: readTimeout,
+		WriteTimeout: readTimeout, IdleTimeout: idleTimeout, MaxConns: maxConns, FineRetryAfter: true,
+		Log: cfg.Log, Set: cfg.Set,
+	})
+	return n
+}
+
+// filters returns the filters in the order in which requests pass them.
+func (n *Node) filters() pipeline.Handler {
+	h := relay.New(relay.Config{
+		Door: n.cfg.Door, Client: forward.NewClient(n.cfg.Door, nil), Book: n.book, Retries: n.retries,
+		Log: n.cfg.Log, Set: n.cfg.Set,
+	})
+	h = orgrate.New(h, orgrate.Config{Limiter: n.limiter, Log: n.cfg.Log})
+	h = frontdoor.New(h, frontdoor.Config{Door: n.cfg.Door, Catalog: n.catalog.Load})
+	return accesslog.New(h, accesslog.Config{Log: n.cfg.Log, Set: n.cfg.Set})
+}
+
+func (n *Node) setCatalog(c *catalog.Catalog, _ []byte) {
+	n.book.SetCatalog(c)
+	n.catalog.Store(c)
+}
+
+func (n *Node) setTargets(list []*registry.Target) {
+	n.book.SetTargets(list)
+	n.targets.Store(true)
+}
+
+func (n *Node) setHosts(count int) {
+	n.limiter.SetHosts(count)
+	n.retries.SetHosts(count)
+}
+
+func (n *Node) fill(s *peers.State) {
+	now := time.Now()
+	s.Leaving = n.stopping.Load()
+	if c := n.catalog.Load(); c != nil {
+		s.Config = c.Version
+	}
+	s.Demand = n.limiter.Report(now)
+	s.Loads = n.book.Own()
+}
+
+func (n *Node) heard(s *peers.State) {
+	now := time.Now()
+	n.limiter.SetPeer(s.Host, s.Demand, now)
+	n.book.SetPeer(s.Host, s.Loads)
+}
+
+func (n *Node) silent(host string) { n.book.SetPeer(host, nil) }
+
+// Ready reports whether the host can serve requests.
+func (n *Node) Ready() bool { return n.catalog.Load() != nil && n.targets.Load() && !n.stopping.Load() }
+
+// Run serves until ctx ends, and then stops without cutting requests.
+func (n *Node) Run(ctx context.Context) error {
+	s := n.cfg.Settings
+	callers, err := net.Listen("tcp", s.Listen)
+	if err != nil {
+		return fmt.Errorf("listen: %w; choose an address of this host that is free", err)
+	}
+	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	group, groupCtx := errgroup.WithContext(background)
+	group.Go(func() error { return n.peers.Run(groupCtx) })
+	group.Go(func() error { n.follower.Run(groupCtx); return nil })
+	registration, unregister := context.WithCancel(groupCtx)
+	defer unregister()
+	group.Go(func() error {
+		peers.Register(registration, n.cfg.Store, follow.HostPrefix+s.Host, peers.Entry{Addr: s.Peers, Zone: s.Zone}, n.log)
+		return nil
+	})
+	group.Go(func() error { return serveStatus(groupCtx, s.Ready, n.readyHandler()) })
+	group.Go(func() error { return serveStatus(groupCtx, s.Metrics, n.metricsHandler()) })
+	group.Go(func() error { return n.server.Serve(callers) })
+	n.log.Info("started", "listen", s.Listen, "peers", s.Peers, "store", s.Store)
+	select {
+	case <-ctx.Done():
+	case <-groupCtx.Done():
+	}
+	stopErr := n.stop(background)
+	cancel()
+	err = errors.Join(stopErr, group.Wait())
+	n.log.Info("stopped", "error", fmt.Sprint(err))
+	return err
+}
+
+// stop takes the host out of rotation, waits until no new connections come, and finishes open requests.
+func (n *Node) stop(ctx context.Context) error {
+	n.log.Info("stopping", "signal", "term")
+	n.stopping.Store(true)
+	n.server.BeginStop()
+	time.Sleep(n.cfg.Settings.StopDelay)
+	limit, cancel := context.WithTimeout(ctx, n.cfg.Settings.StopLimit-n.cfg.Settings.StopDelay)
+	defer cancel()
+	return n.server.Stop(limit)
+}
--- /dev/null
+++ b/lib/node/settings.go
@@ -0,0 +1,69 @@
+package node
+
+import (
+	"fmt"
+	"time"
+
+	"cuminhook.org/cuminhook/lib/settings"
+)
+
+// Settings are the settings of an entry host.
+type Settings struct {
+	Host    string `yaml:"host"`    // name of this host
+	Zone    string `yaml:"zone"`    // availability zone
+	Listen  string `yaml:"listen"`  // IP:port for callers
+	Ready   string `yaml:"ready"`   // IP:port that the load balancer asks
+	Peers   string `yaml:"peers"`   // IP:port for other hosts, UDP and TCP
+	Metrics string `yaml:"metrics"` // IP:port of the metrics page
+	Store   string `yaml:"store"`   // IP:port of the platform's store
+
+	RetryRatio float64 `yaml:"retry_ratio"` // repeats allowed for each request of a service, over all hosts
+	RetrySlack float64 `yaml:"retry_slack"` // repeats allowed besides, over all hosts
+
+	Placement PlacementSettings `yaml:"placement"`
+
+	StopDelay time.Duration `yaml:"stop_delay"` // from the signal until the host takes no new connections
+	StopLimit time.Duration `yaml:"stop_limit"` // from the signal until open requests are cut
+}
+
+// PlacementSettings are the settings of the placement duty.
+type PlacementSettings struct {
+	Lease          time.Duration `yaml:"lease"`           // time to live of the controller's lease
+	LoadsWindow    time.Duration `yaml:"loads_window"`    // span in which loads from the weight store are counted
+	LoadsOvershoot float64       `yaml:"loads_overshoot"` // factor on the weight store's rate that is tolerated in it
+}
+
+// DefaultSettings returns the settings that hold unless the file says otherwise.
+func DefaultSettings() Settings {
+	return Settings{
+		RetryRatio: 0.1, RetrySlack: 10,
+		Placement: PlacementSettings{Lease: 3 * time.Second, LoadsWindow: 5 * time.Second, LoadsOvershoot: 1},
+		// A load balancer that asks once a second and needs two misses has moved on by then.
+		StopDelay: 3 * time.Second,
+		StopLimit: 7500 * time.Millisecond,
+	}
+}
+
+// Validate implements settings.Validator.
+func (s *Settings) Validate() error {
+	if s.Host == "" || s.Zone == "" {
+		return fmt.Errorf("host and zone are required; set them to the name of this host and its availability zone")
+	}
+	for _, a := range []struct{ key, addr string }{
+		{"listen", s.Listen}, {"ready", s.Ready}, {"peers", s.Peers}, {"metrics", s.Metrics}, {"store", s.Store},
+	} {
+		if err := settings.CheckAddr(a.key, a.addr); err != nil {
+			return err
+		}
+	}
+	if s.RetryRatio < 0 || s.RetrySlack < 0 {
+		return fmt.Errorf("retry_ratio and retry_slack cannot be negative; zero forbids repeats")
+	}
+	if s.Placement.Lease < time.Second || s.Placement.LoadsWindow <= 0 || s.Placement.LoadsOvershoot < 1 {
+		return fmt.Errorf("placement: lease must be 1s or longer, loads_window above zero, loads_overshoot 1 or more")
+	}
+	if s.StopDelay < 0 || s.StopLimit <= s.StopDelay {
+		return fmt.Errorf("stop_limit (%s) must be above stop_delay (%s)", s.StopLimit, s.StopDelay)
+	}
+	return nil
+}
--- /dev/null
+++ b/lib/node/status.go
@@ -0,0 +1,41 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"net"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/valyala/fasthttp"
+)
+
+// readyHandler answers every path: 200 while the host can serve requests.
+func (n *Node) readyHandler() fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		if !n.Ready() {
+			ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		}
+	}
+}
+
+// metricsHandler serves the counters and histograms as text.
+func (n *Node) metricsHandler() fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		n.cfg.Set.WritePrometheus(ctx)
+		metrics.WriteProcessMetrics(ctx)
+	}
+}
+
+// serveStatus serves a handler until ctx ends.
+func serveStatus(ctx context.Context, addr string, h fasthttp.RequestHandler) error {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return fmt.Errorf("status page: %w; choose an address of this host that is free", err)
+	}
+	s := &fasthttp.Server{Handler: h, Name: "cuminhook", ReadBufferSize: 2048}
+	go func() {
+		<-ctx.Done()
+		_ = s.Shutdown()
+	}()
+	return s.Serve(ln)
+}
--- /dev/null
+++ b/lib/peers/peers.go
@@ -0,0 +1,314 @@
+// Package peers lets hosts tell each other what they do: each sends a datagram with its state to all others several
+// times a second. A lost datagram is replaced by the next one.
+package peers
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/rpc"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"cuminhook.org/cuminhook/lib/balance"
+	"cuminhook.org/cuminhook/lib/orglimit"
+	"cuminhook.org/cuminhook/lib/registry"
+)
+
+const (
+	// period is the time between two states of a host while there are few hosts.
+	period = 200 * time.Millisecond
+	// fewHosts is the number of hosts up to which period holds. Beyond it the time grows, so that what a host receives
+	// in a second stays the same.
+	fewHosts = 16
+	// maxPeriod bounds it; the reports of demand count for longer.
+	maxPeriod = 500 * time.Millisecond
+	// silentTime is the time without a state after which a host counts as unreachable.
+	silentTime = 1500 * time.Millisecond
+	// forgetTime is the time without a state after which a host without an entry in the store counts as gone.
+	forgetTime = 5 * time.Second
+	// maxDatagram bounds a state in bytes.
+	maxDatagram = 60 << 10
+)
+
+// Placement is what the controller tells the hosts.
+type Placement struct {
+	Epoch     int64                          `json:"e"`           // of its lease
+	Residents map[string][]registry.Resident `json:"r,omitempty"` // by target
+}
+
+// State is what a host tells the others.
+type State struct {
+	Host      string                  `json:"h"`
+	Boot      uint64                  `json:"b"` // new for each start
+	Number    uint64                  `json:"n"` // rises with each state of a start
+	Leaving   bool                    `json:"x,omitempty"`
+	Config    int64                   `json:"c"` // version of the configuration in force
+	Demand    orglimit.Report         `json:"d,omitempty"`
+	Loads     map[string]balance.Load `json:"l,omitempty"` // in flight, by target
+	Work      map[string]float64      `json:"w,omitempty"` // milliseconds of engine time a second, by model
+	Wanted    map[string]float64      `json:"a,omitempty"` // requests a second, by model/adapter
+	Placement *Placement              `json:"p,omitempty"` // set by the controller
+}
+
+// Entry is what a host writes about itself into the store.
+type Entry struct {
+	Addr string `json:"addr"` // IP:port of datagrams and calls
+	Zone string `json:"zone"`
+}
+
+// Handlers connect the states with what they are made of.
+type Handlers struct {
+	Fill   func(*State)      // completes the state of this host
+	Heard  func(*State)      // a state of another host
+	Silent func(host string) // a host has become unreachable
+	Hosts  func(n int)       // how many hosts exist, this one included
+	RPC    map[string]any    // services for calls of other hosts, by name
+}
+
+// Node is this host among the others.
+type Node struct {
+	host string
+	addr string
+	on   Handlers
+	log  *slog.Logger
+	boot uint64
+
+	mu     sync.Mutex
+	peers  map[string]*peer // guarded by mu; by host
+	count  int              // guarded by mu; as last reported
+	number uint64
+}
+
+type peer struct {
+	addr   *net.UDPAddr
+	listed bool // has an entry in the store
+	boot   uint64
+	number uint64
+	heard  time.Time
+	alive  bool
+}
+
+// New returns the node of the host, which listens at addr (IP:port).
+func New(host, addr string, on Handlers, log *slog.Logger) *Node {
+	return &Node{host: host, addr: addr, on: on, log: log, boot: rand.Uint64(), peers: map[string]*peer{}, count: 1}
+}
+
+// SetEntries takes over the entries of the hosts in the store.
+func (n *Node) SetEntries(entries map[string][]byte) {
+	n.mu.Lock()
+	for host, p := range n.peers {
+		_, p.listed = entries[host]
+	}
+	for host, value := range entries {
+		if host == n.host {
+			continue
+		}
+		var e Entry
+		err := json.Unmarshal(value, &e)
+		var addr *net.UDPAddr
+		if err == nil {
+			addr, err = net.ResolveUDPAddr("udp", e.Addr)
+		}
+		if err != nil {
+			n.log.Warn("entry names no host", "host", host, "error", err.Error())
+			continue
+		}
+		p := n.peers[host]
+		if p == nil {
+			p = &peer{}
+			n.peers[host] = p
+		}
+		p.addr, p.listed = addr, true
+	}
+	n.mu.Unlock()
+	n.recount()
+}
+
+// recount reports the number of hosts if it changed.
+func (n *Node) recount() {
+	n.mu.Lock()
+	count := len(n.peers) + 1
+	changed := count != n.count
+	n.count = count
+	n.mu.Unlock()
+	if changed {
+		n.log.Info("hosts", "count", count)
+		n.on.Hosts(count)
+	}
+}
+
+// Addr returns the address for calls of a host.
+func (n *Node) Addr(host string) (string, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if host == n.host {
+		return n.addr, true
+	}
+	p := n.peers[host]
+	if p == nil {
+		return "", false
+	}
+	return p.addr.String(), true
+}
+
+// Run exchanges states until ctx ends.
+func (n *Node) Run(ctx context.Context) error {
+	udp, err := net.ResolveUDPAddr("udp", n.addr)
+	if err != nil {
+		return fmt.Errorf("peers: %q: %w; set peers to an IP:port of this host", n.addr, err)
+	}
+	conn, err := net.ListenUDP("udp", udp)
+	if err != nil {
+		return fmt.Errorf("peers: %w; choose an address of this host that is free", err)
+	}
+	ln, err := net.Listen("tcp", n.addr)
+	if err != nil {
+		_ = conn.Close()
+		return fmt.Errorf("peers: %w; choose an address of this host that is free", err)
+	}
+	server := rpc.NewServer()
+	for name, service := range n.on.RPC {
+		if err := server.RegisterName(name, service); err != nil {
+			return err
+		}
+	}
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error {
+		<-ctx.Done()
+		return errors.Join(conn.Close(), ln.Close())
+	})
+	group.Go(func() error { n.receive(ctx, conn); return nil })
+	group.Go(func() error { n.send(ctx, conn); return nil })
+	group.Go(func() error { accept(ctx, ln, server); return nil })
+	return group.Wait()
+}
+
+func accept(ctx context.Context, ln net.Listener, server *rpc.Server) {
+	for ctx.Err() == nil {
+		conn, err := ln.Accept()
+		if err == nil {
+			go server.ServeConn(conn)
+		}
+	}
+}
+
+func (n *Node) receive(ctx context.Context, conn *net.UDPConn) {
+	buf := make([]byte, maxDatagram)
+	for ctx.Err() == nil {
+		size, _, err := conn.ReadFromUDP(buf)
+		if err != nil {
+			continue // closed at the end of ctx; other errors concern datagrams sent before
+		}
+		var s State
+		if err := json.Unmarshal(buf[:size], &s); err != nil {
+			n.log.Warn("datagram not read", "bytes", size, "error", err.Error())
+			continue
+		}
+		n.heard(&s)
+	}
+}
+
+// heard takes a state over unless a newer one came first.
+func (n *Node) heard(s *State) {
+	n.mu.Lock()
+	p := n.peers[s.Host]
+	if p == nil || s.Host == n.host || p.boot == s.Boot && s.Number <= p.number {
+		n.mu.Unlock()
+		return
+	}
+	back := !p.alive
+	p.boot, p.number, p.heard, p.alive = s.Boot, s.Number, time.Now(), true
+	n.mu.Unlock()
+	if back {
+		n.log.Info("host reachable", "peer", s.Host)
+	}
+	n.on.Heard(s)
+}
+
+func (n *Node) send(ctx context.Context, conn *net.UDPConn) {
+	for ctx.Err() == nil {
+		n.forget(time.Now())
+		n.broadcast(conn)
+		select {
+		case <-time.After(n.interval()):
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (n *Node) interval() time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return min(maxPeriod, period*time.Duration(max(1, len(n.peers)/fewHosts)))
+}
+
+func (n *Node) broadcast(conn *net.UDPConn) {
+	n.number++
+	s := State{Host: n.host, Boot: n.boot, Number: n.number}
+	n.on.Fill(&s)
+	data, err := json.Marshal(&s)
+	if err != nil || len(data) > maxDatagram {
+		n.log.Error("state not sent", "bytes", len(data), "error", fmt.Sprint(err))
+		return
+	}
+	n.mu.Lock()
+	addrs := make([]*net.UDPAddr, 0, len(n.peers))
+	for _, p := range n.peers {
+		addrs = append(addrs, p.addr)
+	}
+	n.mu.Unlock()
+	for _, addr := range addrs {
+		if _, err := conn.WriteToUDP(data, addr); err != nil {
+			n.log.Debug("state not sent", "addr", addr.String(), "error", err.Error())
+		}
+	}
+}
+
+// forget notices hosts that are unreachable or gone.
+func (n *Node) forget(now time.Time) {
+	var silent []string
+	n.mu.Lock()
+	for host, p := range n.peers {
+		if p.alive && now.Sub(p.heard) > silentTime {
+			p.alive = false
+			silent = append(silent, host)
+		}
+		if !p.listed && now.Sub(p.heard) > forgetTime {
+			delete(n.peers, host)
+		}
+	}
+	n.mu.Unlock()
+	for _, host := range silent {
+		n.log.Warn("host unreachable", "peer", host)
+		n.on.Silent(host)
+	}
+	n.recount()
+}
+
+// Call calls a method of the host on a connection of its own. A call that is not answered in time is given up with its
+// connection, which may be silent for good.
+func (n *Node) Call(ctx context.Context, host, method string, args, reply any) error {
+	addr, ok := n.Addr(host)
+	if !ok {
+		return fmt.Errorf("peers: host %q is not known", host)
+	}
+	conn, err := new(net.Dialer).DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return err
+	}
+	client := rpc.NewClient(conn)
+	defer client.Close()
+	select {
+	case call := <-client.Go(method, args, reply, make(chan *rpc.Call, 1)).Done:
+		return call.Error
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- a/lib/pipeline/pipeline.go
+++ b/lib/pipeline/pipeline.go
@@ -9,6 +9,8 @@
 
 	"github.com/valyala/fasthttp"
 
+	"cuminhook.org/cuminhook/lib/catalog"
+	"cuminhook.org/cuminhook/lib/passage"
 	"cuminhook.org/cuminhook/lib/refusal"
 )
 
@@ -32,6 +34,7 @@
 	KindModel        // POST /v1/chat/completions or /v1/completions
 	KindModels       // GET /v1/models
 	KindService      // a configured route to a plain service
+	KindPassage      // passes through unchanged
 )
 
 // Exchange is one request in flight. A filter writes only the fields named after it; filters that
@@ -69,6 +72,11 @@
 	AnswerBy   time.Time // latest end of a whole answer or first event of a stream; not before Deadline
 	Charge     int64     // tokens charged at admission: prompt plus the most output
 
+	// frontdoor: requests that pass through unchanged
+	Call     *passage.Call
+	Matched  *catalog.Route
+	Customer *catalog.Organisation // nil on public routes without a key
+
 	// admission
 	Priority int // lower runs earlier at the engine
 
--- a/lib/pipeline/refuse.go
+++ b/lib/pipeline/refuse.go
@@ -47,5 +47,12 @@
 	ctx.Response.SetBodyRaw(EncodeRefusal(r, requestID))
 }
 
+// writeFineRetryAfter states the time with its fraction, which whole seconds would round up.
+func writeFineRetryAfter(ctx *fasthttp.RequestCtx, r *refusal.Error) {
+	if r.RetryAfter > 0 {
+		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatFloat(r.RetryAfter.Seconds(), 'f', 3, 64))
+	}
+}
+
 // RequestIDHeader carries the request id in requests and responses.
 const RequestIDHeader = "X-Request-Id"
--- a/lib/pipeline/server.go
+++ b/lib/pipeline/server.go
@@ -32,8 +32,10 @@
 	IdleTimeout   time.Duration // between requests
 	MaxConns      int           // zero: unlimited
 	MaxConnsPerIP int           // zero: unlimited
-	Log           *slog.Logger
-	Set           *metrics.Set // nil: a set of its own
+	// FineRetryAfter states Retry-After with a fraction of a second, for callers that read it.
+	FineRetryAfter bool
+	Log            *slog.Logger
+	Set            *metrics.Set // nil: a set of its own
 }
 
 // Server accepts callers' connections and passes each request to the first filter.
@@ -147,6 +149,9 @@
 		r = internal(err)
 	}
 	WriteRefusal(ex.HTTP, r, ex.ID)
+	if s.cfg.FineRetryAfter {
+		writeFineRetryAfter(ex.HTTP, r)
+	}
 	if s.stopping.Load() {
 		ex.HTTP.Response.SetConnectionClose()
 	}
