Place models and adapters by a lease holder

Cause: 11 of 25 models were never served; requests for models and adapters that no target held were refused. Change: residency plans copies by demand, placer gives the orders with lease epoch and expected number, hosts share their demand in datagrams and have adapters loaded at the controller. Limits share one bucket estimate. Conclusion: refusals by limits and calls to the store are the next lines.

--- a/cmd/cuminhook-entry/main.go
+++ b/cmd/cuminhook-entry/main.go
@@ -71,7 +71,8 @@
 	defer stop()
 	go reload(ctx, cfg, path, log)
 	return node.New(node.Config{
-		Settings: cfg, Store: platform.NewStore(cfg.Store), Codec: platform.Codec{}, Door: platform.Door{}, Log: log, Set: set,
+		Settings: cfg, Store: platform.NewStore(cfg.Store), Codec: platform.Codec{}, Door: platform.Door{},
+		Engines: platform.NewEngines(), Log: log, Set: set,
 	}).Run(ctx)
 }
 
--- a/lib/balance/balance.go
+++ b/lib/balance/balance.go
@@ -76,10 +76,10 @@
 	zone string
 
 	mu      sync.Mutex
-	targets map[string]*target         // guarded by mu; by id
-	peers   map[string]map[string]Load // guarded by mu; by host and target
-	extra   map[string][]registry.Resident
-	pace    map[string]float64 // guarded by mu; by model: observed over expected time to the first event
+	targets map[string]*target             // guarded by mu; by id
+	peers   map[string]map[string]Load     // guarded by mu; by host and target
+	held    map[string][]registry.Resident // guarded by mu; what the controller knows, in place of entries, by target
+	pace    map[string]float64             // guarded by mu; by model: observed over expected time to the first event
 	catalog *catalog.Catalog
 	random  *rand.Rand
 }
@@ -133,11 +133,41 @@
 	b.sumPeers()
 }
 
-// SetResidents takes over what the controller knows targets to hold beyond their entries, by target.
-func (b *Book) SetResidents(extra map[string][]registry.Resident) {
+// SetResidents takes over what the controller knows targets to hold, by target. It takes the place of their entries,
+// which are older; nil lets the entries count again.
+func (b *Book) SetResidents(held map[string][]registry.Resident) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.extra = extra
+	b.held = held
+}
+
+// AddAdapter notes that a target holds an adapter, until the controller's next residents.
+func (b *Book) AddAdapter(id, model, adapter string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	t := b.targets[id]
+	if t == nil {
+		return
+	}
+	if list, ok := b.held[id]; ok {
+		b.held[id] = withAdapter(list, model, adapter)
+	} else {
+		info := *t.info
+		info.Models = withAdapter(info.Models, model, adapter)
+		t.info = &info
+	}
+	delete(t.absent, model+"/"+adapter)
+}
+
+// withAdapter returns a copy of the list with the adapter added.
+func withAdapter(list []registry.Resident, model, adapter string) []registry.Resident {
+	out := slices.Clone(list)
+	for i := range out {
+		if out[i].Model == model && !slices.Contains(out[i].Adapters, adapter) {
+			out[i].Adapters = append(slices.Clone(out[i].Adapters), adapter)
+		}
+	}
+	return out
 }
 
 // SetPeer takes over the requests in flight of another host; nil forgets them.
@@ -179,12 +209,14 @@
 	if now.Before(t.absent[model]) {
 		return false, false
 	}
-	for _, list := range [][]registry.Resident{t.info.Models, b.extra[t.info.ID]} {
-		for i := range list {
-			if list[i].Model == model {
-				hasModel = true
-				hasAdapter = hasAdapter || slices.Contains(list[i].Adapters, adapter)
-			}
+	list, ok := b.held[t.info.ID]
+	if !ok {
+		list = t.info.Models
+	}
+	for i := range list {
+		if list[i].Model == model {
+			hasModel = true
+			hasAdapter = slices.Contains(list[i].Adapters, adapter)
 		}
 	}
 	if adapter == "" {
--- a/lib/filter/relay/relay.go
+++ b/lib/filter/relay/relay.go
@@ -19,6 +19,7 @@
 	"cuminhook.org/cuminhook/lib/pipeline"
 	"cuminhook.org/cuminhook/lib/refusal"
 	"cuminhook.org/cuminhook/lib/retry"
+	"cuminhook.org/cuminhook/lib/workload"
 )
 
 const (
@@ -52,7 +53,8 @@
 	Client   *forward.Client
 	Book     *balance.Book
 	Retries  *retry.Budget
-	Adapters Adapters // nil: adapters are not loaded on request
+	Adapters Adapters        // nil: adapters are not loaded on request
+	Demand   *workload.Meter // counts what is asked for
 	Log      *slog.Logger
 	Set      *metrics.Set
 	Random   func() float64 // uniform in [0, 1); nil: the default source
@@ -87,6 +89,9 @@
 		state:   attempt.State{Repeatable: ex.Matched.Repeatable(), MaxRuns: ex.Matched.MaxAttempts},
 	}
 	f.cfg.Retries.Request(r.service)
+	if r.call.Model != "" {
+		f.cfg.Demand.Add(r.call, ex.Start)
+	}
 	ex.OnFinish(func(pipeline.Outcome) { cancel() })
 	return r.run()
 }
--- a/lib/lease/campaign.go
+++ b/lib/lease/campaign.go
@@ -40,6 +40,7 @@
 	prefix string
 	holder string // written into the key, for operators
 	ttl    time.Duration
+	opts   Options
 
 	mu          sync.Mutex
 	campaigning bool  // guarded by mu
@@ -53,17 +54,39 @@
 type term struct {
 	epoch int64
 	id    kv.LeaseID
-	until time.Time     // by the monotonic clock
+	until time.Duration // by Options.Clock
 	done  chan struct{} // closed at the end
 	stop  context.CancelFunc
 }
 
 var _ Checker = (*Lease)(nil)
 
+// Options change how a lease is kept.
+type Options struct {
+	// Wait is how long one call waits for the end of another holder's lease; zero: waitTime. The platform counts each
+	// call.
+	Wait time.Duration
+	// Clock is the steady clock by which validity is measured; nil: the process's monotonic clock, which stands still
+	// while a machine is suspended.
+	Clock func() time.Duration
+}
+
 // New returns a lease that is not held. The time to live should be several seconds: the lease is lost when the
 // key-value service does not answer for 0.9 of it.
 func New(store kv.Store, prefix, holder string, ttl time.Duration) *Lease {
-	return &Lease{store: store, prefix: prefix, holder: holder, ttl: ttl}
+	return NewWith(store, prefix, holder, ttl, Options{})
+}
+
+// NewWith is New with options.
+func NewWith(store kv.Store, prefix, holder string, ttl time.Duration, opts Options) *Lease {
+	if opts.Wait == 0 {
+		opts.Wait = waitTime
+	}
+	if opts.Clock == nil {
+		start := time.Now()
+		opts.Clock = func() time.Duration { return time.Since(start) }
+	}
+	return &Lease{store: store, prefix: prefix, holder: holder, ttl: ttl, opts: opts}
 }
 
 // Held returns the epoch of the term and whether the lease is certainly still valid at this instant. A lease that
@@ -74,7 +97,7 @@
 	if l.term == nil {
 		return 0, false
 	}
-	if !time.Now().Before(l.term.until) {
+	if l.opts.Clock() >= l.term.until {
 		l.end(l.term)
 		return 0, false
 	}
@@ -85,7 +108,7 @@
 // returned channel is closed at the end of the term.
 func (l *Lease) Campaign(ctx context.Context) (ended <-chan struct{}, err error) {
 	l.mu.Lock()
-	busy := l.campaigning || l.term != nil && time.Now().Before(l.term.until)
+	busy := l.campaigning || l.term != nil && l.opts.Clock() < l.term.until
 	l.campaigning = l.campaigning || !busy
 	l.mu.Unlock()
 	if busy {
@@ -140,7 +163,7 @@
 		return nil, err
 	}
 	var id kv.LeaseID
-	sent := time.Now()
+	sent := l.opts.Clock()
 	err := l.call(ctx, func(ctx context.Context) (err error) {
 		id, err = l.store.Grant(ctx, l.ttl)
 		return err
@@ -168,7 +191,7 @@
 }
 
 // take writes the lease key and raises the epoch.
-func (l *Lease) take(ctx context.Context, id kv.LeaseID, until time.Time) (int64, error) {
+func (l *Lease) take(ctx context.Context, id kv.LeaseID, until time.Duration) (int64, error) {
 	value := []byte(l.holder + " " + uuid.NewString())
 	err := l.call(ctx, func(ctx context.Context) error {
 		_, err := l.store.Put(ctx, l.prefix+"/lease", value, 0, id)
@@ -177,9 +200,9 @@
 	if err != nil {
 		return 0, err
 	}
-	for time.Now().Before(until) {
+	for l.opts.Clock() < until {
 		epoch, err := l.raise(ctx)
-		if err == nil && time.Now().Before(until) {
+		if err == nil && l.opts.Clock() < until {
 			return epoch, nil
 		}
 		if err := pause(ctx, retryDelay); err != nil {
@@ -219,9 +242,9 @@
 	var after kv.Version
 	for {
 		var e kv.Entry
-		err := l.call(ctx, func(ctx context.Context) (err error) {
+		err := l.callWithin(ctx, l.opts.Wait+callTimeout, func(ctx context.Context) (err error) {
 			// The first call returns at once if the key exists.
-			e, err = l.store.Wait(ctx, l.prefix+"/lease", after, waitTime)
+			e, err = l.store.Wait(ctx, l.prefix+"/lease", after, l.opts.Wait)
 			return err
 		})
 		if err != nil {
@@ -238,11 +261,11 @@
 func (l *Lease) renew(ctx context.Context, t *term) {
 	delay := l.ttl / renewals
 	for pause(ctx, delay) == nil {
-		sent := time.Now()
+		sent := l.opts.Clock()
 		err := l.call(ctx, func(ctx context.Context) error { return l.store.KeepAlive(ctx, t.id) })
 		l.mu.Lock()
 		switch {
-		case errors.Is(err, kv.ErrLeaseLost) || !time.Now().Before(t.until):
+		case errors.Is(err, kv.ErrLeaseLost) || l.opts.Clock() >= t.until:
 			l.end(t)
 		case err == nil:
 			t.until, delay = l.validUntil(sent), l.ttl/renewals
@@ -254,11 +277,11 @@
 }
 
 // validUntil is the end of validity of a lease granted or renewed by a call sent at the instant sent.
-func (l *Lease) validUntil(sent time.Time) time.Time {
+func (l *Lease) validUntil(sent time.Duration) time.Duration {
 	if l.countFromAnswer {
-		sent = time.Now()
+		sent = l.opts.Clock()
 	}
-	return sent.Add(l.ttl - l.ttl/margin)
+	return sent + l.ttl - l.ttl/margin
 }
 
 func (l *Lease) revoke(ctx context.Context, id kv.LeaseID) error {
@@ -271,7 +294,11 @@
 }
 
 func (l *Lease) call(ctx context.Context, fn func(ctx context.Context) error) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	return l.callWithin(ctx, callTimeout, fn)
+}
+
+func (l *Lease) callWithin(ctx context.Context, limit time.Duration, fn func(ctx context.Context) error) error {
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	return fn(ctx)
 }
--- a/lib/node/node.go
+++ b/lib/node/node.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"cuminhook.org/cuminhook/lib/balance"
+	"cuminhook.org/cuminhook/lib/bootclock"
 	"cuminhook.org/cuminhook/lib/catalog"
 	"cuminhook.org/cuminhook/lib/filter/accesslog"
 	"cuminhook.org/cuminhook/lib/filter/frontdoor"
@@ -24,15 +25,23 @@
 	"cuminhook.org/cuminhook/lib/follow"
 	"cuminhook.org/cuminhook/lib/forward"
 	"cuminhook.org/cuminhook/lib/kv"
+	"cuminhook.org/cuminhook/lib/lease"
+	"cuminhook.org/cuminhook/lib/orders"
 	"cuminhook.org/cuminhook/lib/orglimit"
 	"cuminhook.org/cuminhook/lib/passage"
 	"cuminhook.org/cuminhook/lib/peers"
 	"cuminhook.org/cuminhook/lib/pipeline"
+	"cuminhook.org/cuminhook/lib/placer"
 	"cuminhook.org/cuminhook/lib/registry"
 	"cuminhook.org/cuminhook/lib/retry"
+	"cuminhook.org/cuminhook/lib/workload"
 )
 
 const (
+	// leasePrefix is the key prefix of the placement lease.
+	leasePrefix = "cuminhook/placement"
+	// leaseWait is how long a candidate's call waits for the end of another holder's lease.
+	leaseWait = 10 * time.Second
 	// maxHeader bounds a request line and header in bytes.
 	maxHeader = 20 << 10
 	// maxBody bounds a body in bytes.
@@ -59,6 +68,7 @@
 	Store    Store
 	Codec    follow.Codec
 	Door     passage.Door
+	Engines  orders.Client
 	Log      *slog.Logger
 	Set      *metrics.Set
 }
@@ -72,6 +82,9 @@
 	retries  *retry.Budget
 	peers    *peers.Node
 	follower *follow.Follower
+	meter    *workload.Meter
+	placer   *placer.Placer
+	duty     *duty
 	server   *pipeline.Server
 	catalog  atomic.Pointer[catalog.Catalog]
 	targets  atomic.Bool // a list of targets has been read
@@ -83,10 +96,17 @@
 	s := cfg.Settings
 	n := &Node{
 		cfg: cfg, log: cfg.Log, book: balance.New(s.Zone, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
-		limiter: orglimit.New(), retries: retry.NewBudget(s.RetryRatio, s.RetrySlack),
+		limiter: orglimit.New(), meter: workload.New(), retries: retry.NewBudget(s.RetryRatio, s.RetrySlack),
 	}
+	n.duty = newDuty(n)
+	n.placer = placer.New(placer.Config{
+		Host: s.Host, Client: cfg.Engines, Overshoot: s.Placement.LoadsOvershoot, Demand: n.duty.demand, Publish: n.duty.publish,
+		Lease: lease.NewWith(cfg.Store, leasePrefix, s.Host, s.Placement.Lease, lease.Options{Wait: leaseWait, Clock: bootclock.Now}),
+		Log:   cfg.Log, Set: cfg.Set,
+	})
 	n.peers = peers.New(s.Host, s.Peers, peers.Handlers{
 		Fill: n.fill, Heard: n.heard, Silent: n.silent, Hosts: n.setHosts,
+		RPC: map[string]any{rpcPlacement: &placementService{n}},
 	}, cfg.Log)
 	n.follower = follow.New(cfg.Store, cfg.Codec, follow.Handlers{
 		Catalog: n.setCatalog, Targets: n.setTargets, Hosts: n.peers.SetEntries,
@@ -103,7 +123,7 @@
 func (n *Node) filters() pipeline.Handler {
 	h := relay.New(relay.Config{
 		Door: n.cfg.Door, Client: forward.NewClient(n.cfg.Door, nil), Book: n.book, Retries: n.retries,
-		Log: n.cfg.Log, Set: n.cfg.Set,
+		Adapters: n.duty, Demand: n.meter, Log: n.cfg.Log, Set: n.cfg.Set,
 	})
 	h = orgrate.New(h, orgrate.Config{Limiter: n.limiter, Log: n.cfg.Log})
 	h = frontdoor.New(h, frontdoor.Config{Door: n.cfg.Door, Catalog: n.catalog.Load})
@@ -112,11 +132,13 @@
 
 func (n *Node) setCatalog(c *catalog.Catalog, _ []byte) {
 	n.book.SetCatalog(c)
+	n.placer.SetCatalog(c)
 	n.catalog.Store(c)
 }
 
 func (n *Node) setTargets(list []*registry.Target) {
 	n.book.SetTargets(list)
+	n.placer.SetTargets(list)
 	n.targets.Store(true)
 }
 
@@ -133,15 +155,21 @@
 	}
 	s.Demand = n.limiter.Report(now)
 	s.Loads = n.book.Own()
+	s.Work, s.Wanted = n.meter.Work(now), n.meter.Adapters(now)
+	s.Placement = n.duty.placement()
 }
 
 func (n *Node) heard(s *peers.State) {
 	now := time.Now()
-	n.limiter.SetPeer(s.Host, s.Demand, now)
+	n.limiter.SetPeer(s.Host, s.Boot, s.Demand, now)
 	n.book.SetPeer(s.Host, s.Loads)
+	n.duty.heard(s)
 }
 
-func (n *Node) silent(host string) { n.book.SetPeer(host, nil) }
+func (n *Node) silent(host string) {
+	n.book.SetPeer(host, nil)
+	n.duty.silent(host)
+}
 
 // Ready reports whether the host can serve requests.
 func (n *Node) Ready() bool { return n.catalog.Load() != nil && n.targets.Load() && !n.stopping.Load() }
@@ -158,12 +186,14 @@
 	group, groupCtx := errgroup.WithContext(background)
 	group.Go(func() error { return n.peers.Run(groupCtx) })
 	group.Go(func() error { n.follower.Run(groupCtx); return nil })
+	group.Go(func() error { n.duty.run(groupCtx); return nil })
 	registration, unregister := context.WithCancel(groupCtx)
 	defer unregister()
 	group.Go(func() error {
 		peers.Register(registration, n.cfg.Store, follow.HostPrefix+s.Host, peers.Entry{Addr: s.Peers, Zone: s.Zone}, n.log)
 		return nil
 	})
+	group.Go(func() error { n.placer.Run(registration); return nil })
 	group.Go(func() error { return serveStatus(groupCtx, s.Ready, n.readyHandler()) })
 	group.Go(func() error { return serveStatus(groupCtx, s.Metrics, n.metricsHandler()) })
 	group.Go(func() error { return n.server.Serve(callers) })
@@ -172,6 +202,7 @@
 	case <-ctx.Done():
 	case <-groupCtx.Done():
 	}
+	unregister()
 	stopErr := n.stop(background)
 	cancel()
 	err = errors.Join(stopErr, group.Wait())
--- a/lib/orglimit/orglimit.go
+++ b/lib/orglimit/orglimit.go
@@ -1,8 +1,11 @@
 // Package orglimit keeps each organisation to its rate over all hosts. It answers organisations that send several times
-// their rate, and demand that is spread unevenly over the hosts: each host spends a share of the rate that follows its
-// part of the demand, as the hosts report it to each other.
+// their rate, and small rates of which one request takes a large part.
 //
-// It does no I/O, and takes the time as an argument.
+// Hosts tell each other what they have charged. Each keeps its own estimate of the one bucket that all share, and charges
+// it freely while enough is left for what its peers may have charged since they last reported. When the bucket is
+// nearly empty, each host spends a share of the rate that follows its part of the demand.
+//
+// The package does no I/O, and takes the time as an argument.
 package orglimit
 
 import (
@@ -18,36 +21,47 @@
 	demandTime = time.Second
 	// reportAge is the age up to which a peer's report counts; several reports are sent in it.
 	reportAge = 1500 * time.Millisecond
+	// reportLag is the time for which charges of peers are not known yet: a period of their reports and the way.
+	reportLag = 300 * time.Millisecond
 	// evenShare is the part of the rate that is split evenly among the hosts whatever their demand, so that a host with
 	// new demand has some at once.
 	evenShare = 0.25
-	// startShare is the part of a host's burst with which it starts: one that was restarted may have spent its burst
-	// right before.
-	startShare = 0.3
-	// aloneShare is the share of the hosts' even split that a host uses that hears no peer.
-	aloneShare = 1.0
+	// startShare is the part of the burst that a host assumes at its start: it does not know what was spent before.
+	startShare = 0.5
+	// ownTime bounds what a host saves up of its share, in time at its rate.
+	ownTime = 250 * time.Millisecond
+	// debtTime is the debt of the shared bucket, in time at the rate, from which on hosts spend nothing.
+	debtTime = 500 * time.Millisecond
 )
 
-// Report is a peer's demand, by organisation, in tokens a second.
-type Report map[string]float64
+// Usage is what a host has charged an organisation, and is asked to.
+type Usage struct {
+	Charged float64 `json:"c"` // tokens since the start of the host
+	Demand  float64 `json:"d"` // tokens a second, whether admitted or not
+}
+
+// Report is a host's usage by organisation.
+type Report map[string]Usage
 
 type peer struct {
+	boot   uint64
 	report Report
 	at     time.Time
 }
 
+// bucket is the state of one organisation.
 type bucket struct {
-	tokens  float64
+	pool    float64 // estimate of the bucket that all hosts share, in tokens
+	own     float64 // saved up of this host's share, in tokens
 	updated time.Time
-	share   float64
-	demand  float64 // tokens a second
-	rated   time.Time
+	usage   Usage
+	rated   time.Time // when usage.Demand was brought up to date
 }
 
-// Limiter spends this host's shares. It is safe for concurrent use.
+// Limiter is one host's part of the limits. It is safe for concurrent use.
 type Limiter struct {
 	mu      sync.Mutex
-	hosts   int
+	hosts   int                // guarded by mu
 	peers   map[string]peer    // guarded by mu; by host
 	buckets map[string]*bucket // guarded by mu; by organisation
 }
@@ -64,57 +78,77 @@
 	l.hosts = max(1, n)
 }
 
-// SetPeer takes a peer's report over; nil forgets the peer.
-func (l *Limiter) SetPeer(host string, r Report, now time.Time) {
+// SetPeer takes the report of a peer over. The boot id tells its starts apart: each counts from zero.
+func (l *Limiter) SetPeer(host string, boot uint64, r Report, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if r == nil {
-		delete(l.peers, host)
-		return
+	old, known := l.peers[host]
+	if known {
+		for name, u := range r {
+			charged := u.Charged
+			if old.boot == boot {
+				charged -= old.report[name].Charged
+			}
+			if b := l.buckets[name]; b != nil {
+				b.pool -= charged
+			}
+		}
 	}
-	l.peers[host] = peer{r, now}
+	l.peers[host] = peer{boot, r, now}
 }
 
-// Report returns this host's demand.
+// Report returns what this host has charged.
 func (l *Limiter) Report(now time.Time) Report {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	out := Report{}
 	for name, b := range l.buckets {
 		b.decay(now)
-		if b.demand >= 1 {
-			out[name] = math.Round(b.demand)
-		}
+		out[name] = Usage{Charged: b.usage.Charged, Demand: math.Round(b.usage.Demand)}
 	}
 	return out
 }
 
 func (b *bucket) decay(now time.Time) {
 	if dt := now.Sub(b.rated); dt > 0 {
-		b.demand *= math.Exp(-float64(dt) / float64(demandTime))
+		b.usage.Demand *= math.Exp(-float64(dt) / float64(demandTime))
 		b.rated = now
 	}
 }
 
-// Take charges the organisation. If it is above its rate, it returns false and the time after which the charge would be
-// accepted at the present demand.
+// Take charges the organisation. If it is above its rate, it returns false and the time after which the charge is
+// accepted if the demand stays as it is.
 func (l *Limiter) Take(o *catalog.Organisation, tokens int64, now time.Time) (ok bool, retryAfter time.Duration) {
 	if o == nil || o.Rate <= 0 {
 		return true, 0
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	b := l.refill(o, now)
-	b.demand += float64(tokens) / demandTime.Seconds()
-	// A charge larger than what is left goes into debt: otherwise large requests would never pass a small share.
-	if b.tokens <= 0 {
-		missing := -b.tokens + 1
-		return false, time.Duration(missing / (o.Rate * b.share) * float64(time.Second))
+	v := l.view(o.Name, now)
+	b := l.refill(o, v, now)
+	b.usage.Demand += float64(tokens) / demandTime.Seconds()
+	// A charge may exceed what is left: otherwise requests larger than the burst would never pass.
+	left := b.pool - v.peerDemand*reportLag.Seconds()
+	switch {
+	case left > 0:
+		b.own = max(0, b.own-float64(tokens))
+	case b.own > 0 && b.pool > -o.Rate*debtTime.Seconds():
+		b.own -= float64(tokens)
+	default:
+		return false, l.wait(o, b, v, left)
 	}
-	b.tokens -= float64(tokens)
+	b.pool -= float64(tokens)
+	b.usage.Charged += float64(tokens)
 	return true, 0
 }
 
+// wait is the time until the shared bucket or the host's share has something left.
+func (l *Limiter) wait(o *catalog.Organisation, b *bucket, v view, left float64) time.Duration {
+	pool := (1 - left) / (o.Rate * v.reach)
+	own := (1 - b.own) / (o.Rate * v.share)
+	return time.Duration(min(pool, own) * float64(time.Second))
+}
+
 // Refund gives back the charge of a request that was not run.
 func (l *Limiter) Refund(o *catalog.Organisation, tokens int64) {
 	if o == nil || o.Rate <= 0 {
@@ -123,48 +157,55 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if b := l.buckets[o.Name]; b != nil {
-		b.tokens = min(b.tokens+float64(tokens), o.Burst*b.share)
+		b.pool += float64(tokens)
+		b.usage.Charged -= float64(tokens)
 	}
 }
 
 // refill brings the organisation's bucket up to now.
-func (l *Limiter) refill(o *catalog.Organisation, now time.Time) *bucket {
+func (l *Limiter) refill(o *catalog.Organisation, v view, now time.Time) *bucket {
 	b := l.buckets[o.Name]
 	if b == nil {
-		b = &bucket{updated: now, rated: now}
-		b.share = l.share(o, b, now)
-		b.tokens = startShare * o.Burst * b.share
+		b = &bucket{pool: startShare * o.Burst * v.reach, updated: now, rated: now}
 		l.buckets[o.Name] = b
 	}
 	b.decay(now)
-	b.share = l.share(o, b, now)
-	if dt := now.Sub(b.updated); dt > 0 {
-		b.tokens += dt.Seconds() * o.Rate * b.share
+	if dt := now.Sub(b.updated).Seconds(); dt > 0 {
+		b.pool += dt * o.Rate * v.reach
+		b.own += dt * o.Rate * v.share
 		b.updated = now
 	}
-	b.tokens = min(b.tokens, o.Burst*b.share)
+	b.pool = min(b.pool, o.Burst*v.reach)
+	b.own = min(b.own, o.Rate*v.share*ownTime.Seconds())
 	return b
 }
 
-// share is the part of the organisation's rate that this host may spend. Hosts that are not heard of keep the part that
-// they use when they hear of nobody.
-func (l *Limiter) share(o *catalog.Organisation, b *bucket, now time.Time) float64 {
-	reachable, total := 1, min(b.demand, o.Rate)
-	own := total
+// view is what a host knows of the others.
+type view struct {
+	reach      float64 // part of the hosts that report, this one included
+	share      float64 // of the rate that this host may spend when the bucket is empty
+	peerDemand float64 // tokens a second
+}
+
+// view returns what is known of the demand. Hosts that are not heard of may spend an even part each; it is left to them.
+func (l *Limiter) view(name string, now time.Time) view {
+	own := 0.0
+	if b := l.buckets[name]; b != nil {
+		b.decay(now)
+		own = b.usage.Demand
+	}
+	reachable, demand := 1, 0.0
 	for _, p := range l.peers {
 		if now.Sub(p.at) <= reportAge {
 			reachable++
-			total += min(p.report[o.Name], o.Rate)
+			demand += p.report[name].Demand
 		}
 	}
-	hosts := max(l.hosts, reachable)
-	if reachable == 1 {
-		return aloneShare / float64(hosts)
-	}
-	even := 1 / float64(reachable)
-	part := even
-	if total > 0 {
-		part = evenShare*even + (1-evenShare)*own/total
+	v := view{reach: float64(reachable) / float64(max(l.hosts, reachable)), peerDemand: demand}
+	part := 1 / float64(reachable)
+	if own+demand > 0 {
+		part = evenShare*part + (1-evenShare)*own/(own+demand)
 	}
-	return part * float64(reachable) / float64(hosts)
+	v.share = part * v.reach
+	return v
 }
