Let estimates of the shared bucket agree, and gather changes of the store

Cause: hosts' estimates drifted by up to 40,000 tokens, and each heartbeat of a target cost a call of every host.

--- a/lib/filter/orgrate/orgrate.go
+++ b/lib/filter/orgrate/orgrate.go
@@ -40,12 +40,14 @@
 	if ex.Call.HasTokens {
 		ex.Charge = ex.Call.Tokens()
 	}
-	ok, after := f.cfg.Limiter.Take(o, ex.Charge, time.Now())
-	if !ok {
+	v := f.cfg.Limiter.Take(o, ex.Charge, time.Now())
+	if !v.Admitted {
+		f.cfg.Log.Info("above the rate", "request_id", ex.ID, "organisation", o.Name, "charge", ex.Charge, "rate", o.Rate,
+			"burst", o.Burst, "pool", int64(v.Pool), "own", int64(v.Own), "share", v.Share, "reach", v.Reach)
 		return &refusal.Error{
 			Reason: refusal.RateExceeded, Run: refusal.NotRun, Status: fasthttp.StatusTooManyRequests,
 			Message: "the organisation is above its rate", Remedy: "send it again after the time stated, or raise the rate",
-			RetryAfter: max(after, minRetry),
+			RetryAfter: max(v.RetryAfter, minRetry),
 		}
 	}
 	err := f.next.Serve(ctx, ex)
--- a/lib/follow/follow.go
+++ b/lib/follow/follow.go
@@ -18,6 +18,9 @@
 const (
 	// watchTime is how long one watch waits. A connection that goes silent meanwhile is noticed by keep-alive probes.
 	watchTime = 10 * time.Second
+	// settleTime is the pause after changes before the next watch. Targets write often, and each watch that is answered
+	// costs a call; changes that come meanwhile share one.
+	settleTime = 600 * time.Millisecond
 	// callTime bounds a read of a whole prefix.
 	callTime = 1500 * time.Millisecond
 	// retryFirst and retryMost are the pauses after failed calls. All hosts together stay far below the store's rate.
@@ -150,6 +153,9 @@
 		f.reach()
 		f.apply(changes)
 		after = at
+		if len(changes) > 0 {
+			pause(ctx, settleTime)
+		}
 	}
 	return ctx.Err()
 }
--- a/lib/node/node.go
+++ b/lib/node/node.go
@@ -96,7 +96,7 @@
 	s := cfg.Settings
 	n := &Node{
 		cfg: cfg, log: cfg.Log, book: balance.New(s.Zone, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
-		limiter: orglimit.New(), meter: workload.New(), retries: retry.NewBudget(s.RetryRatio, s.RetrySlack),
+		limiter: orglimit.New(time.Now()), meter: workload.New(), retries: retry.NewBudget(s.RetryRatio, s.RetrySlack),
 	}
 	n.duty = newDuty(n)
 	n.placer = placer.New(placer.Config{
--- a/lib/orglimit/orglimit.go
+++ b/lib/orglimit/orglimit.go
@@ -28,6 +28,9 @@
 	evenShare = 0.25
 	// startShare is the part of the burst that a host assumes at its start: it does not know what was spent before.
 	startShare = 0.5
+	// agreeShare is the part by which an estimate moves towards that of a peer with each of its reports. Estimates drift
+	// apart when reports are lost and when hosts start.
+	agreeShare = 0.05
 	// ownTime bounds what a host saves up of its share, in time at its rate.
 	ownTime = 250 * time.Millisecond
 	// debtTime is the debt of the shared bucket, in time at the rate, from which on hosts spend nothing.
@@ -38,6 +41,7 @@
 type Usage struct {
 	Charged float64 `json:"c"` // tokens since the start of the host
 	Demand  float64 `json:"d"` // tokens a second, whether admitted or not
+	Pool    float64 `json:"p"` // the host's estimate of the shared bucket, in tokens
 }
 
 // Report is a host's usage by organisation.
@@ -60,15 +64,17 @@
 
 // Limiter is one host's part of the limits. It is safe for concurrent use.
 type Limiter struct {
+	started time.Time
+
 	mu      sync.Mutex
 	hosts   int                // guarded by mu
 	peers   map[string]peer    // guarded by mu; by host
 	buckets map[string]*bucket // guarded by mu; by organisation
 }
 
-// New returns a limiter.
-func New() *Limiter {
-	return &Limiter{hosts: 1, peers: map[string]peer{}, buckets: map[string]*bucket{}}
+// New returns a limiter of a host that starts now.
+func New(now time.Time) *Limiter {
+	return &Limiter{started: now, hosts: 1, peers: map[string]peer{}, buckets: map[string]*bucket{}}
 }
 
 // SetHosts states how many hosts exist, this one included.
@@ -91,6 +97,7 @@
 			}
 			if b := l.buckets[name]; b != nil {
 				b.pool -= charged
+				b.pool += agreeShare * (u.Pool - b.pool)
 			}
 		}
 	}
@@ -104,7 +111,7 @@
 	out := Report{}
 	for name, b := range l.buckets {
 		b.decay(now)
-		out[name] = Usage{Charged: b.usage.Charged, Demand: math.Round(b.usage.Demand)}
+		out[name] = Usage{Charged: b.usage.Charged, Demand: math.Round(b.usage.Demand), Pool: math.Round(b.pool)}
 	}
 	return out
 }
@@ -116,11 +123,20 @@
 	}
 }
 
-// Take charges the organisation. If it is above its rate, it returns false and the time after which the charge is
-// accepted if the demand stays as it is.
-func (l *Limiter) Take(o *catalog.Organisation, tokens int64, now time.Time) (ok bool, retryAfter time.Duration) {
+// Verdict is the answer to a charge, with what decided it.
+type Verdict struct {
+	Admitted   bool
+	RetryAfter time.Duration // after which the charge is accepted if the demand stays as it is; zero if admitted
+	Pool       float64       // estimate of the bucket that all hosts share, in tokens
+	Own        float64       // saved up of this host's share, in tokens
+	Share      float64       // of the rate that is this host's when the bucket is empty
+	Reach      float64       // part of the hosts that report
+}
+
+// Take charges the organisation unless it is above its rate.
+func (l *Limiter) Take(o *catalog.Organisation, tokens int64, now time.Time) Verdict {
 	if o == nil || o.Rate <= 0 {
-		return true, 0
+		return Verdict{Admitted: true}
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -129,17 +145,19 @@
 	b.usage.Demand += float64(tokens) / demandTime.Seconds()
 	// A charge may exceed what is left: otherwise requests larger than the burst would never pass.
 	left := b.pool - v.peerDemand*reportLag.Seconds()
+	verdict := Verdict{Admitted: true, Pool: b.pool, Own: b.own, Share: v.share, Reach: v.reach}
 	switch {
 	case left > 0:
 		b.own = max(0, b.own-float64(tokens))
 	case b.own > 0 && b.pool > -o.Rate*debtTime.Seconds():
 		b.own -= float64(tokens)
 	default:
-		return false, l.wait(o, b, v, left)
+		verdict.Admitted, verdict.RetryAfter = false, l.wait(o, b, v, left)
+		return verdict
 	}
 	b.pool -= float64(tokens)
 	b.usage.Charged += float64(tokens)
-	return true, 0
+	return verdict
 }
 
 // wait is the time until the shared bucket or the host's share has something left.
@@ -166,7 +184,7 @@
 func (l *Limiter) refill(o *catalog.Organisation, v view, now time.Time) *bucket {
 	b := l.buckets[o.Name]
 	if b == nil {
-		b = &bucket{pool: startShare * o.Burst * v.reach, updated: now, rated: now}
+		b = &bucket{pool: startShare * o.Burst * v.reach, updated: l.started, rated: now}
 		l.buckets[o.Name] = b
 	}
 	b.decay(now)
