Read everything anew after a watch that failed

Ruled out: the codec (the version was installed at once where the history was reported as lost), a blocked follower. Change: a watch that fails is followed by a whole read; a host that hears of a newer version from a peer reads anew, and asks the peer.

--- a/lib/follow/follow.go
+++ b/lib/follow/follow.go
@@ -26,6 +26,8 @@
 	// retryFirst and retryMost are the pauses after failed calls. All hosts together stay far below the store's rate.
 	retryFirst = 50 * time.Millisecond
 	retryMost  = 500 * time.Millisecond
+	// refreshTime is the shortest time between two refreshes.
+	refreshTime = time.Second
 	// unsettledTime is the time after the last failed call in which missing entries may have lapsed only because the
 	// store was away.
 	unsettledTime = 3 * time.Second
@@ -50,7 +52,7 @@
 
 // Handlers are told of changes. They are called one at a time.
 type Handlers struct {
-	Catalog func(*catalog.Catalog, []byte)
+	Catalog func(*catalog.Catalog)
 	Targets func([]*registry.Target)
 	Hosts   func(map[string][]byte) // values by host
 }
@@ -62,15 +64,18 @@
 	on    Handlers
 	log   *slog.Logger
 
-	mu      sync.Mutex
-	version int64                     // guarded by mu; of the configuration in force
-	table   *registry.Table           // guarded by mu
-	hosts   map[string][]byte         // guarded by mu
-	reached time.Time                 // guarded by mu; latest answer of the store
-	failed  time.Time                 // guarded by mu; latest failed call
-	lost    bool                      // guarded by mu
-	bad     map[string]kv.Version     // guarded by mu; foreign entries that were logged
-	noted   map[string]registry.State // guarded by mu; states of targets that were logged
+	mu          sync.Mutex
+	value       []byte                    // guarded by mu; of the configuration in force
+	version     int64                     // guarded by mu; of the configuration in force
+	table       *registry.Table           // guarded by mu
+	hosts       map[string][]byte         // guarded by mu
+	reached     time.Time                 // guarded by mu; latest answer of the store
+	failed      time.Time                 // guarded by mu; latest failed call
+	lost        bool                      // guarded by mu
+	refreshed   time.Time                 // guarded by mu; latest refresh
+	cancelWatch context.CancelCauseFunc   // guarded by mu; ends the present watch
+	bad         map[string]kv.Version     // guarded by mu; foreign entries that were logged
+	noted       map[string]registry.State // guarded by mu; states of targets that were logged
 }
 
 // New returns a follower.
@@ -81,6 +86,13 @@
 	}
 }
 
+// Value returns the configuration in force as it was read, or nil.
+func (f *Follower) Value() []byte {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.value
+}
+
 // Reached returns the time of the latest answer of the store.
 func (f *Follower) Reached() time.Time {
 	f.mu.Lock()
@@ -88,22 +100,44 @@
 	return f.reached
 }
 
-// Run follows the store until ctx ends.
+// Run follows the store until ctx ends. After a watch that failed everything is read anew: a store that has forgotten
+// its history may let a watch from an old revision wait without the changes that it has forgotten.
 func (f *Follower) Run(ctx context.Context) {
 	go f.expire(ctx)
-	var revision kv.Version
+	delay := retryFirst
 	for ctx.Err() == nil {
-		var err error
-		if revision, err = f.snapshot(ctx); err == nil {
+		revision, err := f.snapshot(ctx)
+		if err == nil {
+			delay = retryFirst
 			err = f.watch(ctx, revision)
 		}
-		if ctx.Err() == nil && err != nil && !errors.Is(err, kv.ErrCompacted) {
+		switch {
+		case ctx.Err() != nil:
+		case errors.Is(err, errRefresh):
+		case errors.Is(err, kv.ErrCompacted):
+			f.log.Info("history of the store lost")
+		default:
 			f.fail(err)
-			pause(ctx, retryFirst)
+			pause(ctx, delay)
+			delay = min(2*delay, retryMost)
 		}
 	}
 }
 
+// errRefresh ends a watch because something newer is known to exist.
+var errRefresh = errors.New("follow: another host has a newer configuration")
+
+// Refresh has everything read anew, because another host has a newer configuration. It is cheap to call often.
+func (f *Follower) Refresh() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if time.Since(f.refreshed) < refreshTime || f.cancelWatch == nil {
+		return
+	}
+	f.refreshed = time.Now()
+	f.cancelWatch(errRefresh)
+}
+
 // snapshot reads everything.
 func (f *Follower) snapshot(ctx context.Context) (kv.Version, error) {
 	prefixes := []string{f.codec.ConfigKey(), f.codec.TargetPrefix(), HostPrefix}
@@ -134,22 +168,21 @@
 	return f.feed.Snapshot(ctx, prefix)
 }
 
-// watch follows changes until the history is lost. It goes on after failed calls.
+// watch follows changes until a call fails or Refresh ends it.
 func (f *Follower) watch(ctx context.Context, after kv.Version) error {
-	delay := retryFirst
-	for ctx.Err() == nil {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	f.mu.Lock()
+	f.cancelWatch = cancel
+	f.mu.Unlock()
+	for {
 		changes, at, err := f.feed.Changes(ctx, "", after, watchTime)
-		switch {
-		case errors.Is(err, kv.ErrCompacted):
-			f.log.Info("history of the store lost", "revision", int64(after))
+		if ctx.Err() != nil {
+			return context.Cause(ctx)
+		}
+		if err != nil {
 			return err
-		case err != nil:
-			f.fail(err)
-			pause(ctx, delay)
-			delay = min(2*delay, retryMost)
-			continue
 		}
-		delay = retryFirst
 		f.reach()
 		f.apply(changes)
 		after = at
@@ -157,7 +190,6 @@
 			pause(ctx, settleTime)
 		}
 	}
-	return ctx.Err()
 }
 
 func (f *Follower) reach() {
@@ -226,10 +258,10 @@
 		f.mu.Unlock()
 		return
 	}
-	f.version = c.Version
+	f.version, f.value = c.Version, value
 	f.mu.Unlock()
 	f.log.Info("configuration installed", "version", c.Version, "before", old, "source", source, "routes", len(c.Routes))
-	f.on.Catalog(c, value)
+	f.on.Catalog(c)
 }
 
 func (f *Follower) update(key string, value []byte, version kv.Version) registry.Update {
--- a/lib/node/node.go
+++ b/lib/node/node.go
@@ -42,6 +42,12 @@
 	leasePrefix = "cuminhook/placement"
 	// leaseWait is how long a candidate's call waits for the end of another holder's lease.
 	leaseWait = 10 * time.Second
+	// rpcConfig is the name of the service that hosts without access to the store call at their peers.
+	rpcConfig = "Config"
+	// catchUpDelay lets a host's own watch deliver a configuration first.
+	catchUpDelay = 700 * time.Millisecond
+	// catchUpTime bounds the call.
+	catchUpTime = time.Second
 	// maxHeader bounds a request line and header in bytes.
 	maxHeader = 20 << 10
 	// maxBody bounds a body in bytes.
@@ -87,6 +93,7 @@
 	duty     *duty
 	server   *pipeline.Server
 	catalog  atomic.Pointer[catalog.Catalog]
+	catching atomic.Bool // a configuration is being read from a peer
 	targets  atomic.Bool // a list of targets has been read
 	stopping atomic.Bool
 }
@@ -106,7 +113,7 @@
 	})
 	n.peers = peers.New(s.Host, s.Peers, peers.Handlers{
 		Fill: n.fill, Heard: n.heard, Silent: n.silent, Hosts: n.setHosts,
-		RPC: map[string]any{rpcPlacement: &placementService{n}},
+		RPC: map[string]any{rpcPlacement: &placementService{n}, rpcConfig: &configService{n}},
 	}, cfg.Log)
 	n.follower = follow.New(cfg.Store, cfg.Codec, follow.Handlers{
 		Catalog: n.setCatalog, Targets: n.setTargets, Hosts: n.peers.SetEntries,
@@ -130,7 +137,7 @@
 	return accesslog.New(h, accesslog.Config{Log: n.cfg.Log, Set: n.cfg.Set})
 }
 
-func (n *Node) setCatalog(c *catalog.Catalog, _ []byte) {
+func (n *Node) setCatalog(c *catalog.Catalog) {
 	n.book.SetCatalog(c)
 	n.placer.SetCatalog(c)
 	n.catalog.Store(c)
@@ -164,6 +171,42 @@
 	n.limiter.SetPeer(s.Host, s.Boot, s.Demand, now)
 	n.book.SetPeer(s.Host, s.Loads)
 	n.duty.heard(s)
+	if c := n.catalog.Load(); c == nil || s.Config > c.Version {
+		n.catchUp(s.Host)
+	}
+}
+
+// catchUp takes over the configuration of a host that has a newer one. The store is asked as well: it may have changes
+// of targets too that did not reach this host.
+func (n *Node) catchUp(host string) {
+	if !n.catching.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		defer n.catching.Store(false)
+		time.Sleep(catchUpDelay)
+		if c, s := n.catalog.Load(), n.peers.Config(host); c != nil && s <= c.Version {
+			return
+		}
+		n.follower.Refresh()
+		ctx, cancel := context.WithTimeout(context.Background(), catchUpTime)
+		defer cancel()
+		var value []byte
+		if err := n.peers.Call(ctx, host, rpcConfig+".Value", struct{}{}, &value); err != nil {
+			n.log.Warn("configuration of a peer not read", "peer", host, "error", err.Error())
+			return
+		}
+		n.follower.Install(value, host)
+	}()
+}
+
+// configService answers calls of other hosts.
+type configService struct{ n *Node }
+
+// Value returns the configuration in force as the operator wrote it.
+func (s *configService) Value(_ struct{}, reply *[]byte) error {
+	*reply = s.n.follower.Value()
+	return nil
 }
 
 func (n *Node) silent(host string) {
--- a/lib/peers/peers.go
+++ b/lib/peers/peers.go
@@ -93,6 +93,7 @@
 	number uint64
 	heard  time.Time
 	alive  bool
+	config int64 // version of its configuration
 }
 
 // New returns the node of the host, which listens at addr (IP:port).
@@ -158,6 +159,16 @@
 	return p.addr.String(), true
 }
 
+// Config returns the version of the configuration that a host last said to have.
+func (n *Node) Config(host string) int64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if p := n.peers[host]; p != nil {
+		return p.config
+	}
+	return 0
+}
+
 // Run exchanges states until ctx ends.
 func (n *Node) Run(ctx context.Context) error {
 	udp, err := net.ResolveUDPAddr("udp", n.addr)
@@ -224,7 +235,7 @@
 		return
 	}
 	back := !p.alive
-	p.boot, p.number, p.heard, p.alive = s.Boot, s.Number, time.Now(), true
+	p.boot, p.number, p.heard, p.alive, p.config = s.Boot, s.Number, time.Now(), true, s.Config
 	n.mu.Unlock()
 	if back {
 		n.log.Info("host reachable", "peer", s.Host)
