Keep one copy of unused models, and count what requests take from each other

Second copies of unused models took the room that models in demand needed. Ruled out: the demand per copy (0.15 and 0.32 in place of 0.22), more targets with room (6 in place of 3): no change.

--- a/lib/balance/balance.go
+++ b/lib/balance/balance.go
@@ -6,6 +6,7 @@
 
 import (
 	"errors"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -37,6 +38,13 @@
 	// zoneCost is the time in milliseconds that another availability zone adds; it also stands for the price of the
 	// bytes.
 	zoneCost = 5.0
+	// disturbance is the weight of the time that requests lose later, against the time until a first event: of the
+	// requests that run beside a prompt while it is read, and of a long output beside the prompts of others.
+	disturbance = 0.25
+	// stepDelay is the time in milliseconds by which a step of a batch grows while prompts are read.
+	stepDelay = 26.0
+	// readingTime is the time constant with which the reading of prompts at a target is averaged.
+	readingTime = 2 * time.Second
 	// failureCost is the time in milliseconds that a failed request costs its caller.
 	failureCost = 3000.0
 	// overflowCost is the time in milliseconds until a full target has room for another request.
@@ -85,6 +93,8 @@
 }
 
 type target struct {
+	read   float64 // milliseconds of reading prompts of this host's requests, averaged over readingTime
+	readAt time.Time
 	info   *registry.Target
 	own    Load
 	peers  Load
@@ -192,13 +202,15 @@
 }
 
 // Own returns the requests in flight of this host, by target.
-func (b *Book) Own() map[string]Load {
+func (b *Book) Own(now time.Time) map[string]Load {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	out := map[string]Load{}
 	for id, t := range b.targets {
-		if t.own != (Load{}) {
-			out[id] = t.own
+		load := t.own
+		load.Reading = int64(t.ownReading(now))
+		if load != (Load{}) {
+			out[id] = load
 		}
 	}
 	return out
@@ -304,6 +316,7 @@
 	home := homeOf(candidates, keys[:shared])
 	pace := b.paceOf(call.Model)
 	need := b.need(call)
+	out := need - call.PromptTokens
 	var best *target
 	var lowest, bestFirst float64
 	var bestRead int64
@@ -315,11 +328,12 @@
 		read := max(1, call.PromptTokens-kept)
 		first := float64(t.own.Prefill+t.peers.Prefill+read)/prefillRate*pace + slotCost*float64(t.own.Running+t.peers.Running)
 		first += overflow(t, engine, need) * overflowCost
-		cost := first + b.placeCost(t) + failureCost*t.health.failures + b.random.Float64()
+		cost := first + t.disturbed(read, out, pace, now) + b.placeCost(t) + failureCost*t.health.failures + b.random.Float64()
 		if best == nil || cost < lowest {
 			best, lowest, bestFirst, bestRead = t, cost, first, read
 		}
 	}
+	best.note(float64(bestRead)/prefillRate*pace, now)
 	best.parts.limit = int64(cacheShare * float64(engine.CacheTokens))
 	best.parts.add(keys, tokens, now)
 	c := b.take(best, Load{Running: 1, Prefill: bestRead, Cache: need}, call.Model, now)
@@ -327,6 +341,30 @@
 	return c
 }
 
+// ownReading is the milliseconds a second that the target reads prompts of this host's requests.
+func (t *target) ownReading(now time.Time) float64 {
+	return t.read / readingTime.Seconds() * math.Exp(-float64(now.Sub(t.readAt))/float64(readingTime))
+}
+
+// reading is the part of its time that the target reads prompts.
+func (t *target) reading(now time.Time) float64 {
+	return min(1, (t.ownReading(now)+float64(t.peers.Reading))/1000)
+}
+
+// note adds milliseconds of reading.
+func (t *target) note(ms float64, now time.Time) {
+	t.read = t.read*math.Exp(-float64(now.Sub(t.readAt))/float64(readingTime)) + ms
+	t.readAt = now
+}
+
+// disturbed is the weighted time in milliseconds that a request with read prompt tokens and out output tokens takes from
+// the requests that run at the target, and loses to the prompts of others there.
+func (t *target) disturbed(read, out int64, pace float64, now time.Time) float64 {
+	taken := float64(t.own.Running+t.peers.Running) * float64(read) / prefillRate * pace
+	lost := float64(out) * t.reading(now) * stepDelay
+	return disturbance * (taken + lost)
+}
+
 // need is the KV cache in tokens that a request takes at its end.
 func (b *Book) need(call *passage.Call) int64 {
 	out := call.MaxOutput
--- a/lib/balance/load.go
+++ b/lib/balance/load.go
@@ -7,12 +7,14 @@
 	Running int   // requests
 	Prefill int64 // prompt tokens of requests without a first event that the target has to read
 	Cache   int64 // tokens of KV cache that the requests take when they are complete
+	Reading int64 // milliseconds a second that the target reads prompts, averaged
 }
 
 func (l *Load) add(o Load, sign int64) {
 	l.Running += int(sign) * o.Running
 	l.Prefill += sign * o.Prefill
 	l.Cache += sign * o.Cache
+	l.Reading += sign * o.Reading
 }
 
 // cachedParts keeps what a target probably holds of prompts, least recently used first out.
--- a/lib/node/node.go
+++ b/lib/node/node.go
@@ -161,7 +161,7 @@
 		s.Config = c.Version
 	}
 	s.Demand = n.limiter.Report(now)
-	s.Loads = n.book.Own()
+	s.Loads = n.book.Own(now)
 	s.Work, s.Wanted = n.meter.Work(now), n.meter.Adapters(now)
 	s.Placement = n.duty.placement()
 }
--- a/lib/residency/residency.go
+++ b/lib/residency/residency.go
@@ -20,7 +20,7 @@
 	// spareCopies is how many copies more than needed a model keeps while nobody needs the room.
 	spareCopies = 1
 	// minCopies is wanted of every model, so that a crash leaves one.
-	minCopies = 2
+	minCopies = 1
 	// recentDemand is the demand in milliseconds of engine time a second below which a model counts as unused.
 	recentDemand = 1.0
 	// roomTargets is how many targets should have room for the largest model, so that loads need not wait for unloads.
