Replace copies at targets that hosts cannot reach before their entries lapse

Cause: entries of crashed targets lapse after 3.6 s; until then the placement counted their copies. Change: hosts tell each other which targets they cannot reach; two hosts make a target suspect for the placement. A connection that breaks off counts as a failed answer and no longer suspends the target.

--- a/lib/balance/balance.go
+++ b/lib/balance/balance.go
@@ -216,6 +216,19 @@
 	return out
 }
 
+// Suspects returns the targets that did not answer lately and have not answered since.
+func (b *Book) Suspects() []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var out []string
+	for id, t := range b.targets {
+		if t.health.suspect() {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
 // holds reports whether t holds the model, and the adapter if one is named.
 func (b *Book) holds(t *target, model, adapter string, now time.Time) (hasModel, hasAdapter bool) {
 	if now.Before(t.absent[model]) {
@@ -483,7 +496,15 @@
 	c.entry.absent[name] = now.Add(absentTime)
 }
 
-// Silent ends the request without an answer.
+// Broken ends the request with a connection that broke off before the answer was complete.
+func (c *Choice) Broken() {
+	c.book.mu.Lock()
+	defer c.book.mu.Unlock()
+	c.done()
+	c.entry.health.broken()
+}
+
+// Silent ends the request without an answer: the target was not reached, or was silent for too long.
 func (c *Choice) Silent(now time.Time) {
 	c.book.mu.Lock()
 	defer c.book.mu.Unlock()
--- a/lib/balance/health.go
+++ b/lib/balance/health.go
@@ -12,9 +12,13 @@
 	suspendMost = 4 * time.Second
 )
 
+// suspectMisses is how many requests in a row a target has to leave unanswered before it counts as suspect.
+const suspectMisses = 2
+
 // health is what answers say about a target.
 type health struct {
 	failures  float64       // share of failed answers, weighted towards the newest
+	misses    int           // requests in a row that found the target unreachable or silent
 	backoff   time.Duration // of the next suspension
 	suspended time.Time     // no requests before
 	trial     bool          // one request is out to find out whether the target answers again
@@ -22,18 +26,28 @@
 
 func (h *health) usable(now time.Time) bool { return !now.Before(h.suspended) && !h.trial }
 
+// suspect reports whether the target did not answer lately and has not answered since.
+func (h *health) suspect() bool { return h.misses >= suspectMisses }
+
 func (h *health) answered(failed bool) {
 	x := 0.0
 	if failed {
 		x = 1
 	}
 	h.failures += failureWeight * (x - h.failures)
-	h.backoff, h.trial = 0, false
+	h.misses, h.backoff, h.trial = 0, 0, false
+}
+
+// broken records a request whose connection broke off. The target is there, and may have crashed or lost one answer.
+func (h *health) broken() {
+	h.failures += 2 * failureWeight * (1 - h.failures)
+	h.trial = false
 }
 
-// silent records a request without an answer.
+// silent records a request for which the target was unreachable or silent.
 func (h *health) silent(now time.Time) {
 	h.failures += 2 * failureWeight * (1 - h.failures)
+	h.misses++
 	h.trial = false
 	if now.Before(h.suspended) {
 		return // one fault shows in many requests at once
--- a/lib/filter/relay/relay.go
+++ b/lib/filter/relay/relay.go
@@ -6,6 +6,7 @@
 	"errors"
 	"log/slog"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -119,6 +120,19 @@
 	outcome forward.Outcome
 	err     error
 	cancel  context.CancelFunc
+	silent  atomic.Bool // the target was silent for too long
+}
+
+// lost records at the book that the attempt ended without a complete answer.
+func (r *request) lost(t *try, now time.Time) {
+	switch {
+	case r.ctx.Err() != nil:
+		t.choice.Abandoned()
+	case t.outcome == forward.NotSent || t.silent.Load():
+		t.choice.Silent(now)
+	default:
+		t.choice.Broken()
+	}
 }
 
 func (r *request) run() error {
@@ -231,7 +245,7 @@
 	ctx := r.ctx
 	ctx, t.cancel = context.WithCancel(ctx)
 	if silence := r.silence(choice); silence > 0 {
-		timer := time.AfterFunc(silence, t.cancel)
+		timer := time.AfterFunc(silence, t.giveUp)
 		defer timer.Stop()
 	}
 	h := &r.ex.HTTP.Request.Header
@@ -248,6 +262,12 @@
 	return t
 }
 
+// giveUp ends an attempt at a target that is silent.
+func (t *try) giveUp() {
+	t.silent.Store(true)
+	t.cancel()
+}
+
 // silence is the time after which an attempt is given up for another one; zero: it is waited for.
 func (r *request) silence(choice *balance.Choice) time.Duration {
 	if !r.state.Repeatable || r.route.MaxAttempts < 2 {
@@ -276,11 +296,7 @@
 	switch t.outcome {
 	case forward.NotSent, forward.Unknown:
 		t.cancel()
-		if r.ctx.Err() != nil {
-			t.choice.Abandoned()
-		} else {
-			t.choice.Silent(now)
-		}
+		r.lost(t, now)
 		return
 	case forward.NotRun:
 		r.rejected(t, now)
@@ -293,16 +309,12 @@
 	}
 	t.body, t.err = t.answer.Whole()
 	t.cancel()
-	switch {
-	case t.err == nil:
+	if t.err == nil {
 		t.choice.Answered(status >= fasthttp.StatusInternalServerError)
-	case r.ctx.Err() != nil:
-		t.outcome = forward.Unknown
-		t.choice.Abandoned()
-	default:
-		t.outcome = forward.Unknown
-		t.choice.Silent(now)
+		return
 	}
+	t.outcome = forward.Unknown
+	r.lost(t, now)
 }
 
 func (r *request) rejected(t *try, now time.Time) {
--- a/lib/filter/relay/stream.go
+++ b/lib/filter/relay/stream.go
@@ -90,7 +90,7 @@
 func (s *stream) readEvents(p []byte) (int, error) {
 	var buf [readSize]byte
 	for len(s.out) == 0 {
-		stall := time.AfterFunc(max(minSilence, stallFactor*s.r.route.MaxGap), s.t.cancel)
+		stall := time.AfterFunc(max(minSilence, stallFactor*s.r.route.MaxGap), s.t.giveUp)
 		n, err := s.t.answer.Read(buf[:])
 		stall.Stop()
 		s.out = s.events.feed(s.out, buf[:n])
@@ -139,13 +139,10 @@
 	s.t = nil
 	t.answer.Close(complete)
 	t.cancel()
-	switch {
-	case complete:
+	if complete {
 		t.choice.Answered(false)
-	case s.r.ctx.Err() != nil:
-		t.choice.Abandoned()
-	default:
-		t.choice.Silent(time.Now())
+	} else {
+		s.r.lost(t, time.Now())
 	}
 }
 
--- a/lib/node/duty.go
+++ b/lib/node/duty.go
@@ -29,12 +29,15 @@
 
 	mu         sync.Mutex
 	states     map[string]placer.Demand // guarded by mu; by host
+	suspected  map[string][]string      // guarded by mu; targets by host
 	controller string                   // guarded by mu; host that sent the newest placement
 	epoch      int64                    // guarded by mu
 	received   time.Time                // guarded by mu
 }
 
-func newDuty(n *Node) *duty { return &duty{n: n, states: map[string]placer.Demand{}} }
+func newDuty(n *Node) *duty {
+	return &duty{n: n, states: map[string]placer.Demand{}, suspected: map[string][]string{}}
+}
 
 // demand is what callers ask for at all hosts.
 func (d *duty) demand() placer.Demand {
@@ -56,6 +59,7 @@
 // heard takes the state of another host over.
 func (d *duty) heard(s *peers.State) {
 	d.mu.Lock()
+	d.suspected[s.Host] = s.Suspects
 	d.states[s.Host] = placer.Demand{Work: s.Work, Adapters: s.Wanted}
 	p := s.Placement
 	if p == nil || p.Epoch < d.epoch {
@@ -71,6 +75,33 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	delete(d.states, host)
+	delete(d.suspected, host)
+}
+
+// suspectHosts is how many hosts have to miss answers of a target before its copies are replaced. One alone may be cut
+// off from it.
+const suspectHosts = 2
+
+// suspects returns the targets that several hosts get no answer from. Their entries lapse only seconds later.
+func (d *duty) suspects() map[string]bool {
+	counts := map[string]int{}
+	for _, id := range d.n.book.Suspects() {
+		counts[id]++
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, list := range d.suspected {
+		for _, id := range list {
+			counts[id]++
+		}
+	}
+	out := map[string]bool{}
+	for id, n := range counts {
+		if n >= suspectHosts {
+			out[id] = true
+		}
+	}
+	return out
 }
 
 // placement is what this host sends while it is the controller, or nil.
--- a/lib/node/node.go
+++ b/lib/node/node.go
@@ -107,7 +107,7 @@
 	}
 	n.duty = newDuty(n)
 	n.placer = placer.New(placer.Config{
-		Host: s.Host, Client: cfg.Engines, Overshoot: s.Placement.LoadsOvershoot, Demand: n.duty.demand, Publish: n.duty.publish,
+		Host: s.Host, Client: cfg.Engines, Overshoot: s.Placement.LoadsOvershoot, Demand: n.duty.demand, Suspects: n.duty.suspects, Publish: n.duty.publish,
 		Lease: lease.NewWith(cfg.Store, leasePrefix, s.Host, s.Placement.Lease, lease.Options{Wait: leaseWait, Clock: bootclock.Now}),
 		Log:   cfg.Log, Set: cfg.Set,
 	})
@@ -163,6 +163,7 @@
 	s.Demand = n.limiter.Report(now)
 	s.Loads = n.book.Own(now)
 	s.Work, s.Wanted = n.meter.Work(now), n.meter.Adapters(now)
+	s.Suspects = n.book.Suspects()
 	s.Placement = n.duty.placement()
 }
 
--- a/lib/peers/peers.go
+++ b/lib/peers/peers.go
@@ -54,6 +54,7 @@
 	Loads     map[string]balance.Load `json:"l,omitempty"` // in flight, by target
 	Work      map[string]float64      `json:"w,omitempty"` // milliseconds of engine time a second, by model
 	Wanted    map[string]float64      `json:"a,omitempty"` // requests a second, by model/adapter
+	Suspects  []string                `json:"u,omitempty"` // targets that do not answer this host
 	Placement *Placement              `json:"p,omitempty"` // set by the controller
 }
 
--- a/lib/placer/placer.go
+++ b/lib/placer/placer.go
@@ -49,7 +49,8 @@
 	Client    orders.Client
 	Overshoot float64 // factor on the weight store's rate that is tolerated
 	Demand    func() Demand
-	Publish   func() // called when residents may have changed
+	Suspects  func() map[string]bool // targets that do not answer the hosts
+	Publish   func()                 // called when residents may have changed
 	Log       *slog.Logger
 	Set       *metrics.Set
 }
@@ -177,9 +178,10 @@
 
 // tick starts what is to be done now.
 func (p *Placer) tick(ctx context.Context) {
-	demand := p.cfg.Demand()
+	demand, suspects := p.cfg.Demand(), p.cfg.Suspects()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.noteSuspects(suspects)
 	if p.catalog == nil {
 		return
 	}
@@ -193,11 +195,21 @@
 	}
 }
 
+// noteSuspects marks the targets that do not answer: what they hold does not count; mu is held.
+func (p *Placer) noteSuspects(suspects map[string]bool) {
+	for id, t := range p.targets {
+		if t.suspect != suspects[id] {
+			t.suspect = suspects[id]
+			p.cfg.Log.Info("target suspected", "target", id, "suspected", t.suspect)
+		}
+	}
+}
+
 // of returns the targets of a service that may get orders; mu is held.
 func (p *Placer) of(s *catalog.Service) []*target {
 	var out []*target
 	for _, t := range p.targets {
-		if t.info.Service == s.Name && t.info.State == registry.Ready {
+		if t.info.Service == s.Name && t.info.State == registry.Ready && !t.suspect {
 			out = append(out, t)
 		}
 	}
--- a/lib/placer/target.go
+++ b/lib/placer/target.go
@@ -12,6 +12,7 @@
 // target is what the holder of the lease knows of one incarnation of a target. It is guarded by the placer's mutex.
 type target struct {
 	info     *registry.Target
+	suspect  bool      // does not answer the hosts
 	known    bool      // a report has been read in this term
 	syncing  bool      // a report is being read
 	nextSync time.Time // not before
