Share the looking at the store among hosts

Change: pauses between watches grow with the hosts that hear of each other, and hosts tell each other of leaving targets and newer configurations. States are sent less often among many hosts, a placement only when it changes.

--- a/lib/balance/load.go
+++ b/lib/balance/load.go
@@ -4,10 +4,10 @@
 
 // Load is work in flight at a target.
 type Load struct {
-	Running int   // requests
-	Prefill int64 // prompt tokens of requests without a first event that the target has to read
-	Cache   int64 // tokens of KV cache that the requests take when they are complete
-	Reading int64 // milliseconds a second that the target reads prompts, averaged
+	Running int   `json:"r,omitempty"` // requests
+	Prefill int64 `json:"p,omitempty"` // prompt tokens of requests without a first event that the target has to read
+	Cache   int64 `json:"c,omitempty"` // tokens of KV cache that the requests take when they are complete
+	Reading int64 `json:"g,omitempty"` // milliseconds a second that the target reads prompts, averaged
 }
 
 func (l *Load) add(o Load, sign int64) {
--- a/lib/follow/follow.go
+++ b/lib/follow/follow.go
@@ -6,6 +6,8 @@
 	"context"
 	"errors"
 	"log/slog"
+	"math"
+	"math/rand/v2"
 	"strings"
 	"sync"
 	"time"
@@ -18,9 +20,18 @@
 const (
 	// watchTime is how long one watch waits. A connection that goes silent meanwhile is noticed by keep-alive probes.
 	watchTime = 10 * time.Second
-	// settleTime is the pause after changes before the next watch. Targets write often, and each watch that is answered
-	// costs a call; changes that come meanwhile share one.
+	// settleTime is the pause of a lone host after changes before its next watch. Targets write often, and each watch that
+	// is answered costs a call; changes that come meanwhile share one.
 	settleTime = 600 * time.Millisecond
+	// settleMost bounds the pause of a host among many.
+	settleMost = 5 * time.Second
+	// seeTime is the time within which some host is to look after a change. The hosts tell each other of targets that
+	// leave and of new configurations, which have to reach all within two seconds.
+	seeTime = time.Second
+	// missChance is the probability that no host does, when all look at random times.
+	missChance = 1e-4
+	// departureTime is how long a host tells others of a target that leaves; several of its states are sent meanwhile.
+	departureTime = 3 * time.Second
 	// callTime bounds a read of a whole prefix.
 	callTime = 1500 * time.Millisecond
 	// retryFirst and retryMost are the pauses after failed calls. All hosts together stay far below the store's rate.
@@ -64,24 +75,29 @@
 	on    Handlers
 	log   *slog.Logger
 
+	nudged chan struct{}
+
 	mu          sync.Mutex
-	value       []byte                    // guarded by mu; of the configuration in force
-	version     int64                     // guarded by mu; of the configuration in force
-	table       *registry.Table           // guarded by mu
-	hosts       map[string][]byte         // guarded by mu
-	reached     time.Time                 // guarded by mu; latest answer of the store
-	failed      time.Time                 // guarded by mu; latest failed call
-	lost        bool                      // guarded by mu
-	refreshed   time.Time                 // guarded by mu; latest refresh
-	cancelWatch context.CancelCauseFunc   // guarded by mu; ends the present watch
-	bad         map[string]kv.Version     // guarded by mu; foreign entries that were logged
-	noted       map[string]registry.State // guarded by mu; states of targets that were logged
+	together    int                              // guarded by mu; hosts that hear of each other
+	departures  map[registry.Departure]time.Time // guarded by mu; when they were seen
+	value       []byte                           // guarded by mu; of the configuration in force
+	version     int64                            // guarded by mu; of the configuration in force
+	table       *registry.Table                  // guarded by mu
+	hosts       map[string][]byte                // guarded by mu
+	reached     time.Time                        // guarded by mu; latest answer of the store
+	failed      time.Time                        // guarded by mu; latest failed call
+	lost        bool                             // guarded by mu
+	refreshed   time.Time                        // guarded by mu; latest refresh
+	cancelWatch context.CancelCauseFunc          // guarded by mu; ends the present watch
+	bad         map[string]kv.Version            // guarded by mu; foreign entries that were logged
+	noted       map[string]registry.State        // guarded by mu; states of targets that were logged
 }
 
 // New returns a follower.
 func New(feed kv.Feed, codec Codec, on Handlers, log *slog.Logger) *Follower {
 	return &Follower{
 		feed: feed, codec: codec, on: on, log: log, version: -1, table: registry.NewTable(), hosts: map[string][]byte{},
+		nudged: make(chan struct{}, 1), together: 1, departures: map[registry.Departure]time.Time{},
 		bad: map[string]kv.Version{}, noted: map[string]registry.State{},
 	}
 }
@@ -187,8 +203,74 @@
 		f.apply(changes)
 		after = at
 		if len(changes) > 0 {
-			pause(ctx, settleTime)
+			f.settle(ctx)
+		}
+	}
+}
+
+// SetHosts states how many hosts tell each other of changes, this one included.
+func (f *Follower) SetHosts(n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.together = max(1, n)
+}
+
+// settle waits for changes to gather. Hosts that hear of each other share the looking: the chance that none looks within
+// seeTime is missChance.
+func (f *Follower) settle(ctx context.Context) {
+	f.mu.Lock()
+	n := f.together
+	f.mu.Unlock()
+	d := settleTime
+	if n > 1 {
+		mean := float64(seeTime) / (1 - math.Pow(missChance, 1/float64(n)))
+		d = min(settleMost, max(settleTime, time.Duration(mean)))
+	}
+	// Pauses of different length keep the hosts from looking at the same time.
+	d = time.Duration(float64(d) * (0.75 + rand.Float64()/2))
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-f.nudged:
+	case <-ctx.Done():
+	}
+}
+
+// Nudge ends the pause before the next watch, because another host has seen a newer configuration.
+func (f *Follower) Nudge() {
+	select {
+	case f.nudged <- struct{}{}:
+	default:
+	}
+}
+
+// Departures returns the targets that were seen leaving in the last seconds.
+func (f *Follower) Departures() []registry.Departure {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	var out []registry.Departure
+	for d, at := range f.departures {
+		if now.Sub(at) > departureTime {
+			delete(f.departures, d)
+			continue
 		}
+		out = append(out, d)
+	}
+	return out
+}
+
+// Depart takes over which targets another host has seen leaving. They are not told on.
+func (f *Follower) Depart(list []registry.Departure) {
+	f.mu.Lock()
+	changed := false
+	for _, d := range list {
+		changed = f.table.Depart(d) || changed
+	}
+	f.mu.Unlock()
+	if changed {
+		f.publishTargets()
 	}
 }
 
@@ -285,7 +367,12 @@
 		u = f.update(c.Key, c.Value, c.Version)
 	}
 	now := time.Now()
-	return f.table.Apply(u, now, u.Target == nil && f.unsettled(now))
+	old := f.table.Get(u.ID)
+	changed := f.table.Apply(u, now, u.Target == nil && f.unsettled(now))
+	if changed && old != nil && (u.Target == nil || u.Target.State == registry.Draining) {
+		f.departures[registry.Departure{ID: u.ID, Started: old.Started, Gone: u.Target == nil}] = now
+	}
+	return changed
 }
 
 func (f *Follower) replaceTargets(entries []kv.Entry) {
--- a/lib/node/node.go
+++ b/lib/node/node.go
@@ -149,14 +149,16 @@
 	n.targets.Store(true)
 }
 
-func (n *Node) setHosts(count int) {
-	n.limiter.SetHosts(count)
+func (n *Node) setHosts(count, heard int, period time.Duration) {
+	n.limiter.SetHosts(count, period)
 	n.retries.SetHosts(count)
+	n.follower.SetHosts(heard)
 }
 
 func (n *Node) fill(s *peers.State) {
 	now := time.Now()
-	s.Leaving = n.stopping.Load()
+	s.Stopping = n.stopping.Load()
+	s.Departures = n.follower.Departures()
 	if c := n.catalog.Load(); c != nil {
 		s.Config = c.Version
 	}
@@ -172,6 +174,7 @@
 	n.limiter.SetPeer(s.Host, s.Boot, s.Demand, now)
 	n.book.SetPeer(s.Host, s.Loads)
 	n.duty.heard(s)
+	n.follower.Depart(s.Departures)
 	if c := n.catalog.Load(); c == nil || s.Config > c.Version {
 		n.catchUp(s.Host)
 	}
@@ -183,6 +186,7 @@
 	if !n.catching.CompareAndSwap(false, true) {
 		return
 	}
+	n.follower.Nudge()
 	go func() {
 		defer n.catching.Store(false)
 		time.Sleep(catchUpDelay)
--- a/lib/orglimit/orglimit.go
+++ b/lib/orglimit/orglimit.go
@@ -19,10 +19,12 @@
 const (
 	// demandTime is the time constant with which demand is averaged.
 	demandTime = time.Second
-	// reportAge is the age up to which a peer's report counts; several reports are sent in it.
+	// reportAge is the least age up to which a peer's report counts.
 	reportAge = 1500 * time.Millisecond
-	// reportLag is the time for which charges of peers are not known yet: a period of their reports and the way.
-	reportLag = 300 * time.Millisecond
+	// reportPeriods is the number of periods for which it counts otherwise.
+	reportPeriods = 4
+	// reportWay is how long a report is on its way.
+	reportWay = 100 * time.Millisecond
 	// evenShare is the part of the rate that is split evenly among the hosts whatever their demand, so that a host with
 	// new demand has some at once.
 	evenShare = 0.25
@@ -68,6 +70,7 @@
 
 	mu      sync.Mutex
 	hosts   int                // guarded by mu
+	period  time.Duration      // guarded by mu; between two reports of a host
 	peers   map[string]peer    // guarded by mu; by host
 	buckets map[string]*bucket // guarded by mu; by organisation
 }
@@ -77,11 +80,11 @@
 	return &Limiter{started: now, hosts: 1, peers: map[string]peer{}, buckets: map[string]*bucket{}}
 }
 
-// SetHosts states how many hosts exist, this one included.
-func (l *Limiter) SetHosts(n int) {
+// SetHosts states how many hosts exist, this one included, and the time between two reports of a host.
+func (l *Limiter) SetHosts(n int, period time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.hosts = max(1, n)
+	l.hosts, l.period = max(1, n), period
 }
 
 // SetPeer takes the report of a peer over. The boot id tells its starts apart: each counts from zero.
@@ -144,7 +147,8 @@
 	b := l.refill(o, v, now)
 	b.usage.Demand += float64(tokens) / demandTime.Seconds()
 	// A charge may exceed what is left: otherwise requests larger than the burst would never pass.
-	left := b.pool - v.peerDemand*reportLag.Seconds()
+	// Charges of peers since their last reports are not known yet.
+	left := b.pool - v.peerDemand*(l.period+reportWay).Seconds()
 	verdict := Verdict{Admitted: true, Pool: b.pool, Own: b.own, Share: v.share, Reach: v.reach}
 	switch {
 	case left > 0:
@@ -214,7 +218,7 @@
 	}
 	reachable, demand := 1, 0.0
 	for _, p := range l.peers {
-		if now.Sub(p.at) <= reportAge {
+		if now.Sub(p.at) <= max(reportAge, reportPeriods*l.period) {
 			reachable++
 			demand += p.report[name].Demand
 		}
--- a/lib/peers/peers.go
+++ b/lib/peers/peers.go
@@ -11,6 +11,7 @@
 	"math/rand/v2"
 	"net"
 	"net/rpc"
+	"reflect"
 	"sync"
 	"time"
 
@@ -27,10 +28,14 @@
 	// fewHosts is the number of hosts up to which period holds. Beyond it the time grows, so that what a host receives
 	// in a second stays the same.
 	fewHosts = 16
-	// maxPeriod bounds it; the reports of demand count for longer.
-	maxPeriod = 500 * time.Millisecond
-	// silentTime is the time without a state after which a host counts as unreachable.
+	// maxPeriod bounds it.
+	maxPeriod = time.Second
+	// silentPeriods is the number of states in a row that may be missed before a host counts as unreachable.
+	silentPeriods = 4
+	// silentTime bounds the time without a state from below.
 	silentTime = 1500 * time.Millisecond
+	// placementTime is the time after which a placement that has not changed is sent again.
+	placementTime = 800 * time.Millisecond
 	// forgetTime is the time without a state after which a host without an entry in the store counts as gone.
 	forgetTime = 5 * time.Second
 	// maxDatagram bounds a state in bytes.
@@ -45,17 +50,18 @@
 
 // State is what a host tells the others.
 type State struct {
-	Host      string                  `json:"h"`
-	Boot      uint64                  `json:"b"` // new for each start
-	Number    uint64                  `json:"n"` // rises with each state of a start
-	Leaving   bool                    `json:"x,omitempty"`
-	Config    int64                   `json:"c"` // version of the configuration in force
-	Demand    orglimit.Report         `json:"d,omitempty"`
-	Loads     map[string]balance.Load `json:"l,omitempty"` // in flight, by target
-	Work      map[string]float64      `json:"w,omitempty"` // milliseconds of engine time a second, by model
-	Wanted    map[string]float64      `json:"a,omitempty"` // requests a second, by model/adapter
-	Suspects  []string                `json:"u,omitempty"` // targets that do not answer this host
-	Placement *Placement              `json:"p,omitempty"` // set by the controller
+	Host       string                  `json:"h"`
+	Boot       uint64                  `json:"b"` // new for each start
+	Number     uint64                  `json:"n"` // rises with each state of a start
+	Stopping   bool                    `json:"x,omitempty"`
+	Config     int64                   `json:"c"` // version of the configuration in force
+	Demand     orglimit.Report         `json:"d,omitempty"`
+	Loads      map[string]balance.Load `json:"l,omitempty"` // in flight, by target
+	Work       map[string]float64      `json:"w,omitempty"` // milliseconds of engine time a second, by model
+	Wanted     map[string]float64      `json:"a,omitempty"` // requests a second, by model/adapter
+	Suspects   []string                `json:"u,omitempty"` // targets that do not answer this host
+	Departures []registry.Departure    `json:"v,omitempty"` // targets that were seen leaving
+	Placement  *Placement              `json:"p,omitempty"` // set by the controller
 }
 
 // Entry is what a host writes about itself into the store.
@@ -69,8 +75,10 @@
 	Fill   func(*State)      // completes the state of this host
 	Heard  func(*State)      // a state of another host
 	Silent func(host string) // a host has become unreachable
-	Hosts  func(n int)       // how many hosts exist, this one included
-	RPC    map[string]any    // services for calls of other hosts, by name
+	// Hosts is told how many hosts exist and how many of them are heard, this one included, and the time between two
+	// states of a host.
+	Hosts func(n, heard int, period time.Duration)
+	RPC   map[string]any // services for calls of other hosts, by name
 }
 
 // Node is this host among the others.
@@ -83,8 +91,12 @@
 
 	mu     sync.Mutex
 	peers  map[string]*peer // guarded by mu; by host
-	count  int              // guarded by mu; as last reported
+	count  int              // guarded by mu; hosts as last reported
+	alive  int              // guarded by mu; reachable hosts as last reported
 	number uint64
+
+	sent   *Placement // as last sent
+	sentAt time.Time
 }
 
 type peer struct {
@@ -136,13 +148,18 @@
 // recount reports the number of hosts if it changed.
 func (n *Node) recount() {
 	n.mu.Lock()
-	count := len(n.peers) + 1
-	changed := count != n.count
-	n.count = count
+	count, alive := len(n.peers)+1, 1
+	for _, p := range n.peers {
+		if p.alive {
+			alive++
+		}
+	}
+	changed := count != n.count || alive != n.alive
+	n.count, n.alive = count, alive
 	n.mu.Unlock()
 	if changed {
-		n.log.Info("hosts", "count", count)
-		n.on.Hosts(count)
+		n.log.Info("hosts", "count", count, "reachable", alive)
+		n.on.Hosts(count, alive, n.interval())
 	}
 }
 
@@ -258,13 +275,14 @@
 func (n *Node) interval() time.Duration {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return min(maxPeriod, period*time.Duration(max(1, len(n.peers)/fewHosts)))
+	return min(maxPeriod, period*time.Duration(max(1, (len(n.peers)+1)/fewHosts)))
 }
 
 func (n *Node) broadcast(conn *net.UDPConn) {
 	n.number++
 	s := State{Host: n.host, Boot: n.boot, Number: n.number}
 	n.on.Fill(&s)
+	n.thin(&s, time.Now())
 	data, err := json.Marshal(&s)
 	if err != nil || len(data) > maxDatagram {
 		n.log.Error("state not sent", "bytes", len(data), "error", fmt.Sprint(err))
@@ -283,12 +301,27 @@
 	}
 }
 
+// thin leaves out a placement that the others have heard.
+func (n *Node) thin(s *State, now time.Time) {
+	if s.Placement == nil {
+		n.sent = nil
+		return
+	}
+	same := n.sent != nil && n.sent.Epoch == s.Placement.Epoch && reflect.DeepEqual(n.sent.Residents, s.Placement.Residents)
+	if same && now.Sub(n.sentAt) < placementTime {
+		s.Placement = nil
+		return
+	}
+	n.sent, n.sentAt = s.Placement, now
+}
+
 // forget notices hosts that are unreachable or gone.
 func (n *Node) forget(now time.Time) {
 	var silent []string
+	interval := n.interval()
 	n.mu.Lock()
 	for host, p := range n.peers {
-		if p.alive && now.Sub(p.heard) > silentTime {
+		if p.alive && now.Sub(p.heard) > max(silentTime, silentPeriods*interval) {
 			p.alive = false
 			silent = append(silent, host)
 		}
--- a/lib/placer/target.go
+++ b/lib/placer/target.go
@@ -1,7 +1,9 @@
 package placer
 
 import (
+	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"cuminhook.org/cuminhook/lib/catalog"
@@ -51,11 +53,10 @@
 			continue
 		}
 		r := registry.Resident{Model: name}
-		for adapter := range h.adapters {
-			r.Adapters = append(r.Adapters, adapter)
-		}
+		r.Adapters = slices.Sorted(maps.Keys(h.adapters))
 		out = append(out, r)
 	}
+	slices.SortFunc(out, func(a, b registry.Resident) int { return strings.Compare(a.Model, b.Model) })
 	return out
 }
 
--- a/lib/registry/registry.go
+++ b/lib/registry/registry.go
@@ -24,8 +24,8 @@
 
 // Resident is a model that a target holds.
 type Resident struct {
-	Model    string
-	Adapters []string
+	Model    string   `json:"m"`
+	Adapters []string `json:"a,omitempty"`
 }
 
 // Target is one incarnation of a target as its entry describes it.
@@ -66,6 +66,33 @@
 	return t.Beat >= old.Beat && (old.State != Draining || t.State == Draining)
 }
 
+// Departure tells that an incarnation of a target leaves or is gone.
+type Departure struct {
+	ID      string `json:"i"`
+	Started int64  `json:"s"`
+	Gone    bool   `json:"g,omitempty"` // its entry was removed; otherwise it drains
+}
+
+// Depart takes over what another host has seen. A target that started anew since stays as it is.
+func (t *Table) Depart(d Departure) (changed bool) {
+	old := t.targets[d.ID]
+	if old == nil || old.Started != d.Started {
+		return false
+	}
+	if d.Gone {
+		delete(t.targets, d.ID)
+		delete(t.missing, d.ID)
+		return true
+	}
+	if old.State == Draining {
+		return false
+	}
+	leaving := *old
+	leaving.State = Draining
+	t.targets[d.ID] = &leaving
+	return true
+}
+
 // Update is one change of a target's entry: the target as written, or nil if the entry is gone or unreadable.
 type Update struct {
 	ID     string
@@ -138,6 +165,9 @@
 	return changed
 }
 
+// Get returns a target, or nil.
+func (t *Table) Get(id string) *Target { return t.targets[id] }
+
 // List returns the targets in no particular order.
 func (t *Table) List() []*Target {
 	out := make([]*Target, 0, len(t.targets))
