Forget failures of targets, and correct the estimate of the shared bucket

Cause: tests of the limits and of target choice found three faults. A host that had charged nothing for a while reported its estimate without the refill, and pulled its peers' estimates down by up to 30,000 tokens: 3.6 % of the tokens inside a small rate were refused when one host gets half of them (one bucket refuses none). A target with failures was avoided for ever, since only answers lowered its share of failures. A full target counted as keeping parts of prompts.

--- a/lib/balance/balance.go
+++ b/lib/balance/balance.go
@@ -47,7 +47,9 @@
 	readingTime = 2 * time.Second
 	// failureCost is the time in milliseconds that a failed request costs its caller.
 	failureCost = 3000.0
-	// overflowCost is the time in milliseconds until a full target has room for another request.
+	// overflowBase is the time in milliseconds until a full target has room for another request.
+	overflowBase = 150.0
+	// overflowCost is the time in milliseconds until all requests beyond a full target's room have run.
 	overflowCost = 400.0
 	// homeShare is the part of a shared prompt that counts as kept by the target to which all hosts prefer to send it.
 	homeShare = 0.8
@@ -308,7 +310,7 @@
 	best, lowest := candidates[0], 0.0
 	for i, t := range candidates {
 		waiting := float64(t.own.Running + t.peers.Running)
-		cost := plainSlotCost*waiting/float64(max(1, t.info.Slots)) + b.placeCost(t) + failureCost*t.health.failures + b.random.Float64()
+		cost := plainSlotCost*waiting/float64(max(1, t.info.Slots)) + b.placeCost(t) + failureCost*t.health.failing(now) + b.random.Float64()
 		if i == 0 || cost < lowest {
 			best, lowest = t, cost
 		}
@@ -338,10 +340,16 @@
 		if t == home {
 			kept = max(kept, int64(homeShare*float64(sum(tokens[:shared]))))
 		}
+		over := overflow(t, engine, need)
+		if over > 0 {
+			kept = 0 // running requests take the room of parts that were kept
+		}
 		read := max(1, call.PromptTokens-kept)
 		first := float64(t.own.Prefill+t.peers.Prefill+read)/prefillRate*pace + slotCost*float64(t.own.Running+t.peers.Running)
-		first += overflow(t, engine, need) * overflowCost
-		cost := first + t.disturbed(read, out, pace, now) + b.placeCost(t) + failureCost*t.health.failures + b.random.Float64()
+		if over > 0 {
+			first += overflowBase + over*overflowCost
+		}
+		cost := first + t.disturbed(read, out, pace, now) + b.placeCost(t) + failureCost*t.health.failing(now) + b.random.Float64()
 		if best == nil || cost < lowest {
 			best, lowest, bestFirst, bestRead = t, cost, first, read
 		}
@@ -468,20 +476,19 @@
 }
 
 // Answered ends the request with an answer; failed states that it was a failure of the target.
-func (c *Choice) Answered(failed bool) {
+func (c *Choice) Answered(failed bool, now time.Time) {
 	c.book.mu.Lock()
 	defer c.book.mu.Unlock()
 	c.done()
-	c.entry.health.answered(failed)
+	c.entry.health.answered(failed, now)
 }
 
 // Rejected ends the request with the target's statement that it did not run it.
-func (c *Choice) Rejected() {
+func (c *Choice) Rejected(now time.Time) {
 	c.book.mu.Lock()
 	defer c.book.mu.Unlock()
 	c.done()
-	c.entry.health.answered(false)
-	c.entry.health.failures += failureWeight / 4
+	c.entry.health.rejected(now)
 }
 
 // Absent ends the request with the target's statement that it does not hold the model or adapter.
@@ -497,11 +504,11 @@
 }
 
 // Broken ends the request with a connection that broke off before the answer was complete.
-func (c *Choice) Broken() {
+func (c *Choice) Broken(now time.Time) {
 	c.book.mu.Lock()
 	defer c.book.mu.Unlock()
 	c.done()
-	c.entry.health.broken()
+	c.entry.health.broken(now)
 }
 
 // Silent ends the request without an answer: the target was not reached, or was silent for too long.
--- a/lib/balance/health.go
+++ b/lib/balance/health.go
@@ -1,10 +1,16 @@
 package balance
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// failureWeight is the weight of the newest answer in the share of failures; about the last ten answers count.
 	failureWeight = 0.1
+	// forgiveTime is the time constant with which failures are forgotten: a target that is avoided gives no answers by
+	// which it could show that it has recovered.
+	forgiveTime = 2 * time.Second
 	// suspendFirst is how long a target is left alone after a request that it did not answer. It doubles with each
 	// further one; most restarts of a process take about a second.
 	suspendFirst = 300 * time.Millisecond
@@ -17,7 +23,8 @@
 
 // health is what answers say about a target.
 type health struct {
-	failures  float64       // share of failed answers, weighted towards the newest
+	failures  float64 // share of failed answers, weighted towards the newest, at the time failedAt
+	failedAt  time.Time
 	misses    int           // requests in a row that found the target unreachable or silent
 	backoff   time.Duration // of the next suspension
 	suspended time.Time     // no requests before
@@ -29,24 +36,42 @@
 // suspect reports whether the target did not answer lately and has not answered since.
 func (h *health) suspect() bool { return h.misses >= suspectMisses }
 
-func (h *health) answered(failed bool) {
+// failing is the share of failed answers, as far as it is not forgotten.
+func (h *health) failing(now time.Time) float64 {
+	return h.failures * math.Exp(-float64(now.Sub(h.failedAt))/float64(forgiveTime))
+}
+
+// count moves the share of failures towards x.
+func (h *health) count(x, weight float64, now time.Time) {
+	h.failures = h.failing(now)
+	h.failures += weight * (x - h.failures)
+	h.failedAt = now
+}
+
+func (h *health) answered(failed bool, now time.Time) {
 	x := 0.0
 	if failed {
 		x = 1
 	}
-	h.failures += failureWeight * (x - h.failures)
+	h.count(x, failureWeight, now)
 	h.misses, h.backoff, h.trial = 0, 0, false
 }
 
+// rejected records a request that the target did not run, for lack of room.
+func (h *health) rejected(now time.Time) {
+	h.answered(false, now)
+	h.count(1, failureWeight/4, now)
+}
+
 // broken records a request whose connection broke off. The target is there, and may have crashed or lost one answer.
-func (h *health) broken() {
-	h.failures += 2 * failureWeight * (1 - h.failures)
+func (h *health) broken(now time.Time) {
+	h.count(1, 2*failureWeight, now)
 	h.trial = false
 }
 
 // silent records a request for which the target was unreachable or silent.
 func (h *health) silent(now time.Time) {
-	h.failures += 2 * failureWeight * (1 - h.failures)
+	h.count(1, 2*failureWeight, now)
 	h.misses++
 	h.trial = false
 	if now.Before(h.suspended) {
--- a/lib/filter/relay/relay.go
+++ b/lib/filter/relay/relay.go
@@ -131,7 +131,7 @@
 	case t.outcome == forward.NotSent || t.silent.Load():
 		t.choice.Silent(now)
 	default:
-		t.choice.Broken()
+		t.choice.Broken(now)
 	}
 }
 
@@ -310,7 +310,7 @@
 	t.body, t.err = t.answer.Whole()
 	t.cancel()
 	if t.err == nil {
-		t.choice.Answered(status >= fasthttp.StatusInternalServerError)
+		t.choice.Answered(status >= fasthttp.StatusInternalServerError, now)
 		return
 	}
 	t.outcome = forward.Unknown
@@ -325,7 +325,7 @@
 	wrong := t.answer.States.Instance != "" && t.answer.States.Instance != t.choice.Target.ID
 	switch {
 	case t.answer.Header.StatusCode() != fasthttp.StatusMisdirectedRequest:
-		t.choice.Rejected()
+		t.choice.Rejected(now)
 	case wrong:
 		t.choice.Silent(now) // another target has the address by now
 	default:
--- a/lib/filter/relay/stream.go
+++ b/lib/filter/relay/stream.go
@@ -140,7 +140,7 @@
 	t.answer.Close(complete)
 	t.cancel()
 	if complete {
-		t.choice.Answered(false)
+		t.choice.Answered(false, time.Now())
 	} else {
 		s.r.lost(t, time.Now())
 	}
--- a/lib/orglimit/orglimit.go
+++ b/lib/orglimit/orglimit.go
@@ -57,8 +57,9 @@
 
 // bucket is the state of one organisation.
 type bucket struct {
-	pool    float64 // estimate of the bucket that all hosts share, in tokens
-	own     float64 // saved up of this host's share, in tokens
+	limit   *catalog.Organisation // as last charged
+	pool    float64               // estimate of the bucket that all hosts share, in tokens
+	own     float64               // saved up of this host's share, in tokens
 	updated time.Time
 	usage   Usage
 	rated   time.Time // when usage.Demand was brought up to date
@@ -99,6 +100,7 @@
 				charged -= old.report[name].Charged
 			}
 			if b := l.buckets[name]; b != nil {
+				l.refill(b.limit, now)
 				b.pool -= charged
 				b.pool += agreeShare * (u.Pool - b.pool)
 			}
@@ -113,7 +115,7 @@
 	defer l.mu.Unlock()
 	out := Report{}
 	for name, b := range l.buckets {
-		b.decay(now)
+		l.refill(b.limit, now)
 		out[name] = Usage{Charged: b.usage.Charged, Demand: math.Round(b.usage.Demand), Pool: math.Round(b.pool)}
 	}
 	return out
@@ -143,12 +145,10 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	v := l.view(o.Name, now)
-	b := l.refill(o, v, now)
+	b, v := l.refill(o, now)
 	b.usage.Demand += float64(tokens) / demandTime.Seconds()
 	// A charge may exceed what is left: otherwise requests larger than the burst would never pass.
-	// Charges of peers since their last reports are not known yet.
-	left := b.pool - v.peerDemand*(l.period+reportWay).Seconds()
+	left := b.pool - v.unseen
 	verdict := Verdict{Admitted: true, Pool: b.pool, Own: b.own, Share: v.share, Reach: v.reach}
 	switch {
 	case left > 0:
@@ -185,28 +185,31 @@
 }
 
 // refill brings the organisation's bucket up to now.
-func (l *Limiter) refill(o *catalog.Organisation, v view, now time.Time) *bucket {
+func (l *Limiter) refill(o *catalog.Organisation, now time.Time) (*bucket, view) {
+	v := l.view(o.Name, now)
 	b := l.buckets[o.Name]
 	if b == nil {
 		b = &bucket{pool: startShare * o.Burst * v.reach, updated: l.started, rated: now}
 		l.buckets[o.Name] = b
 	}
+	b.limit = o
 	b.decay(now)
 	if dt := now.Sub(b.updated).Seconds(); dt > 0 {
 		b.pool += dt * o.Rate * v.reach
 		b.own += dt * o.Rate * v.share
 		b.updated = now
 	}
-	b.pool = min(b.pool, o.Burst*v.reach)
+	// Charges that are not known yet would have made room under the limit.
+	b.pool = min(b.pool, o.Burst*v.reach+min(v.unseen, o.Burst))
 	b.own = min(b.own, o.Rate*v.share*ownTime.Seconds())
-	return b
+	return b, v
 }
 
 // view is what a host knows of the others.
 type view struct {
-	reach      float64 // part of the hosts that report, this one included
-	share      float64 // of the rate that this host may spend when the bucket is empty
-	peerDemand float64 // tokens a second
+	reach  float64 // part of the hosts that report, this one included
+	share  float64 // of the rate that this host may spend when the bucket is empty
+	unseen float64 // tokens that peers have probably charged since their last reports
 }
 
 // view returns what is known of the demand. Hosts that are not heard of may spend an even part each; it is left to them.
@@ -223,7 +226,10 @@
 			demand += p.report[name].Demand
 		}
 	}
-	v := view{reach: float64(reachable) / float64(max(l.hosts, reachable)), peerDemand: demand}
+	v := view{
+		reach:  float64(reachable) / float64(max(l.hosts, reachable)),
+		unseen: demand * (l.period/2 + reportWay).Seconds(),
+	}
 	part := 1 / float64(reachable)
 	if own+demand > 0 {
 		part = evenShare*part + (1-evenShare)*own/(own+demand)
