--- /dev/null
+++ b/lib/filter/relay/events_test.go
@@ -0,0 +1,51 @@
+package relay
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+)
+
+// Guards against events that depend on how the bytes arrive.
+func FuzzEventReader(f *testing.F) {
+	f.Add("id: 1\ndata: a\n\nid: 2\ndata: b\n\n", 3)
+	f.Add("id: 1\r\ndata: a\r\n\r\nid: 2\r\n\r\n", 1)
+	f.Add(": comment\n\nid: 5\n\nid: 5\n\nid: 4\n\n", 7)
+	f.Fuzz(func(t *testing.T, text string, step int) {
+		var whole, parts eventReader
+		want := whole.feed(nil, []byte(text))
+		var got []byte
+		step = max(1, step%64)
+		for rest := text; rest != ""; {
+			n := min(step, len(rest))
+			got = parts.feed(got, []byte(rest[:n]))
+			rest = rest[n:]
+		}
+		if string(got) != string(want) || parts.last != whole.last {
+			t.Errorf("in parts of %d: %q, whole: %q", step, got, want)
+		}
+		if !strings.HasSuffix(string(got), "\n\n") && !strings.HasSuffix(string(got), "\r\n\r\n") && len(got) > 0 {
+			t.Errorf("an event was cut: %q", got)
+		}
+	})
+}
+
+func TestRepeatedEventsAreLeftOut(t *testing.T) {
+	var r eventReader
+	var out []byte
+	for _, n := range []int{1, 2, 3} {
+		out = r.feed(out, []byte(event(n)))
+	}
+	r.feed(nil, []byte("id: 4\nda"))
+	r.restart()
+	for _, n := range []int{2, 3, 4, 5} {
+		out = r.feed(out, []byte(event(n)))
+	}
+	want := ""
+	for n := range 5 {
+		want += fmt.Sprintf("id: %d\ndata: %d\n\n", n+1, n+1)
+	}
+	if string(out) != want {
+		t.Errorf("%q, want %q", out, want)
+	}
+}
