--- a/lib/filter/relay/relay.go
+++ b/lib/filter/relay/relay.go
@@ -185,6 +185,10 @@
 		if r.ctx.Err() != nil {
 			return nil, r.ctx.Err()
 		}
+		if r.state.Repeatable && r.state.MayHaveRun() && len(r.tried) > 0 {
+			r.tried = nil // the only target may have lost just one answer
+			continue
+		}
 		if errors.Is(err, balance.ErrNoAdapter) && !ensured && r.cfg.Adapters != nil {
 			ensured = true
 			if r.ensure() == nil {
--- a/lib/filter/relay/relay_test.go
+++ b/lib/filter/relay/relay_test.go
@@ -57,6 +57,27 @@
 	}
 }
 
+// Guards against giving up a request that may be repeated because its only target lost one answer.
+func TestIdempotentIsRepeatedAtItsOnlyTarget(t *testing.T) {
+	n := 0
+	play(t, map[string]script{"near": func(r *seenRequest) bool {
+		if n++; n == 1 {
+			return false
+		}
+		return reply(200, "", "ok")(r)
+	}}, func(t *testing.T, r *rig) {
+		if a := r.call("GET", "/safe/x", "1"); a.status != 200 || a.body != "ok" {
+			t.Errorf("%+v after %s", a, r.requests())
+		}
+	})
+	n = 0
+	play(t, map[string]script{"near": func(*seenRequest) bool { n++; return false }}, func(t *testing.T, r *rig) {
+		if a := r.call("GET", "/safe/x", "1"); a.status != 502 || n != 2 {
+			t.Errorf("%+v after %d attempts", a, n)
+		}
+	})
+}
+
 // Guards against a refusal that hides a failure the target has answered.
 func TestAnsweredFailureIsPassedOn(t *testing.T) {
 	play(t, map[string]script{"near": reply(500, "", "why"), "far": hangUp}, func(t *testing.T, r *rig) {
