--- a/cmd/cuminhook-entry/main.go
+++ b/cmd/cuminhook-entry/main.go
@@ -65,6 +65,7 @@
 	go func() { sink.Run(stopLog); close(logDone) }()
 	defer func() { close(stopLog); <-logDone }()
 	log := slog.New(slog.NewJSONHandler(sink, nil)).With("host", cfg.Host, "zone", cfg.Zone)
+	requests := slog.New(slog.NewJSONHandler(sink.Lossy(), nil)).With("host", cfg.Host, "zone", cfg.Zone)
 	set := metrics.NewSet()
 	set.NewGauge("cuminhook_log_lines_dropped", sink.Dropped)
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
@@ -72,7 +73,7 @@
 	go reload(ctx, cfg, path, log)
 	return node.New(node.Config{
 		Settings: cfg, Store: platform.NewStore(cfg.Store), Codec: platform.Codec{}, Door: platform.Door{},
-		Engines: platform.NewEngines(), Log: log, Set: set,
+		Engines: platform.NewEngines(), Log: log, Requests: requests, Set: set,
 	}).Run(ctx)
 }
 
--- a/cmd/cuminhookctl/main.go
+++ b/cmd/cuminhookctl/main.go
@@ -98,7 +98,7 @@
 	flags.StringVar(&a.tokenFile, "token-file", "", "file with the operator token (otherwise CUMINHOOK_TOKEN)")
 	flags.StringVarP(&a.format, "output", "o", "table", "table, json or yaml")
 	root.AddCommand(a.applyCommand(), a.validateCommand(), a.diffCommand(), a.getCommand(), a.ticketsCommand(),
-		a.membersCommand(), a.keysCommand())
+		a.membersCommand(), a.keysCommand(), a.traceCommand(), a.explainCommand())
 	return root
 }
 
--- a/lib/logsink/logsink.go
+++ b/lib/logsink/logsink.go
@@ -11,6 +11,8 @@
 const (
 	// maxPending bounds the lines that wait to be written, in bytes.
 	maxPending = 256 << 10
+	// lossyPending bounds them for lines of requests. The rest is for the rare lines that explain a storm of these.
+	lossyPending = 192 << 10
 	// flushTime is the time between two writes.
 	flushTime = 100 * time.Millisecond
 )
@@ -29,10 +31,20 @@
 func New(out io.Writer) *Writer { return &Writer{out: out} }
 
 // Write implements io.Writer. It never fails.
-func (w *Writer) Write(line []byte) (int, error) {
+func (w *Writer) Write(line []byte) (int, error) { return w.add(line, maxPending) }
+
+// Lossy returns a writer for the lines of requests, which are dropped earlier than others.
+func (w *Writer) Lossy() io.Writer { return lossy{w} }
+
+type lossy struct{ w *Writer }
+
+// Write implements io.Writer.
+func (l lossy) Write(line []byte) (int, error) { return l.w.add(line, lossyPending) }
+
+func (w *Writer) add(line []byte, limit int) (int, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if len(w.pending)+len(line) > maxPending {
+	if len(w.pending)+len(line) > limit {
 		w.dropped++
 		return len(line), nil
 	}
--- a/lib/node/node.go
+++ b/lib/node/node.go
@@ -78,6 +78,7 @@
 	Door     passage.Door
 	Engines  orders.Client
 	Log      *slog.Logger
+	Requests *slog.Logger // lines of requests; nil: Log
 	Set      *metrics.Set
 }
 
@@ -103,6 +104,9 @@
 // New returns a node. Nothing is dialled before Run.
 func New(cfg Config) *Node {
 	s := cfg.Settings
+	if cfg.Requests == nil {
+		cfg.Requests = cfg.Log
+	}
 	n := &Node{
 		cfg: cfg, log: cfg.Log, book: balance.New(s.Zone, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		limiter: orglimit.New(time.Now()), meter: workload.New(), retries: retry.NewBudget(s.RetryRatio, s.RetrySlack),
@@ -133,11 +137,11 @@
 func (n *Node) filters() pipeline.Handler {
 	h := relay.New(relay.Config{
 		Door: n.cfg.Door, Client: forward.NewClient(n.cfg.Door, nil), Book: n.book, Retries: n.retries,
-		Adapters: n.duty, Demand: n.meter, Log: n.cfg.Log, Set: n.cfg.Set,
+		Adapters: n.duty, Demand: n.meter, Log: n.cfg.Requests, Set: n.cfg.Set,
 	})
-	h = orgrate.New(h, orgrate.Config{Limiter: n.limiter, Log: n.cfg.Log})
+	h = orgrate.New(h, orgrate.Config{Limiter: n.limiter, Log: n.cfg.Requests})
 	h = frontdoor.New(h, frontdoor.Config{Door: n.cfg.Door, Catalog: n.catalog.Load})
-	return accesslog.New(h, accesslog.Config{Log: n.cfg.Log, Set: n.cfg.Set})
+	return accesslog.New(h, accesslog.Config{Log: n.cfg.Requests, Set: n.cfg.Set})
 }
 
 func (n *Node) setCatalog(c *catalog.Catalog) {
