--- /dev/null
+++ b/lib/node/settings_test.go
@@ -0,0 +1,61 @@
+package node
+
+import (
+	"strings"
+	"testing"
+
+	"cuminhook.org/cuminhook/lib/settings"
+)
+
+const valid = `host: h
+zone: z
+listen: 10.0.0.1:1
+ready: 10.0.0.1:2
+peers: 10.0.0.1:3
+metrics: 10.0.0.1:4
+store: 10.0.0.2:5
+retry_ratio: 0.2
+retry_slack: 54
+placement:
+  lease: 3000ms
+  loads_window: 5s
+  loads_overshoot: 1.1
+`
+
+func TestSettings(t *testing.T) {
+	s := DefaultSettings()
+	if err := settings.Parse("entry.yaml", []byte(valid), &s); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct{ from, to, names string }{
+		{"host: h\n", "", "host"},
+		{"10.0.0.1:2", "here", "ready"},
+		{"retry_ratio: 0.2", "retry_ratio: -1", "retry_ratio"},
+		{"3000ms", "10ms", "lease"},
+		{"3000ms", "soon", "soon"},
+		{"retry_slack", "retry_slak", "retry_slak"},
+		{"loads_overshoot: 1.1", "loads_overshoot: 0.5", "loads_overshoot"},
+	} {
+		s := DefaultSettings()
+		err := settings.Parse("entry.yaml", []byte(strings.Replace(valid, c.from, c.to, 1)), &s)
+		if err == nil || !strings.Contains(err.Error(), c.names) {
+			t.Errorf("%q for %q: %v, which does not name %q", c.to, c.from, err, c.names)
+		}
+	}
+}
+
+// Guards against settings that are accepted and then break a host.
+func FuzzSettings(f *testing.F) {
+	f.Add(valid)
+	f.Add("host: [1]\n")
+	f.Add("placement: {lease: -1s}")
+	f.Fuzz(func(t *testing.T, text string) {
+		s := DefaultSettings()
+		if settings.Parse("entry.yaml", []byte(text), &s) != nil {
+			return
+		}
+		if s.Host == "" || s.StopLimit <= s.StopDelay || s.Placement.Lease <= 0 || s.RetryRatio < 0 || s.Listen == "" {
+			t.Errorf("accepted %+v", s)
+		}
+	})
+}
