Wait longer for the placement lease; note a failed try of early refusals

Tried: refuse a request with Retry-After when every target would begin to answer later than twice the objective.

--- a/lib/node/node.go
+++ b/lib/node/node.go
@@ -41,7 +41,7 @@
 	// leasePrefix is the key prefix of the placement lease.
 	leasePrefix = "cuminhook/placement"
 	// leaseWait is how long a candidate's call waits for the end of another holder's lease.
-	leaseWait = 10 * time.Second
+	leaseWait = 25 * time.Second
 	// rpcConfig is the name of the service that hosts without access to the store call at their peers.
 	rpcConfig = "Config"
 	// catchUpDelay lets a host's own watch deliver a configuration first.
