--- a/lib/lease/campaign.go
+++ b/lib/lease/campaign.go
@@ -22,6 +22,8 @@
 	retryDelay = 100 * time.Millisecond
 	// renewals is the number of renewals sent in one time to live.
 	renewals = 3
+	// unknownVersion differs from every version of a key.
+	unknownVersion kv.Version = -1
 	// margin is the share of the time to live that is not used, as allowance for clocks that run at different
 	// speeds here and in the key-value service.
 	margin = 10
@@ -239,11 +241,10 @@
 
 // waitFree waits until nobody holds the lease.
 func (l *Lease) waitFree(ctx context.Context) error {
-	var after kv.Version
+	after := unknownVersion // the first call returns at once
 	for {
 		var e kv.Entry
 		err := l.callWithin(ctx, l.opts.Wait+callTimeout, func(ctx context.Context) (err error) {
-			// The first call returns at once if the key exists.
 			e, err = l.store.Wait(ctx, l.prefix+"/lease", after, l.opts.Wait)
 			return err
 		})
--- a/lib/lease/campaign_test.go
+++ b/lib/lease/campaign_test.go
@@ -181,6 +181,23 @@
 	t.Fatal("the property holds without the rule that it is to check")
 }
 
+// Guards against a free lease that is taken only after a candidate has waited for its end.
+func TestFreeLeaseIsTakenAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := NewWith(memkv.New(), "c", "a", ttl, Options{Wait: time.Minute})
+		began := time.Now()
+		if _, err := l.Campaign(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		if took := time.Since(began); took > time.Second {
+			t.Errorf("taken after %v", took)
+		}
+		if err := l.Resign(t.Context()); err != nil {
+			t.Error(err)
+		}
+	})
+}
+
 // Guards against a holder that is paused right after a check and resumes with its lease expired, and against a
 // renewal that answers late and revives the term.
 func TestPausedHolderLosesLease(t *testing.T) {
