--- a/cmd/cuminhook-entry/main.go
+++ b/cmd/cuminhook-entry/main.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"fmt"
 	"log/slog"
 	"os"
 	"os/signal"
@@ -30,40 +29,26 @@
 }
 
 func newCommand() *cobra.Command {
-	var path string
-	var check, print bool
-	cmd := &cobra.Command{
-		Use: "cuminhook-entry", Short: "Serve callers and place models on an entry host", Args: cobra.NoArgs, SilenceUsage: true,
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			cfg := node.DefaultSettings()
-			if err := settings.Load(path, &cfg); err != nil {
-				return err
-			}
-			switch {
-			case print:
-				text, err := settings.Print(cfg)
-				fmt.Fprint(cmd.OutOrStdout(), text)
-				return err
-			case check:
-				fmt.Fprintf(cmd.OutOrStdout(), "%s: valid\n", path)
-				return nil
-			}
-			return run(cmd.Context(), cfg, path)
-		},
-	}
-	cmd.Flags().StringVar(&path, "config", platform.SettingsPath("/etc/cuminhook/entry.yaml"), "settings file")
-	cmd.Flags().BoolVar(&check, "check-config", false, "check the settings and exit")
-	cmd.Flags().BoolVar(&print, "print-config", false, "print the settings with their defaults and exit")
-	return cmd
+	cfg := node.DefaultSettings()
+	return settings.Program{
+		Use: "cuminhook-entry", Short: "Serve callers and place models on an entry host",
+		Path: platform.SettingsPath("/etc/cuminhook/entry.yaml"), Settings: &cfg,
+		Run: func(ctx context.Context, path string) error { return run(ctx, cfg, path) },
+	}.Command()
 }
 
 func run(ctx context.Context, cfg node.Settings, path string) error {
 	debug.SetGCPercent(gcPercent)
 	sink := logsink.New(os.Stdout)
-	stopLog := make(chan struct{})
-	logDone := make(chan struct{})
-	go func() { sink.Run(stopLog); close(logDone) }()
-	defer func() { close(stopLog); <-logDone }()
+	stopLog, logDone := make(chan struct{}), make(chan struct{})
+	go func() {
+		sink.Run(stopLog)
+		close(logDone)
+	}()
+	defer func() {
+		close(stopLog)
+		<-logDone
+	}()
 	log := slog.New(slog.NewJSONHandler(sink, nil)).With("host", cfg.Host, "zone", cfg.Zone)
 	requests := slog.New(slog.NewJSONHandler(sink.Lossy(), nil)).With("host", cfg.Host, "zone", cfg.Zone)
 	set := metrics.NewSet()
--- a/lib/balance/balance.go
+++ b/lib/balance/balance.go
@@ -6,14 +6,11 @@
 
 import (
 	"errors"
-	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"cuminhook.org/cuminhook/lib/catalog"
 	"cuminhook.org/cuminhook/lib/passage"
 	"cuminhook.org/cuminhook/lib/registry"
@@ -32,6 +29,9 @@
 	prefillRate = 30.0
 	// paceWeight is the weight of the newest observation of a model's pace.
 	paceWeight = 0.05
+	// paceLeast and paceMost bound a model's pace, and each observation of it.
+	paceLeast = 0.1
+	paceMost  = 4.0
 	// slotCost is the time in milliseconds that one more running request adds to a step of a batch, times the steps
 	// until a first event.
 	slotCost = 0.5
@@ -68,19 +68,6 @@
 	Tried   []string // targets not to use again
 }
 
-// Choice is the target chosen. Exactly one of its methods that end the request must be called.
-type Choice struct {
-	Target       *registry.Target
-	PrefixSource string        // address of a target that probably keeps more of the prompt; empty if none
-	Expected     time.Duration // until the first event
-	book         *Book
-	entry        *target
-	load         Load
-	model        string
-	picked       time.Time
-	first        bool
-}
-
 // Book knows the targets and the work in flight. It is safe for concurrent use.
 type Book struct {
 	zone string
@@ -325,90 +312,6 @@
 	return 0
 }
 
-func (b *Book) pickEngine(candidates []*target, engine *catalog.Engine, call *passage.Call, now time.Time) *Choice {
-	keys, tokens := partKeys(call)
-	shared := max(0, len(keys)-1) // the last part belongs to the request or its session
-	home := homeOf(candidates, keys[:shared])
-	pace := b.paceOf(call.Model)
-	need := b.need(call)
-	out := need - call.PromptTokens
-	var best *target
-	var lowest, bestFirst float64
-	var bestRead int64
-	for _, t := range candidates {
-		kept := t.parts.cached(keys, tokens)
-		if t == home {
-			kept = max(kept, int64(homeShare*float64(sum(tokens[:shared]))))
-		}
-		over := overflow(t, engine, need)
-		if over > 0 {
-			kept = 0 // running requests take the room of parts that were kept
-		}
-		read := max(1, call.PromptTokens-kept)
-		first := float64(t.own.Prefill+t.peers.Prefill+read)/prefillRate*pace + slotCost*float64(t.own.Running+t.peers.Running)
-		if over > 0 {
-			first += overflowBase + over*overflowCost
-		}
-		cost := first + t.disturbed(read, out, pace, now) + b.placeCost(t) + failureCost*t.health.failing(now) + b.random.Float64()
-		if best == nil || cost < lowest {
-			best, lowest, bestFirst, bestRead = t, cost, first, read
-		}
-	}
-	best.note(float64(bestRead)/prefillRate*pace, now)
-	best.parts.limit = int64(cacheShare * float64(engine.CacheTokens))
-	best.parts.add(keys, tokens, now)
-	c := b.take(best, Load{Running: 1, Prefill: bestRead, Cache: need}, call.Model, now)
-	c.Expected = time.Duration(bestFirst * float64(time.Millisecond))
-	return c
-}
-
-// ownReading is the milliseconds a second that the target reads prompts of this host's requests.
-func (t *target) ownReading(now time.Time) float64 {
-	return t.read / readingTime.Seconds() * math.Exp(-float64(now.Sub(t.readAt))/float64(readingTime))
-}
-
-// reading is the part of its time that the target reads prompts.
-func (t *target) reading(now time.Time) float64 {
-	return min(1, (t.ownReading(now)+float64(t.peers.Reading))/1000)
-}
-
-// note adds milliseconds of reading.
-func (t *target) note(ms float64, now time.Time) {
-	t.read = t.read*math.Exp(-float64(now.Sub(t.readAt))/float64(readingTime)) + ms
-	t.readAt = now
-}
-
-// disturbed is the weighted time in milliseconds that a request with read prompt tokens and out output tokens takes from
-// the requests that run at the target, and loses to the prompts of others there.
-func (t *target) disturbed(read, out int64, pace float64, now time.Time) float64 {
-	taken := float64(t.own.Running+t.peers.Running) * float64(read) / prefillRate * pace
-	lost := float64(out) * t.reading(now) * stepDelay
-	return disturbance * (taken + lost)
-}
-
-// need is the KV cache in tokens that a request takes at its end.
-func (b *Book) need(call *passage.Call) int64 {
-	out := call.MaxOutput
-	if call.OutputHint > 0 {
-		out = min(out, call.OutputHint)
-	}
-	return call.PromptTokens + out
-}
-
-// overflow is the share by which a target's slots or KV cache would be exceeded.
-func overflow(t *target, engine *catalog.Engine, need int64) float64 {
-	slots := float64(t.own.Running+t.peers.Running+1)/float64(max(1, t.info.Slots)) - 1
-	cache := float64(t.own.Cache+t.peers.Cache+need)/float64(max(1, engine.CacheTokens)) - 1
-	return max(0, slots, cache)
-}
-
-func (b *Book) paceOf(model string) float64 {
-	if p, ok := b.pace[model]; ok {
-		return p
-	}
-	return 1
-}
-
 func (b *Book) take(t *target, load Load, model string, now time.Time) *Choice {
 	t.own.add(load, 1)
 	if !t.health.usable(now) || t.health.backoff > 0 {
@@ -416,114 +319,3 @@
 	}
 	return &Choice{Target: t.info, book: b, entry: t, load: load, model: model, picked: now}
 }
-
-// partKeys returns a key for each part of the prompt. Parts are kept for one model and adapter.
-func partKeys(call *passage.Call) (keys []string, tokens []int64) {
-	for _, p := range call.Prefix {
-		keys = append(keys, call.Model+"/"+call.Adapter+"/"+p.ID)
-		tokens = append(tokens, p.Tokens)
-	}
-	return keys, tokens
-}
-
-func sum(tokens []int64) (n int64) {
-	for _, t := range tokens {
-		n += t
-	}
-	return n
-}
-
-// homeOf returns the target that all hosts prefer for a shared prompt (rendezvous hashing), or nil.
-func homeOf(candidates []*target, shared []string) *target {
-	if len(shared) == 0 {
-		return nil
-	}
-	key := shared[len(shared)-1]
-	var home *target
-	var highest uint64
-	for _, t := range candidates {
-		if h := xxhash.Sum64String(key + "@" + t.info.ID); home == nil || h > highest {
-			home, highest = t, h
-		}
-	}
-	return home
-}
-
-// First records the first event.
-func (c *Choice) First(now time.Time) {
-	b := c.book
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if c.first {
-		return
-	}
-	c.first = true
-	c.entry.own.Prefill -= c.load.Prefill
-	if c.Expected > 0 && c.load.Prefill > 0 {
-		ratio := min(4, max(0.1, float64(now.Sub(c.picked))/float64(c.Expected)))
-		pace := b.paceOf(c.model)
-		b.pace[c.model] = min(4, max(0.1, pace+paceWeight*(ratio*pace-pace)))
-	}
-}
-
-func (c *Choice) done() {
-	if !c.first {
-		c.first = true
-		c.entry.own.Prefill -= c.load.Prefill
-	}
-	c.entry.own.Running -= c.load.Running
-	c.entry.own.Cache -= c.load.Cache
-}
-
-// Answered ends the request with an answer; failed states that it was a failure of the target.
-func (c *Choice) Answered(failed bool, now time.Time) {
-	c.book.mu.Lock()
-	defer c.book.mu.Unlock()
-	c.done()
-	c.entry.health.answered(failed, now)
-}
-
-// Rejected ends the request with the target's statement that it did not run it.
-func (c *Choice) Rejected(now time.Time) {
-	c.book.mu.Lock()
-	defer c.book.mu.Unlock()
-	c.done()
-	c.entry.health.rejected(now)
-}
-
-// Absent ends the request with the target's statement that it does not hold the model or adapter.
-func (c *Choice) Absent(model, adapter string, now time.Time) {
-	c.book.mu.Lock()
-	defer c.book.mu.Unlock()
-	c.done()
-	name := model
-	if adapter != "" {
-		name += "/" + adapter
-	}
-	c.entry.absent[name] = now.Add(absentTime)
-}
-
-// Broken ends the request with a connection that broke off before the answer was complete.
-func (c *Choice) Broken(now time.Time) {
-	c.book.mu.Lock()
-	defer c.book.mu.Unlock()
-	c.done()
-	c.entry.health.broken(now)
-}
-
-// Silent ends the request without an answer: the target was not reached, or was silent for too long.
-func (c *Choice) Silent(now time.Time) {
-	c.book.mu.Lock()
-	defer c.book.mu.Unlock()
-	c.done()
-	c.entry.parts.clear()
-	c.entry.health.silent(now)
-}
-
-// Abandoned ends the request because its caller left or its time ran out; it says nothing about the target.
-func (c *Choice) Abandoned() {
-	c.book.mu.Lock()
-	defer c.book.mu.Unlock()
-	c.done()
-	c.entry.health.trial = false
-}
--- a/lib/catalog/catalog.go
+++ b/lib/catalog/catalog.go
@@ -71,21 +71,16 @@
 type Engine struct {
 	Slots          int     // requests in one batch
 	CacheTokens    int64   // KV cache
-	BytesPerToken  float64 // of KV cache
 	MB             float64 // for weights and adapters together
 	AdapterSlots   int
 	LoadsPerSecond float64 // from the weight store, over all targets
-	BackupsOfRuns  bool    // targets copy the KV cache of runs to another target on request
-	PrefixFetch    bool    // targets fetch cached prefixes from each other
 	Models         map[string]*Model
 }
 
 // Service is a group of targets that serve the same requests.
 type Service struct {
-	Name       string
-	HealthPath string
-	MaxConns   int     // of one target, over all callers
-	Engine     *Engine // nil for a plain service
+	Name   string
+	Engine *Engine // nil for a plain service
 }
 
 // Organisation is a customer with its keys and limits.
@@ -99,21 +94,12 @@
 	PlainTokens int64   // charge of a request that states no token counts
 }
 
-// Limits bound what a caller may send.
-type Limits struct {
-	HeaderBytes   int
-	BodyBytes     int
-	HeaderTimeout time.Duration
-	IdleTimeout   time.Duration
-}
-
 // Content is what a catalog is made of.
 type Content struct {
 	Version       int64
 	Routes        []*Route
 	Services      []*Service
 	Organisations []*Organisation
-	Limits        Limits
 }
 
 // Catalog is one version of the configuration.
--- a/lib/filter/dispatch/model.go
+++ b/lib/filter/dispatch/model.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"cuminhook.org/cuminhook/lib/engine"
+	"cuminhook.org/cuminhook/lib/pause"
 	"cuminhook.org/cuminhook/lib/pipeline"
 	"cuminhook.org/cuminhook/lib/refusal"
 )
@@ -218,12 +219,5 @@
 	if ex.Deadline.IsZero() || time.Until(ex.Deadline) <= targetPoll {
 		return false
 	}
-	timer := time.NewTimer(targetPoll)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return pause.For(ctx, targetPoll)
 }
--- a/lib/filter/relay/relay.go
+++ b/lib/filter/relay/relay.go
@@ -255,7 +255,7 @@
 	h := &r.ex.HTTP.Request.Header
 	head := r.cfg.Door.AppendHead(nil, h, passage.Attempt{
 		Instance: choice.Target.ID, Left: time.Until(r.ex.AnswerBy), Organisation: r.ex.Organisation,
-		Priority: r.enginePriority(), LastEvent: r.last, PrefixSource: choice.PrefixSource,
+		Priority: r.enginePriority(), LastEvent: r.last,
 	})
 	t.answer, t.outcome, t.err = r.cfg.Client.Do(ctx, &forward.Request{
 		Addr: choice.Target.Addr, ID: r.call.ID, Head: head, Method: string(h.Method()),
--- a/lib/filter/relay/rig_test.go
+++ b/lib/filter/relay/rig_test.go
@@ -29,21 +29,10 @@
 	"cuminhook.org/cuminhook/lib/registry"
 	"cuminhook.org/cuminhook/lib/retry"
 	"cuminhook.org/cuminhook/lib/workload"
+	"cuminhook.org/cuminhook/test/httpmain"
 )
 
-// TestMain starts fasthttp's background goroutine, which never ends, outside of any bubble.
-func TestMain(m *testing.M) {
-	ln := fasthttputil.NewInmemoryListener()
-	s := &fasthttp.Server{Handler: func(*fasthttp.RequestCtx) {}}
-	go func() { _ = s.Serve(ln) }()
-	if c, err := ln.Dial(); err == nil {
-		fmt.Fprint(c, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
-		_, _ = bufio.NewReader(c).ReadString('\n')
-		_ = c.Close()
-	}
-	_ = s.Shutdown()
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { os.Exit(httpmain.Run(m)) }
 
 // plainDoor is a door with short header names.
 type plainDoor struct{}
--- /dev/null
+++ b/lib/follow/targets.go
@@ -0,0 +1,118 @@
+package follow
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"cuminhook.org/cuminhook/lib/kv"
+	"cuminhook.org/cuminhook/lib/pause"
+	"cuminhook.org/cuminhook/lib/registry"
+)
+
+func (f *Follower) update(key string, value []byte, version kv.Version) registry.Update {
+	id := strings.TrimPrefix(key, f.codec.TargetPrefix())
+	t, err := f.codec.Target(id, value)
+	if err != nil {
+		if f.bad[id] != version {
+			f.bad[id] = version
+			f.log.Warn("entry names no target", "key", key, "error", err.Error())
+		}
+		return registry.Update{ID: id}
+	}
+	return registry.Update{ID: id, Target: t}
+}
+
+func (f *Follower) target(c kv.Change) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	u := registry.Update{ID: strings.TrimPrefix(c.Key, f.codec.TargetPrefix())}
+	if !c.Deleted {
+		u = f.update(c.Key, c.Value, c.Version)
+	}
+	now := time.Now()
+	old := f.table.Get(u.ID)
+	changed := f.table.Apply(u, now, u.Target == nil && f.unsettled(now))
+	if changed && old != nil && (u.Target == nil || u.Target.State == registry.Draining) {
+		f.departures[registry.Departure{ID: u.ID, Started: old.Started, Gone: u.Target == nil}] = now
+	}
+	return changed
+}
+
+func (f *Follower) replaceTargets(entries []kv.Entry) {
+	f.mu.Lock()
+	var all []registry.Update
+	for _, e := range entries {
+		all = append(all, f.update(e.Key, e.Value, e.Version))
+	}
+	now := time.Now()
+	f.table.Replace(all, now, f.unsettled(now))
+	f.mu.Unlock()
+	f.publishTargets()
+}
+
+func (f *Follower) publishTargets() {
+	f.mu.Lock()
+	list := f.table.List()
+	f.note(list)
+	f.mu.Unlock()
+	f.on.Targets(list)
+}
+
+// note logs targets that appeared, changed their state or are gone; mu is held.
+func (f *Follower) note(list []*registry.Target) {
+	seen := make(map[string]bool, len(list))
+	for _, t := range list {
+		seen[t.ID] = true
+		if state, ok := f.noted[t.ID]; !ok || state != t.State {
+			f.noted[t.ID] = t.State
+			f.log.Info("target", "target", t.ID, "service", t.Service, "state", t.State.String(), "beat", t.Beat, "addr", t.Addr)
+		}
+	}
+	for id := range f.noted {
+		if !seen[id] {
+			delete(f.noted, id)
+			f.log.Info("target", "target", id, "state", "gone")
+		}
+	}
+}
+
+func (f *Follower) expire(ctx context.Context) {
+	for pause.For(ctx, expireTime) {
+		f.mu.Lock()
+		changed := !f.lost && f.table.Expire(time.Now())
+		f.mu.Unlock()
+		if changed {
+			f.publishTargets()
+		}
+	}
+}
+
+// Departures returns the targets that were seen leaving in the last seconds.
+func (f *Follower) Departures() []registry.Departure {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	var out []registry.Departure
+	for d, at := range f.departures {
+		if now.Sub(at) > departureTime {
+			delete(f.departures, d)
+			continue
+		}
+		out = append(out, d)
+	}
+	return out
+}
+
+// Depart takes over which targets another host has seen leaving. They are not told on.
+func (f *Follower) Depart(list []registry.Departure) {
+	f.mu.Lock()
+	changed := false
+	for _, d := range list {
+		changed = f.table.Depart(d) || changed
+	}
+	f.mu.Unlock()
+	if changed {
+		f.publishTargets()
+	}
+}
--- a/lib/passage/passage.go
+++ b/lib/passage/passage.go
@@ -43,7 +43,6 @@
 	Organisation string        // empty on public routes without a key
 	Priority     int           // 0 to 9, 0 first; negative: the target's default
 	LastEvent    string        // id after which a stream goes on; empty: as the caller stated it
-	PrefixSource string        // address of a target that keeps more of the prompt; empty if none
 }
 
 // Answer is what an answer states about itself.
--- a/lib/peers/peers.go
+++ b/lib/peers/peers.go
@@ -19,6 +19,7 @@
 
 	"cuminhook.org/cuminhook/lib/balance"
 	"cuminhook.org/cuminhook/lib/orglimit"
+	"cuminhook.org/cuminhook/lib/pause"
 	"cuminhook.org/cuminhook/lib/registry"
 )
 
@@ -36,6 +37,8 @@
 	silentTime = 1500 * time.Millisecond
 	// placementTime is the time after which a placement that has not changed is sent again.
 	placementTime = 800 * time.Millisecond
+	// socketRetry is the pause after a failure of a socket.
+	socketRetry = 20 * time.Millisecond
 	// together is how many hosts are sent a state at the same time. Links of hosts are narrow, and drop what comes at once.
 	together = 8
 	// forgetTime is the time without a state after which a host without an entry in the store counts as gone.
@@ -217,16 +220,26 @@
 	})
 	group.Go(func() error { n.receive(ctx, conn); return nil })
 	group.Go(func() error { n.send(ctx, conn); return nil })
-	group.Go(func() error { accept(ctx, ln, server); return nil })
+	group.Go(func() error { n.accept(ctx, ln, server); return nil })
 	return group.Wait()
 }
 
-func accept(ctx context.Context, ln net.Listener, server *rpc.Server) {
+func (n *Node) accept(ctx context.Context, ln net.Listener, server *rpc.Server) {
 	for ctx.Err() == nil {
 		conn, err := ln.Accept()
-		if err == nil {
-			go server.ServeConn(conn)
+		if err != nil {
+			n.retry(ctx, "call not accepted", err)
+			continue
 		}
+		go server.ServeConn(conn)
+	}
+}
+
+// retry logs a failure of a socket and waits a little, unless the node ends.
+func (n *Node) retry(ctx context.Context, msg string, err error) {
+	if ctx.Err() == nil {
+		n.log.Warn(msg, "error", err.Error())
+		pause.For(ctx, socketRetry)
 	}
 }
 
@@ -235,7 +248,8 @@
 	for ctx.Err() == nil {
 		size, _, err := conn.ReadFromUDP(buf)
 		if err != nil {
-			continue // closed at the end of ctx; other errors concern datagrams sent before
+			n.retry(ctx, "datagram not received", err)
+			continue
 		}
 		s, err := decode(buf[:size])
 		if err != nil {
--- a/lib/peers/peers_test.go
+++ b/lib/peers/peers_test.go
@@ -56,8 +56,12 @@
 	var hosts int
 	n := newNode(&heard, &hosts)
 	for _, s := range []State{
-		{Host: "other", Boot: 1, Number: 5}, {Host: "other", Boot: 1, Number: 4}, {Host: "other", Boot: 1, Number: 6},
-		{Host: "other", Boot: 2, Number: 1}, {Host: "stranger", Boot: 1, Number: 1}, {Host: "self", Boot: 1, Number: 1},
+		{Host: "other", Boot: 1, Number: 5},
+		{Host: "other", Boot: 1, Number: 4},
+		{Host: "other", Boot: 1, Number: 6},
+		{Host: "other", Boot: 2, Number: 1},
+		{Host: "stranger", Boot: 1, Number: 1},
+		{Host: "self", Boot: 1, Number: 1},
 	} {
 		n.heard(&s)
 	}
--- a/lib/peers/register.go
+++ b/lib/peers/register.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"cuminhook.org/cuminhook/lib/kv"
+	"cuminhook.org/cuminhook/lib/pause"
 )
 
 const (
@@ -34,7 +35,7 @@
 		lease, err := r.write(ctx)
 		if err != nil {
 			log.Warn("host not registered", "error", err.Error())
-			sleep(ctx, registerRetry)
+			pause.For(ctx, registerRetry)
 			continue
 		}
 		log.Info("host registered", "key", key)
@@ -69,7 +70,7 @@
 
 // renew returns when the lease is lost or ctx has ended.
 func (r *registration) renew(ctx context.Context, lease kv.LeaseID) {
-	for sleep(ctx, renewTime) {
+	for pause.For(ctx, renewTime) {
 		call, cancel := context.WithTimeout(ctx, storeCall)
 		err := r.store.KeepAlive(call, lease)
 		cancel()
@@ -87,14 +88,3 @@
 		r.log.Warn("registration not removed; it lapses", "error", err.Error())
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/lib/placer/adapters.go
+++ b/lib/placer/adapters.go
@@ -9,6 +9,7 @@
 
 	"cuminhook.org/cuminhook/lib/catalog"
 	"cuminhook.org/cuminhook/lib/orders"
+	"cuminhook.org/cuminhook/lib/pause"
 )
 
 const (
@@ -19,6 +20,15 @@
 	fillMost = 6
 	// copyRate is the rate of requests for one adapter from which on it gets another copy.
 	copyRate = 1.5
+	// slotWeight spreads adapters over targets with free slots; evictWeight puts targets without after all of these.
+	slotWeight  = 0.001
+	evictWeight = 1.0
+	// firstCopyValue puts adapters that no target holds before further copies, in requests a second.
+	firstCopyValue = 10.0
+	// evictFactor is how many times as often an adapter has to be asked for as the one that gives way to it.
+	evictFactor = 2.0
+	// adapterOrderTime bounds an order for an adapter; the request waits for it.
+	adapterOrderTime = orderTime / 4
 	// usedRate is the rate below which an adapter may give way to another one.
 	usedRate = 0.3
 )
@@ -122,10 +132,10 @@
 		if !t.known || t.busy || t.ordering || !t.has(model, "") || slices.Contains(tried, t) {
 			continue
 		}
-		cost, v := float64(t.adapters())/1000, adapterName{}
+		cost, v := float64(t.adapters())*slotWeight, adapterName{}
 		if t.adapters() >= s.Engine.AdapterSlots {
 			v = t.leastUsed(demand)
-			cost = 1 + demand[v.key()]
+			cost = evictWeight + demand[v.key()]
 		}
 		if best == nil || cost < lowest {
 			best, victim, lowest = t, v, cost
@@ -168,7 +178,7 @@
 		p.unsure(t, reportLag)
 		return false
 	}
-	if !done && !pause(ctx, adapterTime) {
+	if !done && !pause.For(ctx, adapterTime) {
 		return false
 	}
 	p.set(t, name, true)
@@ -201,7 +211,7 @@
 		return false, ErrInactive
 	}
 	o.Fence = epoch
-	ctx, cancel := context.WithTimeout(ctx, orderTime/4)
+	ctx, cancel := context.WithTimeout(ctx, adapterOrderTime)
 	defer cancel()
 	done, err = p.cfg.Client.Order(ctx, info, o)
 	p.logOrder(info, o, done, err, 0)
@@ -273,7 +283,7 @@
 			value := demand[n.key()]
 			switch c := copies[n.key()]; {
 			case c == 0:
-				value += 10
+				value += firstCopyValue
 			case demand[n.key()] < copyRate*float64(c):
 				continue
 			}
@@ -286,5 +296,5 @@
 		return name, victim, ok
 	}
 	victim = t.leastUsed(demand)
-	return name, victim, demand[victim.key()] < usedRate && demand[name.key()] > 2*demand[victim.key()]+usedRate
+	return name, victim, demand[victim.key()] < usedRate && demand[name.key()] > evictFactor*demand[victim.key()]+usedRate
 }
--- a/lib/placer/models.go
+++ b/lib/placer/models.go
@@ -8,6 +8,7 @@
 
 	"cuminhook.org/cuminhook/lib/catalog"
 	"cuminhook.org/cuminhook/lib/orders"
+	"cuminhook.org/cuminhook/lib/pause"
 	"cuminhook.org/cuminhook/lib/registry"
 	"cuminhook.org/cuminhook/lib/residency"
 )
@@ -132,7 +133,7 @@
 			p.mu.Unlock()
 			return false, nil
 		}
-		if !pause(ctx, againTime) {
+		if !pause.For(ctx, againTime) {
 			return false, ctx.Err()
 		}
 	}
@@ -190,7 +191,7 @@
 
 // unload has a model unloaded once the hosts no longer use it.
 func (p *Placer) unload(ctx context.Context, t *target, model string) {
-	if !pause(ctx, retirePeriods*p.cfg.Period()+retireWay) {
+	if !pause.For(ctx, retirePeriods*p.cfg.Period()+retireWay) {
 		return
 	}
 	done, err := p.give(ctx, t, orders.Order{Op: orders.Unload, Model: model})
@@ -205,7 +206,7 @@
 func (p *Placer) await(ctx context.Context, t *target, first time.Duration) {
 	until := time.Now().Add(doneTime)
 	wait := first
-	for pause(ctx, wait) && time.Now().Before(until) {
+	for pause.For(ctx, wait) && time.Now().Before(until) {
 		wait = pollTime
 		r, err := p.report(ctx, t)
 		p.mu.Lock()
@@ -222,14 +223,3 @@
 	}
 	p.unsure(t, reportLag)
 }
-
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/lib/placer/placer_test.go
+++ b/lib/placer/placer_test.go
@@ -18,6 +18,7 @@
 	"cuminhook.org/cuminhook/lib/kv/memkv"
 	"cuminhook.org/cuminhook/lib/lease"
 	"cuminhook.org/cuminhook/lib/orders"
+	"cuminhook.org/cuminhook/lib/pause"
 	"cuminhook.org/cuminhook/lib/registry"
 )
 
@@ -145,7 +146,7 @@
 
 // refresh renews the reports every reportAge until ctx ends.
 func (e *engines) refresh(ctx context.Context) {
-	for pause(ctx, reportAge) {
+	for pause.For(ctx, reportAge) {
 		e.mu.Lock()
 		for _, g := range e.byID {
 			e.settle(g)
--- a/lib/registry/registry.go
+++ b/lib/registry/registry.go
@@ -30,28 +30,15 @@
 
 // Target is one incarnation of a target as its entry describes it.
 type Target struct {
-	ID       string
-	Service  string
-	Addr     string // IP:port
-	Zone     string
-	Slots    int
-	State    State
-	Started  int64         // Unix milliseconds of its start, by its own clock; an identity, never compared with a clock
-	Beat     int64         // rises with each entry that this incarnation writes
-	Models   []Resident    // as of the entry
-	LeavesIn time.Duration // time that was left when the entry was written; zero if unknown
-	InMemory []string      // models with a copy in host memory
-	OnDisk   []string      // models with a copy on disk
-}
-
-// Holds reports whether the entry lists the model.
-func (t *Target) Holds(model string) bool {
-	for i := range t.Models {
-		if t.Models[i].Model == model {
-			return true
-		}
-	}
-	return false
+	ID      string
+	Service string
+	Addr    string // IP:port
+	Zone    string
+	Slots   int
+	State   State
+	Started int64      // Unix milliseconds of its start, by its own clock; an identity, never compared with a clock
+	Beat    int64      // rises with each entry that this incarnation writes
+	Models  []Resident // as of the entry
 }
 
 // Supersedes reports whether t, read after old, replaces it: entries of one incarnation may arrive out of order, and a
--- a/lib/residency/residency.go
+++ b/lib/residency/residency.go
@@ -23,6 +23,10 @@
 	minCopies = 1
 	// recentDemand is the demand in milliseconds of engine time a second below which a model counts as unused.
 	recentDemand = 1.0
+	// storeCost and sameZoneCost are added to the load of a target, in milliseconds of engine time a second, when a copy
+	// would come from the weight store and not from the target's own disk, and when its zone has a copy already.
+	storeCost    = 200
+	sameZoneCost = 100
 	// roomTargets is how many targets should have room for the largest model, so that loads need not wait for unloads.
 	roomTargets = 3
 )
@@ -226,10 +230,10 @@
 		}
 		cost := s.load[t.ID]
 		if !atHand {
-			cost += 200 // a copy at hand is worth a target that is a fifth busier
+			cost += storeCost
 		}
 		if s.zoneHolds(t.Zone, m.Name) {
-			cost += 100
+			cost += sameZoneCost
 		}
 		if best == nil || cost < lowest {
 			best, lowest = t, cost
