Let hosts of large fleets look at the store every two seconds

With 59 hosts a host looked only every 5 s, and relied on what peers tell. Why the news did not reach it is not traced. Hosts of 7 and 8 look every 1.6 to 1.8 s and are not changed.

--- a/lib/follow/follow.go
+++ b/lib/follow/follow.go
@@ -25,7 +25,7 @@
 	// is answered costs a call; changes that come meanwhile share one.
 	settleTime = 600 * time.Millisecond
 	// settleMost bounds the pause of a host among many.
-	settleMost = 5 * time.Second
+	settleMost = 2 * time.Second
 	// seeTime is the time within which some host is to look after a change. The hosts tell each other of targets that
 	// leave and of new configurations, which have to reach all within two seconds.
 	seeTime = time.Second
