Let hosts look at the store at times of their own

One change answers the watches of all hosts at once, and the pauses that follow were nearly equal (5 s, a quarter more or less): for 3.75 s none of 59 hosts looked, so that there was no news to tell. Ruled out: lost datagrams (no host was unreachable in the logs of front-kuopio-a-11), a departure that is not taken over. Change: each host looks at multiples of a period, at a phase of its own. TestManyHostsSeeLeavingTargetInTime failed with 20 and 59 hosts before (all of them late in each round).

--- a/lib/follow/follow.go
+++ b/lib/follow/follow.go
@@ -24,12 +24,12 @@
 	// settleTime is the pause of a lone host after changes before its next watch. Targets write often, and each watch that
 	// is answered costs a call; changes that come meanwhile share one.
 	settleTime = 600 * time.Millisecond
-	// settleMost bounds the pause of a host among many.
-	settleMost = 2 * time.Second
+	// settleMost bounds the pause of a host among many: what its peers tell may not reach it.
+	settleMost = 3 * time.Second
 	// seeTime is the time within which some host is to look after a change. The hosts tell each other of targets that
 	// leave and of new configurations, which have to reach all within two seconds.
-	seeTime = time.Second
-	// missChance is the probability that no host does, when all look at random times.
+	seeTime = 1200 * time.Millisecond
+	// missChance is the probability that no host does.
 	missChance = 1e-4
 	// departureTime is how long a host tells others of a target that leaves; several of its states are sent meanwhile.
 	departureTime = 3 * time.Second
@@ -79,7 +79,9 @@
 	on    Handlers
 	log   *slog.Logger
 
-	nudged chan struct{}
+	nudged  chan struct{}
+	started time.Time
+	phase   float64 // of this host's looks, a part of their period
 
 	mu          sync.Mutex
 	together    int                              // guarded by mu; hosts that hear of each other
@@ -101,7 +103,7 @@
 func New(feed kv.Feed, codec Codec, on Handlers, log *slog.Logger) *Follower {
 	return &Follower{
 		feed: feed, codec: codec, on: on, log: log, version: -1, table: registry.NewTable(), hosts: map[string][]byte{},
-		nudged: make(chan struct{}, 1), together: 1, departures: map[registry.Departure]time.Time{},
+		nudged: make(chan struct{}, 1), started: time.Now(), phase: rand.Float64(), together: 1, departures: map[registry.Departure]time.Time{},
 		bad: map[string]kv.Version{}, noted: map[string]registry.State{},
 	}
 }
@@ -212,19 +214,18 @@
 	f.together = max(1, n)
 }
 
-// settle waits for changes to gather. Hosts that hear of each other share the looking: the chance that none looks within
-// seeTime is missChance.
+// settle waits for changes to gather. Hosts that hear of each other share the looking: each looks at times of its own,
+// so that the chance that none looks within seeTime is missChance. Pauses that count from the changes would not do: one
+// change answers the watches of all hosts at once, and all would look away together.
 func (f *Follower) settle(ctx context.Context) {
 	f.mu.Lock()
 	n := f.together
 	f.mu.Unlock()
 	d := settleTime
 	if n > 1 {
-		mean := float64(seeTime) / (1 - math.Pow(missChance, 1/float64(n)))
-		d = min(settleMost, max(settleTime, time.Duration(mean)))
+		period := lookPeriod(n)
+		d = period - (time.Since(f.started)+time.Duration(f.phase*float64(period)))%period
 	}
-	// Pauses of different length keep the hosts from looking at the same time.
-	d = time.Duration(float64(d) * (0.75 + rand.Float64()/2))
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
@@ -234,6 +235,12 @@
 	}
 }
 
+// lookPeriod is the time between two looks of each of n hosts.
+func lookPeriod(n int) time.Duration {
+	period := time.Duration(float64(seeTime) / (1 - math.Pow(missChance, 1/float64(n))))
+	return min(settleMost, max(settleTime, period))
+}
+
 // Nudge ends the pause before the next watch, because another host has seen a newer configuration.
 func (f *Follower) Nudge() {
 	select {
--- a/lib/follow/follow_test.go
+++ b/lib/follow/follow_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"strconv"
 	"sync"
 	"testing"
@@ -13,6 +14,7 @@
 
 	"cuminhook.org/cuminhook/lib/catalog"
 	"cuminhook.org/cuminhook/lib/kv"
+	"cuminhook.org/cuminhook/lib/pause"
 	"cuminhook.org/cuminhook/lib/registry"
 )
 
@@ -138,7 +140,41 @@
 	targets map[string]registry.State
 }
 
+// startMany returns followers that tell each other of departures, as hosts do in every period.
+func startMany(t *testing.T, feed kv.Feed, n int, period time.Duration) []*seen {
+	var followers []*Follower
+	var all []*seen
+	phases := rand.New(rand.NewPCG(uint64(n), 1))
+	for range n {
+		f, s := startWith(t, feed, func(f *Follower) {
+			f.SetHosts(n)
+			f.phase = phases.Float64()
+		})
+		followers, all = append(followers, f), append(all, s)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for pause.For(ctx, period) {
+			for _, from := range followers {
+				news := from.Departures()
+				for _, to := range followers {
+					to.Depart(news)
+				}
+			}
+		}
+	}()
+	t.Cleanup(func() { cancel(); <-done })
+	return all
+}
+
 func start(t *testing.T, feed kv.Feed) (*Follower, *seen) {
+	return startWith(t, feed, func(*Follower) {})
+}
+
+// startWith lets prepare change the follower before it runs.
+func startWith(t *testing.T, feed kv.Feed, prepare func(*Follower)) (*Follower, *seen) {
 	s := &seen{}
 	f := New(feed, textCodec{}, Handlers{
 		Catalog: func(c *catalog.Catalog) { s.mu.Lock(); s.version = c.Version; s.mu.Unlock() },
@@ -152,6 +188,7 @@
 		},
 		Hosts: func(map[string][]byte) {},
 	}, slog.New(slog.DiscardHandler))
+	prepare(f)
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
 	go func() { f.Run(ctx); close(done) }()
@@ -283,3 +320,39 @@
 		}
 	})
 }
+
+// Guards against hosts that all look away at the same time: a change answers the watches of all of them at once, and
+// the next one, right after it, has to reach all in time.
+func TestManyHostsSeeLeavingTargetInTime(t *testing.T) {
+	for n, period := range map[int]time.Duration{2: 200 * time.Millisecond, 7: 200 * time.Millisecond, 20: 200 * time.Millisecond, 59: 600 * time.Millisecond} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				feed := newFakeFeed()
+				feed.put("targets/a", "ready")
+				all := startMany(t, feed, n, period)
+				time.Sleep(10 * time.Second)
+				for round := range 20 {
+					id := fmt.Sprint("t", round)
+					feed.put("targets/"+id, "ready")
+					time.Sleep(8 * time.Second)
+					feed.put("targets/a", "ready")
+					time.Sleep(time.Millisecond)
+					feed.remove("targets/" + id)
+					time.Sleep(drainBound)
+					late := 0
+					for _, s := range all {
+						if _, ok := s.state(id); ok {
+							late++
+						}
+					}
+					if late > 0 {
+						t.Errorf("round %d: %d of %d hosts still use a target that left %v ago", round, late, n, drainBound)
+					}
+				}
+			})
+		})
+	}
+}
+
+// drainBound is the time within which hosts have to stop using a target that leaves.
+const drainBound = 2 * time.Second
