Restore two checks, and remove what nothing reads

TestFullCacheIsAvoided had been given easier loads and TestSettings no longer asked for the place of a wrong duration, both to get a pass. Restored: a target that is full is now charged with the prompt of the request that is preempted, and a wrong duration is reported with line, column and key. Removed: the setting loads_window, the load time from host memory and the stopping flag of states, which nothing read. Logged: a campaign for the lease that fails, reports that fail while an order is settled, background work cut at a stop.

--- a/lib/balance/balance_test.go
+++ b/lib/balance/balance_test.go
@@ -115,7 +115,7 @@
 func TestFullCacheIsAvoided(t *testing.T) {
 	b := newBook("a")
 	b.SetTargets(engines(2, registry.Resident{Model: "m"}))
-	b.SetPeer("other", map[string]Load{"t00": {Running: 25, Cache: cacheTokens}, "t01": {Running: 25, Cache: 100_000, Prefill: 4000}})
+	b.SetPeer("other", map[string]Load{"t00": {Running: 24, Cache: cacheTokens}, "t01": {Running: 30, Cache: 100_000, Prefill: 5000}})
 	if c := pick(t, b, Query{Service: "llm", Call: brief("x")}); c.Target.ID != "t01" {
 		t.Errorf("%s was chosen, whose cache is full", c.Target.ID)
 	}
--- a/lib/balance/engine.go
+++ b/lib/balance/engine.go
@@ -61,15 +61,16 @@
 
 func (b *Book) estimate(t *target, engine *catalog.Engine, p *prompt, now time.Time) estimate {
 	over := overflow(t, engine, p.need)
-	kept, wait := p.kept(t), 0.0
+	kept, again, wait := p.kept(t), int64(0), 0.0
 	if over > 0 {
-		kept = 0 // running requests take the room of parts that were kept
+		kept = 0         // running requests take the room of parts that were kept
+		again = p.tokens // another request is preempted, and its prompt is read once more
 		wait = overflowBase + over*overflowCost
 	}
 	e := estimate{read: max(1, p.tokens-kept)}
 	running := float64(t.own.Running + t.peers.Running)
 	e.first = float64(t.own.Prefill+t.peers.Prefill+e.read)/prefillRate*p.pace + slotCost*running + wait
-	e.cost = e.first + t.disturbed(e.read, p.need-p.tokens, p.pace, now) + b.placeCost(t) +
+	e.cost = e.first + t.disturbed(e.read+again, p.need-p.tokens, p.pace, now) + b.placeCost(t) +
 		failureCost*t.health.failing(now) + b.random.Float64()
 	return e
 }
--- a/lib/catalog/catalog.go
+++ b/lib/catalog/catalog.go
@@ -58,13 +58,12 @@
 
 // Model is a model that the engines of a service can hold.
 type Model struct {
-	Name       string
-	MB         float64       // size of the weights
-	FromStore  time.Duration // load time from the weight store
-	FromDisk   time.Duration // load time from the target's disk
-	FromMemory time.Duration // load time from the target's host memory
-	AdapterMB  float64
-	Adapters   []string
+	Name      string
+	MB        float64       // size of the weights
+	FromStore time.Duration // load time from the weight store
+	FromDisk  time.Duration // load time from the target's disk
+	AdapterMB float64
+	Adapters  []string
 }
 
 // Engine describes the engines of a service.
--- a/lib/filter/relay/relay_test.go
+++ b/lib/filter/relay/relay_test.go
@@ -246,9 +246,8 @@
 	})
 }
 
-// Guards against a connection with a body that was not written in full, or with bytes that nobody asked for, being used
-// again.
-func TestConnectionIsNotReusedWithRestOfAnotherRequest(t *testing.T) {
+// Guards against a connection on which bytes arrived that nobody asked for being used again.
+func TestConnectionWithExtraBytesIsNotReused(t *testing.T) {
 	play(t, map[string]script{"near": func(r *seenRequest) bool {
 		fmt.Fprintf(r.conn, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nbad", r.id)
 		return true
--- a/lib/node/node.go
+++ b/lib/node/node.go
@@ -164,7 +164,6 @@
 
 func (n *Node) fill(s *peers.State) {
 	now := time.Now()
-	s.Stopping = n.stopping.Load()
 	s.Departures = n.follower.Departures()
 	if c := n.catalog.Load(); c != nil {
 		s.Config = c.Version
@@ -260,19 +259,20 @@
 	unregister()
 	err = n.stop(background)
 	cancel()
-	err = errors.Join(err, waitFor(group, endTime))
+	err = errors.Join(err, n.waitFor(group, endTime))
 	n.log.Info("stopped", "error", fmt.Sprint(err))
 	return err
 }
 
 // waitFor waits for the background work, but not longer than the limit: nothing that is left is worth the wait.
-func waitFor(group *errgroup.Group, limit time.Duration) error {
+func (n *Node) waitFor(group *errgroup.Group, limit time.Duration) error {
 	done := make(chan error, 1)
 	go func() { done <- group.Wait() }()
 	select {
 	case err := <-done:
 		return err
 	case <-time.After(limit):
+		n.log.Warn("background work not ended", "waited", limit.String())
 		return nil
 	}
 }
--- a/lib/node/settings.go
+++ b/lib/node/settings.go
@@ -29,7 +29,6 @@
 // PlacementSettings are the settings of the placement duty.
 type PlacementSettings struct {
 	Lease          time.Duration `yaml:"lease"`           // time to live of the controller's lease
-	LoadsWindow    time.Duration `yaml:"loads_window"`    // span in which loads from the weight store are counted
 	LoadsOvershoot float64       `yaml:"loads_overshoot"` // factor on the weight store's rate that is tolerated in it
 }
 
@@ -37,7 +36,7 @@
 func DefaultSettings() Settings {
 	return Settings{
 		RetryRatio: 0.1, RetrySlack: 10,
-		Placement: PlacementSettings{Lease: 3 * time.Second, LoadsWindow: 5 * time.Second, LoadsOvershoot: 1},
+		Placement: PlacementSettings{Lease: 3 * time.Second, LoadsOvershoot: 1},
 		// A load balancer that asks once a second and needs two misses has moved on by then.
 		StopDelay: 3 * time.Second,
 		StopLimit: 7500 * time.Millisecond,
@@ -59,8 +58,8 @@
 	if s.RetryRatio < 0 || s.RetrySlack < 0 {
 		return fmt.Errorf("retry_ratio and retry_slack cannot be negative; zero forbids repeats")
 	}
-	if s.Placement.Lease < time.Second || s.Placement.LoadsWindow <= 0 || s.Placement.LoadsOvershoot < 1 {
-		return fmt.Errorf("placement: lease must be 1s or longer, loads_window above zero, loads_overshoot 1 or more")
+	if s.Placement.Lease < time.Second || s.Placement.LoadsOvershoot < 1 {
+		return fmt.Errorf("placement: lease must be 1s or longer, loads_overshoot 1 or more")
 	}
 	if s.StopDelay < 0 || s.StopLimit <= s.StopDelay {
 		return fmt.Errorf("stop_limit (%s) must be above stop_delay (%s)", s.StopLimit, s.StopDelay)
--- a/lib/node/settings_test.go
+++ b/lib/node/settings_test.go
@@ -18,7 +18,6 @@
 retry_slack: 54
 placement:
   lease: 3000ms
-  loads_window: 5s
   loads_overshoot: 1.1
 `
 
@@ -32,7 +31,7 @@
 		{"10.0.0.1:2", "here", "ready"},
 		{"retry_ratio: 0.2", "retry_ratio: -1", "retry_ratio"},
 		{"3000ms", "10ms", "lease"},
-		{"3000ms", "soon", "soon"},
+		{"3000ms", "soon", "[11:10] placement.lease"},
 		{"retry_slack", "retry_slak", "retry_slak"},
 		{"loads_overshoot: 1.1", "loads_overshoot: 0.5", "loads_overshoot"},
 	} {
--- a/lib/orglimit/orglimit_test.go
+++ b/lib/orglimit/orglimit_test.go
@@ -146,7 +146,7 @@
 		}
 		one, seven := share(1), share(7)
 		t.Logf("uneven %v: admitted %.4f by one host, %.4f by seven", uneven, one, seven)
-		if seven < one-0.02 {
+		if seven < one {
 			t.Errorf("uneven %v: seven hosts admitted %.3f, one host %.3f", uneven, seven, one)
 		}
 	}
--- a/lib/peers/peers.go
+++ b/lib/peers/peers.go
@@ -58,7 +58,6 @@
 	Host       string                  `json:"h"`
 	Boot       uint64                  `json:"b"` // new for each start
 	Number     uint64                  `json:"n"` // rises with each state of a start
-	Stopping   bool                    `json:"x,omitempty"`
 	Config     int64                   `json:"c"` // version of the configuration in force
 	Demand     orglimit.Report         `json:"d,omitempty"`
 	Loads      map[string]balance.Load `json:"l,omitempty"` // in flight, by target
--- a/lib/placer/models.go
+++ b/lib/placer/models.go
@@ -127,7 +127,10 @@
 			return false, err
 		}
 		// It may have been accepted, or be carried out later. Giving it again settles it.
-		if r, reportErr := p.report(ctx, t); reportErr == nil && r.Accepted > o.Expected {
+		r, reportErr := p.report(ctx, t)
+		if reportErr != nil {
+			p.cfg.Log.Warn("no report", "target", info.ID, "error", reportErr.Error())
+		} else if r.Accepted > o.Expected {
 			p.mu.Lock()
 			t.accepted = max(t.accepted, o.Expected+1)
 			p.mu.Unlock()
@@ -209,6 +212,9 @@
 	for pause.For(ctx, wait) && time.Now().Before(until) {
 		wait = pollTime
 		r, err := p.report(ctx, t)
+		if err != nil && ctx.Err() == nil {
+			p.cfg.Log.Warn("no report", "target", t.info.ID, "error", err.Error())
+		}
 		p.mu.Lock()
 		if err == nil && !r.Busy && r.Accepted >= t.accepted {
 			t.adopt(r)
--- a/lib/placer/placer.go
+++ b/lib/placer/placer.go
@@ -18,6 +18,7 @@
 	"cuminhook.org/cuminhook/lib/catalog"
 	"cuminhook.org/cuminhook/lib/lease"
 	"cuminhook.org/cuminhook/lib/orders"
+	"cuminhook.org/cuminhook/lib/pause"
 	"cuminhook.org/cuminhook/lib/registry"
 	"cuminhook.org/cuminhook/lib/residency"
 )
@@ -124,6 +125,10 @@
 	for ctx.Err() == nil {
 		ended, err := p.cfg.Lease.Campaign(ctx)
 		if err != nil {
+			if ctx.Err() == nil {
+				p.cfg.Log.Warn("placement lease not campaigned for", "error", err.Error())
+				pause.For(ctx, tickTime)
+			}
 			continue
 		}
 		epoch, held := p.cfg.Lease.Held()
--- a/lib/placer/placer_test.go
+++ b/lib/placer/placer_test.go
@@ -317,6 +317,13 @@
 			if len(slices.Compact(slices.Clone(g.holders))) > 2 {
 				t.Errorf("%s got orders of %v", id, g.holders)
 			}
+			holderOf := map[int64]string{}
+			for i, fence := range g.fences {
+				if other, seen := holderOf[fence]; seen && other != g.holders[i] {
+					t.Errorf("%s got orders of %s and %s with the fencing number %d", id, other, g.holders[i], fence)
+				}
+				holderOf[fence] = g.holders[i]
+			}
 			both += len(slices.Compact(slices.Clone(g.holders)))
 		}
 		if both <= len(ids) {
--- a/lib/settings/settings.go
+++ b/lib/settings/settings.go
@@ -26,6 +26,9 @@
 func Parse(path string, data []byte, into Validator) error {
 	dec := yaml.NewDecoder(bytes.NewReader(data), yaml.DisallowUnknownField())
 	if err := dec.Decode(into); err != nil && len(bytes.TrimSpace(data)) > 0 {
+		if where := explainDuration(data, err); where != "" {
+			return fmt.Errorf("settings: %s: %s", path, where)
+		}
 		return fmt.Errorf("settings: %s: %s", path, yaml.FormatError(err, false, true))
 	}
 	if err := into.Validate(); err != nil {
