Spare the store calls that hosts can spare each other

Each host looked every 3 s although others looked too, read three prefixes one by one, and waited at the store for the placement lease that one of them held. Change: one read of everything. Hosts tell each other at once of targets that come or leave (brief states, held back up to 100 ms so that few of those that saw it tell), so that each looks every 6 s in a large fleet. News carry the store's revision, and targets that were dropped leave a tombstone, so that late news bring nothing back. Only hosts whose turn it is campaign, once the holder is silent for 2 s or has resigned. Hosts without an entry are heard. Pauses after failed calls are spread and grow to a second. Ruled out: fewer renewals, a tenth of a call each.

--- a/lib/follow/follow.go
+++ b/lib/follow/follow.go
@@ -24,20 +24,21 @@
 	// settleTime is the pause of a lone host after changes before its next watch. Targets write often, and each watch that
 	// is answered costs a call; changes that come meanwhile share one.
 	settleTime = 600 * time.Millisecond
-	// settleMost bounds the pause of a host among many: what its peers tell may not reach it.
-	settleMost = 3 * time.Second
+	// settleMost bounds the pause of a host among many: what its peers tell may not reach it. It is below the time for
+	// which an entry of a host outlives it, so that no host misses another's whole life.
+	settleMost = 6 * time.Second
 	// seeTime is the time within which some host is to look after a change. The hosts tell each other of targets that
 	// leave and of new configurations, which have to reach all within two seconds.
 	seeTime = 1200 * time.Millisecond
 	// missChance is the probability that no host does.
 	missChance = 1e-4
-	// departureTime is how long a host tells others of a target that leaves; several of its states are sent meanwhile.
-	departureTime = 3 * time.Second
+	// newsTime is how long a host tells others of a target that comes or leaves; several of its states are sent meanwhile.
+	newsTime = 3 * time.Second
 	// callTime bounds a read of a whole prefix.
 	callTime = 1500 * time.Millisecond
 	// retryFirst and retryMost are the pauses after failed calls. All hosts together stay far below the store's rate.
 	retryFirst = 50 * time.Millisecond
-	retryMost  = 500 * time.Millisecond
+	retryMost  = time.Second
 	// refreshTime is the shortest time between two refreshes.
 	refreshTime = time.Second
 	// unsettledTime is the time after the last failed call in which missing entries may have lapsed only because the
@@ -70,6 +71,7 @@
 	Catalog func(*catalog.Catalog)
 	Targets func([]*registry.Target)
 	Hosts   func(map[string][]byte) // values by host
+	News    func()                  // something that other hosts should hear of at once; nil: nobody is told
 }
 
 // Follower follows the store.
@@ -84,26 +86,26 @@
 	phase   float64 // of this host's looks, a part of their period
 
 	mu          sync.Mutex
-	together    int                              // guarded by mu; hosts that hear of each other
-	departures  map[registry.Departure]time.Time // guarded by mu; when they were seen
-	value       []byte                           // guarded by mu; of the configuration in force
-	version     int64                            // guarded by mu; of the configuration in force
-	table       *registry.Table                  // guarded by mu
-	hosts       map[string][]byte                // guarded by mu
-	reached     time.Time                        // guarded by mu; latest answer of the store
-	failed      time.Time                        // guarded by mu; latest failed call
-	lost        bool                             // guarded by mu
-	refreshed   time.Time                        // guarded by mu; latest refresh
-	cancelWatch context.CancelCauseFunc          // guarded by mu; ends the present watch
-	bad         map[string]kv.Version            // guarded by mu; foreign entries that were logged
-	noted       map[string]registry.State        // guarded by mu; states of targets that were logged
+	together    int                       // guarded by mu; hosts that hear of each other
+	news        map[newsKey]*newsItem     // guarded by mu
+	value       []byte                    // guarded by mu; of the configuration in force
+	version     int64                     // guarded by mu; of the configuration in force
+	table       *registry.Table           // guarded by mu
+	hosts       map[string][]byte         // guarded by mu
+	reached     time.Time                 // guarded by mu; latest answer of the store
+	failed      time.Time                 // guarded by mu; latest failed call
+	lost        bool                      // guarded by mu
+	refreshed   time.Time                 // guarded by mu; latest refresh
+	cancelWatch context.CancelCauseFunc   // guarded by mu; ends the present watch
+	bad         map[string]kv.Version     // guarded by mu; foreign entries that were logged
+	noted       map[string]registry.State // guarded by mu; states of targets that were logged
 }
 
 // New returns a follower.
 func New(feed kv.Feed, codec Codec, on Handlers, log *slog.Logger) *Follower {
 	return &Follower{
 		feed: feed, codec: codec, on: on, log: log, version: -1, table: registry.NewTable(), hosts: map[string][]byte{},
-		nudged: make(chan struct{}, 1), started: time.Now(), phase: rand.Float64(), together: 1, departures: map[registry.Departure]time.Time{},
+		nudged: make(chan struct{}, 1), started: time.Now(), phase: rand.Float64(), together: 1, news: map[newsKey]*newsItem{},
 		bad: map[string]kv.Version{}, noted: map[string]registry.State{},
 	}
 }
@@ -133,8 +135,8 @@
 			f.log.Info("history of the store lost")
 		default:
 			f.fail(err)
-			pause.For(ctx, delay)
-			delay = min(2*delay, retryMost)
+			pause.For(ctx, delay+rand.N(delay)) // hosts that lost the store together come back one after the other
+			delay = min(2*delay, retryMost/2)
 		}
 	}
 }
@@ -153,34 +155,29 @@
 	f.cancelWatch(errRefresh)
 }
 
-// snapshot reads everything.
+// snapshot reads everything, in one call while the store's entries fit into a page.
 func (f *Follower) snapshot(ctx context.Context) (kv.Version, error) {
-	prefixes := []string{f.codec.ConfigKey(), f.codec.TargetPrefix(), HostPrefix}
-	var revision kv.Version
-	var snaps []kv.Snapshot
-	for i, prefix := range prefixes {
-		snap, err := f.read(ctx, prefix)
-		if err != nil {
-			return 0, err
-		}
-		if i == 0 {
-			revision = snap.Revision
-		}
-		snaps = append(snaps, snap)
+	ctx, cancel := context.WithTimeout(ctx, callTime)
+	defer cancel()
+	snap, err := f.feed.Snapshot(ctx, everything)
+	if err != nil {
+		return 0, err
 	}
 	f.reach()
-	for _, e := range snaps[0].Entries {
-		f.config(e)
+	var targets, hosts []kv.Entry
+	for _, e := range snap.Entries {
+		switch {
+		case e.Key == f.codec.ConfigKey():
+			f.config(e)
+		case strings.HasPrefix(e.Key, f.codec.TargetPrefix()):
+			targets = append(targets, e)
+		case strings.HasPrefix(e.Key, HostPrefix):
+			hosts = append(hosts, e)
+		}
 	}
-	f.replaceTargets(snaps[1].Entries)
-	f.replaceHosts(snaps[2].Entries)
-	return revision, nil
-}
-
-func (f *Follower) read(ctx context.Context, prefix string) (kv.Snapshot, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTime)
-	defer cancel()
-	return f.feed.Snapshot(ctx, prefix)
+	f.replaceTargets(targets, snap.Revision)
+	f.replaceHosts(hosts)
+	return snap.Revision, nil
 }
 
 // watch follows changes until a call fails or Refresh ends it.
@@ -291,6 +288,7 @@
 	}
 	if targets {
 		f.publishTargets()
+		f.tell()
 	}
 	if hosts {
 		f.publishHosts()
@@ -319,6 +317,7 @@
 	f.mu.Unlock()
 	f.log.Info("configuration installed", "version", c.Version, "before", old, "source", source, "routes", len(c.Routes))
 	f.on.Catalog(c)
+	f.tell()
 }
 
 func (f *Follower) host(c kv.Change) {
--- a/lib/follow/follow_test.go
+++ b/lib/follow/follow_test.go
@@ -158,9 +158,9 @@
 		defer close(done)
 		for pause.For(ctx, period) {
 			for _, from := range followers {
-				news := from.Departures()
+				news := from.News(false)
 				for _, to := range followers {
-					to.Depart(news)
+					to.Hear(news)
 				}
 			}
 		}
@@ -356,3 +356,53 @@
 
 // drainBound is the time within which hosts have to stop using a target that leaves.
 const drainBound = 2 * time.Second
+
+// Guards against hosts that learn of a new target only with their own next look, and against news that bring back a
+// target that has left since.
+func TestNewsOfTargets(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		feed, away := newFakeFeed(), newFakeFeed()
+		from, _ := start(t, feed)
+		to, s := start(t, away) // sees nothing itself
+		time.Sleep(time.Second)
+		feed.put("targets/a", "ready")
+		time.Sleep(time.Second)
+		arrival := from.News(true)
+		if again := from.News(true); !again.Empty() {
+			t.Errorf("told twice: %+v", again)
+		}
+		to.Hear(arrival)
+		if _, ok := s.state("a"); !ok {
+			t.Error("a new target is not used")
+		}
+		feed.remove("targets/a")
+		time.Sleep(time.Second)
+		to.Hear(from.News(true))
+		if _, ok := s.state("a"); ok {
+			t.Error("a target that is gone is still used")
+		}
+		to.Hear(arrival)
+		if _, ok := s.state("a"); ok {
+			t.Error("late news brought a target back that is gone")
+		}
+	})
+}
+
+// Guards against a host that tells what all others have heard: 59 hosts see a change at the same moment.
+func TestNewsHeardFromOthersAreNotTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		feed := newFakeFeed()
+		a, _ := start(t, feed)
+		b, _ := start(t, feed)
+		time.Sleep(time.Second)
+		feed.put("targets/a", "ready")
+		time.Sleep(time.Second)
+		b.Hear(a.News(true))
+		if n := b.News(true); !n.Empty() {
+			t.Errorf("told again: %+v", n)
+		}
+		if n := b.News(false); len(n.Arrivals) != 1 {
+			t.Errorf("left out of the regular state: %+v", n)
+		}
+	})
+}
--- a/lib/follow/targets.go
+++ b/lib/follow/targets.go
@@ -18,35 +18,36 @@
 			f.bad[id] = version
 			f.log.Warn("entry names no target", "key", key, "error", err.Error())
 		}
-		return registry.Update{ID: id}
+		return registry.Update{ID: id, Revision: int64(version)}
 	}
-	return registry.Update{ID: id, Target: t}
+	t.Revision = int64(version)
+	return registry.Update{ID: id, Target: t, Revision: int64(version)}
 }
 
 func (f *Follower) target(c kv.Change) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	u := registry.Update{ID: strings.TrimPrefix(c.Key, f.codec.TargetPrefix())}
+	u := registry.Update{ID: strings.TrimPrefix(c.Key, f.codec.TargetPrefix()), Revision: int64(c.Version)}
 	if !c.Deleted {
 		u = f.update(c.Key, c.Value, c.Version)
 	}
 	now := time.Now()
 	old := f.table.Get(u.ID)
 	changed := f.table.Apply(u, now, u.Target == nil && f.unsettled(now))
-	if changed && old != nil && (u.Target == nil || u.Target.State == registry.Draining) {
-		f.departures[registry.Departure{ID: u.ID, Started: old.Started, Gone: u.Target == nil}] = now
+	if changed {
+		f.noteNews(u, old, now)
 	}
 	return changed
 }
 
-func (f *Follower) replaceTargets(entries []kv.Entry) {
+func (f *Follower) replaceTargets(entries []kv.Entry, revision kv.Version) {
 	f.mu.Lock()
 	var all []registry.Update
 	for _, e := range entries {
 		all = append(all, f.update(e.Key, e.Value, e.Version))
 	}
 	now := time.Now()
-	f.table.Replace(all, now, f.unsettled(now))
+	f.table.Replace(all, int64(revision), now, f.unsettled(now))
 	f.mu.Unlock()
 	f.publishTargets()
 }
@@ -87,32 +88,3 @@
 		}
 	}
 }
-
-// Departures returns the targets that were seen leaving in the last seconds.
-func (f *Follower) Departures() []registry.Departure {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	now := time.Now()
-	var out []registry.Departure
-	for d, at := range f.departures {
-		if now.Sub(at) > departureTime {
-			delete(f.departures, d)
-			continue
-		}
-		out = append(out, d)
-	}
-	return out
-}
-
-// Depart takes over which targets another host has seen leaving. They are not told on.
-func (f *Follower) Depart(list []registry.Departure) {
-	f.mu.Lock()
-	changed := false
-	for _, d := range list {
-		changed = f.table.Depart(d) || changed
-	}
-	f.mu.Unlock()
-	if changed {
-		f.publishTargets()
-	}
-}
--- a/lib/node/duty.go
+++ b/lib/node/duty.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"cuminhook.org/cuminhook/lib/lease"
 	"cuminhook.org/cuminhook/lib/peers"
 	"cuminhook.org/cuminhook/lib/placer"
 )
@@ -25,7 +26,8 @@
 // duty connects the placement duty with the other hosts: it gathers their demand for the placer, and passes what the
 // controller knows of the targets to the book.
 type duty struct {
-	n *Node
+	n    *Node
+	turn *lease.Turn
 
 	mu         sync.Mutex
 	states     map[string]placer.Demand // guarded by mu; by host
@@ -36,7 +38,7 @@
 }
 
 func newDuty(n *Node) *duty {
-	return &duty{n: n, states: map[string]placer.Demand{}, suspected: map[string][]string{}}
+	return &duty{n: n, turn: lease.NewTurn(n.cfg.Settings.Host, time.Now()), states: map[string]placer.Demand{}, suspected: map[string][]string{}}
 }
 
 // demand is what callers ask for at all hosts.
@@ -61,6 +63,12 @@
 	d.mu.Lock()
 	d.suspected[s.Host] = s.Suspects
 	d.states[s.Host] = placer.Demand{Work: s.Work, Adapters: s.Wanted}
+	switch {
+	case s.Term > 0:
+		d.turn.Heard(s.Term, time.Now())
+	case s.Host == d.controller:
+		d.turn.Resigned(d.epoch, time.Now())
+	}
 	p := s.Placement
 	if p == nil || p.Epoch < d.epoch {
 		d.mu.Unlock()
@@ -71,6 +79,9 @@
 	d.n.book.SetResidents(p.Residents)
 }
 
+// due reports whether this host should campaign for the placement lease.
+func (d *duty) due() bool { return d.turn.Due(d.n.peers.Reachable(), time.Now()) }
+
 func (d *duty) silent(host string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/lib/node/node.go
+++ b/lib/node/node.go
@@ -113,17 +113,17 @@
 	}
 	n.duty = newDuty(n)
 	n.placer = placer.New(placer.Config{
-		Host: s.Host, Client: cfg.Engines, Overshoot: s.Placement.LoadsOvershoot, Demand: n.duty.demand, Suspects: n.duty.suspects,
+		Host: s.Host, Client: cfg.Engines, Due: n.duty.due, Overshoot: s.Placement.LoadsOvershoot, Demand: n.duty.demand, Suspects: n.duty.suspects,
 		Period: func() time.Duration { return n.peers.Interval() }, Publish: n.duty.publish,
 		Lease: lease.NewWith(cfg.Store, leasePrefix, s.Host, s.Placement.Lease, lease.Options{Wait: leaseWait, Clock: bootclock.Now}),
 		Log:   cfg.Log, Set: cfg.Set,
 	})
 	n.peers = peers.New(s.Host, s.Peers, peers.Handlers{
-		Fill: n.fill, Heard: n.heard, Silent: n.silent, Hosts: n.setHosts,
+		Fill: n.fill, Brief: n.brief, Heard: n.heard, Silent: n.silent, Hosts: n.setHosts,
 		RPC: map[string]any{rpcPlacement: &placementService{n}, rpcConfig: &configService{n}},
 	}, cfg.Log)
 	n.follower = follow.New(cfg.Store, cfg.Codec, follow.Handlers{
-		Catalog: n.setCatalog, Targets: n.setTargets, Hosts: n.peers.SetEntries,
+		Catalog: n.setCatalog, Targets: n.setTargets, Hosts: n.peers.SetEntries, News: n.peers.Tell,
 	}, cfg.Log)
 	n.server = pipeline.NewServer(pipeline.ServerConfig{
 		First: n.filters(), MaxBody: maxBody, MaxBuffered: maxBuffered, MaxHeader: maxHeader, ReadTimeout: readTimeout,
@@ -164,7 +164,7 @@
 
 func (n *Node) fill(s *peers.State) {
 	now := time.Now()
-	s.Departures = n.follower.Departures()
+	s.News = n.follower.News(false)
 	if c := n.catalog.Load(); c != nil {
 		s.Config = c.Version
 	}
@@ -173,14 +173,25 @@
 	s.Work, s.Wanted = n.meter.Work(now), n.meter.Adapters(now)
 	s.Suspects = n.book.Suspects()
 	s.Placement = n.duty.placement()
+	s.Term = n.placer.Term()
+}
+
+// brief completes a brief state unless others have told the hosts the same.
+func (n *Node) brief(s *peers.State) bool {
+	s.News = n.follower.News(true)
+	if c := n.catalog.Load(); c != nil {
+		s.Config = c.Version
+	}
+	return !s.News.Empty() || s.Config > n.peers.Newest()
 }
 
 func (n *Node) heard(s *peers.State) {
-	now := time.Now()
-	n.limiter.SetPeer(s.Host, s.Boot, s.Demand, now)
-	n.book.SetPeer(s.Host, s.Loads)
-	n.duty.heard(s)
-	n.follower.Depart(s.Departures)
+	if !s.Brief {
+		n.limiter.SetPeer(s.Host, s.Boot, s.Demand, time.Now())
+		n.book.SetPeer(s.Host, s.Loads)
+		n.duty.heard(s)
+	}
+	n.follower.Hear(s.News)
 	if c := n.catalog.Load(); c == nil || s.Config > c.Version {
 		n.catchUp(s.Host)
 	}
--- a/lib/peers/peers.go
+++ b/lib/peers/peers.go
@@ -10,6 +10,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net"
+	"net/netip"
 	"net/rpc"
 	"reflect"
 	"sync"
@@ -18,6 +19,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"cuminhook.org/cuminhook/lib/balance"
+	"cuminhook.org/cuminhook/lib/follow"
 	"cuminhook.org/cuminhook/lib/orglimit"
 	"cuminhook.org/cuminhook/lib/pause"
 	"cuminhook.org/cuminhook/lib/registry"
@@ -41,6 +43,11 @@
 	socketRetry = 20 * time.Millisecond
 	// together is how many hosts are sent a state at the same time. Links of hosts are narrow, and drop what comes at once.
 	together = 8
+	// newsSpread bounds the time that a host waits before it tells others of a change. Of 59 hosts that see it at once,
+	// about two tell before the first datagrams arrive.
+	newsSpread = 100 * time.Millisecond
+	// newsPause is the time between brief states to hosts that are told together.
+	newsPause = 2 * time.Millisecond
 	// forgetTime is the time without a state after which a host without an entry in the store counts as gone.
 	forgetTime = 5 * time.Second
 	// maxDatagram bounds a state in bytes.
@@ -55,17 +62,21 @@
 
 // State is what a host tells the others.
 type State struct {
-	Host       string                  `json:"h"`
-	Boot       uint64                  `json:"b"` // new for each start
-	Number     uint64                  `json:"n"` // rises with each state of a start
-	Config     int64                   `json:"c"` // version of the configuration in force
-	Demand     orglimit.Report         `json:"d,omitempty"`
-	Loads      map[string]balance.Load `json:"l,omitempty"` // in flight, by target
-	Work       map[string]float64      `json:"w,omitempty"` // milliseconds of engine time a second, by model
-	Wanted     map[string]float64      `json:"a,omitempty"` // requests a second, by model/adapter
-	Suspects   []string                `json:"u,omitempty"` // targets that do not answer this host
-	Departures []registry.Departure    `json:"v,omitempty"` // targets that were seen leaving
-	Placement  *Placement              `json:"p,omitempty"` // set by the controller
+	Host      string                  `json:"h"`
+	Boot      uint64                  `json:"b"` // new for each start
+	Number    uint64                  `json:"n"` // rises with each state of a start
+	Config    int64                   `json:"c"` // version of the configuration in force
+	Demand    orglimit.Report         `json:"d,omitempty"`
+	Loads     map[string]balance.Load `json:"l,omitempty"` // in flight, by target
+	Work      map[string]float64      `json:"w,omitempty"` // milliseconds of engine time a second, by model
+	Wanted    map[string]float64      `json:"a,omitempty"` // requests a second, by model/adapter
+	Suspects  []string                `json:"u,omitempty"` // targets that do not answer this host
+	News      follow.News             `json:"v,omitzero"`  // targets that were seen coming or leaving
+	Term      int64                   `json:"t,omitempty"` // epoch of the placement lease that this host holds
+	Placement *Placement              `json:"p,omitempty"` // set by the controller
+	Addr      string                  `json:"x"`           // IP:port of datagrams and calls
+	// Brief states hold Config and News only. They are sent as soon as there is something to tell.
+	Brief bool `json:"f,omitempty"`
 }
 
 // Entry is what a host writes about itself into the store.
@@ -77,6 +88,7 @@
 // Handlers connect the states with what they are made of.
 type Handlers struct {
 	Fill   func(*State)      // completes the state of this host
+	Brief  func(*State) bool // completes a brief state; false: there is nothing that the others have not heard
 	Heard  func(*State)      // a state of another host
 	Silent func(host string) // a host has become unreachable
 	// Hosts is told how many hosts exist and how many of them are heard, this one included, and the time between two
@@ -97,8 +109,9 @@
 	peers  map[string]*peer // guarded by mu; by host
 	count  int              // guarded by mu; hosts as last reported
 	alive  int              // guarded by mu; reachable hosts as last reported
-	number uint64
+	number uint64           // guarded by mu; of the latest state
 
+	news   chan struct{}
 	sent   *Placement // as last sent
 	sentAt time.Time
 }
@@ -115,7 +128,7 @@
 
 // New returns the node of the host, which listens at addr (IP:port).
 func New(host, addr string, on Handlers, log *slog.Logger) *Node {
-	return &Node{host: host, addr: addr, on: on, log: log, boot: rand.Uint64(), peers: map[string]*peer{}, count: 1}
+	return &Node{host: host, addr: addr, on: on, log: log, boot: rand.Uint64(), peers: map[string]*peer{}, count: 1, news: make(chan struct{}, 1)}
 }
 
 // SetEntries takes over the entries of the hosts in the store.
@@ -219,6 +232,7 @@
 	})
 	group.Go(func() error { n.receive(ctx, conn); return nil })
 	group.Go(func() error { n.send(ctx, conn); return nil })
+	group.Go(func() error { n.sendNews(ctx, conn); return nil })
 	group.Go(func() error { n.accept(ctx, ln, server); return nil })
 	return group.Wait()
 }
@@ -261,9 +275,22 @@
 
 // heard takes a state over unless a newer one came first.
 func (n *Node) heard(s *State) {
+	if s.Host == n.host {
+		return
+	}
 	n.mu.Lock()
 	p := n.peers[s.Host]
-	if p == nil || s.Host == n.host || p.boot == s.Boot && s.Number <= p.number {
+	if p == nil { // its entry has not been read yet
+		addr, err := netip.ParseAddrPort(s.Addr)
+		if err != nil {
+			n.mu.Unlock()
+			n.log.Warn("state names no address", "peer", s.Host, "error", err.Error())
+			return
+		}
+		p = &peer{addr: net.UDPAddrFromAddrPort(addr)}
+		n.peers[s.Host] = p
+	}
+	if p.boot == s.Boot && s.Number <= p.number {
 		n.mu.Unlock()
 		return
 	}
@@ -292,12 +319,7 @@
 
 // broadcast sends a state to every host in the course of the interval.
 func (n *Node) broadcast(ctx context.Context, conn *net.UDPConn, interval time.Duration) {
-	n.mu.Lock()
-	addrs := make([]*net.UDPAddr, 0, len(n.peers))
-	for _, p := range n.peers {
-		addrs = append(addrs, p.addr)
-	}
-	n.mu.Unlock()
+	addrs := n.addrs()
 	chunks := (len(addrs) + together - 1) / together
 	var placement *Placement
 	for i := range max(1, chunks) {
@@ -315,14 +337,90 @@
 	}
 }
 
+// addrs returns the addresses of all other hosts.
+func (n *Node) addrs() []*net.UDPAddr {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	addrs := make([]*net.UDPAddr, 0, len(n.peers))
+	for _, p := range n.peers {
+		addrs = append(addrs, p.addr)
+	}
+	return addrs
+}
+
 // state returns the present state of this host.
 func (n *Node) state() *State {
-	n.number++
-	s := &State{Host: n.host, Boot: n.boot, Number: n.number}
+	s := n.numbered()
 	n.on.Fill(s)
 	return s
 }
 
+// numbered returns a state that follows all earlier ones.
+func (n *Node) numbered() *State {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.number++
+	return &State{Host: n.host, Boot: n.boot, Number: n.number, Addr: n.addr}
+}
+
+// Tell sends a brief state soon.
+func (n *Node) Tell() {
+	select {
+	case n.news <- struct{}{}:
+	default:
+	}
+}
+
+// sendNews sends brief states. One change answers the store's watches of many hosts at once: each waits for a time of its
+// own, and the first ones spare the others the telling.
+func (n *Node) sendNews(ctx context.Context, conn *net.UDPConn) {
+	for {
+		select {
+		case <-n.news:
+		case <-ctx.Done():
+			return
+		}
+		if !pause.For(ctx, rand.N(newsSpread)) {
+			return
+		}
+		s := n.numbered()
+		if s.Brief = true; !n.on.Brief(s) {
+			continue
+		}
+		addrs := n.addrs()
+		for len(addrs) > 0 && ctx.Err() == nil {
+			some := min(len(addrs), together)
+			n.sendTo(conn, s, addrs[:some])
+			addrs = addrs[some:]
+			pause.For(ctx, newsPause)
+		}
+	}
+}
+
+// Reachable returns the hosts that are heard of.
+func (n *Node) Reachable() []string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var out []string
+	for host, p := range n.peers {
+		if p.alive {
+			out = append(out, host)
+		}
+	}
+	return out
+}
+
+// Newest returns the newest version of a configuration that another host has.
+func (n *Node) Newest() int64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var newest int64
+	for _, p := range n.peers {
+		newest = max(newest, p.config)
+	}
+	return newest
+}
+
 func (n *Node) sendTo(conn *net.UDPConn, s *State, addrs []*net.UDPAddr) {
 	if len(addrs) == 0 {
 		return
--- a/lib/peers/peers_test.go
+++ b/lib/peers/peers_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"cuminhook.org/cuminhook/lib/balance"
+	"cuminhook.org/cuminhook/lib/follow"
 	"cuminhook.org/cuminhook/lib/orglimit"
 	"cuminhook.org/cuminhook/lib/registry"
 )
@@ -15,8 +16,8 @@
 	s := &State{
 		Host: "h", Boot: 7, Number: 9, Config: 3, Demand: orglimit.Report{"o": {Charged: 5, Demand: 6, Pool: -7}},
 		Loads: map[string]balance.Load{"t": {Running: 1, Prefill: 2, Cache: 3, Reading: 4}}, Suspects: []string{"x"},
-		Departures: []registry.Departure{{ID: "d", Started: 8, Gone: true}},
-		Placement:  &Placement{Epoch: 2, Residents: map[string][]registry.Resident{"t": {{Model: "m", Adapters: []string{"a1"}}}}},
+		News:      follow.News{Departures: []registry.Departure{{ID: "d", Started: 8, Gone: true}}},
+		Placement: &Placement{Epoch: 2, Residents: map[string][]registry.Resident{"t": {{Model: "m", Adapters: []string{"a1"}}}}},
 	}
 	data, err := encode(s)
 	if err != nil {
@@ -50,6 +51,22 @@
 	return n
 }
 
+// Guards against a host that hears nobody until it has read all entries in the store again: a state tells where its host
+// is.
+func TestHostsWithoutEntryAreHeard(t *testing.T) {
+	var heard []uint64
+	var hosts int
+	n := newNode(&heard, &hosts)
+	n.heard(&State{Host: "new", Boot: 1, Number: 1, Addr: "127.0.0.1:9"})
+	n.recount()
+	if addr, ok := n.Addr("new"); !ok || addr != "127.0.0.1:9" || len(heard) != 1 {
+		t.Errorf("%q %v, heard %v", addr, ok, heard)
+	}
+	if hosts != 3 {
+		t.Errorf("%d hosts, want 3", hosts)
+	}
+}
+
 // Guards against a state that overtook a newer one, and against one of a host's earlier start.
 func TestOlderStatesAreIgnored(t *testing.T) {
 	var heard []uint64
--- a/lib/placer/placer.go
+++ b/lib/placer/placer.go
@@ -47,6 +47,7 @@
 type Config struct {
 	Host      string
 	Lease     *lease.Lease
+	Due       func() bool // whether this host should campaign; nil: always
 	Client    orders.Client
 	Overshoot float64 // factor on the weight store's rate that is tolerated
 	Demand    func() Demand
@@ -123,12 +124,16 @@
 // Run campaigns for the lease and places while it is held, until ctx ends.
 func (p *Placer) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		ended, err := p.cfg.Lease.Campaign(ctx)
+		if !p.due() {
+			pause.For(ctx, tickTime)
+			continue
+		}
+		ended, err := p.campaign(ctx)
 		if err != nil {
-			if ctx.Err() == nil {
+			if ctx.Err() == nil && p.due() {
 				p.cfg.Log.Warn("placement lease not campaigned for", "error", err.Error())
-				pause.For(ctx, tickTime)
 			}
+			pause.For(ctx, tickTime)
 			continue
 		}
 		epoch, held := p.cfg.Lease.Held()
@@ -150,6 +155,32 @@
 	}
 }
 
+func (p *Placer) due() bool { return p.cfg.Due == nil || p.cfg.Due() }
+
+// campaign waits for the lease until another host holds it.
+func (p *Placer) campaign(ctx context.Context) (ended <-chan struct{}, err error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		for pause.For(ctx, tickTime) {
+			if !p.due() {
+				cancel()
+			}
+		}
+	}()
+	return p.cfg.Lease.Campaign(ctx)
+}
+
+// Term returns the epoch of the lease while this host holds it, or zero.
+func (p *Placer) Term() int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.active {
+		return 0
+	}
+	return p.epoch
+}
+
 // begin forgets what an earlier term knew.
 func (p *Placer) begin(epoch int64) {
 	p.mu.Lock()
--- a/lib/registry/registry.go
+++ b/lib/registry/registry.go
@@ -39,6 +39,8 @@
 	Started int64      // Unix milliseconds of its start, by its own clock; an identity, never compared with a clock
 	Beat    int64      // rises with each entry that this incarnation writes
 	Models  []Resident // as of the entry
+
+	Revision int64 // of the store at which the entry was written
 }
 
 // Supersedes reports whether t, read after old, replaces it: entries of one incarnation may arrive out of order, and a
@@ -58,17 +60,18 @@
 	ID      string `json:"i"`
 	Started int64  `json:"s"`
 	Gone    bool   `json:"g,omitempty"` // its entry was removed; otherwise it drains
+
+	Revision int64 `json:"r"` // of the store, at or after the change
 }
 
 // Depart takes over what another host has seen. A target that started anew since stays as it is.
-func (t *Table) Depart(d Departure) (changed bool) {
+func (t *Table) Depart(d Departure, now time.Time) (changed bool) {
 	old := t.targets[d.ID]
-	if old == nil || old.Started != d.Started {
+	if old == nil || old.Started != d.Started || d.Revision < old.Revision {
 		return false
 	}
 	if d.Gone {
-		delete(t.targets, d.ID)
-		delete(t.missing, d.ID)
+		t.drop(d.ID, d.Revision, now)
 		return true
 	}
 	if old.State == Draining {
@@ -82,8 +85,9 @@
 
 // Update is one change of a target's entry: the target as written, or nil if the entry is gone or unreadable.
 type Update struct {
-	ID     string
-	Target *Target
+	ID       string
+	Target   *Target
+	Revision int64 // of the store, at or after the change
 }
 
 // returnGrace is how long targets have, after an outage of the store, to write entries that lapsed meanwhile.
@@ -93,11 +97,22 @@
 type Table struct {
 	targets map[string]*Target
 	missing map[string]time.Time // entries gone during an outage: when to drop them
+	gone    map[string]tombstone // targets that were dropped lately
 }
 
+// tombstone keeps what was written before a target was dropped from bringing it back.
+type tombstone struct {
+	revision int64
+	at       time.Time
+}
+
+// tombstoneTime is how long a tombstone is kept. Hosts tell each other of changes for three seconds, and may be suspended
+// meanwhile.
+const tombstoneTime = 30 * time.Second
+
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{targets: map[string]*Target{}, missing: map[string]time.Time{}}
+	return &Table{targets: map[string]*Target{}, missing: map[string]time.Time{}, gone: map[string]tombstone{}}
 }
 
 // Apply takes an update over. An entry that vanished in or right after an outage of the store keeps its target for a
@@ -105,7 +120,7 @@
 func (t *Table) Apply(u Update, now time.Time, inOutage bool) (changed bool) {
 	old := t.targets[u.ID]
 	if u.Target == nil {
-		if old == nil {
+		if old == nil || u.Revision < old.Revision {
 			return false
 		}
 		if inOutage {
@@ -114,11 +129,10 @@
 			}
 			return false
 		}
-		delete(t.targets, u.ID)
-		delete(t.missing, u.ID)
+		t.drop(u.ID, u.Revision, now)
 		return true
 	}
-	if !u.Target.Supersedes(old) {
+	if !u.Target.Supersedes(old) || u.Target.Revision < t.gone[u.ID].revision {
 		return false
 	}
 	delete(t.missing, u.ID)
@@ -126,8 +140,15 @@
 	return true
 }
 
-// Replace takes a whole listing over.
-func (t *Table) Replace(all []Update, now time.Time, inOutage bool) {
+// drop removes a target. What was written before the revision does not bring it back.
+func (t *Table) drop(id string, revision int64, now time.Time) {
+	delete(t.targets, id)
+	delete(t.missing, id)
+	t.gone[id] = tombstone{max(t.gone[id].revision, revision), now}
+}
+
+// Replace takes over a whole listing, as of a revision.
+func (t *Table) Replace(all []Update, revision int64, now time.Time, inOutage bool) {
 	listed := make(map[string]bool, len(all))
 	for _, u := range all {
 		listed[u.ID] = true
@@ -135,7 +156,7 @@
 	}
 	for id := range t.targets {
 		if !listed[id] {
-			t.Apply(Update{ID: id}, now, inOutage)
+			t.Apply(Update{ID: id, Revision: revision}, now, inOutage)
 		}
 	}
 }
@@ -149,6 +170,11 @@
 			changed = true
 		}
 	}
+	for id, stone := range t.gone {
+		if now.Sub(stone.at) > tombstoneTime {
+			delete(t.gone, id)
+		}
+	}
 	return changed
 }
 
