Give up watches that the store does not answer, and read everything after idle ones

The store was silent for 1.2 s; watches that it took meanwhile were never answered, and hosts waited 11 s for each. Nothing shows on the connection. Ruled out: lost changes (each host read version 6 as soon as its watch had ended), a machine that was too busy. Change: a watch waits 2 s and is given up after 2.5 s, before bounds hold again 3 s after an outage; a candidate's wait for the lease is 2 s (25 s before). A watch that heard nothing is followed by a whole read, as one from a forgotten revision may wait in silence. TestUnansweredWatchIsGivenUp failed first; TestChangeForgottenBetweenWatchesIsRead is unchanged.

--- a/lib/follow/follow.go
+++ b/lib/follow/follow.go
@@ -19,8 +19,10 @@
 )
 
 const (
-	// watchTime is how long one watch waits. A connection that goes silent meanwhile is noticed by keep-alive probes.
-	watchTime = 10 * time.Second
+	// watchTime is how long one watch waits, and watchLimit when it is given up. A store that took a watch in an outage may
+	// never answer it; by the limit hosts look again before bounds hold again, three seconds after the outage.
+	watchTime  = 2 * time.Second
+	watchLimit = watchTime + 500*time.Millisecond
 	// settleTime is the pause of a lone host after changes before its next watch. Targets write often, and each watch that
 	// is answered costs a call; changes that come meanwhile share one.
 	settleTime = 600 * time.Millisecond
@@ -117,8 +119,7 @@
 	return f.value
 }
 
-// Run follows the store until ctx ends. After a watch that failed everything is read anew: a store that has forgotten
-// its history may let a watch from an old revision wait without the changes that it has forgotten.
+// Run follows the store until ctx ends. After a watch that failed or heard nothing everything is read anew.
 func (f *Follower) Run(ctx context.Context) {
 	go f.expire(ctx)
 	delay := retryFirst
@@ -130,7 +131,7 @@
 		}
 		switch {
 		case ctx.Err() != nil:
-		case errors.Is(err, errRefresh):
+		case errors.Is(err, errRefresh), errors.Is(err, errIdle):
 		case errors.Is(err, kv.ErrCompacted):
 			f.log.Info("history of the store lost")
 		default:
@@ -141,6 +142,10 @@
 	}
 }
 
+// errIdle ends a watch that heard nothing: a store that has forgotten its history may let it wait without the changes
+// that it has forgotten.
+var errIdle = errors.New("follow: the watch heard nothing")
+
 // errRefresh ends a watch because something newer is known to exist.
 var errRefresh = errors.New("follow: another host has a newer configuration")
 
@@ -188,7 +193,7 @@
 	f.cancelWatch = cancel
 	f.mu.Unlock()
 	for {
-		changes, at, err := f.feed.Changes(ctx, everything, after, watchTime)
+		changes, at, err := f.look(ctx, after)
 		if ctx.Err() != nil {
 			return context.Cause(ctx)
 		}
@@ -196,14 +201,22 @@
 			return err
 		}
 		f.reach()
+		if len(changes) == 0 {
+			return errIdle
+		}
 		f.apply(changes)
 		after = at
-		if len(changes) > 0 {
-			f.settle(ctx)
-		}
+		f.settle(ctx)
 	}
 }
 
+// look waits for changes.
+func (f *Follower) look(ctx context.Context, after kv.Version) ([]kv.Change, kv.Version, error) {
+	ctx, cancel := context.WithTimeout(ctx, watchLimit)
+	defer cancel()
+	return f.feed.Changes(ctx, everything, after, watchTime)
+}
+
 // SetHosts states how many hosts tell each other of changes, this one included.
 func (f *Follower) SetHosts(n int) {
 	f.mu.Lock()
--- a/lib/follow/follow_test.go
+++ b/lib/follow/follow_test.go
@@ -47,6 +47,7 @@
 	changes   []kv.Change
 	forgotten bool // changes so far are delivered to nobody
 	down      bool
+	silent    bool // calls get no answer, also after the silence
 	cut       chan struct{}
 	changed   chan struct{}
 }
@@ -113,8 +114,12 @@
 		if f.forgotten {
 			news = nil
 		}
-		down := f.down
+		down, silent := f.down, f.silent
 		f.mu.Unlock()
+		if silent {
+			<-ctx.Done()
+			return nil, after, ctx.Err()
+		}
 		if down {
 			return nil, after, kv.ErrUnavailable
 		}
@@ -231,6 +236,29 @@
 	})
 }
 
+// stableTime is how long after an outage of the store bounds hold again.
+const stableTime = 3 * time.Second
+
+// Guards against a watch that the store took in an outage and never answers: nothing shows it but the time that passes.
+func TestUnansweredWatchIsGivenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		feed := newFakeFeed()
+		feed.put("op/config", "1")
+		_, s := start(t, feed)
+		time.Sleep(time.Second)
+		feed.set(func() { feed.silent = true })
+		feed.put("targets/a", "ready") // ends the present watch; the next one falls into the silence
+		time.Sleep(time.Second)
+		feed.set(func() { feed.silent = false })
+		time.Sleep(stableTime)
+		feed.put("op/config", "2")
+		time.Sleep(configBound)
+		if got := s.configVersion(); got != 2 {
+			t.Errorf("version %d in force, want 2", got)
+		}
+	})
+}
+
 // Guards against a host that stays on an old configuration although a peer has a newer one, when its watch hears
 // nothing and is not cut.
 func TestRefreshReadsWhatTheWatchDidNotDeliver(t *testing.T) {
--- a/lib/node/node.go
+++ b/lib/node/node.go
@@ -40,8 +40,9 @@
 const (
 	// leasePrefix is the key prefix of the placement lease.
 	leasePrefix = "cuminhook/placement"
-	// leaseWait is how long a candidate's call waits for the end of another holder's lease.
-	leaseWait = 25 * time.Second
+	// leaseWait is how long a candidate's call waits for the end of another holder's lease. A call that the store took in
+	// an outage may never be answered.
+	leaseWait = 2 * time.Second
 	// rpcConfig is the name of the service that hosts without access to the store call at their peers.
 	rpcConfig = "Config"
 	// catchUpDelay lets a host's own watch deliver a configuration first.
