Tell what targets hold by incarnation

Targets that crash start empty under the same id; until the controller had asked them, what it knew of the incarnation before counted at all hosts, and each answer 421 spent the retry budget. Change: placements name the start of each target; for another start the target's own entry counts. A host that has no configuration no longer asks a peer that has none either (7 to 26 error lines at each start). Ruled out: lost news of the restart (entries were read, the beat in the logs is the new one).

--- a/lib/balance/balance.go
+++ b/lib/balance/balance.go
@@ -73,10 +73,10 @@
 	zone string
 
 	mu      sync.Mutex
-	targets map[string]*target             // guarded by mu; by id
-	peers   map[string]map[string]Load     // guarded by mu; by host and target
-	held    map[string][]registry.Resident // guarded by mu; what the controller knows, in place of entries, by target
-	pace    map[string]float64             // guarded by mu; by model: observed over expected time to the first event
+	targets map[string]*target          // guarded by mu; by id
+	peers   map[string]map[string]Load  // guarded by mu; by host and target
+	held    map[string]registry.Holding // guarded by mu; what the controller knows, in place of entries, by target
+	pace    map[string]float64          // guarded by mu; by model: observed over expected time to the first event
 	catalog *catalog.Catalog
 	random  *rand.Rand
 }
@@ -134,7 +134,7 @@
 
 // SetResidents takes over what the controller knows targets to hold, by target. It takes the place of their entries,
 // which are older; nil lets the entries count again.
-func (b *Book) SetResidents(held map[string][]registry.Resident) {
+func (b *Book) SetResidents(held map[string]registry.Holding) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.held = held
@@ -148,8 +148,9 @@
 	if t == nil {
 		return
 	}
-	if list, ok := b.held[id]; ok {
-		b.held[id] = withAdapter(list, model, adapter)
+	if h, ok := b.held[id]; ok && h.Started == t.info.Started {
+		h.Models = withAdapter(h.Models, model, adapter)
+		b.held[id] = h
 	} else {
 		info := *t.info
 		info.Models = withAdapter(info.Models, model, adapter)
@@ -223,9 +224,9 @@
 	if now.Before(t.absent[model]) {
 		return false, false
 	}
-	list, ok := b.held[t.info.ID]
-	if !ok {
-		list = t.info.Models
+	list := t.info.Models
+	if h, ok := b.held[t.info.ID]; ok && h.Started == t.info.Started {
+		list = h.Models
 	}
 	for i := range list {
 		if list[i].Model == model {
--- a/lib/balance/balance_test.go
+++ b/lib/balance/balance_test.go
@@ -139,7 +139,7 @@
 	if c := pick(t, b, q); c.Target.ID != "t01" {
 		t.Errorf("%s was chosen", c.Target.ID)
 	}
-	b.SetResidents(map[string][]registry.Resident{"t00": {}, "t01": {}})
+	b.SetResidents(map[string]registry.Holding{"t00": {}, "t01": {}})
 	try(ErrNoModel)
 	b.SetResidents(nil)
 	draining := engines(2, registry.Resident{Model: "m", Adapters: []string{"a1"}})
@@ -150,6 +150,29 @@
 	try(ErrNoTarget)
 }
 
+// Guards against requests for models that a target held before it started anew: the controller's knowledge is of the
+// incarnation before until it has asked the new one.
+func TestTargetThatStartedAnewHoldsItsEntry(t *testing.T) {
+	b := newBook("a")
+	list := engines(2, registry.Resident{Model: "m"})
+	b.SetTargets(list)
+	held := map[string]registry.Holding{"t00": {Models: list[0].Models}, "t01": {Models: list[1].Models}}
+	b.SetResidents(held)
+	anew := *list[0]
+	anew.Started, anew.Models = 1, nil
+	b.SetTargets([]*registry.Target{&anew, list[1]})
+	for range 20 {
+		if c := pick(t, b, Query{Service: "llm", Call: brief("x")}); c.Target.ID != "t01" {
+			t.Fatal("a target that started anew was chosen for a model that it lost")
+		}
+	}
+	held["t00"] = registry.Holding{Started: 1, Models: list[0].Models}
+	b.SetResidents(held)
+	if _, err := b.Pick(Query{Service: "llm", Call: brief("x"), Tried: []string{"t01"}}, now); err != nil {
+		t.Errorf("the controller's newer knowledge does not count: %v", err)
+	}
+}
+
 // Guards against work for a target that does not answer, and against leaving it for good: after a while one request
 // tries it.
 func TestUnreachableTargetIsLeftAndTriedAgain(t *testing.T) {
--- a/lib/node/node.go
+++ b/lib/node/node.go
@@ -193,7 +193,7 @@
 		n.duty.heard(s)
 	}
 	n.follower.Hear(s.News)
-	if c := n.catalog.Load(); c == nil || s.Config > c.Version {
+	if c := n.catalog.Load(); s.Config > 0 && (c == nil || s.Config > c.Version) {
 		n.catchUp(s.Host)
 	}
 }
--- a/lib/peers/peers.go
+++ b/lib/peers/peers.go
@@ -56,8 +56,8 @@
 
 // Placement is what the controller tells the hosts.
 type Placement struct {
-	Epoch     int64                          `json:"e"`           // of its lease
-	Residents map[string][]registry.Resident `json:"r,omitempty"` // by target
+	Epoch     int64                       `json:"e"`           // of its lease
+	Residents map[string]registry.Holding `json:"r,omitempty"` // by target
 }
 
 // State is what a host tells the others.
--- a/lib/peers/peers_test.go
+++ b/lib/peers/peers_test.go
@@ -17,7 +17,7 @@
 		Host: "h", Boot: 7, Number: 9, Config: 3, Demand: orglimit.Report{"o": {Charged: 5, Demand: 6, Pool: -7}},
 		Loads: map[string]balance.Load{"t": {Running: 1, Prefill: 2, Cache: 3, Reading: 4}}, Suspects: []string{"x"},
 		News:      follow.News{Departures: []registry.Departure{{ID: "d", Started: 8, Gone: true}}},
-		Placement: &Placement{Epoch: 2, Residents: map[string][]registry.Resident{"t": {{Model: "m", Adapters: []string{"a1"}}}}},
+		Placement: &Placement{Epoch: 2, Residents: map[string]registry.Holding{"t": {Started: 3, Models: []registry.Resident{{Model: "m", Adapters: []string{"a1"}}}}}},
 	}
 	data, err := encode(s)
 	if err != nil {
@@ -115,7 +115,7 @@
 	n := newNode(&heard, &hosts)
 	now := time.Now()
 	p := func(model string) *Placement {
-		return &Placement{Epoch: 1, Residents: map[string][]registry.Resident{"t": {{Model: model}}}}
+		return &Placement{Epoch: 1, Residents: map[string]registry.Holding{"t": {Models: []registry.Resident{{Model: model}}}}}
 	}
 	for i, c := range []struct {
 		p    *Placement
--- a/lib/placer/placer.go
+++ b/lib/placer/placer.go
@@ -106,16 +106,16 @@
 
 // Residents returns what the targets hold as far as the holder of the lease knows, and its epoch. ok is false on hosts
 // that do not hold the lease.
-func (p *Placer) Residents() (epoch int64, residents map[string][]registry.Resident, ok bool) {
+func (p *Placer) Residents() (epoch int64, residents map[string]registry.Holding, ok bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if !p.active {
 		return 0, nil, false
 	}
-	out := map[string][]registry.Resident{}
+	out := map[string]registry.Holding{}
 	for id, t := range p.targets {
 		if t.known {
-			out[id] = t.residents()
+			out[id] = registry.Holding{Started: t.info.Started, Models: t.residents()}
 		}
 	}
 	return p.epoch, out, true
--- a/lib/registry/registry.go
+++ b/lib/registry/registry.go
@@ -28,6 +28,12 @@
 	Adapters []string `json:"a,omitempty"`
 }
 
+// Holding is what one incarnation of a target holds.
+type Holding struct {
+	Started int64      `json:"s"` // of the incarnation
+	Models  []Resident `json:"m,omitempty"`
+}
+
 // Target is one incarnation of a target as its entry describes it.
 type Target struct {
 	ID      string
