Tell departures that a whole read shows, and tell nothing old after a suspension

Found by reading the diff: since idle watches are followed by whole reads, the first host to see a departure may see it in a listing, which was not told; and a host that wakes from a suspension told arrivals of before it, which a host that started meanwhile has no tombstone for. News are now kept from listings too, the first one excepted, and age by the boot clock. TestListingIsNewsToo.

--- a/lib/follow/follow.go
+++ b/lib/follow/follow.go
@@ -90,6 +90,7 @@
 	mu          sync.Mutex
 	together    int                       // guarded by mu; hosts that hear of each other
 	news        map[newsKey]*newsItem     // guarded by mu
+	listed      bool                      // guarded by mu; a whole listing has been read
 	value       []byte                    // guarded by mu; of the configuration in force
 	version     int64                     // guarded by mu; of the configuration in force
 	table       *registry.Table           // guarded by mu
--- a/lib/follow/follow_test.go
+++ b/lib/follow/follow_test.go
@@ -434,3 +434,23 @@
 		}
 	})
 }
+
+// Guards against a departure that nobody tells because the host that saw it first read a whole listing, not a change.
+func TestListingIsNewsToo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		feed := newFakeFeed()
+		feed.put("targets/a", "ready")
+		feed.put("targets/b", "ready")
+		f, _ := start(t, feed)
+		time.Sleep(time.Second)
+		if n := f.News(true); !n.Empty() {
+			t.Errorf("the first listing is told: %+v", n)
+		}
+		feed.set(func() { feed.forgotten = true }) // the watch hears nothing and is followed by a whole read
+		feed.remove("targets/a")
+		time.Sleep(watchLimit)
+		if n := f.News(true); len(n.Departures) != 1 || n.Departures[0].ID != "a" || len(n.Arrivals) != 0 {
+			t.Errorf("told %+v, want the departure of a", n)
+		}
+	})
+}
--- a/lib/follow/news.go
+++ b/lib/follow/news.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"cuminhook.org/cuminhook/lib/bootclock"
 	"cuminhook.org/cuminhook/lib/registry"
 )
 
@@ -34,12 +35,13 @@
 type newsItem struct {
 	departure registry.Departure
 	arrival   *registry.Target
-	at        time.Time // when this host saw it
-	told      bool      // other hosts have been told, by this one or another
+	at        time.Duration // when this host saw it; by the boot clock, as a host that was suspended has only old news
+	told      bool          // other hosts have been told, by this one or another
 }
 
 // noteNews keeps what others have to hear of; mu is held.
-func (f *Follower) noteNews(u registry.Update, old *registry.Target, now time.Time) {
+func (f *Follower) noteNews(u registry.Update, old *registry.Target) {
+	now := bootclock.Now()
 	switch {
 	case u.Target == nil:
 		f.news[newsKey{u.ID, old.Started, gone}] = &newsItem{
@@ -69,11 +71,11 @@
 func (f *Follower) News(fresh bool) News {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	now := time.Now()
+	now := bootclock.Now()
 	var out News
 	for key, item := range f.news {
 		switch {
-		case now.Sub(item.at) > newsTime:
+		case now-item.at > newsTime:
 			delete(f.news, key)
 		case fresh && item.told:
 		case item.arrival != nil:
--- a/lib/follow/targets.go
+++ b/lib/follow/targets.go
@@ -31,25 +31,41 @@
 	if !c.Deleted {
 		u = f.update(c.Key, c.Value, c.Version)
 	}
+	return f.takeOver(u)
+}
+
+// takeOver changes the table and keeps what others have to hear of; mu is held.
+func (f *Follower) takeOver(u registry.Update) (changed bool) {
 	now := time.Now()
 	old := f.table.Get(u.ID)
-	changed := f.table.Apply(u, now, u.Target == nil && f.unsettled(now))
+	changed = f.table.Apply(u, now, u.Target == nil && f.unsettled(now))
 	if changed {
-		f.noteNews(u, old, now)
+		f.noteNews(u, old)
 	}
 	return changed
 }
 
+// replaceTargets takes a whole listing over. The first one is no news to anybody.
 func (f *Follower) replaceTargets(entries []kv.Entry, revision kv.Version) {
 	f.mu.Lock()
+	first := !f.listed
+	f.listed = true
 	var all []registry.Update
 	for _, e := range entries {
 		all = append(all, f.update(e.Key, e.Value, e.Version))
 	}
-	now := time.Now()
-	f.table.Replace(all, int64(revision), now, f.unsettled(now))
+	for _, u := range append(all, f.table.Missing(all, int64(revision))...) {
+		f.takeOver(u)
+	}
+	if first {
+		clear(f.news)
+	}
+	fresh := len(f.news) > 0
 	f.mu.Unlock()
 	f.publishTargets()
+	if fresh {
+		f.tell()
+	}
 }
 
 func (f *Follower) publishTargets() {
--- a/lib/registry/registry.go
+++ b/lib/registry/registry.go
@@ -153,18 +153,18 @@
 	t.gone[id] = tombstone{max(t.gone[id].revision, revision), now}
 }
 
-// Replace takes over a whole listing, as of a revision.
-func (t *Table) Replace(all []Update, revision int64, now time.Time, inOutage bool) {
+// Missing returns an update for each target that a whole listing, as of a revision, does not hold.
+func (t *Table) Missing(all []Update, revision int64) (out []Update) {
 	listed := make(map[string]bool, len(all))
 	for _, u := range all {
 		listed[u.ID] = true
-		t.Apply(u, now, inOutage)
 	}
 	for id := range t.targets {
 		if !listed[id] {
-			t.Apply(Update{ID: id, Revision: revision}, now, inOutage)
+			out = append(out, Update{ID: id, Revision: revision})
 		}
 	}
+	return out
 }
 
 // Expire drops targets whose entries did not return in time.
