Let all candidates come when the holder that resigned goes on saying so

Found by reading the diff: each state of a holder that had lost the lease counted as a new resignation, so that the head starts never passed; with the first candidate cut off from the store, no other one campaigned for up to 2 s. TestFewHostsCampaign, with a holder that repeats itself, failed first.

--- a/lib/lease/turn.go
+++ b/lib/lease/turn.go
@@ -43,12 +43,13 @@
 	}
 }
 
-// Resigned records that the holder of the epoch gave the lease up.
+// Resigned records that the holder of the epoch gave the lease up. It may be called again.
 func (t *Turn) Resigned(epoch int64, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if epoch >= t.epoch {
-		t.epoch, t.heard = epoch, now.Add(-holderSilence)
+	silent := now.Add(-holderSilence)
+	if epoch > t.epoch || epoch == t.epoch && silent.Before(t.heard) {
+		t.epoch, t.heard = epoch, silent
 	}
 }
 
--- a/lib/lease/turn_test.go
+++ b/lib/lease/turn_test.go
@@ -60,6 +60,15 @@
 	if n := due(now); n != 1 {
 		t.Errorf("%d hosts campaign when the holder has resigned, want 1", n)
 	}
+	for range lastTurn { // it goes on saying so
+		now = now.Add(turnStep)
+		for _, turn := range turns {
+			turn.Resigned(3, now)
+		}
+	}
+	if n := due(now); n != hosts {
+		t.Errorf("%d hosts campaign at the end, want all", n)
+	}
 }
 
 // Guards against an old holder that wakes up and silences the candidates of a later term.
