--- a/lib/peers/peers.go
+++ b/lib/peers/peers.go
@@ -43,8 +43,8 @@
 	socketRetry = 20 * time.Millisecond
 	// together is how many hosts are sent a state at the same time. Links of hosts are narrow, and drop what comes at once.
 	together = 8
-	// newsSpread bounds the time that a host waits before it tells others of a change. Of 59 hosts that see it at once,
-	// about two tell before the first datagrams arrive.
+	// newsSpread bounds the time that a host waits before it tells others of a change. Datagrams arrive within a few
+	// milliseconds, so that most hosts that see it at once hear of it before their wait ends.
 	newsSpread = 100 * time.Millisecond
 	// newsPause is the time between brief states to hosts that are told together.
 	newsPause = 2 * time.Millisecond
