Connections to targets: a budget over all hosts, a pool that reaps, run-once requests reuse connections

Cause: no part read the targets' connection limit. Requests that must run once opened a new connection each, which then went into the pool, where up to 64 a target and host stayed until they happened to be popped: 7 hosts held up to 448 connections to a target that accepts 100. The target reset new ones above that; the request had been written by then, so that it may have run and the caller got a 502.

The pool keeps to the limit, closes idle connections by a timer before the idle timeout that the target states, and counts what happens to them. Requests that must run once reuse a connection used within 500 ms, and confirm a new one before they write to it, so that one above the target's limit has certainly not run. Targets without a free connection are not picked; those with an idle one are preferred. Tried and not kept: setting a target aside after three broken connections. Its test passed without it, as the failure fraction already keeps requests away.

--- a/lib/balance/balance.go
+++ b/lib/balance/balance.go
@@ -22,6 +22,7 @@
 	ErrNoTarget  = errors.New("balance: no ready target of the service; retry when one is ready")
 	ErrNoModel   = errors.New("balance: no target has the model loaded; retry when it is loaded")
 	ErrNoAdapter = errors.New("balance: no target has the adapter loaded; have it loaded")
+	ErrBusy      = errors.New("balance: this host may open no further connection to the targets; retry when one is free")
 )
 
 const (
@@ -39,6 +40,9 @@
 	// zoneCostMS is the time in milliseconds that a target in another availability zone adds; it also stands for the
 	// price of the traffic between zones.
 	zoneCostMS = 5.0
+	// newConnCostMS is the time in milliseconds that a target to which no connection is idle adds: the round trip and the
+	// target's own work for a new one.
+	newConnCostMS = 3.0
 	// interferenceWeight weighs time that requests lose after their first event against time until a first event. Such
 	// time is lost by requests that run while the target prefills a new prompt, and by a request with a long output while
 	// the target prefills the prompts of others.
@@ -73,9 +77,20 @@
 	Tried   []string // ids of targets that must not be chosen again
 }
 
+// Connections states how many connections a host may have to a target.
+type Connections interface {
+	// Limit returns the most connections to the target's address, and false if they are not limited.
+	Limit(addr string, now time.Time) (int, bool)
+	// Member reports whether the host should prefer the target to others to which it keeps no connections.
+	Member(addr string) bool
+	// HasIdle reports whether the host has an idle connection to the target.
+	HasIdle(addr string) bool
+}
+
 // Balancer is the load balancer of one entry host: it knows the targets and the load at each. It is safe for concurrent use.
 type Balancer struct {
-	zone string
+	zone        string
+	connections Connections // nil: not limited
 
 	mu            sync.Mutex
 	targets       map[string]*target            // guarded by mu; by id
@@ -98,10 +113,11 @@
 	health         health
 }
 
-// New returns a balancer for a host in the zone. random breaks ties between targets of about the same cost.
-func New(zone string, random *rand.Rand) *Balancer {
+// New returns a balancer for a host in the zone. random breaks ties between targets of about the same cost. Without
+// connections, nil, the host may have any number of them.
+func New(zone string, connections Connections, random *rand.Rand) *Balancer {
 	return &Balancer{
-		zone: zone, targets: map[string]*target{}, peers: map[string]map[string]Load{}, latencyRatios: map[string]float64{},
+		zone: zone, connections: connections, targets: map[string]*target{}, peers: map[string]map[string]Load{}, latencyRatios: map[string]float64{},
 		random: random,
 	}
 }
@@ -200,6 +216,18 @@
 	}
 }
 
+// Demand returns the requests in flight at the targets of each service: of this host, and of all hosts.
+func (b *Balancer) Demand() (local, total map[string]float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	local, total = map[string]float64{}, map[string]float64{}
+	for _, t := range b.targets {
+		local[t.info.Service] += float64(t.local.Running)
+		total[t.info.Service] += float64(t.local.Running + t.peers.Running)
+	}
+	return local, total
+}
+
 // LocalLoads returns the load of this host, by target; targets without load are left out.
 func (b *Balancer) LocalLoads(now time.Time) map[string]Load {
 	b.mu.Lock()
@@ -271,10 +299,21 @@
 	return b.pickEngine(candidates, engine, q.Call, now), nil
 }
 
-// candidates returns the targets that can serve the request. Targets that are suspended or being probed are returned only
-// if there are no others.
+// rank orders the targets that can serve a request; a target of a later rank is chosen only if there is none of an
+// earlier one.
+type rank uint8
+
+const (
+	rankUsable    rank = iota
+	rankNonMember      // this host keeps no connections to the target
+	rankUnusable       // suspended, or being probed
+	ranks
+)
+
+// candidates returns the targets of the first rank that is not empty. A target to which this host may open no further
+// connection is left out. Errors: ErrNoTarget, ErrNoModel, ErrNoAdapter, ErrBusy.
 func (b *Balancer) candidates(q Query, now time.Time) ([]*target, error) {
-	var usable, unusable []*target
+	var byRank [ranks][]*target
 	err := ErrNoTarget
 	for _, t := range b.targets {
 		if t.info.Service != q.Service || t.info.State != registry.Ready || slices.Contains(q.Tried, t.info.ID) {
@@ -283,7 +322,7 @@
 		if q.Call.Model != "" {
 			hasModel, hasAdapter := b.isLoaded(t, q.Call.Model, q.Call.Adapter, now)
 			if !hasAdapter {
-				if hasModel {
+				if hasModel && err != ErrBusy {
 					err = ErrNoAdapter
 				} else if err == ErrNoTarget {
 					err = ErrNoModel
@@ -291,27 +330,47 @@
 				continue
 			}
 		}
-		if t.health.usable(now) {
-			usable = append(usable, t)
-		} else {
-			unusable = append(unusable, t)
+		if b.isFull(t, now) {
+			err = ErrBusy
+			continue
 		}
+		r := b.rankOf(t, now)
+		byRank[r] = append(byRank[r], t)
 	}
-	if len(usable) > 0 {
-		return usable, nil
-	}
-	if len(unusable) > 0 {
-		return unusable, nil
+	for _, list := range byRank {
+		if len(list) > 0 {
+			return list, nil
+		}
 	}
 	return nil, err
 }
 
+// isFull reports whether all connections that this host may have to the target are in use.
+func (b *Balancer) isFull(t *target, now time.Time) bool {
+	if b.connections == nil {
+		return false
+	}
+	limit, limited := b.connections.Limit(t.info.Addr, now)
+	return limited && t.local.Running >= limit
+}
+
+func (b *Balancer) rankOf(t *target, now time.Time) rank {
+	switch {
+	case !t.health.usable(now):
+		return rankUnusable
+	case b.connections != nil && !b.connections.Member(t.info.Addr):
+		return rankNonMember
+	default:
+		return rankUsable
+	}
+}
+
 // pickPlain chooses a target of a service without engines, by requests in flight for each slot.
 func (b *Balancer) pickPlain(candidates []*target, now time.Time) *Choice {
 	best, lowest := candidates[0], 0.0
 	for i, t := range candidates {
 		running := float64(t.local.Running + t.peers.Running)
-		cost := plainRequestCostMS*running/float64(max(1, t.info.Slots)) + b.zoneCost(t) +
+		cost := plainRequestCostMS*running/float64(max(1, t.info.Slots)) + b.pathCost(t) +
 			failureCostMS*t.health.recentFailureFraction(now) + b.random.Float64()
 		if i == 0 || cost < lowest {
 			best, lowest = t, cost
@@ -320,19 +379,23 @@
 	return b.assign(best, Load{Running: 1}, "", now)
 }
 
-// zoneCost returns the cost in milliseconds of reaching a target in another zone.
-func (b *Balancer) zoneCost(t *target) float64 {
+// pathCost returns the cost in milliseconds of reaching a target: in another zone, and on a new connection.
+func (b *Balancer) pathCost(t *target) float64 {
+	cost := 0.0
 	if t.info.Zone != b.zone {
-		return zoneCostMS
+		cost += zoneCostMS
+	}
+	if b.connections != nil && !b.connections.HasIdle(t.info.Addr) {
+		cost += newConnCostMS
 	}
-	return 0
+	return cost
 }
 
 // assign adds the load of a request to t. If t is suspended, or has not answered since its last suspension, the request
 // probes whether t answers again.
 func (b *Balancer) assign(t *target, load Load, model string, now time.Time) *Choice {
 	t.local.add(load, 1)
-	if !t.health.usable(now) || t.health.backoff > 0 {
+	if t.health.needsProbe(now) {
 		t.health.probing = true
 	}
 	return &Choice{Target: t.info, balancer: b, picked: t, load: load, model: model, pickedAt: now}
--- a/lib/balance/balance_test.go
+++ b/lib/balance/balance_test.go
@@ -17,7 +17,7 @@
 const cacheTokens = 232_000
 
 func newBalancer(zone string) *Balancer {
-	b := New(zone, rand.New(rand.NewPCG(1, 1)))
+	b := New(zone, nil, rand.New(rand.NewPCG(1, 1)))
 	b.SetCatalog(catalog.New(catalog.Content{Services: []*catalog.Service{
 		{Name: "llm", Engine: &catalog.Engine{Slots: 64, CacheTokens: cacheTokens}}, {Name: "plain"},
 	}}))
@@ -262,3 +262,110 @@
 		})
 	}
 }
+
+// plainTargets returns n targets of a plain service in the zone of the host.
+func plainTargets(n int) []*registry.Target {
+	var out []*registry.Target
+	for i := range n {
+		id := fmt.Sprintf("t%02d", i)
+		out = append(out, &registry.Target{ID: id, Addr: id, Service: "plain", Zone: "a", Slots: 6, Beat: 1})
+	}
+	return out
+}
+
+// callPlain sends n requests, 20 ms apart, of which those to a target in broken end with a broken connection. It returns the
+// number of requests at each target.
+func callPlain(t *testing.T, b *Balancer, from time.Time, n int, broken map[string]bool) map[string]int {
+	t.Helper()
+	out := map[string]int{}
+	for i := range n {
+		now := from.Add(time.Duration(i) * 20 * time.Millisecond)
+		c, err := b.Pick(Query{Service: "plain", Call: &passthrough.Call{}}, now)
+		if err != nil {
+			t.Fatal(err)
+		}
+		out[c.Target.ID]++
+		if broken[c.Target.ID] {
+			c.ConnectionBroken(now)
+		} else {
+			c.Answered(i%10 == 0, now) // a tenth of all answers are failures, at every target
+		}
+	}
+	return out
+}
+
+// Guards against a target that breaks every connection and keeps getting requests because the others fail some of theirs,
+// and against one that does not get requests again after its recovery.
+func TestTargetThatBreaksConnectionsGetsFewRequests(t *testing.T) {
+	b := newBalancer("a")
+	b.SetTargets(plainTargets(3))
+	counts := callPlain(t, b, now, 500, map[string]bool{"t01": true})
+	if n := counts["t01"]; n > 500/20 {
+		t.Errorf("the broken target got %d of 500 requests", n)
+	}
+	counts = callPlain(t, b, now.Add(20*time.Second), 500, nil)
+	if n := counts["t01"]; n < 100 {
+		t.Errorf("the target got %d of 500 requests after its recovery", n)
+	}
+}
+
+// Guards against setting a sound target aside because of trouble that all of them share.
+func TestSharedTroubleSetsNoTargetAside(t *testing.T) {
+	b := newBalancer("a")
+	b.SetTargets(plainTargets(3))
+	all := map[string]bool{"t00": true, "t01": true, "t02": true}
+	for id, n := range callPlain(t, b, now, 300, all) {
+		if n < 50 {
+			t.Errorf("%s got %d of 300 requests while all targets broke connections", id, n)
+		}
+	}
+}
+
+// fixedConnections permits limit connections to each target; members are the targets to which the host keeps some.
+type fixedConnections struct {
+	limit   int
+	members map[string]bool
+}
+
+func (f fixedConnections) Limit(string, time.Time) (int, bool) { return f.limit, true }
+func (f fixedConnections) Member(addr string) bool             { return f.members == nil || f.members[addr] }
+func (f fixedConnections) HasIdle(string) bool                 { return true }
+
+// Guards against more requests in flight at a target than connections that the host may have to it.
+func TestFullTargetIsNotPicked(t *testing.T) {
+	b := newBalancer("a")
+	b.connections = fixedConnections{limit: 2}
+	b.SetTargets(plainTargets(3))
+	q := Query{Service: "plain", Call: &passthrough.Call{}}
+	counts := map[string]int{}
+	var last *Choice
+	for range 6 {
+		last = pick(t, b, q)
+		counts[last.Target.ID]++
+	}
+	if len(counts) != 3 || counts["t00"] != 2 || counts["t01"] != 2 {
+		t.Errorf("requests by target: %v, want 2 each", counts)
+	}
+	if _, err := b.Pick(q, now); !errors.Is(err, ErrBusy) {
+		t.Errorf("seventh request of six: %v", err)
+	}
+	last.Answered(false, now)
+	if c := pick(t, b, q); c.Target.ID != last.Target.ID {
+		t.Errorf("picked %s, the connection to %s is free", c.Target.ID, last.Target.ID)
+	}
+}
+
+// Guards against hosts that all connect to the same targets where there are more hosts than connections, and against a
+// request without a target because the only one that serves it belongs to other hosts.
+func TestTargetsOfThisHostAreAskedFirst(t *testing.T) {
+	b := newBalancer("a")
+	b.connections = fixedConnections{limit: 1, members: map[string]bool{"t01": true}}
+	b.SetTargets(plainTargets(3))
+	q := Query{Service: "plain", Call: &passthrough.Call{}}
+	if c := pick(t, b, q); c.Target.ID != "t01" {
+		t.Errorf("picked %s, the host keeps connections to t01", c.Target.ID)
+	}
+	if c := pick(t, b, q); c.Target.ID == "t01" {
+		t.Error("picked t01, whose only connection is in use")
+	}
+}
--- a/lib/balance/choice.go
+++ b/lib/balance/choice.go
@@ -7,8 +7,8 @@
 )
 
 // Choice is the target that Pick chose for a request. The request counts in the target's load until it ends. Exactly one
-// of the methods that end the request must be called: Answered, Rejected, ModelMissing, ConnectionBroken, Unresponsive or
-// Abandoned.
+// of the methods that end the request must be called: Answered, Rejected, Refused, ModelMissing, ConnectionBroken,
+// Unresponsive or Abandoned.
 type Choice struct {
 	Target             *registry.Target
 	ExpectedFirstEvent time.Duration // time until the first event; zero for plain services
@@ -65,6 +65,14 @@
 	c.picked.health.rejected(now)
 }
 
+// Refused ends a request that was not sent because the target closed a new connection at once.
+func (c *Choice) Refused(now time.Time) {
+	c.balancer.mu.Lock()
+	defer c.balancer.mu.Unlock()
+	c.releaseLoad()
+	c.picked.health.refused(now)
+}
+
 // ModelMissing ends the request because the target reports that the model, or the adapter if one is named, is not loaded.
 func (c *Choice) ModelMissing(model, adapter string, now time.Time) {
 	c.balancer.mu.Lock()
--- a/lib/balance/engine.go
+++ b/lib/balance/engine.go
@@ -74,7 +74,7 @@
 	e.firstEventMS = float64(t.local.PrefillTokens+t.peers.PrefillTokens+e.prefillTokens)/prefillTokensPerMS*p.latencyRatio +
 		runningRequestCostMS*running + waitMS
 	e.costMS = e.firstEventMS +
-		t.interferenceCost(e.prefillTokens+repeatedTokens, p.cacheTokens-p.tokens, p.latencyRatio, now) + b.zoneCost(t) +
+		t.interferenceCost(e.prefillTokens+repeatedTokens, p.cacheTokens-p.tokens, p.latencyRatio, now) + b.pathCost(t) +
 		failureCostMS*t.health.recentFailureFraction(now) + b.random.Float64()
 	return e
 }
--- a/lib/balance/health.go
+++ b/lib/balance/health.go
@@ -33,7 +33,12 @@
 }
 
 // usable reports whether the target is neither suspended nor being probed.
-func (h *health) usable(now time.Time) bool { return !now.Before(h.suspendedUntil) && !h.probing }
+func (h *health) usable(now time.Time) bool {
+	return !now.Before(h.suspendedUntil) && !h.probing
+}
+
+// needsProbe reports whether the next request at the target must be the only one until it is answered.
+func (h *health) needsProbe(now time.Time) bool { return !h.usable(now) || h.backoff > 0 }
 
 // suspect reports whether the target left several requests in a row unanswered and has not answered since.
 func (h *health) suspect() bool { return h.misses >= minSuspectMisses }
@@ -73,6 +78,12 @@
 	h.probing = false
 }
 
+// refused records a request that was not sent because the target closed a new connection, for lack of capacity.
+func (h *health) refused(now time.Time) {
+	h.addOutcome(1, failureWeight/4, now)
+	h.probing = false
+}
+
 // unresponsive records a request for which the target was unreachable or unresponsive.
 func (h *health) unresponsive(now time.Time) {
 	h.addOutcome(1, 2*failureWeight, now)
--- a/lib/catalog/catalog.go
+++ b/lib/catalog/catalog.go
@@ -78,8 +78,9 @@
 
 // Service is a group of targets that serve the same requests.
 type Service struct {
-	Name   string
-	Engine *Engine // nil for a plain service
+	Name     string
+	MaxConns int     // connections that each target accepts from all hosts together; zero: not limited
+	Engine   *Engine // nil for a plain service
 }
 
 // Organisation is a customer with its keys and limits.
--- a/lib/engine/httpengine/client.go
+++ b/lib/engine/httpengine/client.go
@@ -76,7 +76,7 @@
 	defer fasthttp.ReleaseRequest(req)
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(resp)
-	conn, err := c.pool.Get(ctx, addr, !r.Idempotent)
+	conn, err := c.pool.Get(ctx, addr, httpconn.MaxIdle(r.Idempotent))
 	if err != nil {
 		return nil, wrapNotRun(err)
 	}
@@ -163,7 +163,7 @@
 func (c *Client) openStream(
 	ctx context.Context, addr, id string, req *fasthttp.Request, lastSeq int64, dialNew bool, timeout time.Duration,
 ) (engine.EventReader, error) {
-	conn, err := c.pool.Get(ctx, addr, dialNew)
+	conn, err := c.pool.Get(ctx, addr, httpconn.MaxIdle(!dialNew))
 	if err != nil {
 		return nil, wrapNotRun(err)
 	}
@@ -218,7 +218,7 @@
 	if err != nil {
 		return err
 	}
-	conn, err := c.pool.Get(ctx, addr, true)
+	conn, err := c.pool.Get(ctx, addr, httpconn.NewOnly)
 	if err != nil {
 		return fmt.Errorf("%w: %w", engine.ErrNotRun, err)
 	}
@@ -259,7 +259,7 @@
 
 // callControl sends a control request on a newly dialled connection, because a pooled one may no longer respond.
 func (c *Client) callControl(ctx context.Context, method, addr, path string, body []byte, into any) (status int, err error) {
-	conn, err := c.pool.Get(ctx, addr, true)
+	conn, err := c.pool.Get(ctx, addr, httpconn.NewOnly)
 	if err != nil {
 		return 0, err
 	}
--- a/lib/entryhost/entryhost.go
+++ b/lib/entryhost/entryhost.go
@@ -22,7 +22,6 @@
 	"cuminhook.org/cuminhook/lib/filter/classify"
 	"cuminhook.org/cuminhook/lib/filter/orgrate"
 	"cuminhook.org/cuminhook/lib/filter/relay"
-	"cuminhook.org/cuminhook/lib/forward"
 	"cuminhook.org/cuminhook/lib/kv"
 	"cuminhook.org/cuminhook/lib/lease"
 	"cuminhook.org/cuminhook/lib/orders"
@@ -92,6 +91,7 @@
 	balancer     *balance.Balancer
 	limiter      *orglimit.Limiter
 	retries      *retry.Budget
+	connections  *connections
 	peers        *peers.Exchanger
 	storeWatcher *storewatch.Watcher
 	meter        *workload.Meter
@@ -110,9 +110,11 @@
 	if cfg.RequestLog == nil {
 		cfg.RequestLog = cfg.Log
 	}
+	conns := newConnections(&cfg)
 	h := &Host{
-		cfg: cfg, log: cfg.Log, balancer: balance.New(s.Zone, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
-		limiter: orglimit.New(time.Now()), meter: workload.New(), retries: retry.NewBudget(s.RetryRatio, s.RetrySlack),
+		cfg: cfg, log: cfg.Log, connections: conns,
+		balancer: balance.New(s.Zone, conns, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
+		limiter:  orglimit.New(time.Now()), meter: workload.New(), retries: retry.NewBudget(s.RetryRatio, s.RetrySlack),
 	}
 	h.role = newPlacementRole(h)
 	h.placer = placer.New(placer.Config{
@@ -142,7 +144,7 @@
 // filters returns the filters in the order in which requests pass them.
 func (h *Host) filters() pipeline.Handler {
 	handler := relay.New(relay.Config{
-		Protocol: h.cfg.Protocol, Client: forward.NewClient(h.cfg.Protocol, nil), Balancer: h.balancer, Retries: h.retries,
+		Protocol: h.cfg.Protocol, Client: h.connections.client, Balancer: h.balancer, Retries: h.retries,
 		Adapters: h.role, Demand: h.meter, Log: h.cfg.RequestLog, Metrics: h.cfg.Metrics,
 	})
 	handler = orgrate.New(handler, orgrate.Config{Limiter: h.limiter, Log: h.cfg.RequestLog})
@@ -152,6 +154,7 @@
 
 // setCatalog applies a new configuration.
 func (h *Host) setCatalog(c *catalog.Catalog) {
+	h.connections.SetCatalog(c)
 	h.balancer.SetCatalog(c)
 	h.placer.SetCatalog(c)
 	h.catalog.Store(c)
@@ -159,6 +162,7 @@
 
 // setTargets applies a new list of targets.
 func (h *Host) setTargets(list []*registry.Target) {
+	h.connections.SetTargets(list)
 	h.balancer.SetTargets(list)
 	h.placer.SetTargets(list)
 	h.targetsRead.Store(true)
@@ -168,6 +172,7 @@
 func (h *Host) setHosts(count, reachable int, interval time.Duration) {
 	h.limiter.SetHosts(count, interval)
 	h.retries.SetHosts(count)
+	h.connections.SetHosts(h.peers.Known())
 	h.storeWatcher.SetHostCount(reachable)
 }
 
@@ -180,6 +185,7 @@
 	}
 	s.Demand = h.limiter.Report(now)
 	s.Loads = h.balancer.LocalLoads(now)
+	h.connections.updateDemand(h.balancer, now)
 	s.EngineLoad, s.AdapterRates = h.meter.EngineLoad(now), h.meter.Adapters(now)
 	s.Suspects = h.balancer.Suspects()
 	s.Placement = h.role.currentPlacement()
--- a/lib/filter/relay/harness_test.go
+++ b/lib/filter/relay/harness_test.go
@@ -90,7 +90,7 @@
 func newHarness(t *testing.T, scripts map[string]script) *harness {
 	r := &harness{
 		t: t, ln: fasthttputil.NewInmemoryListener(), scripts: scripts,
-		balancer: balance.New("z", rand.New(rand.NewPCG(1, 1))),
+		balancer: balance.New("z", nil, rand.New(rand.NewPCG(1, 1))),
 	}
 	route := func(prefix string, kind catalog.Kind, resumable bool) *catalog.Route {
 		return &catalog.Route{
@@ -111,7 +111,7 @@
 	r.balancer.SetTargets(targets)
 	log := slog.New(slog.DiscardHandler)
 	h := New(Config{
-		Protocol: testProtocol{}, Client: forward.NewClient(testProtocol{}, r.dial), Balancer: r.balancer,
+		Protocol: testProtocol{}, Client: forward.NewClient(forward.Config{Protocol: testProtocol{}, Dial: r.dial}), Balancer: r.balancer,
 		Retries: retry.NewBudget(0.2, 50),
 		Demand:  workload.New(), Log: log, Metrics: metrics.NewSet(), Random: func() float64 { return 0.5 },
 	})
--- a/lib/filter/relay/relay.go
+++ b/lib/filter/relay/relay.go
@@ -17,6 +17,7 @@
 	"cuminhook.org/cuminhook/lib/balance"
 	"cuminhook.org/cuminhook/lib/catalog"
 	"cuminhook.org/cuminhook/lib/forward"
+	"cuminhook.org/cuminhook/lib/httpconn"
 	"cuminhook.org/cuminhook/lib/passthrough"
 	"cuminhook.org/cuminhook/lib/pipeline"
 	"cuminhook.org/cuminhook/lib/refusal"
@@ -129,8 +130,10 @@
 // recordFailure reports to the balancer that the attempt ended without a complete answer.
 func (r *request) recordFailure(t *try, now time.Time) {
 	switch {
-	case r.ctx.Err() != nil:
+	case r.ctx.Err() != nil, errors.Is(t.err, httpconn.ErrLimit):
 		t.choice.Abandoned()
+	case t.outcome == forward.NotSent && errors.Is(t.err, httpconn.ErrRefused):
+		t.choice.Refused(now)
 	case t.outcome == forward.NotSent || t.timedOut.Load():
 		t.choice.Unresponsive(now)
 	default:
@@ -265,7 +268,7 @@
 	})
 	t.answer, t.outcome, t.err = r.cfg.Client.Do(ctx, &forward.Request{
 		Addr: choice.Target.Addr, ID: r.call.ID, Head: head, Method: string(h.Method()),
-		Body: r.ex.HTTP.Request.Body(), NewConn: r.route.Kind == catalog.NonIdempotent,
+		Body: r.ex.HTTP.Request.Body(), RunOnce: r.route.Kind == catalog.NonIdempotent,
 	})
 	r.readAnswer(t)
 	r.state.Record(t.outcome)
--- a/lib/forward/forward.go
+++ b/lib/forward/forward.go
@@ -10,8 +10,11 @@
 	"io"
 	"net/http/httputil"
 	"strconv"
+	"strings"
+	"syscall"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/valyala/fasthttp"
 
 	"cuminhook.org/cuminhook/lib/httpconn"
@@ -45,8 +48,14 @@
 	// dialTimeout is short because targets are at most a few milliseconds away, and a lost packet would delay the
 	// connection by a second.
 	dialTimeout = 250 * time.Millisecond
-	// idleTimeout is below the idle timeouts of targets, which they state in whole seconds.
+	// idleTimeout is below the idle timeouts of targets that do not state one.
 	idleTimeout = 2 * time.Second
+	// maxIdle is the longest time that a connection is kept idle for a target that states a longer idle timeout. A
+	// connection that was not needed for so long is not worth its share of the target's limit.
+	maxIdle = 5 * time.Second
+	// runOnceMaxIdle is how long ago a connection may have carried an answer to be reused for a request that must run once.
+	// Whether such a request ran is unknown if its target has died meanwhile; a failed dial tells that it did not.
+	runOnceMaxIdle = 500 * time.Millisecond
 	// maxSkippedAnswers bounds the late answers to earlier requests that are skipped on one connection.
 	maxSkippedAnswers = 2
 	// maxBodyBytes bounds the bodies that are read whole or skipped.
@@ -63,7 +72,7 @@
 	Head    []byte // request line and header without the fields that frame the body
 	Method  string
 	Body    []byte
-	NewConn bool // use a new connection instead of a pooled one
+	RunOnce bool // the request must not be sent again once it may have run
 }
 
 // Answer is a target's answer. Its header has been read, its body is read by Read or ReadAll.
@@ -83,19 +92,49 @@
 
 // Client sends requests on pooled connections. It is safe for concurrent use.
 type Client struct {
-	protocol passthrough.Protocol
-	pool     *httpconn.Pool
+	cfg  Config
+	pool *httpconn.Pool
 }
 
-// NewClient returns a client that reads answer headers with protocol. A nil dial dials TCP.
-func NewClient(protocol passthrough.Protocol, dial httpconn.Dialer) *Client {
-	return &Client{protocol: protocol, pool: &httpconn.Pool{Dial: dial, DialTimeout: dialTimeout, IdleTimeout: idleTimeout}}
+// Config are the settings of a Client.
+type Config struct {
+	Protocol passthrough.Protocol // reads answer headers
+	Dial     httpconn.Dialer      // nil: TCP
+	// Limit returns the most connections that this host may have to a target's address; nil: no limit.
+	Limit func(addr string) int
+	// OnRefused is called when a target at the address closed a new connection before it answered anything, with the
+	// number of connections that this host had to it; may be nil.
+	OnRefused func(addr string, open int)
+	Metrics   *metrics.Set // may be nil
 }
 
+// NewClient returns a client without connections.
+func NewClient(cfg Config) *Client {
+	c := &Client{cfg: cfg}
+	c.pool = &httpconn.Pool{Dial: cfg.Dial, DialTimeout: dialTimeout, IdleTimeout: idleTimeout, MaxIdle: maxIdle, Limit: cfg.Limit}
+	if cfg.Metrics != nil {
+		c.pool.Events = func(e httpconn.Event) {
+			cfg.Metrics.GetOrCreateCounter(`cuminhook_target_connections_total{event="` + string(e) + `"}`).Inc()
+		}
+		cfg.Metrics.NewGauge(`cuminhook_target_connections{state="open"}`, func() float64 {
+			open, _ := c.pool.Totals()
+			return float64(open)
+		})
+		cfg.Metrics.NewGauge(`cuminhook_target_connections{state="idle"}`, func() float64 {
+			_, idle := c.pool.Totals()
+			return float64(idle)
+		})
+	}
+	return c
+}
+
+// HasIdle reports whether a connection to the address is idle.
+func (c *Client) HasIdle(addr string) bool { return c.pool.HasIdle(addr) }
+
 // Do makes one attempt. The caller must end the answer with ReadAll or Close; the connection is closed if ctx ends before
 // that. The error is nil if and only if the outcome is Answered or NotRun, which both come with an answer.
 func (c *Client) Do(ctx context.Context, r *Request) (*Answer, Outcome, error) {
-	conn, err := c.pool.Get(ctx, r.Addr, r.NewConn)
+	conn, err := c.connect(ctx, r)
 	if err != nil {
 		return nil, NotSent, err
 	}
@@ -110,15 +149,65 @@
 	}
 	a := &Answer{conn: conn, written: written}
 	if err := c.readHeader(a, r); err != nil {
+		if ctx.Err() == nil && isClosed(err) && conn.ClosedAtOnce() {
+			// The request was written before the close arrived, so that it may have run.
+			err = fmt.Errorf("%w: %w", conn.Refused(), err)
+			c.reportRefused(r.Addr)
+		}
 		conn.Release(false)
 		return nil, Unknown, err
 	}
+	conn.Answered(keepAlive(&a.Header))
 	if a.Stated.NotRun {
 		return a, NotRun, nil
 	}
 	return a, Answered, nil
 }
 
+// connect returns a connection for the request. A new one for a request that must run once is confirmed first, so that a
+// target above its limit of connections has certainly not run the request.
+func (c *Client) connect(ctx context.Context, r *Request) (*httpconn.Conn, error) {
+	usedWithin := httpconn.AnyAge
+	if r.RunOnce {
+		usedWithin = runOnceMaxIdle
+	}
+	conn, err := c.pool.Get(ctx, r.Addr, usedWithin)
+	if err != nil || !r.RunOnce {
+		return conn, err
+	}
+	if err := conn.Confirm(); err != nil {
+		if errors.Is(err, httpconn.ErrRefused) && ctx.Err() == nil {
+			c.reportRefused(r.Addr)
+		}
+		conn.Release(false)
+		return nil, err
+	}
+	return conn, nil
+}
+
+func (c *Client) reportRefused(addr string) {
+	if c.cfg.OnRefused != nil {
+		c.cfg.OnRefused(addr, c.pool.Open(addr))
+	}
+}
+
+// isClosed reports whether the error of a read means that the peer has closed the connection.
+func isClosed(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET)
+}
+
+// keepAlive returns the idle timeout that a target states, or zero.
+func keepAlive(h *fasthttp.ResponseHeader) time.Duration {
+	for field := range strings.SplitSeq(string(h.Peek("Keep-Alive")), ",") {
+		if value, ok := strings.CutPrefix(strings.TrimSpace(field), "timeout="); ok {
+			if n, err := strconv.ParseUint(value, 10, 16); err == nil {
+				return time.Duration(n) * time.Second
+			}
+		}
+	}
+	return 0
+}
+
 // send writes the request. A body of minAsyncBodyBytes or more is written in the background, and the channel delivers the
 // result; otherwise the channel is nil.
 func send(conn *httpconn.Conn, r *Request) (<-chan error, error) {
@@ -147,7 +236,7 @@
 		if err := readFinalHeader(&a.Header, br); err != nil {
 			return err
 		}
-		a.Stated = c.protocol.ReadAnswer(&a.Header)
+		a.Stated = c.cfg.Protocol.ReadAnswer(&a.Header)
 		a.initBody(r.Method)
 		if a.Stated.ID == "" || a.Stated.ID == r.ID {
 			return nil
--- a/lib/httpconn/httpconn.go
+++ b/lib/httpconn/httpconn.go
@@ -1,4 +1,5 @@
-// Package httpconn is a pool of HTTP/1.1 connections to targets, each used by one request at a time. It uses fasthttp's
+// Package httpconn is a pool of HTTP/1.1 connections to targets, each used by one request at a time. The pool limits the
+// connections to each target and closes idle ones in time. It uses fasthttp's
 // codec but not its client: a context cannot interrupt that, and it does not tell whether anything was written. This must
 // be known, since a request counts as "not run" instead of "unknown" only if nothing was written.
 package httpconn
@@ -9,6 +10,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"net"
 	"sync"
 	"time"
@@ -18,20 +20,37 @@
 	"cuminhook.org/cuminhook/lib/tcpopt"
 )
 
-// ErrNotSent is wrapped by the errors of requests of which no byte was written.
-var ErrNotSent = errors.New("httpconn: nothing was written to the target")
+// Errors of requests of which no byte was written.
+var (
+	// ErrNotSent is wrapped by all of them.
+	ErrNotSent = errors.New("httpconn: nothing was written to the target")
+	// ErrLimit means that this host has as many connections to the target in use as it may open.
+	ErrLimit = errors.New("httpconn: all connections that this host may open to the target are in use; choose another target")
+	// ErrRefused means that the target closed a new connection at once, which it does above its limit of connections.
+	ErrRefused = errors.New("httpconn: the target closed a new connection at once")
+)
 
 const (
 	bufferBytes = 4096
 	// MaxResponseBytes bounds the bodies that are read whole.
 	MaxResponseBytes = 16 << 20
-	// maxIdlePerTarget bounds the idle connections kept for each target.
-	maxIdlePerTarget = 64
 	// idleTimeout is shorter than the idle timeouts of common servers, so that a target rarely closes a pooled
 	// connection at the moment of its reuse.
 	idleTimeout = 10 * time.Second
 	// DefaultDialTimeout is the default timeout for dialling; targets are at most a few milliseconds away.
 	DefaultDialTimeout = time.Second
+	// keepAliveMargin is how long before the idle timeout that a target states a connection is closed here, so that no
+	// request crosses the target's close.
+	keepAliveMargin = 700 * time.Millisecond
+	// maxConfirmDelay bounds the wait for a new connection to be closed by its target.
+	maxConfirmDelay = 20 * time.Millisecond
+	// closeSlack is added to the time in which a target closes a connection above its limit; it covers this host's own
+	// delay in reading.
+	closeSlack = 2 * time.Millisecond
+	// AnyAge permits Get to reuse any idle connection that is within its idle timeout.
+	AnyAge time.Duration = math.MaxInt64
+	// NewOnly makes Get open a new connection.
+	NewOnly time.Duration = 0
 )
 
 // targetTCPOptions let the kernel close the connection of an unreachable target within about 4 s, however long a
@@ -43,13 +62,43 @@
 
 // Pool dials connections and keeps idle ones for reuse. The zero value dials TCP with the default timeouts and options.
 type Pool struct {
-	Dial        Dialer          // nil: TCP
-	DialTimeout time.Duration   // zero: DefaultDialTimeout
-	IdleTimeout time.Duration   // connections that were idle for longer are not reused; zero: idleTimeout
-	Options     *tcpopt.Options // nil: targetTCPOptions
+	Dial        Dialer                // nil: TCP
+	DialTimeout time.Duration         // zero: DefaultDialTimeout
+	IdleTimeout time.Duration         // of connections whose target states none; zero: idleTimeout
+	MaxIdle     time.Duration         // longest time that a connection is kept idle, whatever its target states; zero: IdleTimeout
+	Options     *tcpopt.Options       // nil: targetTCPOptions
+	Limit       func(addr string) int // most connections to addr, in use and idle; nil: no limit
+	Events      func(Event)           // called for each event of a connection, with mu held; nil: none
+
+	mu    sync.Mutex
+	addrs map[string]*addrConns // guarded by mu
+	reap  *time.Timer           // guarded by mu; nil unless connections are idle
+}
+
+// MaxIdle returns AnyAge for a request that may be repeated, and NewOnly for one that must run once.
+func MaxIdle(repeatable bool) time.Duration {
+	if repeatable {
+		return AnyAge
+	}
+	return NewOnly
+}
+
+// Event is what happens to a connection, for metrics.
+type Event string
+
+// Events of connections.
+const (
+	Dialled Event = "dialled"
+	Reused  Event = "reused"
+	Reaped  Event = "reaped"  // closed because it was idle for its idle timeout
+	Refused Event = "refused" // closed by the target before it answered anything on it
+	Limited Event = "limited" // not dialled because of the limit
+)
 
-	mu   sync.Mutex
-	idle map[string][]*Conn // guarded by mu; newest last
+// addrConns are the connections to one address.
+type addrConns struct {
+	open int     // in use, idle or being dialled
+	idle []*Conn // least recently used first
 }
 
 // Conn is one connection, used by one request at a time.
@@ -61,23 +110,29 @@
 	bw        *bufio.Writer
 	written   int64 // bytes written of the current request
 	lastUse   time.Time
+	idleLimit time.Duration // how long the connection may be idle
+	dialTook  time.Duration
+	connected time.Time
+	answered  bool        // the target has answered a request on the connection
 	stopWatch func() bool // stops the current request's context from closing the connection; nil once called
 	intact    bool        // the context did not close the connection before stopWatch was called
 }
 
-// Get returns an idle connection to addr, or a new one if there is none or fresh is set. The connection is closed if ctx
-// ends before Release or Detach. Errors wrap ErrNotSent.
-func (p *Pool) Get(ctx context.Context, addr string, fresh bool) (*Conn, error) {
+// Get returns an idle connection to addr that was last used within maxIdle, or else a new one. The connection is closed if
+// ctx ends before Release or Detach. Errors wrap ErrNotSent, and ErrLimit if the limit forbids another connection.
+func (p *Pool) Get(ctx context.Context, addr string, maxIdle time.Duration) (*Conn, error) {
 	if err := ctx.Err(); err != nil {
 		return nil, errors.Join(ErrNotSent, err)
 	}
-	var c *Conn
-	if !fresh {
-		c = p.takeIdle(addr)
+	c, err := p.takeIdle(addr, maxIdle)
+	if err != nil {
+		return nil, err
 	}
 	if c == nil {
-		var err error
 		if c, err = p.dial(ctx, addr); err != nil {
+			p.mu.Lock()
+			p.closed(addr)
+			p.mu.Unlock()
 			return nil, fmt.Errorf("%w: dial %s: %w", ErrNotSent, addr, err)
 		}
 	}
@@ -87,21 +142,134 @@
 	return c, nil
 }
 
-// takeIdle removes the most recently used idle connection to addr from the pool, or returns nil if none is usable.
-func (p *Pool) takeIdle(addr string) *Conn {
+// takeIdle removes the most recently used idle connection to addr from the pool. If none was used within maxIdle, it
+// returns nil and counts a connection that the caller must dial, in place of an idle one if the limit is reached.
+func (p *Pool) takeIdle(addr string, maxIdle time.Duration) (*Conn, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	list := p.idle[addr]
-	for len(list) > 0 {
-		c := list[len(list)-1]
-		list = list[:len(list)-1]
-		p.idle[addr] = list
-		if time.Since(c.lastUse) < cmp.Or(p.IdleTimeout, idleTimeout) && !tcpopt.Stale(c.Conn) {
-			return c
+	if p.addrs == nil {
+		p.addrs = map[string]*addrConns{}
+	}
+	a := p.addrs[addr]
+	if a == nil {
+		a = &addrConns{}
+		p.addrs[addr] = a
+	}
+	now := time.Now()
+	for n := len(a.idle); n > 0; n = len(a.idle) {
+		c := a.idle[n-1]
+		usable := now.Sub(c.lastUse) < c.idleLimit && !tcpopt.Stale(c.Conn)
+		if usable && now.Sub(c.lastUse) >= maxIdle {
+			break
 		}
-		_ = c.Conn.Close()
+		a.idle = a.idle[:n-1]
+		if usable {
+			p.count(Reused)
+			return c, nil
+		}
+		p.discard(c)
+	}
+	if p.Limit != nil && a.open >= p.Limit(addr) {
+		if len(a.idle) == 0 {
+			p.count(Limited)
+			return nil, fmt.Errorf("%w: %w: %s", ErrNotSent, ErrLimit, addr)
+		}
+		p.discard(a.idle[0])
+		a.idle = a.idle[1:]
+	}
+	a.open++
+	p.addrs[addr] = a // discard may have dropped the entry
+	return nil, nil
+}
+
+// discard closes a connection that is no longer in the list of idle ones. The caller holds mu.
+func (p *Pool) discard(c *Conn) {
+	_ = c.Conn.Close()
+	p.closed(c.addr)
+}
+
+// closed counts a connection of the address as closed. The caller holds mu.
+func (p *Pool) closed(addr string) {
+	a := p.addrs[addr]
+	if a == nil {
+		return
+	}
+	if a.open--; a.open == 0 && len(a.idle) == 0 {
+		delete(p.addrs, addr)
+	}
+}
+
+func (p *Pool) count(e Event) {
+	if p.Events != nil {
+		p.Events(e)
+	}
+}
+
+// Open returns the number of connections to addr that are in use, idle or being dialled.
+func (p *Pool) Open(addr string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if a := p.addrs[addr]; a != nil {
+		return a.open
+	}
+	return 0
+}
+
+// HasIdle reports whether a connection to addr is idle.
+func (p *Pool) HasIdle(addr string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	a := p.addrs[addr]
+	return a != nil && len(a.idle) > 0
+}
+
+// Totals returns the numbers of open and of idle connections to all addresses.
+func (p *Pool) Totals() (open, idle int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, a := range p.addrs {
+		open, idle = open+a.open, idle+len(a.idle)
+	}
+	return open, idle
+}
+
+// reapIdle closes the connections that have been idle for their idle timeout. The targets' own timeouts would close them
+// too, but until then they count against the targets' limits.
+func (p *Pool) reapIdle() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now, left := time.Now(), false
+	for addr, a := range p.addrs {
+		kept := a.idle[:0]
+		for _, c := range a.idle {
+			if now.Sub(c.lastUse) < c.idleLimit {
+				kept = append(kept, c)
+				continue
+			}
+			p.count(Reaped)
+			p.discard(c)
+		}
+		clear(a.idle[len(kept):])
+		a.idle = kept
+		left = left || len(kept) > 0
+		if a.open == 0 {
+			delete(p.addrs, addr)
+		}
+	}
+	p.reap = nil
+	if left {
+		p.scheduleReap()
+	}
+}
+
+// reapInterval is the time between two searches for connections to reap. It is below keepAliveMargin.
+const reapInterval = 500 * time.Millisecond
+
+// scheduleReap has reapIdle called. The caller holds mu.
+func (p *Pool) scheduleReap() {
+	if p.reap == nil {
+		p.reap = time.AfterFunc(reapInterval, p.reapIdle)
 	}
-	return nil
 }
 
 func (p *Pool) dial(ctx context.Context, addr string) (*Conn, error) {
@@ -113,18 +281,63 @@
 			return new(net.Dialer).DialContext(ctx, "tcp", addr)
 		}
 	}
+	started := time.Now()
 	nc, err := dial(ctx, addr)
 	if err != nil {
 		return nil, err
 	}
 	// An error is ignored: without the options an unreachable target is detected only at the request's deadline.
 	_ = tcpopt.Set(nc, *cmp.Or(p.Options, &targetTCPOptions))
-	c := &Conn{Conn: nc, addr: addr, pool: p}
+	c := &Conn{Conn: nc, addr: addr, pool: p, idleLimit: cmp.Or(p.IdleTimeout, idleTimeout)}
+	c.connected = time.Now()
+	c.dialTook = c.connected.Sub(started)
 	c.br = bufio.NewReaderSize(nc, bufferBytes)
 	c.bw = bufio.NewWriterSize(countingWriter{c}, bufferBytes)
+	p.mu.Lock()
+	p.count(Dialled)
+	p.mu.Unlock()
 	return c, nil
 }
 
+// Confirm waits on a new connection for as long as its handshake took: a target above its limit closes the connection in
+// this time. Its error wraps ErrNotSent and ErrRefused. On a connection that has carried an answer it returns at once.
+func (c *Conn) Confirm() error {
+	if c.answered {
+		return nil
+	}
+	if err := c.SetReadDeadline(time.Now().Add(min(c.dialTook, maxConfirmDelay))); err != nil {
+		return fmt.Errorf("%w: %w", ErrNotSent, err)
+	}
+	if _, err := c.br.Peek(1); !IsTimeout(err) { // an answer before the request is no answer either
+		return fmt.Errorf("%w: %w", ErrNotSent, c.Refused())
+	}
+	return c.SetReadDeadline(time.Time{})
+}
+
+// Answered records that the target has answered on the connection. keepAlive is the idle timeout that it states, zero if
+// it states none.
+func (c *Conn) Answered(keepAlive time.Duration) {
+	c.answered = true
+	if keepAlive > 0 {
+		longest := cmp.Or(c.pool.MaxIdle, c.pool.IdleTimeout, idleTimeout)
+		c.idleLimit = min(longest, max(0, keepAlive-keepAliveMargin))
+	}
+}
+
+// ClosedAtOnce reports whether a connection that the target has just closed was closed as soon as it was opened. An error
+// that comes later, or after an answer, has other causes.
+func (c *Conn) ClosedAtOnce() bool {
+	return !c.answered && time.Since(c.connected) <= 2*c.dialTook+closeSlack
+}
+
+// Refused counts a new connection that the target closed before it answered anything, and returns ErrRefused.
+func (c *Conn) Refused() error {
+	c.pool.mu.Lock()
+	defer c.pool.mu.Unlock()
+	c.pool.count(Refused)
+	return ErrRefused
+}
+
 // countingWriter counts the bytes that are written to the connection.
 type countingWriter struct{ c *Conn }
 
@@ -232,32 +445,32 @@
 // closed, since a late answer could be taken for the answer to another request.
 func (c *Conn) Release(reuse bool) {
 	c.Detach()
-	if !reuse || !c.intact || c.br.Buffered() > 0 {
-		_ = c.Conn.Close()
-		return
-	}
-	c.lastUse = time.Now()
 	p := c.pool
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.idle == nil {
-		p.idle = map[string][]*Conn{}
-	}
-	if len(p.idle[c.addr]) >= maxIdlePerTarget {
-		_ = c.Conn.Close()
+	a := p.addrs[c.addr]
+	if !reuse || !c.intact || c.br.Buffered() > 0 || c.idleLimit <= 0 || a == nil || p.Limit != nil && a.open > p.Limit(c.addr) {
+		p.discard(c)
 		return
 	}
-	p.idle[c.addr] = append(p.idle[c.addr], c)
+	c.lastUse = time.Now()
+	a.idle = append(a.idle, c)
+	p.scheduleReap()
 }
 
 // CloseIdle closes all idle connections.
 func (p *Pool) CloseIdle() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, list := range p.idle {
-		for _, c := range list {
-			_ = c.Conn.Close()
+	for _, a := range p.addrs {
+		idle := a.idle
+		a.idle = nil
+		for _, c := range idle {
+			p.discard(c)
 		}
 	}
-	p.idle = nil
+	if p.reap != nil {
+		p.reap.Stop()
+		p.reap = nil
+	}
 }
--- a/lib/httpconn/httpconn_test.go
+++ b/lib/httpconn/httpconn_test.go
@@ -6,8 +6,10 @@
 	"io"
 	"net"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -38,7 +40,7 @@
 func open(t *testing.T, s *scriptedConn, dial error) (*Pool, *Conn, error) {
 	t.Helper()
 	p := &Pool{Dial: func(context.Context, string) (net.Conn, error) { return s, dial }}
-	c, err := p.Get(context.Background(), "a", false)
+	c, err := p.Get(context.Background(), "a", AnyAge)
 	return p, c, err
 }
 
@@ -96,7 +98,7 @@
 			t.Errorf("%s: %v", name, err)
 		}
 		conn.Release(err == nil)
-		if reused := len(p.idle["a"]) == 1; reused != c.reused || s.closed.Load() == reused {
+		if reused := idleOf(p) == 1; reused != c.reused || s.closed.Load() == reused {
 			t.Errorf("%s: kept for reuse %t", name, reused)
 		}
 	}
@@ -107,13 +109,122 @@
 	s := &scriptedConn{acceptsBytes: -1}
 	p := &Pool{Dial: func(context.Context, string) (net.Conn, error) { return s, nil }}
 	ctx, cancel := context.WithCancel(context.Background())
-	c, err := p.Get(ctx, "a", false)
+	c, err := p.Get(ctx, "a", AnyAge)
 	if err != nil {
 		t.Fatal(err)
 	}
 	cancel()
 	c.Release(true)
-	if len(p.idle["a"]) != 0 {
+	if idleOf(p) != 0 {
 		t.Error("kept for reuse")
 	}
 }
+
+// idleOf returns the number of idle connections of a pool.
+func idleOf(p *Pool) int {
+	_, idle := p.Totals()
+	return idle
+}
+
+// pipeTarget is a target that accepts connections and never answers.
+type pipeTarget struct {
+	mu    sync.Mutex
+	conns []net.Conn
+}
+
+func (p *pipeTarget) dial(context.Context, string) (net.Conn, error) {
+	client, server := net.Pipe()
+	p.mu.Lock()
+	p.conns = append(p.conns, server)
+	p.mu.Unlock()
+	return client, nil
+}
+
+// Guards against connections beyond the limit, also when requests that need a new connection arrive while others are idle.
+func TestLimitBoundsOpenConnections(t *testing.T) {
+	target := &pipeTarget{}
+	limit := 3
+	p := &Pool{Dial: target.dial, Limit: func(string) int { return limit }}
+	ctx := context.Background()
+	var used []*Conn
+	for range 3 {
+		c, err := p.Get(ctx, "a", NewOnly)
+		if err != nil {
+			t.Fatal(err)
+		}
+		used = append(used, c)
+	}
+	if _, err := p.Get(ctx, "a", NewOnly); !errors.Is(err, ErrLimit) || !errors.Is(err, ErrNotSent) {
+		t.Fatalf("fourth connection of three: %v", err)
+	}
+	if _, err := p.Get(ctx, "b", NewOnly); err != nil {
+		t.Fatalf("the limit of one address binds another: %v", err)
+	}
+	used[0].Release(true)
+	if _, err := p.Get(ctx, "a", NewOnly); err != nil {
+		t.Fatalf("an idle connection was not given up for a new one: %v", err)
+	}
+	if n := p.Open("a"); n != 3 {
+		t.Errorf("%d connections open, the limit is 3", n)
+	}
+	limit = 1
+	used[1].Release(true)
+	used[2].Release(true)
+	if n := p.Open("a"); n != 1 {
+		t.Errorf("%d connections open after the limit fell to 1", n)
+	}
+}
+
+// Guards against idle connections that stay open, and so count against the target's limit, until they happen to be reused.
+func TestIdleConnectionsAreReaped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		target := &pipeTarget{}
+		p := &Pool{Dial: target.dial, IdleTimeout: 2 * time.Second}
+		open := func() *Conn {
+			c, err := p.Get(t.Context(), "a", NewOnly)
+			if err != nil {
+				t.Fatal(err)
+			}
+			return c
+		}
+		stated, unstated := open(), open()
+		stated.Answered(time.Second)
+		stated.Release(true)
+		unstated.Release(true)
+		time.Sleep(1100 * time.Millisecond)
+		if n := p.Open("a"); n != 1 {
+			t.Errorf("%d connections open at 1.1 s; one target said it closes after 1 s", n)
+		}
+		time.Sleep(1500 * time.Millisecond)
+		if n := p.Open("a"); n != 0 {
+			t.Errorf("%d connections open at 2.6 s, the timeout is 2 s", n)
+		}
+	})
+}
+
+// Guards against a request that runs once and is sent on a connection which the target closes because it is full: whether
+// it ran would be unknown.
+func TestConfirmDetectsConnectionAboveTheTargetsLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		full := true
+		p := &Pool{Dial: func(context.Context, string) (net.Conn, error) {
+			time.Sleep(2 * time.Millisecond)
+			client, server := net.Pipe()
+			if full {
+				time.AfterFunc(time.Millisecond, func() { _ = server.Close() })
+			}
+			return client, nil
+		}}
+		for _, full = range []bool{true, false} {
+			c, err := p.Get(t.Context(), "a", NewOnly)
+			if err != nil {
+				t.Fatal(err)
+			}
+			err = c.Confirm()
+			if refused := errors.Is(err, ErrRefused) && errors.Is(err, ErrNotSent); refused != full {
+				t.Errorf("target full %t: %v", full, err)
+			}
+			c.Release(false)
+		}
+	})
+}
--- a/lib/peers/peers.go
+++ b/lib/peers/peers.go
@@ -420,6 +420,17 @@
 	return out
 }
 
+// Known returns the other hosts that are known, reachable or not, in no particular order.
+func (x *Exchanger) Known() []string {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	out := make([]string, 0, len(x.peers))
+	for host := range x.peers {
+		out = append(out, host)
+	}
+	return out
+}
+
 // NewestConfigVersion returns the newest configuration version of the other hosts, or 0 without one.
 func (x *Exchanger) NewestConfigVersion() int64 {
 	x.mu.Lock()
--- a/lib/service/httpservice/httpservice.go
+++ b/lib/service/httpservice/httpservice.go
@@ -57,7 +57,7 @@
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(resp)
 	fillRequest(req, addr, r)
-	conn, err := c.pool.Get(ctx, addr, !r.Idempotent)
+	conn, err := c.pool.Get(ctx, addr, httpconn.MaxIdle(r.Idempotent))
 	if err != nil {
 		return nil, wrapNotRun(err)
 	}
