--- a/lib/entryhost/entryhost.go
+++ b/lib/entryhost/entryhost.go
@@ -128,7 +128,7 @@
 			lease.Options{Wait: leaseWait, Clock: bootclock.Now}),
 		Log: cfg.Log, Metrics: cfg.Metrics,
 	})
-	h.peers = peers.New(s.Host, s.Zone, s.Peers, peers.Handlers{
+	h.peers = peers.New(peers.Config{Host: s.Host, Zone: s.Zone, Addr: s.Peers, LinkMbps: s.LinkMbps}, peers.Handlers{
 		FillState: h.fillState, FillPartialState: h.fillPartialState, Placement: h.role.latestPlacement,
 		OnState: h.handleState, OnUnreachable: h.removeHost, OnFleet: h.setFleet,
 		RPC: map[string]any{rpcPlacement: &placementService{h}, rpcConfig: &configService{h}},
--- a/lib/entryhost/settings.go
+++ b/lib/entryhost/settings.go
@@ -17,6 +17,8 @@
 	Metrics string `yaml:"metrics"` // IP:port of the metrics page
 	Store   string `yaml:"store"`   // IP:port of the platform's store
 
+	LinkMbps float64 `yaml:"link_mbps"` // rate of this host's network link in Mbit/s
+
 	RetryRatio float64 `yaml:"retry_ratio"` // retries allowed per request of a service, over all hosts
 	RetrySlack float64 `yaml:"retry_slack"` // retries allowed in addition, over all hosts
 
@@ -35,7 +37,7 @@
 // DefaultSettings returns the settings that apply where the file sets none.
 func DefaultSettings() Settings {
 	return Settings{
-		RetryRatio: 0.1, RetrySlack: 10,
+		LinkMbps: 100, RetryRatio: 0.1, RetrySlack: 10,
 		Placement: PlacementSettings{Lease: 3 * time.Second, LoadsOvershoot: 1},
 		// Enough for a load balancer that checks once a second and stops sending after two failed checks.
 		StopDelay: 3 * time.Second,
@@ -55,6 +57,9 @@
 			return err
 		}
 	}
+	if !(s.LinkMbps > 0) {
+		return fmt.Errorf("link_mbps (%v) must be above 0; set it to the rate of this host's link in Mbit/s", s.LinkMbps)
+	}
 	if s.RetryRatio < 0 || s.RetrySlack < 0 {
 		return fmt.Errorf("retry_ratio and retry_slack cannot be negative; zero forbids repeats")
 	}
--- a/lib/peers/peers.go
+++ b/lib/peers/peers.go
@@ -43,11 +43,10 @@
 	placementDelay = 100 * time.Millisecond
 	// socketRetryDelay is the delay after a failed socket operation.
 	socketRetryDelay = 20 * time.Millisecond
-	// sendBatchSize is the number of hosts to which states are sent at once. The hosts' links are narrow and drop datagrams
-	// of larger bursts.
-	sendBatchSize = 8
-	// batchDelay is the delay between two batches.
-	batchDelay = 2 * time.Millisecond
+	// linkFraction is the fraction of the link's rate at which states are sent: a link drops datagrams of larger bursts.
+	linkFraction = 0.4
+	// minPause is the shortest pause between datagrams; shorter ones are saved up.
+	minPause = 2 * time.Millisecond
 	// maxAnnounceDelay bounds the random delay before a host announces a change that it has read from the store. Datagrams
 	// arrive within a few milliseconds, so most hosts that saw the change at the same time receive an announcement before
 	// their delay ends.
@@ -97,6 +96,8 @@
 	boot     uint64 // random number of this start
 	updateMu sync.Mutex
 
+	bytesPerSecond float64 // at which states are sent
+
 	mu               sync.Mutex
 	peers            map[string]*peer     // guarded by mu; by host
 	topology         *topology            // guarded by mu
@@ -138,9 +139,19 @@
 	sentAt        time.Time
 }
 
-// New returns the exchanger of the host in the zone. Run listens at addr (IP:port), in UDP and TCP.
-func New(host, zone, addr string, handlers Handlers, log *slog.Logger) *Exchanger {
+// Config are the settings of an Exchanger.
+type Config struct {
+	Host     string
+	Zone     string
+	Addr     string  // IP:port at which Run listens, in UDP and TCP
+	LinkMbps float64 // rate of the host's link in Mbit/s
+}
+
+// New returns an exchanger that knows no other host.
+func New(cfg Config, handlers Handlers, log *slog.Logger) *Exchanger {
+	host, zone, addr := cfg.Host, cfg.Zone, cfg.Addr
 	return &Exchanger{
+		bytesPerSecond: linkFraction * cfg.LinkMbps * 1e6 / 8,
 		host: host, zone: zone, addr: addr, handlers: handlers, log: log, boot: rand.Uint64(), peers: map[string]*peer{},
 		topology: newTopology(map[string]string{host: zone}), sum: aggregate.New(), avoid: map[string]time.Time{},
 		announceRequested: make(chan time.Duration, 1),
--- a/lib/peers/peers_test.go
+++ b/lib/peers/peers_test.go
@@ -60,7 +60,7 @@
 // newExchanger returns an exchanger that knows one other host, and records the numbers of received states and the
 // number of hosts.
 func newExchanger(received *[]uint64, hosts *int) *Exchanger {
-	x := New("self", "z", "127.0.0.1:1", Handlers{
+	x := New(Config{"self", "z", "127.0.0.1:1", 1000}, Handlers{
 		FillState: func(*State) {}, OnState: func(s *State) { *received = append(*received, s.Number) },
 		OnUnreachable: func(string) {},
 		OnFleet:       func(f Fleet) { *hosts = len(f.Known) + 1 },
@@ -160,7 +160,7 @@
 	for i := range n {
 		h := &testHost{loads: map[string]int{}, charged: 10}
 		name, zone, addr := fmt.Sprintf("host-%03d", i), fmt.Sprint("zone-", i%zones), fmt.Sprintf("10.0.%d.%d:1", i/250, i%250)
-		h.Exchanger = New(name, zone, addr, Handlers{
+		h.Exchanger = New(Config{name, zone, addr, 1000}, Handlers{
 			FillState: func(s *State) {
 				s.Contribution = aggregate.Contribution{
 					Hosts: 1, Loads: map[string]balance.Load{"t": {Running: 1}}, Demand: orglimit.Report{"o": {Charged: h.charged}},
--- a/lib/peers/send.go
+++ b/lib/peers/send.go
@@ -17,7 +17,7 @@
 		started := time.Now()
 		x.update(started)
 		x.send(ctx, conn, x.fullStates())
-		sleep.For(ctx, max(batchDelay, x.Fleet().Interval-time.Since(started)))
+		sleep.For(ctx, max(minPause, x.Fleet().Interval-time.Since(started)))
 	}
 }
 
@@ -187,9 +187,9 @@
 	return out
 }
 
-// send sends messages in batches.
+// send sends messages, no faster than the host's link takes beside its requests.
 func (x *Exchanger) send(ctx context.Context, conn *net.UDPConn, messages []message) {
-	sent := 0
+	pending := 0.0 // bytes sent since the last pause
 	for _, m := range messages {
 		if len(m.receivers) == 0 {
 			continue
@@ -200,12 +200,16 @@
 			continue
 		}
 		for _, addr := range m.receivers {
-			if sent++; sent%sendBatchSize == 0 && !sleep.For(ctx, batchDelay) {
-				return
+			if pause := time.Duration(pending / x.bytesPerSecond * float64(time.Second)); pause >= minPause {
+				if !sleep.For(ctx, pause) {
+					return
+				}
+				pending = 0
 			}
 			if _, err := conn.WriteToUDP(data, addr); err != nil {
 				x.log.Debug("state not sent", "addr", addr.String(), "error", err.Error())
 			}
+			pending += float64(len(data))
 		}
 	}
 }
