Placement goes by demand where there are more models than memory; limits hold through sums

A model without a copy came first in every plan, also one that nobody asks for, took the memory and the load tokens, and the only copy of an unused model was never given up; an eviction waited as long as any unload ran. So the hot model stayed with one copy. Change: models in demand come first, unused ones get free memory only and leave a load token; when no copy is in surplus, the last copy of the unused model that is asked for least yields; each running unload is claimed by one missing copy.

Change: estimates converge with a time constant of 10 s, weighed by the hosts that a report covers; leaves and their aggregators exchange states every 0.3 s; refunds pass through sums.

--- a/lib/aggregate/aggregate.go
+++ b/lib/aggregate/aggregate.go
@@ -29,8 +29,8 @@
 	charged map[string]float64 // tokens by organisation that were counted of the member since it was first seen
 }
 
-// Sum is a sum over members. Its charges never decrease, however members come, go and restart: they are the increases that
-// were seen. It is not safe for concurrent use.
+// Sum is a sum over members. Its charges are the increases that were seen, however members come, go and restart. It is not
+// safe for concurrent use.
 type Sum struct{ members map[string]*member }
 
 // New returns an empty sum.
@@ -50,7 +50,7 @@
 		if m.boot == boot {
 			increase -= m.current.Demand[org].Charged
 		}
-		m.charged[org] += max(0, increase)
+		m.charged[org] += increase // negative after a refund
 	}
 	m.boot, m.current = boot, c
 }
--- a/lib/orglimit/orglimit.go
+++ b/lib/orglimit/orglimit.go
@@ -31,9 +31,10 @@
 	// initialBurstFraction is the fraction of the burst that a host assumes to be in the shared bucket when it starts. It
 	// does not know what was charged before.
 	initialBurstFraction = 0.5
-	// convergenceFraction is the fraction of the difference by which an estimate moves towards a peer's with each report of
-	// one host. Estimates drift apart when reports are lost and when hosts start.
-	convergenceFraction = 0.05
+	// convergenceTime is the time constant with which the estimates of all hosts converge. They drift apart when hosts start
+	// and when they lose each other. It is long beside the time that a report takes, because an estimate that moves towards
+	// an older one loses a part of what was charged since.
+	convergenceTime = 10 * time.Second
 	// maxLocalSavings bounds what a host saves up of its share of the rate, expressed as time at that share.
 	maxLocalSavings = 250 * time.Millisecond
 	// maxSharedDebt is the debt of the shared bucket, expressed as time at the rate, from which on no host admits a request.
@@ -97,8 +98,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	old, known := l.peers[host]
-	convergence := 1 - math.Pow(1-convergenceFraction, float64(hosts))
 	if known {
+		fraction := float64(hosts) / float64(max(l.hosts, hosts))
+		convergence := fraction * (1 - math.Exp(-max(0, now.Sub(old.received).Seconds())/convergenceTime.Seconds()))
 		for name, u := range r {
 			charged := u.Charged
 			if old.boot == boot {
--- a/lib/peers/peers.go
+++ b/lib/peers/peers.go
@@ -26,7 +26,7 @@
 	// meshInterval is the time between two states of a host while all hosts belong to the mesh.
 	meshInterval = 200 * time.Millisecond
 	// leafInterval is that time in fleets with leaves. A change passes up to three states on its way.
-	leafInterval = 500 * time.Millisecond
+	leafInterval = 300 * time.Millisecond
 	// unreachableIntervals is the number of intervals without a state after which a host counts as unreachable.
 	unreachableIntervals = 4
 	// minUnreachableTimeout is the shortest time without a state after which a host counts as unreachable.
@@ -152,7 +152,7 @@
 	host, zone, addr := cfg.Host, cfg.Zone, cfg.Addr
 	return &Exchanger{
 		bytesPerSecond: linkFraction * cfg.LinkMbps * 1e6 / 8,
-		host: host, zone: zone, addr: addr, handlers: handlers, log: log, boot: rand.Uint64(), peers: map[string]*peer{},
+		host:           host, zone: zone, addr: addr, handlers: handlers, log: log, boot: rand.Uint64(), peers: map[string]*peer{},
 		topology: newTopology(map[string]string{host: zone}), sum: aggregate.New(), avoid: map[string]time.Time{},
 		announceRequested: make(chan time.Duration, 1),
 	}
--- a/lib/residency/residency.go
+++ b/lib/residency/residency.go
@@ -1,5 +1,6 @@
 // Package residency plans which models targets have loaded. It deals with demand that moves to other models within seconds,
-// targets that crash with the only copy of a model, and a weight store that allows few loads a second.
+// targets that crash with the only copy of a model, a weight store that allows few loads a second, and more models than the
+// targets have memory for, of which many are rarely asked for.
 //
 // The package does no I/O, and takes the time as an argument.
 package residency
@@ -19,10 +20,16 @@
 	maxBusyFraction = 0.22
 	// spareCopies is how many copies beyond the needed ones a model keeps while no other model needs the memory.
 	spareCopies = 1
-	// minCopies is how many copies every model should have whatever its demand; with two or more, a crash leaves one.
+	// minCopies is how many copies every model should have whatever its demand, while there is memory for them.
 	minCopies = 1
 	// minUsedLoadMS is the demand below which a model counts as unused, in milliseconds of engine time per second.
 	minUsedLoadMS = 1.0
+	// usageTimeConstant is the time constant of the average demand by which unused models give way to others. A rare model
+	// is asked for some times a minute.
+	usageTimeConstant = 30 * time.Second
+	// maxYieldingUsage is the fraction of another model's demand for each of its copies below which the average demand of an
+	// unused model has to be for its last copy to give way to a further copy of the other.
+	maxYieldingUsage = 0.1
 	// storeLoadCostMS and sameZoneCostMS are added to the load of a target, in milliseconds of engine time per second:
 	// the first if a copy would come from the weight store and not from the target's own disk, the second if the
 	// target's zone has a copy already.
@@ -85,13 +92,15 @@
 const (
 	ReasonLost       = "no copy left"
 	ReasonDemand     = "demand"
-	ReasonSpare      = "second copy"
+	ReasonUnused     = "unused model"
 	ReasonFreeMemory = "room"
 )
 
 // Planner plans actions. It is not safe for concurrent use.
 type Planner struct {
 	storeLoads tokenBucket
+	usage      map[string]float64 // average demand by model, in milliseconds of engine time per second
+	plannedAt  time.Time
 }
 
 // NewPlanner returns a planner that starts at most rate loads a second from the weight store, and at most burst at once.
@@ -102,7 +111,7 @@
 	if startFull {
 		b.tokens = burst
 	}
-	return &Planner{storeLoads: b}
+	return &Planner{storeLoads: b, usage: map[string]float64{}, plannedAt: now}
 }
 
 // tokenBucket limits the rate of loads; each load takes one token.
@@ -131,10 +140,15 @@
 // against the rate. Plan changes the lists of models of the targets.
 func (p *Planner) Plan(models []Model, targets []*Target, now time.Time) []Action {
 	p.storeLoads.refill(now)
-	s := newPlanState(models, targets)
+	p.updateUsage(models, now)
+	s := newPlanState(models, targets, p.usage)
 	var out []Action
 	for _, c := range s.missingCopies() {
-		if a, ok := s.placeCopy(c, p.storeLoads.tokens >= 1); ok {
+		tokens := 1.0
+		if c.reason == ReasonUnused { // what is in use goes first, also what will be asked for next
+			tokens = p.storeLoads.burst
+		}
+		if a, ok := s.placeCopy(c, p.storeLoads.tokens >= tokens); ok {
 			if a.FromStore {
 				p.storeLoads.tokens--
 			}
@@ -144,6 +158,16 @@
 	return append(out, s.freeMemory()...)
 }
 
+// updateUsage moves the average demand of each model towards its demand.
+func (p *Planner) updateUsage(models []Model, now time.Time) {
+	weight := 1 - math.Exp(-max(0, now.Sub(p.plannedAt).Seconds())/usageTimeConstant.Seconds())
+	p.plannedAt = now
+	for i := range models {
+		m := &models[i]
+		p.usage[m.Name] += weight * (m.EngineLoad - p.usage[m.Name])
+	}
+}
+
 // planState is the state of the fleet as it will be after the actions planned so far.
 type planState struct {
 	models  []Model
@@ -151,13 +175,15 @@
 	targets []*Target
 	copies  map[string]int     // by model: loaded or being loaded
 	ready   map[string]int     // by model: loaded
+	usage   map[string]float64 // by model: average demand
+	claimed int                // missing copies that wait for memory that running unloads free
 	busy    map[string]bool    // by target: executes an order, or got an action
 	loadMS  map[string]float64 // by target: demand in milliseconds of engine time per second
 }
 
-func newPlanState(models []Model, targets []*Target) *planState {
+func newPlanState(models []Model, targets []*Target, usage map[string]float64) *planState {
 	s := &planState{
-		models: models, byName: map[string]*Model{}, targets: targets, copies: map[string]int{}, ready: map[string]int{},
+		models: models, byName: map[string]*Model{}, targets: targets, usage: usage, copies: map[string]int{}, ready: map[string]int{},
 		busy: map[string]bool{}, loadMS: map[string]float64{},
 	}
 	for i := range models {
@@ -184,6 +210,9 @@
 	return s
 }
 
+// used reports whether the model is in demand.
+func (m *Model) used() bool { return m.EngineLoad >= minUsedLoadMS }
+
 // neededCopies returns the number of copies that the demand needs, at least one.
 func (m *Model) neededCopies() int {
 	return max(1, int(math.Ceil(m.EngineLoad/(1000*maxBusyFraction))))
@@ -196,12 +225,12 @@
 		m := &s.models[i]
 		have, need := s.copies[m.Name], m.neededCopies()
 		switch {
-		case have == 0:
+		case have == 0 && m.used():
 			out = append(out, missingCopy{m, ReasonLost, 0, m.EngineLoad})
-		case have < need:
+		case have < need && have > 0:
 			out = append(out, missingCopy{m, ReasonDemand, 1, float64(need) / float64(have)})
 		case have < minCopies:
-			out = append(out, missingCopy{m, ReasonSpare, 2, m.EngineLoad})
+			out = append(out, missingCopy{m, ReasonUnused, 2, s.usage[m.Name]})
 		}
 	}
 	slices.SortStableFunc(out, func(a, b missingCopy) int {
@@ -220,10 +249,10 @@
 		s.copies[c.model.Name]++
 		return Action{orders.Load, t.ID, c.model.Name, fromStore, c.reason}, true
 	}
-	if c.priority > 1 || s.unloadsSuffice(c.model) {
+	if c.reason == ReasonUnused || s.claimUnload(c.model) {
 		return Action{}, false
 	}
-	return s.evictFor(c.model)
+	return s.evictFor(c)
 }
 
 // findTarget returns the idle target of least cost that has free memory for the model, or nil.
@@ -253,17 +282,25 @@
 	return slices.ContainsFunc(s.targets, func(t *Target) bool { return t.Zone == zone && t.hasModel(model) })
 }
 
-// unloadsSuffice reports whether a target will have free memory for the model once its running unloads are done.
-func (s *planState) unloadsSuffice(m *Model) bool {
-	return slices.ContainsFunc(s.targets, func(t *Target) bool {
+// claimUnload reports whether running unloads free memory for the model, beside that for the copies that wait already.
+func (s *planState) claimUnload(m *Model) bool {
+	pending := 0
+	for _, t := range s.targets {
 		freeMB := t.freeMB()
 		for _, h := range t.Models {
 			if h.Unloading {
 				freeMB += h.MB
 			}
 		}
-		return freeMB >= m.MB && freeMB > t.freeMB() && !t.hasModel(m.Name)
-	})
+		if freeMB >= m.MB && freeMB > t.freeMB() && !t.hasModel(m.Name) {
+			pending++
+		}
+	}
+	if s.claimed >= pending {
+		return false
+	}
+	s.claimed++
+	return true
 }
 
 // surplus returns how many copies a model can lose so that minKept, the needed copies and one ready copy stay.
@@ -271,42 +308,65 @@
 	return min(s.copies[m.Name]-max(minKept, m.neededCopies()), s.ready[m.Name]-1)
 }
 
-// evictFor unloads a surplus copy from a target that then has free memory for the model. It chooses the target and copy
-// with the least load, since that unload is done soonest.
-func (s *planState) evictFor(m *Model) (Action, bool) {
-	for _, minKept := range []int{minCopies, 1} {
-		var best *Target
-		var victim *Model
-		var lowest float64
-		for _, t := range s.targets {
-			if s.busy[t.ID] || t.hasModel(m.Name) {
-				continue
-			}
-			v := s.victim(t, minKept, m.MB-t.freeMB())
-			if v == nil {
-				continue
-			}
-			cost := s.loadMS[t.ID] + v.EngineLoad
-			if best == nil || cost < lowest {
-				best, victim, lowest = t, v, cost
-			}
+// evictFor unloads a copy from a target that then has free memory for the missing one: a surplus copy, or else the last one
+// of an unused model that is rarely asked for. Of the targets it chooses the one with the least load, since that unload is
+// done soonest.
+func (s *planState) evictFor(c missingCopy) (Action, bool) {
+	m := c.model
+	yields := func(v *Model) bool { return s.surplus(v, minCopies) > 0 }
+	if t, v := s.cheapestVictim(m, yields); t != nil {
+		s.claimed++
+		return s.unload(t, v, ReasonFreeMemory), true
+	}
+	if s.anySurplus() {
+		return Action{}, false // at busy targets, which will have done their orders before a rare model could be loaded again
+	}
+	limit := math.Inf(1)
+	if c.reason == ReasonDemand {
+		limit = maxYieldingUsage * m.EngineLoad / float64(s.copies[m.Name])
+	}
+	rare := func(v *Model) bool { return !v.used() && s.copies[v.Name] == 1 && s.usage[v.Name] <= limit }
+	if t, v := s.cheapestVictim(m, rare); t != nil {
+		s.claimed++
+		return s.unload(t, v, ReasonFreeMemory), true
+	}
+	return Action{}, false
+}
+
+// anySurplus reports whether any model has a surplus copy.
+func (s *planState) anySurplus() bool {
+	return slices.ContainsFunc(s.models, func(m Model) bool { return s.surplus(&m, minCopies) > 0 })
+}
+
+// cheapestVictim returns the target, and a copy there that may yield, whose unload gives it free memory for the model at the
+// least cost; nil if there is none.
+func (s *planState) cheapestVictim(m *Model, yields func(*Model) bool) (best *Target, victim *Model) {
+	var lowest float64
+	for _, t := range s.targets {
+		if s.busy[t.ID] || t.hasModel(m.Name) {
+			continue
 		}
-		if best != nil {
-			return s.unload(best, victim, ReasonFreeMemory), true
+		v := s.victim(t, yields, m.MB-t.freeMB())
+		if v == nil {
+			continue
+		}
+		cost := s.loadMS[t.ID] + v.EngineLoad + s.usage[v.Name]
+		if best == nil || cost < lowest {
+			best, victim, lowest = t, v, cost
 		}
 	}
-	return Action{}, false
+	return best, victim
 }
 
-// victim returns the least used surplus model of a target that frees at least neededMB, or nil.
-func (s *planState) victim(t *Target, minKept int, neededMB float64) *Model {
+// victim returns the least used model of a target that may yield and frees at least neededMB, or nil.
+func (s *planState) victim(t *Target, yields func(*Model) bool, neededMB float64) *Model {
 	var best *Model
 	for _, h := range t.Models {
 		m := s.byName[h.Model]
-		if m == nil || !h.Ready || h.Unloading || s.surplus(m, minKept) <= 0 || m.MB < neededMB {
+		if m == nil || !h.Ready || h.Unloading || m.MB < neededMB || !yields(m) {
 			continue
 		}
-		if best == nil || m.EngineLoad < best.EngineLoad {
+		if best == nil || m.EngineLoad+s.usage[m.Name] < best.EngineLoad+s.usage[best.Name] {
 			best = m
 		}
 	}
@@ -367,7 +427,7 @@
 		if s.busy[t.ID] || t.freeMB() >= neededMB {
 			continue
 		}
-		v := s.victim(t, minCopies+spareCopies, neededMB-t.freeMB())
+		v := s.victim(t, func(m *Model) bool { return s.surplus(m, minCopies+spareCopies) > 0 }, neededMB-t.freeMB())
 		if v == nil || v.EngineLoad > minUsedLoadMS && s.surplus(v, minCopies) < 2*spareCopies {
 			continue
 		}
--- a/lib/storewatch/storewatch.go
+++ b/lib/storewatch/storewatch.go
@@ -31,9 +31,13 @@
 	// maxPollInterval is the longest poll interval of a host with peers, because their announcements may be lost. It is
 	// below the time for which a host's entry outlives its process, so that no host misses the entry of a short-lived one.
 	maxPollInterval = 6 * time.Second
+	// settlingTime is the time after the start in which a host with peers polls each settlingPollInterval only: in a fleet
+	// that starts, the entries of the other hosts arrive one after the other.
+	settlingTime         = 3 * time.Second
+	settlingPollInterval = 1500 * time.Millisecond
 	// leafPollInterval is the poll interval of a leaf. Changes reach it by announcements, which its aggregator repeats in the
 	// states of changeTTL.
-	leafPollInterval = 15 * time.Second
+	leafPollInterval = 20 * time.Second
 	// detectionWindow is the time after a change within which at least one host should poll the store. Hosts announce
 	// draining and removed targets and new configurations to each other; these have to reach all hosts within two seconds.
 	detectionWindow = 1200 * time.Millisecond
@@ -249,6 +253,9 @@
 		if leaf {
 			period = leafPollInterval
 		}
+		if time.Since(w.started) < settlingTime {
+			period = settlingPollInterval
+		}
 		d = period - (time.Since(w.started)+time.Duration(w.pollPhase*float64(period)))%period
 	}
 	timer := time.NewTimer(d)
