Requests wait for a model that is being loaded, as long as it comes in time

Adapters were refused after one try while their model's targets were busy with a load. Change: the controller publishes when a first copy of each model in demand is expected, from running loads and from the load tokens and memory that others wait for. A request waits for a copy that comes before its deadline, or before its caller gives up a silent stream (stated by the platform), less a reserve for the answer; otherwise it is refused at once with the time of the copy as Retry-After. Adapters are asked for again while their targets are busy. Unused models that were never asked for are loaded ahead only where all models fit.

--- a/lib/catalog/catalog.go
+++ b/lib/catalog/catalog.go
@@ -44,6 +44,7 @@
 	Timeout     time.Duration // time until the answer must be complete
 	Objective   time.Duration // latency up to which an answer is in time: of the whole answer, or of a stream's first event
 	MaxGap      time.Duration // longest pause between events of a stream that is still in time
+	Patience    time.Duration // silence after which callers give up a stream, also before its first event; zero: the deadline
 	Priority    int           // 0 is the most urgent
 	Split       []Share       // at least one service
 	MaxAttempts int           // number of targets that may run one request
--- a/lib/entryhost/entryhost.go
+++ b/lib/entryhost/entryhost.go
@@ -148,7 +148,7 @@
 func (h *Host) filters() pipeline.Handler {
 	handler := relay.New(relay.Config{
 		Protocol: h.cfg.Protocol, Client: h.connections.client, Balancer: h.balancer, Retries: h.retries,
-		Adapters: h.role, Demand: h.meter, Log: h.cfg.RequestLog, Metrics: h.cfg.Metrics,
+		Placement: h.role, Demand: h.meter, Log: h.cfg.RequestLog, Metrics: h.cfg.Metrics,
 	})
 	handler = orgrate.New(handler, orgrate.Config{Limiter: h.limiter, Log: h.cfg.RequestLog})
 	handler = classify.New(handler, classify.Config{Protocol: h.cfg.Protocol, Catalog: h.catalog.Load})
--- a/lib/entryhost/placementrole.go
+++ b/lib/entryhost/placementrole.go
@@ -5,6 +5,7 @@
 	"errors"
 	"maps"
 	"reflect"
+	"slices"
 	"sync"
 	"time"
 
@@ -18,6 +19,8 @@
 	maxPlacementAge = 2 * time.Second
 	// ageCheckInterval is the time between two checks of the placement's age.
 	ageCheckInterval = 250 * time.Millisecond
+	// planDelay is the time from a new demand at the controller until its plan is known at all hosts.
+	planDelay = 250 * time.Millisecond
 	// rpcPlacement is the name of the net/rpc service that hosts call at the controller.
 	rpcPlacement = "Placement"
 )
@@ -35,6 +38,7 @@
 	demandByHost   map[string]placer.Demand  // guarded by mu; of the other hosts whose states arrive
 	suspectsByHost map[string]map[string]int // guarded by mu; hosts that suspect a target, by host that reports them
 	placement      *peers.Placement          // guarded by mu; the newest known, from this host or another one; may be nil
+	placementAt    time.Time                 // guarded by mu; when the placement was installed here
 	inUse          bool                      // guarded by mu; the balancer uses the placement
 	holderHost     string                    // guarded by mu; last known holder of the placement lease
 	holderEpoch    int64                     // guarded by mu; its epoch
@@ -129,7 +133,7 @@
 		r.mu.Unlock()
 		return false
 	}
-	r.placement, r.inUse = p, true
+	r.placement, r.placementAt, r.inUse = p, now, true
 	r.applyHolder(peers.Holder{Host: p.Controller, Epoch: p.Version.Epoch}, now)
 	r.mu.Unlock()
 	r.host.balancer.SetResidency(maps.Clone(p.Residencies))
@@ -148,13 +152,20 @@
 // updateOwnPlacement makes the placer's knowledge the newest placement while this host is the controller, and reports whether
 // it has changed.
 func (r *placementRole) updateOwnPlacement() bool {
+	now := time.Now()
 	epoch, residents, ok := r.host.placer.Residents()
-	if !ok {
+	expected, active := r.host.placer.Expected(now)
+	if !ok || !active {
 		return false
 	}
+	expectedMS := make(map[string]int64, len(expected))
+	for key, at := range expected {
+		expectedMS[key] = at.Sub(now).Milliseconds()
+	}
 	r.mu.Lock()
 	old := r.placement
-	if old != nil && (old.Version.Epoch > epoch || old.Version.Epoch == epoch && reflect.DeepEqual(old.Residencies, residents)) {
+	if old != nil && (old.Version.Epoch > epoch || old.Version.Epoch == epoch && reflect.DeepEqual(old.Residencies, residents) &&
+		slices.Equal(slices.Sorted(maps.Keys(old.ExpectedMS)), slices.Sorted(maps.Keys(expectedMS)))) {
 		r.mu.Unlock()
 		return false
 	}
@@ -162,8 +173,10 @@
 	if old != nil && old.Version.Epoch == epoch {
 		version.Seq = old.Version.Seq + 1
 	}
-	r.placement = &peers.Placement{Controller: r.host.cfg.Settings.Host, Version: version, Residencies: residents}
-	r.inUse = true
+	r.placement = &peers.Placement{
+		Controller: r.host.cfg.Settings.Host, Version: version, Residencies: residents, ExpectedMS: expectedMS,
+	}
+	r.placementAt, r.inUse = now, true
 	r.mu.Unlock()
 	r.host.balancer.SetResidency(maps.Clone(residents))
 	return true
@@ -289,6 +302,38 @@
 	return err
 }
 
+// ExpectedModel implements relay.Placement.
+func (r *placementRole) ExpectedModel(service, model string, now time.Time) (at time.Time, loading bool) {
+	reaction := r.Reaction()
+	if reaction == 0 {
+		return time.Time{}, false
+	}
+	r.mu.Lock()
+	ms, loading := r.placement.ExpectedMS[service+"/"+model]
+	madeAt := r.placementAt
+	r.mu.Unlock()
+	if loading {
+		return madeAt.Add(time.Duration(ms) * time.Millisecond), true
+	}
+	if c := r.host.catalog.Load(); c != nil {
+		if s := c.Service(service); s != nil && s.Engine != nil && s.Engine.Models[model] != nil {
+			return now.Add(reaction + s.Engine.Models[model].StoreLoadTime), false
+		}
+	}
+	return time.Time{}, false
+}
+
+// Reaction implements relay.Placement. The demand for a model reaches the controller with the next states, and the plan comes
+// back at once.
+func (r *placementRole) Reaction() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.inUse {
+		return 0
+	}
+	return r.host.peers.Fleet().Spread + planDelay
+}
+
 // placementService serves the net/rpc calls of other hosts to the controller.
 type placementService struct{ host *Host }
 
--- /dev/null
+++ b/lib/filter/relay/pick.go
@@ -0,0 +1,130 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"cuminhook.org/cuminhook/lib/balance"
+)
+
+const (
+	// pickWaitDivisor divides the objective: a request waits up to objective/pickWaitDivisor for a target to appear.
+	pickWaitDivisor = 8
+	// pickInterval is the time between two tries to pick a target while a request waits for one, and loadPollInterval that
+	// while it waits for a model to be loaded, which takes seconds.
+	pickInterval     = 15 * time.Millisecond
+	loadPollInterval = 50 * time.Millisecond
+	// adapterLoadTimeout bounds one try to have an adapter loaded, and adapterRetryInterval is the time between two tries:
+	// a target that loads a model takes no other order meanwhile.
+	adapterLoadTimeout   = 400 * time.Millisecond
+	adapterRetryInterval = 150 * time.Millisecond
+	// loadRetryAfter is the Retry-After when no target has the model and nobody places models: another controller takes over
+	// within seconds.
+	loadRetryAfter = 1500 * time.Millisecond
+	// servingReserve is the fraction of a request's time, until its deadline or until its caller gives up, that must be left
+	// when its model is loaded.
+	servingReserve = 0.3
+)
+
+// wait is a request's wait for a target.
+type wait struct {
+	began       time.Time
+	latest      time.Time // a model or adapter that is loaded later is of no use to the request
+	nextAdapter time.Time // when to ask for the adapter again
+}
+
+// pick chooses a target. If there is none, the request waits: for a target to appear, or for its model or adapter to be
+// loaded as long as that is expected in time. It is refused as soon as it is known that nothing comes in time.
+func (r *request) pick() (*balance.Choice, error) {
+	w := r.newWait(time.Now())
+	for {
+		choice, err := r.cfg.Balancer.Pick(balance.Query{Service: r.service, Call: r.call, Tried: r.tried}, time.Now())
+		if err == nil {
+			return choice, nil
+		}
+		if r.ctx.Err() != nil {
+			return nil, r.ctx.Err()
+		}
+		if r.state.Repeatable && r.state.MayHaveRun() && len(r.tried) > 0 {
+			r.tried = nil // retry at the same targets: the only one may have lost a single answer
+			continue
+		}
+		pause := r.pause(&w, err)
+		if pause < 0 {
+			return nil, err
+		}
+		select {
+		case <-time.After(pause):
+		case <-r.ctx.Done():
+		}
+	}
+}
+
+// newWait returns a wait that begins now.
+func (r *request) newWait(now time.Time) wait {
+	end := r.ex.AnswerBy
+	if patience := r.route.Patience; patience > 0 && r.ex.Start.Add(patience).Before(end) {
+		end = r.ex.Start.Add(patience)
+	}
+	return wait{began: now, latest: end.Add(-time.Duration(servingReserve * float64(end.Sub(now))))}
+}
+
+// pause returns the time until the next try to pick a target, or a negative time if the request is to be refused because of
+// err.
+func (r *request) pause(w *wait, err error) time.Duration {
+	const refuse = -1
+	now := time.Now()
+	switch {
+	case now.Sub(w.began) < r.route.Objective/pickWaitDivisor && !errors.Is(err, balance.ErrNoAdapter):
+		return pickInterval
+	case r.cfg.Placement == nil || len(r.tried) > 0 || now.After(w.latest):
+		return refuse
+	case errors.Is(err, balance.ErrNoModel):
+		return r.pauseForModel(w, now)
+	case errors.Is(err, balance.ErrNoAdapter):
+		return r.pauseForAdapter(w, now)
+	default:
+		return refuse
+	}
+}
+
+// pauseForModel waits for a copy that is expected in time. A model that nobody loads after the reaction time of placement is
+// not waited for.
+func (r *request) pauseForModel(w *wait, now time.Time) time.Duration {
+	at, loading := r.cfg.Placement.ExpectedModel(r.service, r.call.Model, now)
+	if at.IsZero() || at.After(w.latest) || !loading && now.Sub(w.began) > r.cfg.Placement.Reaction() {
+		return -1
+	}
+	return loadPollInterval
+}
+
+// pauseForAdapter asks for the adapter to be loaded, again and again while the targets that have the model are busy.
+func (r *request) pauseForAdapter(w *wait, now time.Time) time.Duration {
+	if now.Before(w.nextAdapter) {
+		return pickInterval
+	}
+	ctx, cancel := context.WithTimeout(r.ctx, adapterLoadTimeout)
+	defer cancel()
+	err := r.cfg.Placement.Ensure(ctx, r.service, r.call.Model, r.call.Adapter)
+	w.nextAdapter = time.Now().Add(adapterRetryInterval)
+	if err == nil {
+		return 0
+	}
+	r.cfg.Log.Warn("adapter not loaded", "request_id", r.ex.ID, "model", r.call.Model, "adapter", r.call.Adapter, "error", err.Error())
+	if r.cfg.Placement.Reaction() == 0 {
+		return -1
+	}
+	return adapterRetryInterval
+}
+
+// modelRetryAfter returns the time after which a refused caller may find the model loaded.
+func (r *request) modelRetryAfter() time.Duration {
+	if r.cfg.Placement != nil {
+		now := time.Now()
+		if at, _ := r.cfg.Placement.ExpectedModel(r.service, r.call.Model, now); !at.IsZero() {
+			return max(loadPollInterval, at.Sub(now))
+		}
+	}
+	return loadRetryAfter
+}
--- a/lib/filter/relay/relay.go
+++ b/lib/filter/relay/relay.go
@@ -31,14 +31,6 @@
 	responseTimeoutFactor = 3
 	// minResponseTimeout is the shortest response and stall timeout. A restarting target is unresponsive for longer.
 	minResponseTimeout = 300 * time.Millisecond
-	// pickWaitDivisor divides the objective: a request waits up to objective/pickWaitDivisor for a target to appear.
-	pickWaitDivisor = 8
-	// pickInterval is the time between two tries to pick a target while a request waits for one.
-	pickInterval = 15 * time.Millisecond
-	// adapterLoadTimeout bounds the time for which a request waits until its adapter is loaded.
-	adapterLoadTimeout = 400 * time.Millisecond
-	// loadRetryAfter is the Retry-After when no target has the model: a load from the weight store takes 1 to 4 s.
-	loadRetryAfter = 1500 * time.Millisecond
 	// busyRetryAfter is the Retry-After when targets exist but none took the request.
 	busyRetryAfter = 500 * time.Millisecond
 	// retryAfterDivisor divides the caller's remaining time and so bounds Retry-After: a caller that waits longer would
@@ -46,23 +38,28 @@
 	retryAfterDivisor = 3
 )
 
-// AdapterLoader loads adapters on request.
-type AdapterLoader interface {
+// Placement loads adapters on request and tells what becomes of models that no target has loaded.
+type Placement interface {
 	// Ensure returns nil once a target has the adapter loaded, and an error if that failed or ctx ended first.
 	Ensure(ctx context.Context, service, model, adapter string) error
+	// ExpectedModel returns when a first copy of the model is expected to be ready, and whether it is known to be on its way;
+	// otherwise the time is when it would be ready if the demand of now made it so. The time is zero if nobody places models.
+	ExpectedModel(service, model string, now time.Time) (at time.Time, loading bool)
+	// Reaction returns the time from a demand for a model until its load is known, or zero if nobody places models.
+	Reaction() time.Duration
 }
 
 // Config are the settings of the filter.
 type Config struct {
-	Protocol passthrough.Protocol
-	Client   *forward.Client
-	Balancer *balance.Balancer
-	Retries  *retry.Budget
-	Adapters AdapterLoader   // nil: adapters are not loaded on request
-	Demand   *workload.Meter // counts the demand for each model and adapter
-	Log      *slog.Logger
-	Metrics  *metrics.Set
-	Random   func() float64 // uniform in [0, 1); nil: the default source
+	Protocol  passthrough.Protocol
+	Client    *forward.Client
+	Balancer  *balance.Balancer
+	Retries   *retry.Budget
+	Placement Placement       // nil: models and adapters are not loaded on request
+	Demand    *workload.Meter // counts the demand for each model and adapter
+	Log       *slog.Logger
+	Metrics   *metrics.Set
+	Random    func() float64 // uniform in [0, 1); nil: the default source
 }
 
 type filter struct {
@@ -180,55 +177,11 @@
 	return true
 }
 
-// pick chooses a target. If there is none, it waits for one to appear, and asks once for a missing adapter to be loaded.
-func (r *request) pick() (*balance.Choice, error) {
-	until := time.Now().Add(r.route.Objective / pickWaitDivisor)
-	loadRequested := false
-	for {
-		choice, err := r.cfg.Balancer.Pick(balance.Query{Service: r.service, Call: r.call, Tried: r.tried}, time.Now())
-		if err == nil {
-			return choice, nil
-		}
-		if r.ctx.Err() != nil {
-			return nil, r.ctx.Err()
-		}
-		if r.state.Repeatable && r.state.MayHaveRun() && len(r.tried) > 0 {
-			r.tried = nil // retry at the same targets: the only one may have lost a single answer
-			continue
-		}
-		if errors.Is(err, balance.ErrNoAdapter) && !loadRequested && r.cfg.Adapters != nil {
-			loadRequested = true
-			if r.loadAdapter() == nil {
-				until = time.Now().Add(r.route.Objective / pickWaitDivisor)
-				continue
-			}
-		}
-		if time.Now().After(until) {
-			return nil, err
-		}
-		select {
-		case <-time.After(pickInterval):
-		case <-r.ctx.Done():
-		}
-	}
-}
-
-// loadAdapter asks for the request's adapter to be loaded and waits for it.
-func (r *request) loadAdapter() error {
-	ctx, cancel := context.WithTimeout(r.ctx, adapterLoadTimeout)
-	defer cancel()
-	err := r.cfg.Adapters.Ensure(ctx, r.service, r.call.Model, r.call.Adapter)
-	if err != nil {
-		r.cfg.Log.Warn("adapter not loaded", "request_id", r.ex.ID, "model", r.call.Model, "adapter", r.call.Adapter, "error", err.Error())
-	}
-	return err
-}
-
 // refuseNoTarget ends a request for which pick found no target.
 func (r *request) refuseNoTarget(err error) error {
 	reason, after := refusal.NoTarget, busyRetryAfter
 	if errors.Is(err, balance.ErrNoModel) {
-		after = loadRetryAfter
+		after = r.modelRetryAfter()
 	}
 	if r.state.MayHaveRun() {
 		reason = refusal.TargetFailed
--- a/lib/peers/state.go
+++ b/lib/peers/state.go
@@ -33,6 +33,9 @@
 	Controller  string                        `json:"c"` // host
 	Version     PlacementVersion              `json:"v"`
 	Residencies map[string]registry.Residency `json:"r,omitempty"` // by target
+	// ExpectedMS is when a first copy is expected to be ready of models that have none, by service/model: milliseconds after
+	// the placement was made.
+	ExpectedMS map[string]int64 `json:"x,omitempty"`
 }
 
 // Holder is what a host knows of the holder of the placement lease.
--- a/lib/placer/models.go
+++ b/lib/placer/models.go
@@ -31,6 +31,8 @@
 	stateDelay = 50 * time.Millisecond
 	// executionTimeout bounds the wait for the end of an order; the target unloads a model only after its runs have ended.
 	executionTimeout = 20 * time.Second
+	// unloadTime is the usual time of an unload, which waits for the model's runs.
+	unloadTime = time.Second
 	// firstPollFraction is the fraction of the configured load time after which the target's report is first read.
 	firstPollFraction = 0.9
 )
@@ -187,17 +189,25 @@
 		return
 	}
 	if !done {
-		m := e.Models[a.Model]
-		wait := m.StoreLoadTime
-		if !a.FromStore {
-			wait = m.DiskLoadTime
-		}
-		p.awaitExecution(ctx, t, time.Duration(firstPollFraction*float64(wait)))
+		p.awaitExecution(ctx, t, time.Duration(firstPollFraction*float64(loadDuration(e, a))))
 		return
 	}
 	p.requireSync(t, maxReportAge)
 }
 
+// loadDuration returns how long the load of an action takes.
+func loadDuration(e *catalog.Engine, a residency.Action) time.Duration {
+	m := e.Models[a.Model]
+	switch {
+	case m == nil:
+		return 0
+	case a.FromStore:
+		return m.StoreLoadTime
+	default:
+		return m.DiskLoadTime
+	}
+}
+
 // unloadModel waits until the hosts no longer use the model, sends the order to unload it and waits for its execution.
 func (p *Placer) unloadModel(ctx context.Context, t *target, model string) {
 	if !sleep.For(ctx, retireStatePeriods*p.cfg.StateInterval()+stateDelay) {
--- a/lib/placer/placer.go
+++ b/lib/placer/placer.go
@@ -124,6 +124,48 @@
 	return p.epoch, out, true
 }
 
+// Expected returns when a first copy of each model that has none is expected to be ready, by service/model: of those that are
+// being loaded, and of those in demand that wait for memory or for a load token. ok is false on hosts that do not hold the
+// lease.
+func (p *Placer) Expected(now time.Time) (expected map[string]time.Time, ok bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.active || p.catalog == nil {
+		return nil, false
+	}
+	expected = map[string]time.Time{}
+	for _, t := range p.targets {
+		for name, m := range t.models {
+			key := t.info.Service + "/" + name
+			if at, known := expected[key]; !m.readyBy.IsZero() && (!known || m.readyBy.Before(at)) {
+				expected[key] = m.readyBy
+			}
+		}
+	}
+	for name, planner := range p.planners {
+		s := p.engineService(name)
+		if s == nil {
+			continue
+		}
+		for i, model := range planner.Waiting() {
+			m := s.Engine.Models[model]
+			if m == nil {
+				continue
+			}
+			turn := time.Duration(float64(i+1) / max(s.Engine.LoadsPerSecond, 1e-3) * float64(time.Second))
+			expected[name+"/"+model] = now.Add(max(turn, unloadTime) + m.StoreLoadTime)
+		}
+	}
+	for _, t := range p.targets {
+		for name, m := range t.models {
+			if m.ready && !m.unloading {
+				delete(expected, t.info.Service+"/"+name)
+			}
+		}
+	}
+	return expected, true
+}
+
 // Run campaigns for the lease and sends orders while the lease is held, until ctx ends. It then resigns.
 func (p *Placer) Run(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -299,7 +341,7 @@
 		p.cfg.Log.Info("placement", "op", string(a.Op), "model", a.Model, "target", a.Target, "reason", a.Reason,
 			"from_store", a.FromStore, "work", demand.EngineLoad[a.Model], "epoch", p.epoch)
 		if a.Op == orders.Load {
-			t.addLoading(a.Model)
+			t.addLoading(a.Model, now.Add(loadDuration(s.Engine, a)))
 			go p.loadModel(ctx, t, s.Engine, a)
 		} else {
 			t.models[a.Model].unloading = true
--- a/lib/placer/target.go
+++ b/lib/placer/target.go
@@ -28,6 +28,7 @@
 // loadedModel is a model in the target's memory, or one that is being loaded or unloaded.
 type loadedModel struct {
 	ready     bool
+	readyBy   time.Time // when its load is expected to be done; zero if it is not being loaded
 	unloading bool
 	adapters  map[string]bool
 }
@@ -42,8 +43,8 @@
 }
 
 // addLoading adds a model that is being loaded.
-func (t *target) addLoading(model string) {
-	t.models[model] = &loadedModel{adapters: map[string]bool{}}
+func (t *target) addLoading(model string, readyBy time.Time) {
+	t.models[model] = &loadedModel{adapters: map[string]bool{}, readyBy: readyBy}
 }
 
 // residents returns the models and adapters that requests may be routed to at the target, sorted by name.
--- a/lib/residency/residency.go
+++ b/lib/residency/residency.go
@@ -101,6 +101,7 @@
 	storeLoads tokenBucket
 	usage      map[string]float64 // average demand by model, in milliseconds of engine time per second
 	plannedAt  time.Time
+	waiting    []string // see Waiting
 }
 
 // NewPlanner returns a planner that starts at most rate loads a second from the weight store, and at most burst at once.
@@ -143,6 +144,7 @@
 	p.updateUsage(models, now)
 	s := newPlanState(models, targets, p.usage)
 	var out []Action
+	p.waiting = nil
 	for _, c := range s.missingCopies() {
 		tokens := 1.0
 		if c.reason == ReasonUnused { // what is in use goes first, also what will be asked for next
@@ -154,10 +156,17 @@
 			}
 			out = append(out, a)
 		}
+		if c.reason == ReasonLost && s.copies[c.model.Name] == 0 {
+			p.waiting = append(p.waiting, c.model.Name)
+		}
 	}
 	return append(out, s.freeMemory()...)
 }
 
+// Waiting returns the models in demand that had no copy in the last plan and did not get one, because they wait for memory or
+// for a load token. The most urgent comes first.
+func (p *Planner) Waiting() []string { return p.waiting }
+
 // updateUsage moves the average demand of each model towards its demand.
 func (p *Planner) updateUsage(models []Model, now time.Time) {
 	weight := 1 - math.Exp(-max(0, now.Sub(p.plannedAt).Seconds())/usageTimeConstant.Seconds())
@@ -220,6 +229,7 @@
 
 // missingCopies lists the models that should get a copy, the most urgent first.
 func (s *planState) missingCopies() []missingCopy {
+	roomForAll := s.roomForAll()
 	var out []missingCopy
 	for i := range s.models {
 		m := &s.models[i]
@@ -229,7 +239,7 @@
 			out = append(out, missingCopy{m, ReasonLost, 0, m.EngineLoad})
 		case have < need && have > 0:
 			out = append(out, missingCopy{m, ReasonDemand, 1, float64(need) / float64(have)})
-		case have < minCopies:
+		case have < minCopies && (roomForAll || s.usage[m.Name] > 0):
 			out = append(out, missingCopy{m, ReasonUnused, 2, s.usage[m.Name]})
 		}
 	}
@@ -239,6 +249,19 @@
 	return out
 }
 
+// roomForAll reports whether the targets have the memory for a copy of each model. Where they don't, a model that was not
+// asked for would be loaded in vain most times.
+func (s *planState) roomForAll() bool {
+	needed, memory := 0.0, 0.0
+	for i := range s.models {
+		needed += s.models[i].MB
+	}
+	for _, t := range s.targets {
+		memory += t.MemoryMB
+	}
+	return needed <= memory
+}
+
 // placeCopy returns the load of a missing copy. If no target has the memory, it returns an unload that makes space, unless
 // running unloads will do or the copy is not urgent. storeAllowed states that the weight store allows another load.
 func (s *planState) placeCopy(c missingCopy, storeAllowed bool) (Action, bool) {
