Log of requests states the charge

Cause: whether an organisation got its rate could not be told from the logs, since the charge of admitted requests was missing.

--- a/lib/filter/accesslog/accesslog.go
+++ b/lib/filter/accesslog/accesslog.go
@@ -72,7 +72,8 @@
 		slog.Bool("stream", ex.Stream), slog.Int("status", out.Status), slog.String("reason", string(out.Reason)),
 		slog.String("run", string(out.Run)), slog.Bool("complete", out.Complete),
 		slog.Float64("seconds", duration.Seconds()), slog.Float64("first_token_seconds", out.FirstToken.Seconds()),
-		slog.Int64("prompt_tokens", out.PromptTokens), slog.Int64("output_tokens", out.OutputTokens),
+		slog.Int64("charge", ex.Charge), slog.Int64("prompt_tokens", out.PromptTokens),
+		slog.Int64("output_tokens", out.OutputTokens),
 	)
 }
 
