A few hosts poll the store for the fleet; fewer renewals

Cause: calls to the store were the largest price of the large deployment beside the hosts: each of 16 hosts of the mesh polled every 2.7 s and each leaf every 20 s, every host renewed its entry every 2 s, and a fleet that starts polled three times a host within four seconds, because every new entry answers all watches. Change: five hosts of the mesh, the first by hash that can read the store, poll for the fleet; a host says in its states when it cannot. How soon follows from the platform's bounds for draining and configurations, in the new settings drain_within and config_within. Others poll every 6 s, leaves every minute. Up to eight hosts all poll as before. Entries are renewed at half their time to live, sooner after a failure, and the first watch waits for the entries of a starting fleet to gather.

--- a/lib/entryhost/entryhost.go
+++ b/lib/entryhost/entryhost.go
@@ -176,10 +176,32 @@
 	h.limiter.SetHosts(len(f.Known)+1, f.Spread)
 	h.retries.SetHosts(len(f.Known) + 1)
 	h.connections.SetHosts(f.Known)
-	h.storeWatcher.SetHosts(f.Mesh, f.Leaf)
+	h.storeWatcher.SetPolling(h.polling(f))
 	h.role.setFleet(f)
 }
 
+const (
+	// announceTime is the time that a change takes from the host that reads it to all others: a random delay, up to three
+	// states, and the call that reads a configuration.
+	announceTime = 800 * time.Millisecond
+	// meshPollInterval and leafPollInterval are the poll intervals of hosts that are not pollers. They bound how long a host
+	// that died counts: longer where it is one of many.
+	meshPollInterval = 6 * time.Second
+	leafPollInterval = time.Minute
+)
+
+// polling returns this host's part in polling the store.
+func (h *Host) polling(f peers.Fleet) storewatch.Polling {
+	within := min(h.cfg.Settings.DrainWithin, h.cfg.Settings.ConfigWithin)
+	p := storewatch.Polling{
+		Poller: f.Poller, Pollers: f.Pollers, Window: within - announceTime - 2*(f.Spread-f.Interval)/3, Interval: meshPollInterval,
+	}
+	if f.Leaf {
+		p.Interval = leafPollInterval
+	}
+	return p
+}
+
 // fillState fills in a full state of this host.
 func (h *Host) fillState(s *peers.State) {
 	now := time.Now()
@@ -197,6 +219,7 @@
 	}
 	h.connections.updateDemand(h.balancer, now)
 	s.Holder, s.PlacementVersion = h.role.holder(now)
+	s.StoreLost = h.storeWatcher.StoreLost()
 }
 
 // fillPartialState fills in a partial state and reports whether it carries changes that the audience may not know.
--- a/lib/entryhost/settings.go
+++ b/lib/entryhost/settings.go
@@ -17,6 +17,11 @@
 	Metrics string `yaml:"metrics"` // IP:port of the metrics page
 	Store   string `yaml:"store"`   // IP:port of the platform's store
 
+	// DrainWithin and ConfigWithin are the times after the store's acknowledgement within which a draining target gets no
+	// more requests and a configuration is in force, on every host.
+	DrainWithin  time.Duration `yaml:"drain_within"`
+	ConfigWithin time.Duration `yaml:"config_within"`
+
 	LinkMbps float64 `yaml:"link_mbps"` // rate of this host's network link in Mbit/s
 
 	RetryRatio float64 `yaml:"retry_ratio"` // retries allowed per request of a service, over all hosts
@@ -37,7 +42,7 @@
 // DefaultSettings returns the settings that apply where the file sets none.
 func DefaultSettings() Settings {
 	return Settings{
-		LinkMbps: 100, RetryRatio: 0.1, RetrySlack: 10,
+		DrainWithin: 2 * time.Second, ConfigWithin: 2 * time.Second, LinkMbps: 100, RetryRatio: 0.1, RetrySlack: 10,
 		Placement: PlacementSettings{Lease: 3 * time.Second, LoadsOvershoot: 1},
 		// Enough for a load balancer that checks once a second and stops sending after two failed checks.
 		StopDelay: 3 * time.Second,
@@ -57,6 +62,9 @@
 			return err
 		}
 	}
+	if s.DrainWithin <= 0 || s.ConfigWithin <= 0 {
+		return fmt.Errorf("drain_within (%s) and config_within (%s) must be above 0", s.DrainWithin, s.ConfigWithin)
+	}
 	if !(s.LinkMbps > 0) {
 		return fmt.Errorf("link_mbps (%v) must be above 0; set it to the rate of this host's link in Mbit/s", s.LinkMbps)
 	}
--- a/lib/entryhost/settings_test.go
+++ b/lib/entryhost/settings_test.go
@@ -32,6 +32,7 @@
 		{"10.0.0.1:2", "here", "ready"},
 		{"retry_ratio: 0.2", "retry_ratio: -1", "retry_ratio"},
 		{"retry_slack: 54", "link_mbps: 0", "link_mbps"},
+		{"retry_slack: 54", "drain_within: 0s", "drain_within"},
 		{"3000ms", "10ms", "lease"},
 		{"3000ms", "soon", "[11:10] placement.lease"},
 		{"retry_slack", "retry_slak", "retry_slak"},
--- a/lib/peers/peers.go
+++ b/lib/peers/peers.go
@@ -51,6 +51,10 @@
 	// arrive within a few milliseconds, so most hosts that saw the change at the same time receive an announcement before
 	// their delay ends.
 	maxAnnounceDelay = 100 * time.Millisecond
+	// maxPollers is the number of hosts that poll the store for the fleet, so that some are left when several are killed at
+	// once; allPollHosts is the number of hosts up to which all of them do.
+	maxPollers   = 5
+	allPollHosts = 8
 	// removeTimeout is the time without a state and without an entry in the store after which a host is removed.
 	removeTimeout = 5 * time.Second
 	// maxDatagramBytes bounds an encoded state.
@@ -69,6 +73,8 @@
 	Reachable int           // hosts whose states arrive, summed or not, this one included
 	Mesh      int           // reachable hosts of the mesh, this one included if it belongs to it
 	Leaf      bool          // this host is a leaf
+	Poller    bool          // this host polls the store for the fleet
+	Pollers   int           // hosts that do so
 	Interval  time.Duration // between two states of a host
 	// Spread is the time in which a state reaches all hosts unless datagrams are lost.
 	Spread time.Duration
@@ -108,6 +114,7 @@
 	avoid            map[string]time.Time // guarded by mu; aggregators that were silent: until when they are left out
 	fleet            Fleet                // guarded by mu; as last reported
 	lastNumber       uint64               // guarded by mu; number of the latest state
+	storeLost        bool                 // guarded by mu; this host cannot read the store
 
 	announceRequested chan time.Duration // the longest delay before the announcement
 }
@@ -133,6 +140,7 @@
 	receivedAt    time.Time
 	link          link
 	hosts         int   // hosts that its states cover
+	storeLost     bool  // it cannot read the store
 	configVersion int64 // version of the configuration in force at the peer
 	placement     PlacementVersion
 	sent          PlacementVersion // placement that was last sent to it
--- a/lib/peers/peers_test.go
+++ b/lib/peers/peers_test.go
@@ -143,6 +143,7 @@
 	loads     map[string]int // requests in flight at "t" as others reported them, by reporting host
 	charged   float64
 	placement *Placement
+	storeLost bool
 	fleet     Fleet
 	relay     bool
 }
@@ -168,6 +169,7 @@
 				if h.placement != nil {
 					s.PlacementVersion = h.placement.Version
 				}
+				s.StoreLost = h.storeLost
 			},
 			FillPartialState: func(*State, storewatch.Audience) bool { return false },
 			Placement:        func() *Placement { return h.placement },
@@ -415,3 +417,39 @@
 		}
 	}
 }
+
+// Guards against polls of the store that grow with the fleet, and against changes that nobody reads because the pollers are
+// dead or cannot read the store.
+func TestFewHostsPollTheStore(t *testing.T) {
+	for n, want := range map[int]int{1: 1, 7: 7, 8: 8, 16: maxPollers, 84: maxPollers, 195: maxPollers} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newTestFleet(t, n, 3)
+			f.run(3 * time.Second)
+			pollers := func() (out []*testHost) {
+				for name, h := range f.hosts {
+					if h.fleet.Poller && !f.down[name] && !h.storeLost {
+						out = append(out, h)
+					}
+				}
+				return out
+			}
+			if got := len(pollers()); got != want {
+				t.Fatalf("%d hosts: %d pollers, want %d", n, got, want)
+			}
+			if n < 16 {
+				return
+			}
+			for i, h := range pollers() {
+				if i%2 == 0 {
+					h.storeLost = true
+				} else {
+					f.down[h.host] = true
+				}
+			}
+			f.run(3 * time.Second)
+			if got := len(pollers()); got != want {
+				t.Errorf("%d hosts: %d pollers after all have failed, want %d", n, got, want)
+			}
+		})
+	}
+}
--- a/lib/peers/receive.go
+++ b/lib/peers/receive.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/netip"
+	"slices"
 	"strings"
 	"time"
 
@@ -35,7 +36,7 @@
 	}
 	p.boot, p.number, p.receivedAt, p.configVersion = s.Boot, s.Number, now, s.ConfigVersion
 	if s.Kind != Partial {
-		p.placement = s.PlacementVersion
+		p.placement, p.storeLost = s.PlacementVersion, s.StoreLost
 		x.countState(p, s)
 	}
 	x.mu.Unlock()
@@ -232,6 +233,7 @@
 			f.Mesh = len(x.topology.mesh)
 		}
 	}
+	f.Poller, f.Pollers = x.pollers()
 	f.Reachable = min(f.Reachable, len(f.Known)+1)
 	f.Spread = f.Interval
 	if x.hasLeaves() {
@@ -239,11 +241,34 @@
 	}
 	old := x.fleet
 	changed := len(f.Known) != len(old.Known) || f.Reachable != old.Reachable || f.Mesh != old.Mesh || f.Leaf != old.Leaf ||
-		f.Interval != old.Interval
+		f.Interval != old.Interval || f.Poller != old.Poller || f.Pollers != old.Pollers
 	x.fleet = f
 	return f, changed
 }
 
+// pollers returns whether this host is one of the pollers and how many there are: the first reachable hosts of the mesh, in an
+// order by hash, that can read the store. A leaf without an aggregator polls for itself. The caller holds mu.
+func (x *Exchanger) pollers() (poller bool, count int) {
+	var able []string
+	linked := false
+	for host, p := range x.peers {
+		linked = linked || p.link != noLink
+		if p.link == meshLink && !p.storeLost {
+			able = append(able, host)
+		}
+	}
+	inMesh := x.topology.inMesh[x.host]
+	if !inMesh {
+		return !linked, 1
+	}
+	able = append(able, x.host)
+	if len(able) <= allPollHosts {
+		return true, len(able)
+	}
+	sortByHash(able, "poll")
+	return x.storeLost || slices.Index(able, x.host) < maxPollers, maxPollers
+}
+
 // hasLeaves reports whether the fleet has leaves. The caller holds mu.
 func (x *Exchanger) hasLeaves() bool { return len(x.topology.mesh) < len(x.topology.zones) }
 
--- a/lib/peers/register.go
+++ b/lib/peers/register.go
@@ -15,8 +15,10 @@
 	// entryTTL is how long a host's entry outlives its process. It covers a restart, so that hosts that restart together
 	// find each other's entries.
 	entryTTL = 8 * time.Second
-	// renewInterval is the time between two renewals of the entry's lease; two in a row may fail.
-	renewInterval = entryTTL / 4
+	// renewInterval is the time between two renewals of the entry's lease, and renewRetryDelay that after a failed one. Two in
+	// a row may fail.
+	renewInterval   = entryTTL / 2
+	renewRetryDelay = entryTTL / 16
 	// storeTimeout bounds the calls of the store for one operation.
 	storeTimeout = time.Second
 	// registerRetryDelay is the delay after a failed registration.
@@ -71,7 +73,8 @@
 
 // renew renews the lease until it is lost or ctx ends. When ctx ends, it revokes the lease, which removes the entry.
 func (r *registration) renew(ctx context.Context, lease kv.LeaseID) {
-	for sleep.For(ctx, renewInterval) {
+	for wait := renewInterval; sleep.For(ctx, wait); {
+		wait = renewInterval
 		call, cancel := context.WithTimeout(ctx, storeTimeout)
 		err := r.store.KeepAlive(call, lease)
 		cancel()
@@ -80,6 +83,7 @@
 			return
 		}
 		if err != nil {
+			wait = renewRetryDelay
 			r.log.Debug("registration not renewed", "error", err.Error())
 		}
 	}
--- a/lib/peers/send.go
+++ b/lib/peers/send.go
@@ -43,6 +43,7 @@
 	placement := x.handlers.Placement()
 	x.mu.Lock()
 	defer x.mu.Unlock()
+	x.storeLost = own.StoreLost
 	if !x.topology.inMesh[x.host] {
 		own.Kind = Up
 		return x.withPlacement(own, x.receivers(storewatch.ToMesh), placement, storewatch.ToMesh)
--- a/lib/peers/state.go
+++ b/lib/peers/state.go
@@ -53,7 +53,8 @@
 	Number        uint64 `json:"n"` // increases with each state since the start
 	Addr          string `json:"x"` // IP:port of datagrams and calls
 	Kind          Kind   `json:"f,omitempty"`
-	ConfigVersion int64  `json:"c"` // version of the configuration in force at the sender
+	StoreLost     bool   `json:"y,omitempty"` // the sender cannot read the store
+	ConfigVersion int64  `json:"c"`           // version of the configuration in force at the sender
 	aggregate.Contribution
 	Changes          storewatch.TargetChanges `json:"v,omitzero"` // recent changes of targets
 	Holder           Holder                   `json:"t,omitzero"`
--- a/lib/storewatch/storewatch.go
+++ b/lib/storewatch/storewatch.go
@@ -28,20 +28,15 @@
 	// poll interval of a host with peers. Targets write often, and each answered watch costs a call; changes within the
 	// delay share one.
 	minPollInterval = 600 * time.Millisecond
-	// maxPollInterval is the longest poll interval of a host with peers, because their announcements may be lost. It is
-	// below the time for which a host's entry outlives its process, so that no host misses the entry of a short-lived one.
+	// maxPollInterval is the longest poll interval of a poller. It is below the time for which a host's entry outlives its
+	// process, so that no poller misses the entry of a short-lived one.
 	maxPollInterval = 6 * time.Second
-	// settlingTime is the time after the start in which a host with peers polls each settlingPollInterval only: in a fleet
-	// that starts, the entries of the other hosts arrive one after the other.
-	settlingTime         = 3 * time.Second
-	settlingPollInterval = 1500 * time.Millisecond
-	// leafPollInterval is the poll interval of a leaf. Changes reach it by announcements, which its aggregator repeats in the
-	// states of changeTTL.
-	leafPollInterval = 20 * time.Second
-	// detectionWindow is the time after a change within which at least one host should poll the store. Hosts announce
-	// draining and removed targets and new configurations to each other; these have to reach all hosts within two seconds.
-	detectionWindow = 1200 * time.Millisecond
-	// missProbability is the accepted probability that no host polls within detectionWindow.
+	// settlingDelay, up to twice of it, is the delay before a host's first watch. The time limits apply to a host later.
+	settlingDelay = 700 * time.Millisecond
+	// DefaultWindow is the time after a change within which a poller should see it, of a fleet whose hosts have to know it
+	// within two seconds.
+	DefaultWindow = 1200 * time.Millisecond
+	// missProbability is the accepted probability that no poller polls within the window.
 	missProbability = 1e-4
 	// changeTTL is how long the states of a host repeat a change of a target. It covers several states, as any may be lost.
 	changeTTL = 3 * time.Second
@@ -98,10 +93,10 @@
 	pollPhase float64 // offset of this host's polls, as a fraction of the poll interval
 
 	mu             sync.Mutex
-	hostCount      int                         // guarded by mu; hosts that announce changes to each other, this one included
-	leaf           bool                        // guarded by mu; others read changes for this host, and announce them
+	polling        Polling                     // guarded by mu
 	changes        map[changeKey]*recentChange // guarded by mu; recent changes of targets
 	seen           map[changeKey]time.Duration // guarded by mu; changes of the last seenTTL: when recorded, by the boot clock
+	settled        bool                        // guarded by mu; settle has run
 	snapshotRead   bool                        // guarded by mu; a full read has succeeded
 	configValue    []byte                      // guarded by mu; configuration in force as it was read
 	configVersion  int64                       // guarded by mu; version of the configuration in force, -1 before the first
@@ -120,7 +115,8 @@
 func New(feed kv.Feed, codec Codec, handlers Handlers, log *slog.Logger) *Watcher {
 	return &Watcher{
 		feed: feed, codec: codec, handlers: handlers, log: log, configVersion: -1, targets: registry.NewTable(),
-		hosts: map[string][]byte{}, pollNow: make(chan struct{}, 1), started: time.Now(), pollPhase: rand.Float64(), hostCount: 1,
+		hosts: map[string][]byte{}, pollNow: make(chan struct{}, 1), started: time.Now(), pollPhase: rand.Float64(),
+		polling: Polling{Poller: true, Pollers: 1},
 		changes: map[changeKey]*recentChange{}, seen: map[changeKey]time.Duration{}, invalidEntries: map[string]kv.Version{},
 		loggedStates: map[string]registry.State{},
 	}
@@ -141,6 +137,7 @@
 		revision, err := w.readSnapshot(ctx)
 		if err == nil {
 			delay = minRetryDelay
+			w.settle(ctx)
 			err = w.watch(ctx, revision)
 		}
 		switch {
@@ -156,6 +153,18 @@
 	}
 }
 
+// settle waits before the first watch of a host that has a configuration. In a fleet that starts, the entries of the other
+// hosts arrive one after the other, and each would answer the watches of all hosts.
+func (w *Watcher) settle(ctx context.Context) {
+	w.mu.Lock()
+	first := w.configVersion >= 0 && !w.settled
+	w.settled = true
+	w.mu.Unlock()
+	if first {
+		sleep.For(ctx, settlingDelay+rand.N(settlingDelay))
+	}
+}
+
 // errIdle ends a watch that returned no changes. A store that has lost part of its history may hold the watch open and
 // never deliver the changes of that part, so a full read follows.
 var errIdle = errors.New("storewatch: watch returned no changes")
@@ -232,30 +241,44 @@
 	return w.feed.Changes(ctx, allKeys, after, watchWait)
 }
 
-// SetHosts sets how many hosts announce changes to each other. Each of them polls the store more rarely the more they are.
-// A leaf, to which they announce changes too, polls most rarely.
-func (w *Watcher) SetHosts(n int, leaf bool) {
+// Polling is a host's part in polling the store. A few hosts poll it for the fleet and announce what changes; the calls of
+// all hosts together then hardly grow with the fleet.
+type Polling struct {
+	Poller  bool          // this host is one of the pollers
+	Pollers int           // number of pollers
+	Window  time.Duration // time after a change within which one of the pollers should see it
+	// Interval is the poll interval of a host that is not a poller. It learns of targets and configurations from others
+	// between its polls, but not of entries of hosts.
+	Interval time.Duration
+}
+
+// SetPolling sets this host's part in polling the store. At first it is the only poller.
+func (w *Watcher) SetPolling(p Polling) {
+	w.mu.Lock()
+	promoted := p.Poller && !w.polling.Poller
+	w.polling = p
+	w.mu.Unlock()
+	if promoted {
+		w.PollNow()
+	}
+}
+
+// StoreLost reports whether no call of the store has succeeded since the last failure.
+func (w *Watcher) StoreLost() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.hostCount, w.leaf = max(1, n), leaf
+	return w.storeLost
 }
 
-// waitBetweenPolls waits so that changes gather. Hosts with peers share the polling: each polls at times of its own,
-// so that with a probability of missProbability none polls within detectionWindow. Delays counted from the changes would
-// not do: one change answers the watches of all hosts at once, and all of them would wait at the same time.
+// waitBetweenPolls waits so that changes gather. Several pollers poll at times of their own, so that with a probability of
+// missProbability none polls within the window. Delays counted from the changes would not do: one change answers the watches
+// of all hosts at once, and all of them would wait at the same time.
 func (w *Watcher) waitBetweenPolls(ctx context.Context) {
 	w.mu.Lock()
-	n, leaf := w.hostCount, w.leaf
+	period := w.polling.period()
 	w.mu.Unlock()
-	d := minPollInterval
-	if n > 1 {
-		period := pollInterval(n)
-		if leaf {
-			period = leafPollInterval
-		}
-		if time.Since(w.started) < settlingTime {
-			period = settlingPollInterval
-		}
+	d := period
+	if period > minPollInterval {
 		d = period - (time.Since(w.started)+time.Duration(w.pollPhase*float64(period)))%period
 	}
 	timer := time.NewTimer(d)
@@ -267,10 +290,17 @@
 	}
 }
 
-// pollInterval returns the time between two polls of each host if n hosts share the polling.
-func pollInterval(n int) time.Duration {
-	period := time.Duration(float64(detectionWindow) / (1 - math.Pow(missProbability, 1/float64(n))))
-	return min(maxPollInterval, max(minPollInterval, period))
+// period returns the time between two polls of the host.
+func (p Polling) period() time.Duration {
+	switch {
+	case !p.Poller:
+		return p.Interval
+	case p.Pollers <= 1:
+		return minPollInterval
+	default:
+		period := time.Duration(float64(p.Window) / (1 - math.Pow(missProbability, 1/float64(p.Pollers))))
+		return min(maxPollInterval, max(minPollInterval, period))
+	}
 }
 
 // PollNow ends the delay before the next poll. Call it when another host has seen a newer configuration.
--- a/lib/storewatch/storewatch_test.go
+++ b/lib/storewatch/storewatch_test.go
@@ -153,7 +153,7 @@
 	phases := rand.New(rand.NewPCG(uint64(n), 1))
 	for range n {
 		w, s := startWatcherWith(t, feed, func(w *Watcher) {
-			w.SetHosts(n, false)
+			w.SetPolling(Polling{Poller: true, Pollers: n, Window: DefaultWindow})
 			w.pollPhase = phases.Float64()
 		})
 		watchers, all = append(watchers, w), append(all, s)
