Placement makes room where the model is on disk

Cause: a copy displaced another one wherever that was cheapest, and then came from the weight store in 2 to 4 s, though another target had it on its disk (0.8 s, no load token).

--- a/lib/residency/residency.go
+++ b/lib/residency/residency.go
@@ -362,7 +362,7 @@
 }
 
 // cheapestVictim returns the target, and a copy there that may yield, whose unload gives it free memory for the model at the
-// least cost; nil if there is none.
+// least cost; nil if there is none. A target that has the model on its disk loads it several times as fast.
 func (s *planState) cheapestVictim(m *Model, yields func(*Model) bool) (best *Target, victim *Model) {
 	var lowest float64
 	for _, t := range s.targets {
@@ -374,6 +374,9 @@
 			continue
 		}
 		cost := s.loadMS[t.ID] + v.EngineLoad + s.usage[v.Name]
+		if !slices.Contains(t.Cached, m.Name) {
+			cost += storeLoadCostMS
+		}
 		if best == nil || cost < lowest {
 			best, victim, lowest = t, v, cost
 		}
