An adapter whose request has ended is counted

When the call that asked for an adapter ended within the 12 ms in which the accepted adapter loads, the load was not recorded, so that one place seemed to be free. Ruled out: late orders (their numbers had passed) and old reports (refused by their number). Change: the wait does not end with the call, and the adapter is recorded.

--- a/lib/placer/adapters.go
+++ b/lib/placer/adapters.go
@@ -9,7 +9,6 @@
 
 	"cuminhook.org/cuminhook/lib/catalog"
 	"cuminhook.org/cuminhook/lib/orders"
-	"cuminhook.org/cuminhook/lib/sleep"
 )
 
 const (
@@ -186,11 +185,11 @@
 		p.requireSync(t, maxReportAge)
 		return false
 	}
-	if !done && !sleep.For(ctx, adapterLoadTime) {
-		return false
+	if !done {
+		time.Sleep(adapterLoadTime) // also if ctx ends: the adapter takes its slot
 	}
 	p.setAdapterLoaded(t, name, true)
-	return true
+	return ctx.Err() == nil
 }
 
 // setAdapterLoaded records whether the adapter is loaded at the target.
--- a/lib/placer/placer_test.go
+++ b/lib/placer/placer_test.go
@@ -374,3 +374,27 @@
 		}
 	})
 }
+
+// Guards against an adapter that is loaded but not counted because the request that asked for it ended meanwhile: the next
+// ones would overcommit the target's adapter slots, on which it crashes.
+func TestAdapterOfAnEndedRequestIsCounted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		client := newFakeClient(t, "a")
+		ctx, cancel := context.WithCancel(t.Context())
+		go client.refreshReports(ctx)
+		h := startCandidate(t, "h", memkv.New(), client, 1, "a")
+		time.Sleep(5 * time.Second)
+		for i := range 12 {
+			call, cancel := context.WithTimeout(ctx, adapterLoadTime/2)
+			_, _ = h.Ensure(call, "s", "m0", fmt.Sprintf("a%d", i+1))
+			cancel()
+			time.Sleep(20 * time.Millisecond)
+		}
+		if overcommits, _ := client.result(); len(overcommits) > 0 {
+			t.Errorf("overcommitted: %v", overcommits)
+		}
+		h.cancel()
+		<-h.done
+		cancel()
+	})
+}
