Tests of the wait for models and adapters

They play a request whose model comes in time, too late, or not at all, and targets that are busy while its adapter is asked for.

--- a/lib/filter/relay/harness_test.go
+++ b/lib/filter/relay/harness_test.go
@@ -38,7 +38,10 @@
 type testProtocol struct{}
 
 func (testProtocol) ReadCall(h *fasthttp.RequestHeader) (passthrough.Call, error) {
-	c := passthrough.Call{ID: string(h.Peek("Id")), LastEvent: string(h.Peek("Last"))}
+	c := passthrough.Call{
+		ID: string(h.Peek("Id")), LastEvent: string(h.Peek("Last")), Model: string(h.Peek("Model")),
+		Adapter: string(h.Peek("Adapter")),
+	}
 	if c.ID == "" {
 		return c, passthrough.ErrNoID
 	}
@@ -88,6 +91,11 @@
 
 // newHarness starts a harness with the routes /safe/ (idempotent), /unsafe/ (non-idempotent), /stream/ and /resumable/.
 func newHarness(t *testing.T, scripts map[string]script) *harness {
+	return newHarnessWith(t, scripts, nil)
+}
+
+// newHarnessWith is newHarness with a placement. The targets have no model loaded.
+func newHarnessWith(t *testing.T, scripts map[string]script, placement Placement) *harness {
 	r := &harness{
 		t: t, ln: fasthttputil.NewInmemoryListener(), scripts: scripts,
 		balancer: balance.New("z", nil, rand.New(rand.NewPCG(1, 1))),
@@ -112,8 +120,8 @@
 	log := slog.New(slog.DiscardHandler)
 	h := New(Config{
 		Protocol: testProtocol{}, Client: forward.NewClient(forward.Config{Protocol: testProtocol{}, Dial: r.dial}), Balancer: r.balancer,
-		Retries: retry.NewBudget(0.2, 50),
-		Demand:  workload.New(), Log: log, Metrics: metrics.NewSet(), Random: func() float64 { return 0.5 },
+		Retries: retry.NewBudget(0.2, 50), Placement: placement,
+		Demand: workload.New(), Log: log, Metrics: metrics.NewSet(), Random: func() float64 { return 0.5 },
 	})
 	h = classify.New(h, classify.Config{Protocol: testProtocol{}, Catalog: func() *catalog.Catalog { return c }})
 	s := pipeline.NewServer(pipeline.ServerConfig{
@@ -203,7 +211,10 @@
 }
 
 // call sends one request on a new connection and reads the answer.
-func (r *harness) call(method, path, id string) answer {
+func (r *harness) call(method, path, id string) answer { return r.callWith(method, path, id, "") }
+
+// callWith is call with further header lines.
+func (r *harness) callWith(method, path, id, header string) answer {
 	r.t.Helper()
 	began := time.Now()
 	conn, err := r.ln.Dial()
@@ -211,7 +222,7 @@
 		r.t.Fatal(err)
 	}
 	defer conn.Close()
-	fmt.Fprintf(conn, "%s %s HTTP/1.1\r\nHost: h\r\nId: %s\r\nContent-Length: 2\r\n\r\nhi", method, path, id)
+	fmt.Fprintf(conn, "%s %s HTTP/1.1\r\nHost: h\r\nId: %s\r\n%sContent-Length: 2\r\n\r\nhi", method, path, id, header)
 	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	if err != nil {
 		return answer{err: err, took: time.Since(began)}
