--- a/lib/balance/balance_test.go
+++ b/lib/balance/balance_test.go
@@ -369,3 +369,40 @@
 		t.Error("picked t01, whose only connection is in use")
 	}
 }
+
+// Guards against hosts that send one request after the other to targets that reject them because they are full, and so use up
+// the retries that others need; and against a target that stays unused when it has room again. Each target takes nine requests.
+func TestFullTargetIsLeftAloneUntilItHasRoom(t *testing.T) {
+	const takes = 9
+	b := newBalancer("a")
+	b.SetTargets(plainTargets(2))
+	b.SetPeerLoads("other", map[string]Load{"t00": {Running: 3}}) // what the host knows of others is out of date
+	inFlight := map[string][]*Choice{}
+	rejected, busy := 0, 0
+	at := now
+	q := Query{Service: "plain", Call: &passthrough.Call{}}
+	for range 200 {
+		at = at.Add(5 * time.Millisecond)
+		c, err := b.Pick(q, at)
+		if err != nil {
+			busy++
+			continue
+		}
+		if id := c.Target.ID; len(inFlight[id]) >= takes {
+			c.Rejected(at)
+			rejected++
+		} else {
+			inFlight[id] = append(inFlight[id], c)
+		}
+	}
+	// A target is asked again when its learned capacity has risen by one, six times a second.
+	if rejected > 2+2*6 || busy < 150 {
+		t.Errorf("%d requests rejected and %d not sent by two full targets within a second", rejected, busy)
+	}
+	for _, c := range inFlight["t01"] {
+		c.Answered(false, at)
+	}
+	if c, err := b.Pick(q, at); err != nil || c.Target.ID != "t01" {
+		t.Errorf("t01 has room and is not picked: %v", err)
+	}
+}
--- a/lib/filter/relay/pick.go
+++ b/lib/filter/relay/pick.go
@@ -9,7 +9,8 @@
 )
 
 const (
-	// pickWaitDivisor divides the objective: a request waits up to objective/pickWaitDivisor for a target to appear.
+	// pickWaitDivisor divides the objective: a request waits up to objective/pickWaitDivisor for a target to appear. It waits
+	// up to the whole objective for a target that is full: its requests end all the time.
 	pickWaitDivisor = 8
 	// pickInterval is the time between two tries to pick a target while a request waits for one, and loadPollInterval that
 	// while it waits for a model to be loaded, which takes seconds.
@@ -78,6 +79,8 @@
 	switch {
 	case now.Sub(w.began) < r.route.Objective/pickWaitDivisor && !errors.Is(err, balance.ErrNoAdapter):
 		return pickInterval
+	case errors.Is(err, balance.ErrBusy) && now.Sub(w.began) < r.route.Objective && now.Before(w.latest):
+		return pickInterval
 	case r.cfg.Placement == nil || len(r.tried) > 0 || now.After(w.latest):
 		return refuse
 	case errors.Is(err, balance.ErrNoModel):
