--- a/lib/balance/balance.go
+++ b/lib/balance/balance.go
@@ -22,7 +22,7 @@
 	ErrNoTarget  = errors.New("balance: no ready target of the service; retry when one is ready")
 	ErrNoModel   = errors.New("balance: no target has the model loaded; retry when it is loaded")
 	ErrNoAdapter = errors.New("balance: no target has the adapter loaded; have it loaded")
-	ErrBusy      = errors.New("balance: the targets are full, or this host may open no further connection to them; retry shortly")
+	ErrBusy      = errors.New("balance: this host may open no further connection to the targets; retry when one is free")
 )
 
 const (
@@ -65,9 +65,6 @@
 	// missingModelTTL is how long a target counts as lacking a model or adapter after it reported so. By then its entry
 	// in the store is newer than that report.
 	missingModelTTL = 2500 * time.Millisecond
-	// capacityRecovery is the time in which the capacity learned from a rejected request rises by the target's slots. It
-	// follows how long requests run, and the age of what is known of other hosts' requests.
-	capacityRecovery = time.Second
 	// plainRequestCostMS is the time in milliseconds that each request in flight at a plain service adds, divided by the
 	// slots of the target.
 	plainRequestCostMS = 30.0
@@ -114,9 +111,6 @@
 	missing        map[string]time.Time // by model or model/adapter: until when it counts as not loaded
 	prefixCache    segmentCache
 	health         health
-	// capacity is the number of requests in flight that the target takes, as of capacityLearned, if that is not zero.
-	capacity        float64
-	capacityLearned time.Time
 }
 
 // New returns a balancer for a host in the zone. random breaks ties between targets of about the same cost. Without
@@ -351,27 +345,8 @@
 	return nil, err
 }
 
-// learnCapacity records that the target rejected a request for lack of capacity. The requests of other hosts in flight are
-// known with a delay, so the capacity is in terms of what this host believes to be in flight.
-func (t *target) learnCapacity(now time.Time) {
-	t.capacity, t.capacityLearned = max(1, float64(t.local.Running+t.peers.Running-1)), now
-}
-
-// full reports whether the target would probably reject a request.
-func (t *target) full(now time.Time) bool {
-	if t.capacityLearned.IsZero() {
-		return false
-	}
-	capacity := t.capacity + float64(t.info.Slots)*now.Sub(t.capacityLearned).Seconds()/capacityRecovery.Seconds()
-	return t.local.Running+t.peers.Running >= int(capacity)
-}
-
-// isFull reports whether the target would probably reject a request, or all connections that this host may have to it are in
-// use.
+// isFull reports whether all connections that this host may have to the target are in use.
 func (b *Balancer) isFull(t *target, now time.Time) bool {
-	if t.full(now) {
-		return true
-	}
 	if b.connections == nil {
 		return false
 	}
--- a/lib/balance/choice.go
+++ b/lib/balance/choice.go
@@ -61,7 +61,6 @@
 func (c *Choice) Rejected(now time.Time) {
 	c.balancer.mu.Lock()
 	defer c.balancer.mu.Unlock()
-	c.picked.learnCapacity(now)
 	c.releaseLoad()
 	c.picked.health.rejected(now)
 }
--- a/lib/filter/relay/pick.go
+++ b/lib/filter/relay/pick.go
@@ -10,7 +10,7 @@
 
 const (
 	// pickWaitDivisor divides the objective: a request waits up to objective/pickWaitDivisor for a target to appear. It waits
-	// up to the whole objective for a target that is full: its requests end all the time.
+	// up to the whole objective for a connection of those that this host may open: its requests end all the time.
 	pickWaitDivisor = 8
 	// pickInterval is the time between two tries to pick a target while a request waits for one, and loadPollInterval that
 	// while it waits for a model to be loaded, which takes seconds.
