--- a/lib/placer/placer.go
+++ b/lib/placer/placer.go
@@ -24,8 +24,10 @@
 )
 
 const (
-	// planInterval is the time between two runs of the planner.
-	planInterval = 100 * time.Millisecond
+	// planInterval is the shortest time between two runs of the planner, which take at most the fraction 1/planRestDivisor of
+	// the controller's time: plans of a thousand targets take tens of milliseconds on a small host, which also serves requests.
+	planInterval    = 100 * time.Millisecond
+	planRestDivisor = 10
 	// maxLoadBurst is the maximum number of loads from the weight store that may start at once. The platform tolerates
 	// three loads above its rate in a window.
 	maxLoadBurst = 2
@@ -238,25 +240,27 @@
 	}
 }
 
-// runTerm plans and publishes every planInterval until the term ends.
+// runTerm plans and publishes until the term ends.
 func (p *Placer) runTerm(ctx context.Context, ended <-chan struct{}) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	ticker := time.NewTicker(planInterval)
-	defer ticker.Stop()
+	timer := time.NewTimer(planInterval)
+	defer timer.Stop()
 	for {
 		select {
 		case <-ended:
 			return
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-timer.C:
 		}
+		started := time.Now()
 		if _, held := p.cfg.Lease.Held(); !held {
 			return
 		}
 		p.planServices(ctx)
 		p.cfg.Publish()
+		timer.Reset(max(planInterval, (planRestDivisor-1)*time.Since(started)))
 	}
 }
 
