Bytes without end, dripping streams, late states and entries, targets without adapter slots

Causes, each shown by a test that fails without the change, except where said: - An event that does not end filled the host's memory until the deadline, and a stream that drips bytes without an event never counted as stalled: the stall timer began anew with each byte. Events are bounded to 256 KB, and the timer runs until a whole event has come. Slow but sound streams are left alone as before: four times the route's longest gap for one event. - A complete answer waited for a trailer that drips or does not end. Trailers are bounded to 32 lines and 50 ms.

--- a/lib/filter/relay/events.go
+++ b/lib/filter/relay/events.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"strconv"
 )
 
@@ -12,13 +13,22 @@
 	lastID  string // id of the last event passed on
 }
 
-// feed adds the bytes b to the stream and appends the events that are now complete to dst.
-func (r *eventReader) feed(dst, b []byte) []byte {
+// maxEventBytes bounds an event. Events carry a few tokens each; a target in trouble may send bytes without end.
+const maxEventBytes = 256 << 10
+
+// errEventTooLarge ends the attempt of a stream whose event does not end.
+var errEventTooLarge = fmt.Errorf("relay: the target sent more than %d bytes without the end of an event", maxEventBytes)
+
+// feed adds the bytes b to the stream and appends the events that are now complete to dst. Error: errEventTooLarge.
+func (r *eventReader) feed(dst, b []byte) ([]byte, error) {
 	r.pending = append(r.pending, b...)
 	for {
 		end := eventEnd(r.pending)
 		if end < 0 {
-			return dst
+			if len(r.pending) > maxEventBytes {
+				return dst, errEventTooLarge
+			}
+			return dst, nil
 		}
 		event := r.pending[:end]
 		if id := eventID(event); id == "" || follows(id, r.lastID) {
--- a/lib/filter/relay/events_test.go
+++ b/lib/filter/relay/events_test.go
@@ -13,12 +13,12 @@
 	f.Add(": comment\n\nid: 5\n\nid: 5\n\nid: 4\n\n", 7)
 	f.Fuzz(func(t *testing.T, text string, step int) {
 		var whole, parts eventReader
-		want := whole.feed(nil, []byte(text))
+		want, _ := whole.feed(nil, []byte(text))
 		var got []byte
 		step = max(1, step%64)
 		for rest := text; rest != ""; {
 			n := min(step, len(rest))
-			got = parts.feed(got, []byte(rest[:n]))
+			got, _ = parts.feed(got, []byte(rest[:n]))
 			rest = rest[n:]
 		}
 		if string(got) != string(want) || parts.lastID != whole.lastID {
@@ -35,12 +35,12 @@
 	var r eventReader
 	var out []byte
 	for _, n := range []int{1, 2, 3} {
-		out = r.feed(out, []byte(event(n)))
+		out, _ = r.feed(out, []byte(event(n)))
 	}
-	r.feed(nil, []byte("id: 4\nda"))
+	_, _ = r.feed(nil, []byte("id: 4\nda"))
 	r.dropPartial()
 	for _, n := range []int{2, 3, 4, 5} {
-		out = r.feed(out, []byte(event(n)))
+		out, _ = r.feed(out, []byte(event(n)))
 	}
 	want := ""
 	for n := range 5 {
--- a/lib/filter/relay/relay_test.go
+++ b/lib/filter/relay/relay_test.go
@@ -173,6 +173,30 @@
 			chunk(r.conn, event(1)+event(2))
 			return blockUntilClosed(r)
 		},
+		"dripping without an event": func(r *receivedRequest) bool {
+			startStream(r)
+			chunk(r.conn, event(1)+event(2))
+			for {
+				if _, err := fmt.Fprint(r.conn, "1\r\n:\r\n"); err != nil {
+					return false
+				}
+				time.Sleep(200 * time.Millisecond)
+			}
+		},
+		"flooding without an event": func(r *receivedRequest) bool {
+			startStream(r)
+			chunk(r.conn, event(1)+event(2))
+			sent := 0
+			for {
+				if _, err := fmt.Fprintf(r.conn, "1000\r\n%s\r\n", strings.Repeat(":", 1<<12)); err != nil {
+					return false
+				}
+				if sent += 1 << 12; sent > 2*maxEventBytes {
+					t.Errorf("%d bytes without an event were read", sent)
+					return false
+				}
+			}
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			withTargets(t, map[string]script{"near": broken, "far": func(r *receivedRequest) bool {
--- a/lib/filter/relay/stream.go
+++ b/lib/filter/relay/stream.go
@@ -87,21 +87,27 @@
 	}
 }
 
-// readEvents reads whole events only, so that the stream can be resumed at another target after any of them.
+// readEvents reads whole events only, so that the stream can be resumed at another target after any of them. A target that
+// sends no whole event in time has stalled, also if it sends a byte now and then.
 func (s *stream) readEvents(p []byte) (int, error) {
 	var buf [readBufferBytes]byte
+	stall := s.startStallTimer()
+	defer func() { stall.Stop() }()
 	for len(s.ready) == 0 {
-		stall := time.AfterFunc(max(minResponseTimeout, stallFactor*s.req.route.MaxGap), s.current.timeOut)
 		n, err := s.current.answer.Read(buf[:])
-		stall.Stop()
-		s.ready = s.events.feed(s.ready, buf[:n])
+		var tooLarge error
+		if s.ready, tooLarge = s.events.feed(s.ready, buf[:n]); tooLarge != nil {
+			err = tooLarge
+		}
 		if errors.Is(err, io.EOF) && len(s.ready) == 0 {
 			return 0, io.EOF
 		}
 		if err != nil && !errors.Is(err, io.EOF) && len(s.ready) == 0 {
+			stall.Stop()
 			if err := s.resume(err); err != nil {
 				return 0, err
 			}
+			stall = s.startStallTimer()
 		}
 	}
 	n := copy(p, s.ready)
@@ -109,6 +115,11 @@
 	return n, nil
 }
 
+// startStallTimer has the current attempt time out if its target stalls.
+func (s *stream) startStallTimer() *time.Timer {
+	return time.AfterFunc(max(minResponseTimeout, stallFactor*s.req.route.MaxGap), s.current.timeOut)
+}
+
 // resume continues the stream at another target, after the last event passed on.
 func (s *stream) resume(cause error) error {
 	r := s.req
--- a/lib/forward/forward.go
+++ b/lib/forward/forward.go
@@ -58,6 +58,9 @@
 	runOnceMaxIdle = 500 * time.Millisecond
 	// maxSkippedAnswers bounds the late answers to earlier requests that are skipped on one connection.
 	maxSkippedAnswers = 2
+	// maxTrailerLines and trailerTimeout bound the trailer of a chunked answer.
+	maxTrailerLines = 32
+	trailerTimeout  = 50 * time.Millisecond
 	// maxBodyBytes bounds the bodies that are read whole or skipped.
 	maxBodyBytes = 4 << 20
 	// minAsyncBodyBytes is the size from which a request body is written while the answer is awaited, since a target may
@@ -318,20 +321,25 @@
 // Buffered reports whether bytes of the connection have been received but not read yet.
 func (a *Answer) Buffered() bool { return a.conn.Reader().Buffered() > 0 }
 
-// readTrailer reads the trailer that follows the last chunk, up to its final blank line.
+// readTrailer reads the trailer that follows the last chunk, up to its final blank line. The answer is complete before it, and
+// must not wait for a trailer that drips or does not end.
 func (a *Answer) readTrailer() error {
 	if !a.chunked {
 		return nil
 	}
-	for {
+	if err := a.conn.SetReadDeadline(time.Now().Add(trailerTimeout)); err != nil {
+		return err
+	}
+	for range maxTrailerLines {
 		line, err := a.conn.Reader().ReadSlice('\n')
 		if err != nil {
 			return err
 		}
 		if len(line) <= 2 {
-			return nil
+			return a.conn.SetReadDeadline(time.Time{})
 		}
 	}
+	return fmt.Errorf("forward: a trailer of more than %d lines", maxTrailerLines)
 }
 
 // ReadAll reads the rest of the body and closes the answer. Its error wraps ErrIncomplete, and ErrTooLarge if the body
--- a/lib/forward/forward_test.go
+++ b/lib/forward/forward_test.go
@@ -156,3 +156,66 @@
 		time.Sleep(time.Minute)
 	})
 }
+
+// Guards against answers that hold up a caller, or fill the memory, because their bytes do not end: in the header, in the
+// body, in informational responses, or after the last chunk, where the answer is complete.
+func TestBytesWithoutEndAreBounded(t *testing.T) {
+	const chunked = "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+	for name, c := range map[string]struct {
+		start, repeat string
+		pause         time.Duration
+		body          string // of the answer if it is complete
+		within        time.Duration
+		most          int // bytes that the target can send
+	}{
+		"header":        {"HTTP/1.1 200 OK\r\n", "A: b\r\n", 0, "", time.Second, 16 << 10},
+		"header line":   {"HTTP/1.1 200 OK\r\nA: ", "bbbbbbbb", 0, "", time.Second, 16 << 10},
+		"informational": {"", "HTTP/1.1 102 Processing\r\n\r\n", 0, "", time.Second, 16 << 10},
+		"body":          {chunked, "4\r\nabcd\r\n", 0, "", time.Second, 3 * maxBodyBytes},
+		"extension":     {chunked + "4;", "xxxxxxxx", 0, "", time.Second, 16 << 10},
+		"trailer":       {chunked + "2\r\nok\r\n0\r\n", "A: b\r\n", 0, "ok", time.Second, 16 << 10},
+		"drip":          {chunked + "2\r\nok\r\n0\r\n", "A: b\r\n", 40 * time.Millisecond, "ok", 100 * time.Millisecond, 16 << 10},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			sent := 0
+			dial := func(context.Context, string) (net.Conn, error) {
+				client, server := net.Pipe()
+				go func() {
+					r, err := http.ReadRequest(bufio.NewReader(server))
+					if err != nil {
+						return
+					}
+					if _, err := io.Copy(io.Discard, r.Body); err != nil {
+						return
+					}
+					for text := c.start; ; text = c.repeat {
+						n, err := fmt.Fprint(server, text)
+						if sent += n; err != nil {
+							return
+						}
+						time.Sleep(c.pause)
+					}
+				}()
+				return client, nil
+			}
+			client := NewClient(Config{Protocol: protocol{}, Dial: dial})
+			began := time.Now()
+			a, _, err := client.Do(t.Context(), &Request{
+				Addr: "a", ID: "1", Head: []byte("POST / HTTP/1.1\r\nHost: h\r\n"), Method: "POST", Body: []byte("x"),
+			})
+			body := ""
+			if err == nil {
+				var b []byte
+				b, err = a.ReadAll()
+				body = string(b)
+			}
+			if took := time.Since(began); body != c.body || (err == nil) != (c.body != "") || took > c.within {
+				t.Errorf("%s: %d bytes, %v after %v", name, len(body), err, took)
+			}
+			time.Sleep(time.Second) // lets the target notice the close
+			if sent > c.most {
+				t.Errorf("%s: the target could send %d bytes, at most %d are to be read", name, sent, c.most)
+			}
+		})
+	}
+}
--- a/lib/peers/peers.go
+++ b/lib/peers/peers.go
@@ -136,6 +136,7 @@
 	listed        bool      // has an entry in the store
 	unlistedSince time.Time // when its entry was first missing
 	boot          uint64
+	formerBoot    uint64 // of the start before; its states may arrive late
 	number        uint64
 	receivedAt    time.Time
 	link          link
--- a/lib/peers/peers_test.go
+++ b/lib/peers/peers_test.go
@@ -85,7 +85,8 @@
 	}
 }
 
-// Guards against handling a state that a newer one has overtaken. The numbers start again when a host restarts.
+// Guards against handling a state that a newer one, or one of a later start, has overtaken. The numbers start again when a
+// host restarts.
 func TestOlderStatesAreIgnored(t *testing.T) {
 	var received []uint64
 	var hosts int
@@ -95,6 +96,7 @@
 		{Host: "other", Boot: 1, Number: 4},
 		{Host: "other", Boot: 1, Number: 6},
 		{Host: "other", Boot: 2, Number: 1},
+		{Host: "other", Boot: 1, Number: 7},
 		{Host: "stranger", Boot: 1, Number: 1},
 		{Host: "self", Boot: 1, Number: 1},
 	} {
--- a/lib/peers/receive.go
+++ b/lib/peers/receive.go
@@ -10,7 +10,8 @@
 	"cuminhook.org/cuminhook/lib/aggregate"
 )
 
-// handleState passes a received state on, unless it is this host's own or a newer one of its sender came first. It adds a
+// handleState passes a received state on, unless it is this host's own, or a newer one of its sender or one of a later start
+// came first. It adds a
 // sender that is not known yet. A state that does not count here, as its hosts are in the sums of others, is passed on as a
 // partial one.
 func (x *Exchanger) handleState(s *State) {
@@ -30,10 +31,13 @@
 		p = &peer{addr: net.UDPAddrFromAddrPort(addr), unlistedSince: now}
 		x.peers[s.Host] = p
 	}
-	if p.boot == s.Boot && s.Number <= p.number {
+	if s.Boot == p.formerBoot && s.Boot != 0 || p.boot == s.Boot && s.Number <= p.number {
 		x.mu.Unlock()
 		return
 	}
+	if p.boot != s.Boot {
+		p.formerBoot = p.boot
+	}
 	p.boot, p.number, p.receivedAt, p.configVersion = s.Boot, s.Number, now, s.ConfigVersion
 	if s.Kind != Partial {
 		p.placement, p.storeLost = s.PlacementVersion, s.StoreLost
--- a/lib/placer/adapters.go
+++ b/lib/placer/adapters.go
@@ -9,6 +9,7 @@
 
 	"cuminhook.org/cuminhook/lib/catalog"
 	"cuminhook.org/cuminhook/lib/orders"
+	"cuminhook.org/cuminhook/lib/registry"
 )
 
 const (
@@ -79,7 +80,7 @@
 // targetWithAdapter returns the id of a target that has the adapter loaded, or "". The caller holds mu.
 func (p *Placer) targetWithAdapter(service, model, adapter string) string {
 	for id, t := range p.targets {
-		if t.synced && t.info.Service == service && t.serves(model, adapter) {
+		if t.synced && !t.suspect && t.info.State == registry.Ready && t.info.Service == service && t.serves(model, adapter) {
 			return id
 		}
 	}
@@ -131,6 +132,9 @@
 // chooseAdapterTarget returns the cheapest target that has the model ready and is not among tried, and the adapter that
 // must be evicted there if it has no free slot. Without such a target it returns nil. The caller holds mu.
 func (p *Placer) chooseAdapterTarget(s *catalog.Service, model string, demand map[string]float64, tried []*target) (*target, adapterName) {
+	if s.Engine.AdapterSlots <= 0 {
+		return nil, adapterName{}
+	}
 	var best *target
 	var victim adapterName
 	lowest := 0.0
@@ -150,7 +154,7 @@
 	return best, victim
 }
 
-// leastRequestedAdapter returns the loaded adapter of the target with the lowest demand.
+// leastRequestedAdapter returns the loaded adapter of the target with the lowest demand. At least one must be loaded.
 func (t *target) leastRequestedAdapter(demand map[string]float64) adapterName {
 	var all []adapterName
 	for model, h := range t.models {
@@ -236,6 +240,9 @@
 // planAdapters starts loading adapters ahead of requests, for models with demand for adapters. At a target without a
 // free slot a rarely requested adapter is evicted. The caller holds mu.
 func (p *Placer) planAdapters(ctx context.Context, s *catalog.Service, demand Demand) {
+	if s.Engine.AdapterSlots <= 0 {
+		return
+	}
 	started := 0
 	targets := p.orderableTargets(s)
 	modelsInDemand := modelsWithAdapterDemand(demand.Adapters)
--- a/lib/placer/placer_test.go
+++ b/lib/placer/placer_test.go
@@ -398,3 +398,24 @@
 		cancel()
 	})
 }
+
+// Guards against a controller that ends itself when a request asks for an adapter of a service without adapter slots.
+func TestAdapterWithoutSlotsIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		client := newFakeClient(t, "a")
+		ctx, cancel := context.WithCancel(t.Context())
+		go client.refreshReports(ctx)
+		h := startCandidate(t, "h", memkv.New(), client, 1, "a")
+		c := newCatalog(1)
+		c.Service("s").Engine.AdapterSlots = 0
+		h.SetCatalog(c)
+		h.setDemand(map[string]float64{"m0": 10}, map[string]float64{"m0/a1": 5})
+		time.Sleep(5 * time.Second)
+		if id, err := h.Ensure(ctx, "s", "m0", "a1"); !errors.Is(err, ErrNoSlot) {
+			t.Errorf("%q %v", id, err)
+		}
+		h.cancel()
+		<-h.done
+		cancel()
+	})
+}
--- a/lib/registry/registry.go
+++ b/lib/registry/registry.go
@@ -104,10 +104,16 @@
 // Table holds the targets of all services. It is not safe for concurrent use.
 type Table struct {
 	targets    map[string]*Target
-	missing    map[string]time.Time // targets whose entries vanished in an outage: when to drop them
+	missing    map[string]missing   // targets whose entries vanished in an outage
 	tombstones map[string]tombstone // targets that were dropped recently
 }
 
+// missing is the removal of an entry that vanished in an outage.
+type missing struct {
+	dropAt   time.Time
+	revision int64 // store revision at or after the removal
+}
+
 // tombstone marks a dropped target, so that an entry written before the drop does not restore it.
 type tombstone struct {
 	revision int64     // store revision; older entries do not restore the target
@@ -120,7 +126,7 @@
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{targets: map[string]*Target{}, missing: map[string]time.Time{}, tombstones: map[string]tombstone{}}
+	return &Table{targets: map[string]*Target{}, missing: map[string]missing{}, tombstones: map[string]tombstone{}}
 }
 
 // ApplyUpdate applies an update and reports whether the list of targets changed. A target whose entry vanished in or
@@ -134,7 +140,7 @@
 		}
 		if inOutage {
 			if _, ok := t.missing[u.ID]; !ok {
-				t.missing[u.ID] = now.Add(returnGrace)
+				t.missing[u.ID] = missing{now.Add(returnGrace), u.Revision}
 			}
 			return false
 		}
@@ -172,10 +178,9 @@
 
 // Expire drops targets whose entries did not return within returnGrace, and tombstones that are no longer needed.
 func (t *Table) Expire(now time.Time) (changed bool) {
-	for id, at := range t.missing {
-		if !now.Before(at) {
-			delete(t.missing, id)
-			delete(t.targets, id)
+	for id, m := range t.missing {
+		if !now.Before(m.dropAt) {
+			t.drop(id, m.revision, now)
 			changed = true
 		}
 	}
--- a/lib/registry/registry_test.go
+++ b/lib/registry/registry_test.go
@@ -1,6 +1,9 @@
 package registry
 
-import "testing"
+import (
+	"testing"
+	"time"
+)
 
 // Guards against entries that arrive out of order: an older one of the same incarnation, one of an earlier incarnation, and
 // one that makes a draining target ready again.
@@ -25,3 +28,24 @@
 		}
 	}
 }
+
+// Guards against a target that left during an outage of the store and is in use again because another host, which has read
+// less, announces its entry.
+func TestTargetThatExpiredAfterAnOutageStaysGone(t *testing.T) {
+	table, now := NewTable(), time.Unix(1000, 0)
+	entry := &Target{ID: "a", Started: 1, Revision: 5}
+	table.ApplyUpdate(Update{ID: "a", Target: entry, Revision: 5}, now, false)
+	table.ApplyUpdate(Update{ID: "a", Revision: 9}, now, true)
+	if now = now.Add(returnGrace); !table.Expire(now) || table.Get("a") != nil {
+		t.Fatal("the target was not dropped")
+	}
+	table.ApplyUpdate(Update{ID: "a", Target: entry, Revision: 5}, now, false)
+	if table.Get("a") != nil {
+		t.Error("an entry from before the removal restored the target")
+	}
+	back := &Target{ID: "a", Started: 1, Beat: 1, Revision: 12}
+	table.ApplyUpdate(Update{ID: "a", Target: back, Revision: 12}, now, false)
+	if table.Get("a") != back {
+		t.Error("a later entry did not restore the target")
+	}
+}
