--- a/lib/forward/forward_test.go
+++ b/lib/forward/forward_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -177,7 +178,7 @@
 		"drip":          {chunked + "2\r\nok\r\n0\r\n", "A: b\r\n", 40 * time.Millisecond, "ok", 100 * time.Millisecond, 16 << 10},
 	} {
 		synctest.Test(t, func(t *testing.T) {
-			sent := 0
+			var sent atomic.Int64
 			dial := func(context.Context, string) (net.Conn, error) {
 				client, server := net.Pipe()
 				go func() {
@@ -190,7 +191,7 @@
 					}
 					for text := c.start; ; text = c.repeat {
 						n, err := fmt.Fprint(server, text)
-						if sent += n; err != nil {
+						if sent.Add(int64(n)); err != nil {
 							return
 						}
 						time.Sleep(c.pause)
@@ -213,8 +214,8 @@
 				t.Errorf("%s: %d bytes, %v after %v", name, len(body), err, took)
 			}
 			time.Sleep(time.Second) // lets the target notice the close
-			if sent > c.most {
-				t.Errorf("%s: the target could send %d bytes, at most %d are to be read", name, sent, c.most)
+			if n := int(sent.Load()); n > c.most {
+				t.Errorf("%s: the target could send %d bytes, at most %d are to be read", name, n, c.most)
 			}
 		})
 	}
