--- a/lib/balance/balance.go
+++ b/lib/balance/balance.go
@@ -395,7 +395,7 @@
 // probes whether t answers again.
 func (b *Balancer) assign(t *target, load Load, model string, now time.Time) *Choice {
 	t.local.add(load, 1)
-	if t.health.needsProbe(now) {
+	if !t.health.usable(now) || t.health.backoff > 0 {
 		t.health.probing = true
 	}
 	return &Choice{Target: t.info, balancer: b, picked: t, load: load, model: model, pickedAt: now}
--- a/lib/balance/health.go
+++ b/lib/balance/health.go
@@ -33,12 +33,7 @@
 }
 
 // usable reports whether the target is neither suspended nor being probed.
-func (h *health) usable(now time.Time) bool {
-	return !now.Before(h.suspendedUntil) && !h.probing
-}
-
-// needsProbe reports whether the next request at the target must be the only one until it is answered.
-func (h *health) needsProbe(now time.Time) bool { return !h.usable(now) || h.backoff > 0 }
+func (h *health) usable(now time.Time) bool { return !now.Before(h.suspendedUntil) && !h.probing }
 
 // suspect reports whether the target left several requests in a row unanswered and has not answered since.
 func (h *health) suspect() bool { return h.misses >= minSuspectMisses }
