Log of attempts that a target ended on its own

The line names the segments that the prompt shares with other requests, and whether the answer had begun, which the relay now follows event by event.

--- a/lib/filter/relay/events.go
+++ b/lib/filter/relay/events.go
@@ -41,6 +41,32 @@
 	}
 }
 
+// eventBoundary follows a stream of server-sent events that is passed on unchanged.
+type eventBoundary struct {
+	events      int  // whole events so far
+	partial     bool // the stream is inside an event
+	lineHasText bool
+	afterCR     bool // a line feed that follows belongs to the same line end
+}
+
+// feed adds the bytes b to the stream.
+func (e *eventBoundary) feed(b []byte) {
+	for _, c := range b {
+		lineEnd := c == '\r' || c == '\n' && !e.afterCR
+		switch {
+		case c == '\n' && e.afterCR:
+		case !lineEnd:
+			e.lineHasText, e.partial = true, true
+		case e.lineHasText:
+			e.lineHasText = false
+		case e.partial:
+			e.partial = false
+			e.events++
+		}
+		e.afterCR = c == '\r'
+	}
+}
+
 // dropPartial drops the incomplete event of a stream that broke.
 func (r *eventReader) dropPartial() { r.pending = r.pending[:0] }
 
--- a/lib/filter/relay/relay.go
+++ b/lib/filter/relay/relay.go
@@ -7,6 +7,7 @@
 	"errors"
 	"log/slog"
 	"math/rand/v2"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -122,6 +123,8 @@
 	err      error
 	cancel   context.CancelFunc
 	timedOut atomic.Bool // the response timeout passed, or the stream stalled
+	sentAt   time.Time
+	began    bool // the target has sent a whole answer or, of a stream, a whole event
 }
 
 // recordFailure reports to the balancer that the attempt ended without a complete answer.
@@ -135,9 +138,19 @@
 		t.choice.Unresponsive(now)
 	default:
 		t.choice.ConnectionBroken(now)
+		r.logBroken(t, now)
 	}
 }
 
+// logBroken logs what tells a target that broke off on its own from one that a request brought down: how long the request
+// had been there, whether it was answered already, and what its prompt shares with others.
+func (r *request) logBroken(t *try, now time.Time) {
+	r.cfg.Log.LogAttrs(context.Background(), slog.LevelInfo, "target broke off", slog.String("request_id", r.ex.ID),
+		slog.String("target", t.choice.Target.ID), slog.String("addr", t.choice.Target.Addr), slog.Bool("answer_began", t.began),
+		slog.Float64("sent_ms_ago", float64(now.Sub(t.sentAt))/float64(time.Millisecond)),
+		slog.String("shared_segments", strings.Join(r.call.SharedSegments(), ",")))
+}
+
 // run makes attempts until an answer can be delivered or no further attempt is allowed.
 func (r *request) run() error {
 	for {
@@ -206,7 +219,7 @@
 
 // attempt sends the request to the chosen target and reads the answer, except for the body of a stream.
 func (r *request) attempt(choice *balance.Choice) *try {
-	t := &try{choice: choice}
+	t := &try{choice: choice, sentAt: time.Now()}
 	r.tried = append(r.tried, choice.Target.ID)
 	ctx := r.ctx
 	ctx, t.cancel = context.WithCancel(ctx)
@@ -279,6 +292,7 @@
 	t.body, t.err = t.answer.ReadAll()
 	t.cancel()
 	if t.err == nil {
+		t.began = true
 		t.choice.Answered(status >= fasthttp.StatusInternalServerError, now)
 		return
 	}
--- a/lib/filter/relay/stream.go
+++ b/lib/filter/relay/stream.go
@@ -39,6 +39,8 @@
 	readErr     error
 	closeOnce   sync.Once
 
+	boundary eventBoundary // of a stream that is not resumable
+
 	// Set for resumable streams only.
 	events *eventReader
 	ready  []byte // whole events that Read has not returned yet
@@ -57,7 +59,7 @@
 	if s.events != nil {
 		n, err = s.readEvents(p)
 	} else {
-		n, err = s.current.answer.Read(p)
+		n, err = s.readRaw(p)
 	}
 	if n > 0 {
 		s.recordProgress()
@@ -71,6 +73,16 @@
 	return n, err
 }
 
+// readRaw reads bytes as the target sends them.
+func (s *stream) readRaw(p []byte) (int, error) {
+	n, err := s.current.answer.Read(p)
+	s.boundary.feed(p[:n])
+	if !s.current.began && (s.boundary.events > 0 || errors.Is(err, io.EOF)) {
+		s.current.began = true
+	}
+	return n, err
+}
+
 // recordProgress records the time of the first byte and extends the deadline for writes to the caller.
 func (s *stream) recordProgress() {
 	now := time.Now()
@@ -99,6 +111,9 @@
 		if s.ready, tooLarge = s.events.feed(s.ready, buf[:n]); tooLarge != nil {
 			err = tooLarge
 		}
+		if len(s.ready) > 0 {
+			s.current.began = true
+		}
 		if errors.Is(err, io.EOF) && len(s.ready) == 0 {
 			return 0, io.EOF
 		}
--- a/lib/passthrough/passthrough.go
+++ b/lib/passthrough/passthrough.go
@@ -37,6 +37,16 @@
 // Tokens returns the tokens of the prompt and of the largest output together.
 func (c *Call) Tokens() int64 { return c.PromptTokens + c.MaxOutput }
 
+// SharedSegments returns the ids of the prompt's segments that other requests may share; the last one belongs to the request
+// or its session.
+func (c *Call) SharedSegments() []string {
+	var ids []string
+	for i := range len(c.Prefix) - 1 {
+		ids = append(ids, c.Prefix[i].ID)
+	}
+	return ids
+}
+
 // Attempt holds what the target receives about one attempt to run a request.
 type Attempt struct {
 	Instance     string        // id of the target that must run the request
