A stream that ends inside an event is broken off

Callers could take a stream for complete whose target closed the connection, or ended its chunks, inside an event: a relayed stream passed the end of the connection on as its own end, and the reader of resumable streams dropped the partial event silently. The relay now follows the boundaries of events: a stream that is not resumable is cut, a resumable one goes on at another target.

--- a/lib/filter/relay/events.go
+++ b/lib/filter/relay/events.go
@@ -41,6 +41,9 @@
 	}
 }
 
+// insideEvent reports whether bytes of an incomplete event have been read.
+func (r *eventReader) insideEvent() bool { return len(bytes.Trim(r.pending, "\r\n")) > 0 }
+
 // eventBoundary follows a stream of server-sent events that is passed on unchanged.
 type eventBoundary struct {
 	events      int  // whole events so far
--- a/lib/filter/relay/events_test.go
+++ b/lib/filter/relay/events_test.go
@@ -50,3 +50,30 @@
 		t.Errorf("%q, want %q", out, want)
 	}
 }
+
+// Guards against a stream that ends inside an event and reaches the caller as complete, however the target frames it.
+func TestStreamThatEndsInsideAnEventIsBrokenOff(t *testing.T) {
+	header := "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Type: text/event-stream\r\n"
+	for name, c := range map[string]struct {
+		path, answer string
+		complete     bool
+	}{
+		"without a length":             {"/stream/x", header + "\r\n" + event(1) + "id: 2\nda", false},
+		"after a line":                 {"/stream/x", header + "\r\n" + event(1) + "id: 2\n", false},
+		"in chunks":                    {"/stream/x", header + "Transfer-Encoding: chunked\r\n\r\n5\r\nid: 1\r\n0\r\n\r\n", false},
+		"resumable, without a length":  {"/resumable/x", header + "\r\n" + event(1) + "id: 2\nda", false},
+		"whole, without a length":      {"/stream/x", header + "\r\n" + event(1) + event(2), true},
+		"whole, with carriage returns": {"/stream/x", header + "\r\nid: 1\r\ndata: 1\r\n\r\nid: 2\rdata: 2\r\r", true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			withTargets(t, map[string]script{"near": func(r *receivedRequest) bool {
+				fmt.Fprint(r.conn, c.answer)
+				return false
+			}}, func(t *testing.T, r *harness) {
+				if a := r.call("POST", c.path, "1"); a.status != 200 || (a.err == nil) != c.complete {
+					t.Errorf("complete %v: %+v", a.err == nil, a)
+				}
+			})
+		})
+	}
+}
--- a/lib/filter/relay/stream.go
+++ b/lib/filter/relay/stream.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -8,6 +9,8 @@
 	"sync"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"cuminhook.org/cuminhook/lib/forward"
 	"cuminhook.org/cuminhook/lib/pipeline"
 	"cuminhook.org/cuminhook/lib/refusal"
@@ -28,6 +31,9 @@
 // chunk, so that the caller does not take the answer for complete.
 var errStreamBroken = errors.New("relay: the target's stream broke and was not resumed")
 
+// errInsideEvent means that the target ended a stream properly, but inside an event: the rest of the stream is missing.
+var errInsideEvent = errors.New("relay: the target's stream ended inside an event")
+
 // stream is the response body of a streamed answer. The server writes the result of each Read to the caller at once.
 type stream struct {
 	req         *request
@@ -77,12 +83,21 @@
 func (s *stream) readRaw(p []byte) (int, error) {
 	n, err := s.current.answer.Read(p)
 	s.boundary.feed(p[:n])
-	if !s.current.began && (s.boundary.events > 0 || errors.Is(err, io.EOF)) {
+	if errors.Is(err, io.EOF) && s.boundary.partial && isEventStream(&s.current.answer.Header) {
+		return n, errInsideEvent
+	}
+	if s.boundary.events > 0 || errors.Is(err, io.EOF) {
 		s.current.began = true
 	}
 	return n, err
 }
 
+// isEventStream reports whether the body of the answer is a stream of events; a target may leave out the type.
+func isEventStream(h *fasthttp.ResponseHeader) bool {
+	contentType := h.ContentType()
+	return len(contentType) == 0 || bytes.HasPrefix(contentType, []byte("text/event-stream"))
+}
+
 // recordProgress records the time of the first byte and extends the deadline for writes to the caller.
 func (s *stream) recordProgress() {
 	now := time.Now()
@@ -115,7 +130,10 @@
 			s.current.began = true
 		}
 		if errors.Is(err, io.EOF) && len(s.ready) == 0 {
-			return 0, io.EOF
+			if !s.events.insideEvent() {
+				return 0, io.EOF
+			}
+			err = errInsideEvent
 		}
 		if err != nil && !errors.Is(err, io.EOF) && len(s.ready) == 0 {
 			stall.Stop()
