Prompt segments that crash targets are put into quarantine

Cause: a crash counted against the target only, and nobody related crashes at several targets to what the requests there had in common.

A request that waited for its answer when its target broke off, and whose target then refuses connections, now counts against the segments that its prompt shares with others; an answer that begins anywhere clears them. Hosts exchange both in their states and judge alike: a segment is put into quarantine by a chain of crashes that would have a chance below 1e-6 if it were sound. Requests with it are refused without a send for ten minutes; the store keeps it across a restart of all hosts. Load: a few in a hundred requests of one kind.

--- a/lib/aggregate/aggregate.go
+++ b/lib/aggregate/aggregate.go
@@ -10,6 +10,7 @@
 
 	"cuminhook.org/cuminhook/lib/balance"
 	"cuminhook.org/cuminhook/lib/orglimit"
+	"cuminhook.org/cuminhook/lib/quarantine"
 )
 
 // Contribution is what one host reports, or the sum over several.
@@ -19,6 +20,7 @@
 	Loads        map[string]balance.Load `json:"l,omitempty"` // requests in flight, by target
 	EngineLoad   map[string]float64      `json:"w,omitempty"` // milliseconds of engine time a second, by model
 	AdapterRates map[string]float64      `json:"a,omitempty"` // requests a second, by model/adapter
+	Outcomes     quarantine.Outcomes     `json:"o,omitzero"`  // of requests, until their answers began
 	Suspects     map[string]int          `json:"u,omitempty"` // hosts that find a target unresponsive, by target
 }
 
@@ -141,6 +143,7 @@
 			delete(t.Suspects, id)
 		}
 	}
+	t.Outcomes = t.Outcomes.Plus(c.Outcomes, float64(sign))
 	addRates(t.EngineLoad, c.EngineLoad, sign)
 	addRates(t.AdapterRates, c.AdapterRates, sign)
 }
--- a/lib/entryhost/entryhost.go
+++ b/lib/entryhost/entryhost.go
@@ -98,6 +98,7 @@
 	peers        *peers.Exchanger
 	storeWatcher *storewatch.Watcher
 	meter        *workload.Meter
+	quarantine   *quarantineRole
 	placer       *placer.Placer
 	role         *placementRole
 	server       *pipeline.Server
@@ -120,6 +121,7 @@
 		limiter:  orglimit.New(time.Now()), meter: workload.New(), retries: retry.NewBudget(s.RetryRatio, s.RetrySlack),
 	}
 	h.role = newPlacementRole(h)
+	h.quarantine = newQuarantineRole(s.Host, cfg.Store, cfg.Log, cfg.Metrics)
 	h.placer = placer.New(placer.Config{
 		Host: s.Host, Client: cfg.Engines, ShouldCampaign: h.role.shouldCampaign, LoadRateFactor: s.Placement.LoadsOvershoot,
 		Demand: h.role.totalDemand, Suspects: h.role.agreedSuspects,
@@ -134,7 +136,8 @@
 		RPC: map[string]any{rpcPlacement: &placementService{h}, rpcConfig: &configService{h}},
 	}, cfg.Log)
 	h.storeWatcher = storewatch.New(cfg.Store, cfg.Codec, storewatch.Handlers{
-		OnCatalog: h.setCatalog, OnTargets: h.setTargets, OnHosts: h.peers.SetEntries, Announce: h.peers.Announce,
+		OnCatalog: h.setCatalog, OnTargets: h.setTargets, OnHosts: h.peers.SetEntries, OnQuarantine: h.quarantine.restore,
+		Announce: h.peers.Announce,
 	}, cfg.Log)
 	h.server = pipeline.NewServer(pipeline.ServerConfig{
 		First: h.filters(), MaxBodyBytes: maxBodyBytes, MaxBufferedBytes: maxBufferedBytes, MaxHeaderBytes: maxHeaderBytes,
@@ -148,7 +151,7 @@
 func (h *Host) filters() pipeline.Handler {
 	handler := relay.New(relay.Config{
 		Protocol: h.cfg.Protocol, Client: h.connections.client, Balancer: h.balancer, Retries: h.retries,
-		Placement: h.role, Demand: h.meter, Log: h.cfg.RequestLog, Metrics: h.cfg.Metrics,
+		Placement: h.role, Demand: h.meter, Quarantine: h.quarantine.detector, Log: h.cfg.RequestLog, Metrics: h.cfg.Metrics,
 	})
 	handler = orgrate.New(handler, orgrate.Config{Limiter: h.limiter, Log: h.cfg.RequestLog})
 	handler = classify.New(handler, classify.Config{Protocol: h.cfg.Protocol, Catalog: h.catalog.Load})
@@ -215,9 +218,10 @@
 	}
 	s.Contribution = aggregate.Contribution{
 		Hosts: 1, Demand: h.limiter.Report(now), Loads: h.balancer.LocalLoads(now), EngineLoad: h.meter.EngineLoad(now),
-		AdapterRates: h.meter.Adapters(now), Suspects: suspects,
+		AdapterRates: h.meter.Adapters(now), Suspects: suspects, Outcomes: h.quarantine.detector.Outcomes(now),
 	}
 	h.connections.updateDemand(h.balancer, now)
+	s.Quarantine = h.quarantine.report(now, h.peers.Fleet().Spread)
 	s.Holder, s.PlacementVersion = h.role.holder(now)
 	s.StoreLost = h.storeWatcher.StoreLost()
 }
@@ -237,8 +241,10 @@
 	if s.Kind != peers.Partial {
 		h.limiter.ApplyReport(s.Host, s.Boot, s.Hosts, s.Demand, now)
 		h.balancer.SetPeerLoads(s.Host, s.Loads)
+		h.quarantine.detector.SetPeerOutcomes(s.Host, &s.Outcomes)
 		h.role.handleState(s, now)
 	}
+	h.quarantine.merge(s, now)
 	relay := h.storeWatcher.ApplyChanges(s.Changes, s.Kind == peers.Up)
 	if h.role.applyPlacement(s.Placement, now) || relay {
 		h.peers.Relay()
@@ -295,6 +301,7 @@
 func (h *Host) removeHost(host string) {
 	h.limiter.RemovePeer(host)
 	h.balancer.SetPeerLoads(host, nil)
+	h.quarantine.detector.SetPeerOutcomes(host, nil)
 	h.role.removeHost(host)
 }
 
@@ -324,6 +331,10 @@
 		return nil
 	})
 	group.Go(func() error { h.placer.Run(registration); return nil })
+	group.Go(func() error {
+		h.quarantine.persist(groupCtx, func() bool { return h.peers.Fleet().Poller })
+		return nil
+	})
 	group.Go(func() error { return serveStatus(groupCtx, s.Ready, h.readyHandler()) })
 	group.Go(func() error { return serveStatus(groupCtx, s.Metrics, h.metricsHandler()) })
 	group.Go(func() error { return h.server.Serve(callers) })
--- /dev/null
+++ b/lib/entryhost/quarantine_test.go
@@ -0,0 +1,57 @@
+package entryhost
+
+import (
+	"context"
+	"log/slog"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"cuminhook.org/cuminhook/lib/kv/memkv"
+	"cuminhook.org/cuminhook/lib/peers"
+	"cuminhook.org/cuminhook/lib/quarantine"
+	"cuminhook.org/cuminhook/lib/storewatch"
+)
+
+// Guards against a segment that crashes targets again once all hosts have been killed, and against one that stays in quarantine
+// for ever.
+func TestQuarantineOutlivesAllHosts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memkv.New()
+		start := func(host string) *quarantineRole {
+			return newQuarantineRole(host, store, slog.New(slog.DiscardHandler), metrics.NewSet())
+		}
+		first, second := start("a"), start("b")
+		report := quarantine.Report{Quarantined: map[string]int64{"deadly": 0}}
+		ctx, cancel := context.WithCancel(t.Context())
+		for _, q := range []*quarantineRole{first, second} {
+			q.merge(&peers.State{Host: "c", Quarantine: report}, time.Now())
+			go q.persist(ctx, func() bool { return true })
+		}
+		time.Sleep(3 * persistInterval)
+		cancel()
+		synctest.Wait()
+
+		stored := func() (segments []string) {
+			entries, err := store.List(t.Context(), storewatch.QuarantinePrefix)
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, e := range entries {
+				segments = append(segments, e.Key[len(storewatch.QuarantinePrefix):])
+			}
+			return segments
+		}
+		restarted := start("a")
+		restarted.restore(stored())
+		if id, _ := restarted.detector.Blocked([]string{"deadly"}, time.Now()); id != "deadly" {
+			t.Errorf("in quarantine after the restart of all hosts: %q", id)
+		}
+		time.Sleep(quarantine.Period)
+		if left := stored(); len(left) > 0 || len(restarted.detector.Quarantined(time.Now())) > 0 {
+			t.Errorf("after the period the store has %v, the host %v", left, restarted.detector.Quarantined(time.Now()))
+		}
+	})
+}
--- a/lib/filter/relay/harness_test.go
+++ b/lib/filter/relay/harness_test.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -13,6 +12,7 @@
 	"os"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -26,6 +26,7 @@
 	"cuminhook.org/cuminhook/lib/forward"
 	"cuminhook.org/cuminhook/lib/passthrough"
 	"cuminhook.org/cuminhook/lib/pipeline"
+	"cuminhook.org/cuminhook/lib/quarantine"
 	"cuminhook.org/cuminhook/lib/registry"
 	"cuminhook.org/cuminhook/lib/retry"
 	"cuminhook.org/cuminhook/lib/workload"
@@ -45,6 +46,9 @@
 	if c.ID == "" {
 		return c, passthrough.ErrNoID
 	}
+	for _, id := range strings.Fields(string(h.Peek("Prefix"))) {
+		c.Prefix = append(c.Prefix, passthrough.Segment{ID: id, Tokens: 1})
+	}
 	return c, nil
 }
 
@@ -76,6 +80,7 @@
 	t        *testing.T
 	ln       *fasthttputil.InmemoryListener
 	balancer *balance.Balancer
+	detector *quarantine.Detector
 
 	mu       sync.Mutex
 	scripts  map[string]script // by address
@@ -98,7 +103,7 @@
 func newHarnessWith(t *testing.T, scripts map[string]script, placement Placement) *harness {
 	r := &harness{
 		t: t, ln: fasthttputil.NewInmemoryListener(), scripts: scripts,
-		balancer: balance.New("z", nil, rand.New(rand.NewPCG(1, 1))),
+		balancer: balance.New("z", nil, rand.New(rand.NewPCG(1, 1))), detector: quarantine.New(),
 	}
 	route := func(prefix string, kind catalog.Kind, resumable bool) *catalog.Route {
 		return &catalog.Route{
@@ -120,7 +125,7 @@
 	log := slog.New(slog.DiscardHandler)
 	h := New(Config{
 		Protocol: testProtocol{}, Client: forward.NewClient(forward.Config{Protocol: testProtocol{}, Dial: r.dial}), Balancer: r.balancer,
-		Retries: retry.NewBudget(0.2, 50), Placement: placement,
+		Retries: retry.NewBudget(0.2, 50), Placement: placement, Quarantine: r.detector,
 		Demand: workload.New(), Log: log, Metrics: metrics.NewSet(), Random: func() float64 { return 0.5 },
 	})
 	h = classify.New(h, classify.Config{Protocol: testProtocol{}, Catalog: func() *catalog.Catalog { return c }})
@@ -151,9 +156,11 @@
 
 // dial connects to a scripted target.
 func (r *harness) dial(_ context.Context, addr string) (net.Conn, error) {
+	r.mu.Lock()
 	script := r.scripts[addr]
+	r.mu.Unlock()
 	if script == nil {
-		return nil, errors.New("connection refused")
+		return nil, syscall.ECONNREFUSED
 	}
 	client, server := net.Pipe()
 	r.mu.Lock()
--- a/lib/filter/relay/relay.go
+++ b/lib/filter/relay/relay.go
@@ -21,6 +21,7 @@
 	"cuminhook.org/cuminhook/lib/httpconn"
 	"cuminhook.org/cuminhook/lib/passthrough"
 	"cuminhook.org/cuminhook/lib/pipeline"
+	"cuminhook.org/cuminhook/lib/quarantine"
 	"cuminhook.org/cuminhook/lib/refusal"
 	"cuminhook.org/cuminhook/lib/retry"
 	"cuminhook.org/cuminhook/lib/workload"
@@ -58,13 +59,16 @@
 	Retries   *retry.Budget
 	Placement Placement       // nil: models and adapters are not loaded on request
 	Demand    *workload.Meter // counts the demand for each model and adapter
-	Log       *slog.Logger
-	Metrics   *metrics.Set
-	Random    func() float64 // uniform in [0, 1); nil: the default source
+	// Quarantine learns which prompt segments crash targets; nil: a detector of its own.
+	Quarantine *quarantine.Detector
+	Log        *slog.Logger
+	Metrics    *metrics.Set
+	Random     func() float64 // uniform in [0, 1); nil: the default source
 }
 
 type filter struct {
 	cfg              Config
+	crashes          *crashWatch
 	retryCounter     func(reason string) *metrics.Counter
 	firstByteSeconds *metrics.Histogram
 }
@@ -74,8 +78,11 @@
 	if cfg.Random == nil {
 		cfg.Random = rand.Float64
 	}
+	if cfg.Quarantine == nil {
+		cfg.Quarantine = quarantine.New()
+	}
 	return &filter{
-		cfg: cfg,
+		cfg: cfg, crashes: newCrashWatch(cfg.Client, cfg.Quarantine, cfg.Log),
 		retryCounter: func(reason string) *metrics.Counter {
 			return cfg.Metrics.GetOrCreateCounter(`cuminhook_repeats_total{reason="` + reason + `"}`)
 		},
@@ -92,6 +99,10 @@
 		state:   attempt.State{Repeatable: ex.Matched.Repeatable(), MaxRuns: ex.Matched.MaxAttempts},
 	}
 	f.cfg.Retries.RecordRequest(r.service)
+	if err := r.checkQuarantine(); err != nil {
+		cancel()
+		return err
+	}
 	if r.call.Model != "" {
 		f.cfg.Demand.Add(r.call, ex.Start)
 	}
@@ -139,6 +150,37 @@
 	default:
 		t.choice.ConnectionBroken(now)
 		r.logBroken(t, now)
+		if !t.began {
+			r.crashes.check(quarantine.Waiting{
+				Segments: r.call.SharedSegments(), Target: t.choice.Target.ID, Addr: t.choice.Target.Addr, SentAt: t.sentAt,
+				Answering: t.answer != nil,
+			}, now)
+		}
+	}
+}
+
+// answerBegan records that the target has begun to answer and goes on to run.
+func (r *request) answerBegan(t *try) {
+	if !t.began {
+		t.began = true
+		r.cfg.Quarantine.Began(r.call.SharedSegments(), time.Now())
+	}
+}
+
+// checkQuarantine returns the refusal of a request whose prompt has a segment in quarantine, or nil.
+func (r *request) checkQuarantine() error {
+	segment, left := r.cfg.Quarantine.Blocked(r.call.SharedSegments(), time.Now())
+	if segment == "" {
+		return nil
+	}
+	r.cfg.Log.Info("prompt in quarantine", "request_id", r.ex.ID, "segment", segment, "left_s", int64(left.Seconds()))
+	if r.state.MayHaveRun() {
+		return r.fail(refusal.TargetFailed, 0)
+	}
+	return &refusal.Error{
+		Reason: refusal.PromptQuarantined, Run: refusal.NotRun, Status: fasthttp.StatusServiceUnavailable, RetryAfter: left,
+		Message: "a segment of the prompt has crashed each target that began to answer on it",
+		Remedy:  "change the prompt, or send it again after the time stated",
 	}
 }
 
@@ -158,6 +200,10 @@
 		if err != nil {
 			return r.refuseNoTarget(err)
 		}
+		if err := r.checkQuarantine(); err != nil { // found while the request waited
+			choice.Abandoned()
+			return err
+		}
 		t := r.attempt(choice)
 		r.logAttempt(t)
 		if t.outcome == forward.Answered && !r.retryable(t) {
@@ -292,7 +338,7 @@
 	t.body, t.err = t.answer.ReadAll()
 	t.cancel()
 	if t.err == nil {
-		t.began = true
+		r.answerBegan(t)
 		t.choice.Answered(status >= fasthttp.StatusInternalServerError, now)
 		return
 	}
--- a/lib/filter/relay/stream.go
+++ b/lib/filter/relay/stream.go
@@ -87,7 +87,7 @@
 		return n, errInsideEvent
 	}
 	if s.boundary.events > 0 || errors.Is(err, io.EOF) {
-		s.current.began = true
+		s.req.answerBegan(s.current)
 	}
 	return n, err
 }
@@ -127,7 +127,7 @@
 			err = tooLarge
 		}
 		if len(s.ready) > 0 {
-			s.current.began = true
+			s.req.answerBegan(s.current)
 		}
 		if errors.Is(err, io.EOF) && len(s.ready) == 0 {
 			if !s.events.insideEvent() {
@@ -164,6 +164,10 @@
 		if err != nil {
 			return errors.Join(errStreamBroken, err)
 		}
+		if err := r.checkQuarantine(); err != nil {
+			choice.Abandoned()
+			return errors.Join(errStreamBroken, err)
+		}
 		t := r.attempt(choice)
 		r.logAttempt(t)
 		if t.stream {
--- a/lib/forward/forward.go
+++ b/lib/forward/forward.go
@@ -134,6 +134,21 @@
 // HasIdle reports whether a connection to the address is idle.
 func (c *Client) HasIdle(addr string) bool { return c.pool.HasIdle(addr) }
 
+// IsDown reports whether the target at the address refuses connections, as one that has crashed does. A usable idle connection
+// tells that it does not. The error is that of a check without a result.
+func (c *Client) IsDown(ctx context.Context, addr string) (bool, error) {
+	conn, err := c.pool.Get(ctx, addr, httpconn.AnyAge)
+	switch {
+	case err == nil:
+		conn.Release(true)
+		return false, nil
+	case errors.Is(err, syscall.ECONNREFUSED), errors.Is(err, syscall.ECONNRESET):
+		return true, nil
+	default:
+		return false, err
+	}
+}
+
 // Do makes one attempt. The caller must end the answer with ReadAll or Close; the connection is closed if ctx ends before
 // that. The error is nil if and only if the outcome is Answered or NotRun, which both come with an answer.
 func (c *Client) Do(ctx context.Context, r *Request) (*Answer, Outcome, error) {
--- a/lib/peers/state.go
+++ b/lib/peers/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"cuminhook.org/cuminhook/lib/aggregate"
+	"cuminhook.org/cuminhook/lib/quarantine"
 	"cuminhook.org/cuminhook/lib/registry"
 	"cuminhook.org/cuminhook/lib/storewatch"
 )
@@ -56,6 +57,7 @@
 	StoreLost     bool   `json:"y,omitempty"` // the sender cannot read the store
 	ConfigVersion int64  `json:"c"`           // version of the configuration in force at the sender
 	aggregate.Contribution
+	Quarantine       quarantine.Report        `json:"z,omitzero"` // prompt segments that crash targets
 	Changes          storewatch.TargetChanges `json:"v,omitzero"` // recent changes of targets
 	Holder           Holder                   `json:"t,omitzero"`
 	PlacementVersion PlacementVersion         `json:"q,omitzero"`  // newest placement that the sender knows
--- /dev/null
+++ b/lib/quarantine/quarantine.go
@@ -0,0 +1,325 @@
+// Package quarantine finds queries of death: prompt segments that crash each target that begins to answer on them, whatever
+// else the prompt holds. It answers a load in which a small part of the requests, spread over all hosts, takes down target
+// after target, and sound requests with them.
+//
+// A segment is suspected while requests with it waited at targets that crashed and no answer on it has begun since, on any
+// host. Hosts report their suspicions to each other and judge them alike. A request with a segment in quarantine is refused.
+//
+// The package does no I/O, and takes the time as an argument.
+package quarantine
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// maxChance is the probability from which on a segment is put into quarantine: that of so many successive crashes if the
+	// segment were sound. It allows for many segments that are judged several times a second.
+	maxChance = 1e-6
+	// minCrashesOfOne is the least number of crashes if all were at the same address, which may be a target in trouble.
+	minCrashesOfOne = 5
+	// Period is how long a segment stays in quarantine, also across restarts of all hosts. It is the longest time to live
+	// that the store grants.
+	Period = 10 * time.Minute
+	// suspicionTTL is how long a crash counts against a segment on which no answer begins.
+	suspicionTTL = 2 * time.Minute
+	// beganTTL is how long a host remembers that an answer on a segment began.
+	beganTTL = time.Minute
+	// maxBegan bounds the segments that are remembered so.
+	maxBegan = 8192
+	// maxSuspects bounds the suspected segments, and maxKeptCrashes the crashes kept of each.
+	maxSuspects    = 512
+	maxKeptCrashes = 32
+	// maxReported bounds the suspicions in a report, those with most crashes, and maxReportedCrashes the crashes of each.
+	maxReported        = 16
+	maxReportedCrashes = 8
+	// clearedTTL is how long a host reports that a suspicion is cleared. Any of its reports may be lost.
+	clearedTTL = 3 * time.Second
+	// maxIDBytes is the longest id of a segment that is used as it is; of a longer one a hash stands for it.
+	maxIDBytes = 64
+)
+
+// Detector holds what a host knows of suspected segments and of those in quarantine. It is safe for concurrent use.
+type Detector struct {
+	mu          sync.Mutex
+	began       map[string]time.Time // guarded by mu; by segment: when an answer on it last began at this host
+	suspects    map[string]*suspect  // guarded by mu; by segment
+	quarantined map[string]*entry    // guarded by mu; by segment
+	own         Outcomes             // guarded by mu; at this host, as of ownUpdated
+	ownUpdated  time.Time            // guarded by mu
+	peers       map[string]Outcomes  // guarded by mu; at other hosts
+}
+
+// suspect is a segment under suspicion.
+type suspect struct {
+	position  int // in the prompt; the highest that was seen
+	beganAt   time.Time
+	crashes   map[string]crash // by id of the target; only those after beganAt
+	changedAt time.Time        // when a crash was last reported, or the suspicion cleared
+}
+
+// crash is a crash of a target at which a request with the segment waited for its answer to begin.
+type crash struct {
+	addr      string
+	sentAt    time.Time // of the request
+	at        time.Time
+	knownAt   time.Time
+	answering bool // the target had sent the header of the answer
+}
+
+// entry is a segment in quarantine.
+type entry struct {
+	since   time.Time
+	crashes map[string]crash // that it explains
+}
+
+// New returns a detector that suspects nothing.
+func New() *Detector {
+	return &Detector{
+		began: map[string]time.Time{}, suspects: map[string]*suspect{}, quarantined: map[string]*entry{}, peers: map[string]Outcomes{},
+	}
+}
+
+// Waiting is a request that waited for its answer to begin when its target crashed.
+type Waiting struct {
+	Segments []string // ids of the segments that its prompt shares with others, in order
+	Target   string   // id of the target
+	Addr     string   // IP:port of the target
+	SentAt   time.Time
+	// Answering states that the header of the answer had arrived: the target was about to write, and few requests are in that
+	// state at a time.
+	Answering bool
+}
+
+// Began records that the answer to a request has begun: none of its segments crashes targets.
+func (d *Detector) Began(segments []string, now time.Time) {
+	if len(segments) == 0 {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.observe(Outcomes{Began: 1}, now)
+	for _, id := range segments {
+		id = key(id)
+		d.began[id] = now
+		if s := d.suspects[id]; s != nil {
+			s.clear(now, now)
+		}
+	}
+	if len(d.began) > maxBegan {
+		d.forgetBegan(now)
+	}
+}
+
+// forgetBegan drops the older half of what is remembered of begun answers, or more if it is outdated. The caller holds mu.
+func (d *Detector) forgetBegan(now time.Time) {
+	times := slices.SortedFunc(maps.Values(d.began), time.Time.Compare)
+	limit := times[len(times)/2]
+	if outdated := now.Add(-beganTTL); outdated.After(limit) {
+		limit = outdated
+	}
+	maps.DeleteFunc(d.began, func(_ string, at time.Time) bool { return !at.After(limit) })
+}
+
+// Crashed records that a target crashed while a request waited there. A crash that a segment in quarantine explains counts
+// against no other one.
+func (d *Detector) Crashed(w Waiting, at, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	c := crash{addr: w.Addr, sentAt: w.SentAt, at: at, knownAt: now, answering: w.Answering}
+	d.observe(outcomeOf(w.Answering), now)
+	for _, id := range w.Segments {
+		if e := d.quarantined[key(id)]; e != nil {
+			e.explain(w.Target, c)
+		}
+	}
+	for i, id := range w.Segments {
+		d.suspect(key(id), i, w.Target, c)
+	}
+}
+
+// suspect records a crash against a segment. The caller holds mu.
+func (d *Detector) suspect(id string, position int, target string, c crash) {
+	if d.explained(target) || d.quarantined[id] != nil {
+		return
+	}
+	s := d.suspects[id]
+	if s == nil {
+		if len(d.suspects) >= maxSuspects {
+			return
+		}
+		s = &suspect{beganAt: d.began[id], crashes: map[string]crash{}}
+		d.suspects[id] = s
+	}
+	s.position, s.changedAt = max(s.position, position), c.knownAt
+	_, known := s.crashes[target]
+	if !known && c.at.After(s.beganAt) && len(s.crashes) < maxKeptCrashes {
+		s.crashes[target] = c
+	}
+}
+
+// explained reports whether a segment in quarantine explains the crash of the target. The caller holds mu.
+func (d *Detector) explained(target string) bool {
+	for _, e := range d.quarantined {
+		if _, ok := e.crashes[target]; ok {
+			return true
+		}
+	}
+	return false
+}
+
+// clear drops the crashes up to the time at which an answer on the segment began.
+func (s *suspect) clear(beganAt, now time.Time) {
+	if !beganAt.After(s.beganAt) {
+		return
+	}
+	s.beganAt, s.changedAt = beganAt, now
+	maps.DeleteFunc(s.crashes, func(_ string, c crash) bool { return !c.at.After(beganAt) })
+}
+
+func (e *entry) explain(target string, c crash) {
+	if len(e.crashes) < maxKeptCrashes {
+		e.crashes[target] = c
+	}
+}
+
+// Blocked returns the first segment that is in quarantine and how long it stays there, or "".
+func (d *Detector) Blocked(segments []string, now time.Time) (id string, left time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if len(d.quarantined) == 0 {
+		return "", 0
+	}
+	for _, id := range segments {
+		if e := d.quarantined[key(id)]; e != nil && now.Sub(e.since) < Period {
+			return key(id), Period - now.Sub(e.since)
+		}
+	}
+	return "", 0
+}
+
+// Quarantined returns the segments in quarantine, in no particular order.
+func (d *Detector) Quarantined(now time.Time) []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.expire(now)
+	return slices.Collect(maps.Keys(d.quarantined))
+}
+
+// Restore puts segments into quarantine that another host, or an earlier start of this one, found.
+func (d *Detector) Restore(ids []string, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, id := range ids {
+		d.quarantine(key(id), now)
+	}
+}
+
+// quarantine puts a segment into quarantine, unless it is there since an earlier time. The caller holds mu.
+func (d *Detector) quarantine(id string, since time.Time) {
+	if e := d.quarantined[id]; e != nil {
+		if since.Before(e.since) {
+			e.since = since
+		}
+		return
+	}
+	e := &entry{since: since, crashes: map[string]crash{}}
+	if s := d.suspects[id]; s != nil {
+		e.crashes = s.crashes
+		delete(d.suspects, id)
+	}
+	d.quarantined[id] = e
+	for _, s := range d.suspects {
+		for target := range e.crashes {
+			delete(s.crashes, target)
+		}
+	}
+}
+
+// Verdict is a segment that was put into quarantine.
+type Verdict struct {
+	Segment string
+	Crashes int // of targets at which requests with it waited
+}
+
+// Judge puts the segments into quarantine against which there are enough crashes, and returns them. settle is the time in
+// which hosts report that an answer on a suspected segment has begun. Where the same crashes stand against several segments of
+// a prompt, the one on which no answer has begun for longest is taken, and else the last, which the fewest requests share.
+func (d *Detector) Judge(now time.Time, settle time.Duration) (out []Verdict) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.expire(now)
+	for {
+		id := d.worst(now, settle)
+		if id == "" {
+			return out
+		}
+		out = append(out, Verdict{id, len(d.suspects[id].crashes)})
+		d.quarantine(id, now)
+	}
+}
+
+// worst returns the segment to put into quarantine next, or "". The caller holds mu.
+func (d *Detector) worst(now time.Time, settle time.Duration) (worst string) {
+	for id, s := range d.suspects {
+		if !d.convicted(s, now, settle) {
+			continue
+		}
+		if w := d.suspects[worst]; w == nil ||
+			cmp.Or(s.beganAt.Compare(w.beganAt), cmp.Compare(w.position, s.position), cmp.Compare(id, worst)) < 0 {
+			worst = id
+		}
+	}
+	return worst
+}
+
+// successive returns the longest chain of crashes each of whose requests was sent after the crash before.
+func (s *suspect) successive() (chain []crash) {
+	all := slices.SortedFunc(maps.Values(s.crashes), func(a, b crash) int { return a.at.Compare(b.at) })
+	for _, c := range all {
+		if n := len(chain); n == 0 || c.sentAt.After(chain[n-1].at) {
+			chain = append(chain, c)
+		}
+	}
+	return chain
+}
+
+// convicted reports whether the crashes that are known for the settling time are too many for a sound segment. The caller holds
+// mu.
+func (d *Detector) convicted(s *suspect, now time.Time, settle time.Duration) bool {
+	chance, known, several := 1.0, 0, false
+	lost, answering := d.chances(s, now)
+	for chain := s.successive(); known < len(chain) && now.Sub(chain[known].knownAt) >= settle; known++ {
+		if chain[known].answering {
+			chance *= answering
+		} else {
+			chance *= lost
+		}
+		several = several || chain[known].addr != chain[0].addr
+	}
+	return chance <= maxChance && (several || known >= minCrashesOfOne)
+}
+
+// expire drops what is outdated. The caller holds mu.
+func (d *Detector) expire(now time.Time) {
+	maps.DeleteFunc(d.quarantined, func(_ string, e *entry) bool { return now.Sub(e.since) >= Period })
+	maps.DeleteFunc(d.suspects, func(_ string, s *suspect) bool {
+		maps.DeleteFunc(s.crashes, func(_ string, c crash) bool { return now.Sub(c.at) > suspicionTTL })
+		return len(s.crashes) == 0 && now.Sub(s.changedAt) > clearedTTL
+	})
+}
+
+// key returns the name under which a segment is kept.
+func key(id string) string {
+	if len(id) <= maxIDBytes {
+		return id
+	}
+	return strconv.FormatUint(xxhash.Sum64String(id), 16)
+}
--- /dev/null
+++ b/lib/quarantine/quarantine_test.go
@@ -0,0 +1,207 @@
+package quarantine
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+const (
+	tick     = 10 * time.Millisecond
+	interval = 200 * time.Millisecond
+	stable   = 3 * time.Second
+	downFor  = 3 * time.Second
+)
+
+// fleet simulates hosts that send requests to targets and exchange reports, of which some are lost.
+type fleet struct {
+	random   *rand.Rand
+	now      time.Time
+	hosts    []*Detector
+	downTill []time.Time // by target
+	starts   []int       // by target
+	waiting  []request
+	crashes  []time.Time // by queries of death
+	late     int         // queries of death sent more than stable after the fifth crash
+	refused  int         // sound requests refused
+	sound    int
+}
+
+type request struct {
+	host, target, start int
+	segments            []string
+	deadly              bool
+	sentAt, beginsAt    time.Time
+}
+
+func newFleet(seed uint64, hosts, targets int) *fleet {
+	f := &fleet{
+		random: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0),
+		downTill: make([]time.Time, targets), starts: make([]int, targets),
+	}
+	for range hosts {
+		f.hosts = append(f.hosts, New())
+	}
+	return f
+}
+
+// send sends a request from a random host to the target, or to a random one if it is down or negative.
+func (f *fleet) send(target int, deadly bool, segments ...string) {
+	host := f.random.IntN(len(f.hosts))
+	if id, _ := f.hosts[host].Blocked(segments, f.now); id != "" {
+		if !deadly {
+			f.refused++
+		}
+		return
+	}
+	for range len(f.downTill) {
+		if target >= 0 && !f.now.Before(f.downTill[target]) {
+			break
+		}
+		target = f.random.IntN(len(f.downTill))
+	}
+	if f.now.Before(f.downTill[target]) {
+		return
+	}
+	switch {
+	case !deadly:
+		f.sound++
+	case len(f.crashes) >= 5 && f.now.Sub(f.crashes[4]) > stable:
+		f.late++
+	}
+	begins := f.now.Add(100*time.Millisecond + time.Duration(f.random.IntN(300))*time.Millisecond)
+	f.waiting = append(f.waiting, request{host, target, f.starts[target], segments, deadly, f.now, begins})
+}
+
+// crash takes a target down with all that waits there.
+func (f *fleet) crash(target int) {
+	id := fmt.Sprintf("t%d.%d", target, f.starts[target])
+	for _, r := range f.waiting {
+		if r.target == target && r.start == f.starts[target] {
+			answering := !f.now.Before(r.beginsAt.Add(-50 * time.Millisecond))
+			f.hosts[r.host].Crashed(Waiting{r.segments, id, fmt.Sprint(target), r.sentAt, answering}, f.now, f.now)
+		}
+	}
+	f.starts[target]++
+	f.downTill[target] = f.now.Add(downFor)
+}
+
+// step begins answers and exchanges reports.
+func (f *fleet) step() {
+	f.now = f.now.Add(tick)
+	var left []request
+	for _, r := range f.waiting {
+		switch {
+		case r.start != f.starts[r.target]:
+		case f.now.Before(r.beginsAt):
+			left = append(left, r)
+		case r.deadly:
+			f.crashes = append(f.crashes, f.now)
+			f.crash(r.target)
+		default:
+			f.hosts[r.host].Began(r.segments, f.now)
+		}
+	}
+	f.waiting = left
+	if f.now.UnixNano()%int64(interval) != 0 {
+		return
+	}
+	for i, h := range f.hosts {
+		h.Judge(f.now, 2*interval)
+		r, o := h.Report(f.now), h.Outcomes(f.now)
+		for j, other := range f.hosts {
+			if i != j && f.random.Float64() > 0.05 {
+				other.Merge(r, f.now)
+				other.SetPeerOutcomes(fmt.Sprint(i), &o)
+			}
+		}
+	}
+}
+
+// often reports whether something that happens at the rate a second happens in this step.
+func (f *fleet) often(rate float64) bool { return f.random.Float64() < rate*tick.Seconds() }
+
+// Guards against one target after the other crashing under requests that share a segment, and against refusing sound requests
+// that share their other segments.
+func TestSegmentThatCrashesTargetsIsQuarantined(t *testing.T) {
+	for _, c := range []struct {
+		hosts, targets int
+		deadly, sound  float64 // requests a second
+	}{{7, 9, 1, 40}, {7, 13, 2, 60}, {20, 60, 8, 200}, {7, 13, 0.3, 60}, {3, 4, 0.3, 1}} {
+		for _, seed := range []uint64{0, 1, 10} {
+			f := newFleet(seed, c.hosts, c.targets)
+			for range int(90 * time.Second / tick) {
+				if f.often(c.sound) {
+					f.send(-1, false, "all", fmt.Sprint("subject", f.random.IntN(20)))
+				}
+				if f.often(c.deadly) {
+					f.send(-1, true, "all", "subject7", "deadly")
+				}
+				f.step()
+			}
+			if len(f.crashes) < 3 || f.late > 3 || f.refused > 0 || f.sound == 0 {
+				t.Errorf("%+v, seed %d: %d crashes, %d requests with the segment late, %d of %d sound ones refused",
+					c, seed, len(f.crashes), f.late, f.refused, f.sound)
+			}
+			f.hosts[0] = New()
+			for range 2 * interval / tick {
+				f.step()
+			}
+			if id, _ := f.hosts[0].Blocked([]string{"all", "deadly", "x"}, f.now); id != "deadly" {
+				t.Errorf("%+v, seed %d: a host that restarted blocks %q", c, seed, id)
+			}
+		}
+	}
+}
+
+// Guards against refusing sound requests because targets crash for other reasons: all at once, or the same ones again and again.
+func TestCrashesOfTargetsQuarantineNothing(t *testing.T) {
+	for name, crash := range map[string]func(f *fleet, i int){
+		"all at once": func(f *fleet, i int) {
+			for target := range f.downTill {
+				if i%500 == 0 {
+					f.crash(target)
+				}
+			}
+		},
+		"two targets, again and again": func(f *fleet, i int) {
+			if i%320 == 0 {
+				f.crash(0)
+				f.crash(1)
+			}
+		},
+		"one after the other": func(f *fleet, i int) {
+			if i%40 == 0 {
+				f.crash(i / 40 % len(f.downTill))
+			}
+		},
+	} {
+		for _, seed := range []uint64{0, 1, 10} {
+			f := newFleet(seed, 7, 9)
+			for i := range int(60 * time.Second / tick) {
+				if f.often(60) {
+					n := f.random.IntN(40)
+					f.send(n%len(f.downTill), false, "all", fmt.Sprint("subject", n))
+				}
+				crash(f, i)
+				f.step()
+			}
+			if ids := f.hosts[0].Quarantined(f.now); len(ids) > 0 {
+				t.Errorf("%s, seed %d: %d segments in quarantine, %v first", name, seed, len(ids), ids[0])
+			}
+		}
+	}
+}
+
+// Guards against a quarantine that never ends.
+func TestQuarantineEnds(t *testing.T) {
+	d, now := New(), time.Unix(1000, 0)
+	d.Restore([]string{"a"}, now)
+	if id, left := d.Blocked([]string{"x", "a"}, now.Add(Period/2)); id != "a" || left != Period/2 {
+		t.Errorf("%q for %s", id, left)
+	}
+	if id, _ := d.Blocked([]string{"a"}, now.Add(Period)); id != "" {
+		t.Errorf("%q after its period", id)
+	}
+}
--- a/lib/refusal/refusal.go
+++ b/lib/refusal/refusal.go
@@ -30,6 +30,7 @@
 	TargetFailed           Reason = "target_failed"
 	TargetTimeout          Reason = "target_timeout"
 	StreamBroken           Reason = "stream_broken"
+	PromptQuarantined      Reason = "prompt_quarantined"
 	InProgress             Reason = "in_progress"
 	OutcomeUnknown         Reason = "outcome_unknown"
 	IdempotencyKeyReused   Reason = "idempotency_key_reused"
--- a/lib/storewatch/storewatch.go
+++ b/lib/storewatch/storewatch.go
@@ -73,12 +73,17 @@
 // HostPrefix is the key prefix of the entries that hosts write about themselves.
 const HostPrefix = "cuminhook/hosts/"
 
+// QuarantinePrefix is the key prefix of the prompt segments that hosts have put into quarantine.
+const QuarantinePrefix = "cuminhook/quarantine/"
+
 // Handlers are called when the view of the store changes. Several goroutines may call them at the same time.
 type Handlers struct {
 	OnCatalog func(*catalog.Catalog)   // a newer configuration was installed
 	OnTargets func([]*registry.Target) // the list of targets after a change
 	OnHosts   func(map[string][]byte)  // values of the hosts' entries, by host
-	Announce  func()                   // there are changes to announce to other hosts at once; may be nil
+	// OnQuarantine is called with segments that are in quarantine, those of a full read or one that was added; may be nil.
+	OnQuarantine func(segments []string)
+	Announce     func() // there are changes to announce to other hosts at once; may be nil
 }
 
 // Watcher watches the store and passes changes to its handlers.
@@ -194,6 +199,7 @@
 	}
 	w.recordAnswer()
 	var targets, hosts []kv.Entry
+	var segments []string
 	for _, e := range snap.Entries {
 		switch {
 		case e.Key == w.codec.ConfigKey():
@@ -202,8 +208,11 @@
 			targets = append(targets, e)
 		case strings.HasPrefix(e.Key, HostPrefix):
 			hosts = append(hosts, e)
+		case strings.HasPrefix(e.Key, QuarantinePrefix):
+			segments = append(segments, strings.TrimPrefix(e.Key, QuarantinePrefix))
 		}
 	}
+	w.publishQuarantine(segments)
 	w.replaceTargets(targets, snap.Revision)
 	w.replaceHosts(hosts)
 	return snap.Revision, nil
@@ -352,6 +361,8 @@
 		case strings.HasPrefix(c.Key, HostPrefix):
 			w.applyHostChange(c)
 			hosts = true
+		case strings.HasPrefix(c.Key, QuarantinePrefix) && !c.Deleted:
+			w.publishQuarantine([]string{strings.TrimPrefix(c.Key, QuarantinePrefix)})
 		}
 	}
 	if targets {
@@ -389,6 +400,13 @@
 	w.announceChanges()
 }
 
+// publishQuarantine passes segments in quarantine to the handler.
+func (w *Watcher) publishQuarantine(segments []string) {
+	if w.handlers.OnQuarantine != nil && len(segments) > 0 {
+		w.handlers.OnQuarantine(segments)
+	}
+}
+
 // applyHostChange applies one change of a host's entry.
 func (w *Watcher) applyHostChange(c kv.Change) {
 	w.mu.Lock()
