Targets that state a limit get no more requests than they take

Cause: nothing read the statement, and the design had no place for one that holds for all hosts.

Statements are read from each answer and reported to the other hosts. The hosts share such a rate by the mechanism that shares the rates of organisations: each charges what it sends to a bucket that all estimate from what the others report, in large fleets through sums. The balancer leaves out a target without a request to spare; a request for which no target is left waits up to its objective. Load: targets that are overloaded or slow while the service as a whole has capacity.

--- a/lib/aggregate/aggregate.go
+++ b/lib/aggregate/aggregate.go
@@ -17,6 +17,7 @@
 type Contribution struct {
 	Hosts        int                     `json:"k,omitempty"` // hosts that it covers
 	Demand       orglimit.Report         `json:"d,omitempty"` // charges and demand of organisations
+	TargetDemand orglimit.Report         `json:"g,omitempty"` // charges and demand of targets that state a limit, by target
 	Loads        map[string]balance.Load `json:"l,omitempty"` // requests in flight, by target
 	EngineLoad   map[string]float64      `json:"w,omitempty"` // milliseconds of engine time a second, by model
 	AdapterRates map[string]float64      `json:"a,omitempty"` // requests a second, by model/adapter
@@ -26,9 +27,10 @@
 
 // member is one host, or another sum.
 type member struct {
-	boot    uint64
-	current Contribution       // zero once the member was removed
-	charged map[string]float64 // tokens by organisation that were counted of the member since it was first seen
+	boot          uint64
+	current       Contribution       // zero once the member was removed
+	charged       map[string]float64 // tokens by organisation that were counted of the member since it was first seen
+	targetCharged map[string]float64 // the same by target, of the targets that it still reports
 }
 
 // Sum is a sum over members. Its charges are the increases that were seen, however members come, go and restart. It is not
@@ -43,24 +45,31 @@
 func (s *Sum) Set(name string, boot uint64, c Contribution) {
 	m := s.members[name]
 	if m == nil {
-		m = &member{boot: boot, charged: map[string]float64{}}
-		m.current.Demand = c.Demand
+		m = &member{boot: boot, charged: map[string]float64{}, targetCharged: map[string]float64{}}
+		m.current.Demand, m.current.TargetDemand = c.Demand, c.TargetDemand
 		s.members[name] = m
 	}
-	for org, u := range c.Demand {
+	addIncreases(m.charged, m.current.Demand, c.Demand, m.boot == boot)
+	addIncreases(m.targetCharged, m.current.TargetDemand, c.TargetDemand, m.boot == boot)
+	maps.DeleteFunc(m.targetCharged, func(target string, _ float64) bool { _, ok := c.TargetDemand[target]; return !ok })
+	m.boot, m.current = boot, c
+}
+
+// addIncreases adds to charged what a member has charged between two reports; sameBoot states that it did not restart.
+func addIncreases(charged map[string]float64, before, after orglimit.Report, sameBoot bool) {
+	for name, u := range after {
 		increase := u.Charged
-		if m.boot == boot {
-			increase -= m.current.Demand[org].Charged
+		if sameBoot {
+			increase -= before[name].Charged
 		}
-		m.charged[org] += increase // negative after a refund
+		charged[name] += increase // negative after a refund
 	}
-	m.boot, m.current = boot, c
 }
 
 // Remove drops the contribution of a member. Its charges stay counted, and are continued if it returns.
 func (s *Sum) Remove(name string) {
 	if m := s.members[name]; m != nil {
-		m.current = Contribution{Demand: chargesOnly(m.current.Demand)}
+		m.current = Contribution{Demand: chargesOnly(m.current.Demand), TargetDemand: chargesOnly(m.current.TargetDemand)}
 	}
 }
 
@@ -77,35 +86,59 @@
 // buckets are averaged over the hosts.
 func (s *Sum) Total(include func(name string) bool) Contribution {
 	out := Contribution{
-		Demand: orglimit.Report{}, Loads: map[string]balance.Load{}, EngineLoad: map[string]float64{},
+		Demand: orglimit.Report{}, TargetDemand: orglimit.Report{}, Loads: map[string]balance.Load{}, EngineLoad: map[string]float64{},
 		AdapterRates: map[string]float64{}, Suspects: map[string]int{},
 	}
-	estimating := map[string]float64{}
+	estimating, estimatingTarget := map[string]float64{}, map[string]float64{}
 	for name, m := range s.members {
 		if include != nil && !include(name) {
 			continue
 		}
 		out.Hosts += m.current.Hosts
-		for org, u := range m.current.Demand {
-			total := out.Demand[org]
-			total.Demand += u.Demand
-			total.SharedTokens += u.SharedTokens * float64(m.current.Hosts)
-			out.Demand[org] = total
-			estimating[org] += float64(m.current.Hosts)
-		}
-		for org, charged := range m.charged {
-			total := out.Demand[org]
-			total.Charged += charged
-			out.Demand[org] = total
-		}
+		addUsage(out.Demand, estimating, m.current.Demand, m.charged, m.current.Hosts)
+		addUsage(out.TargetDemand, estimatingTarget, m.current.TargetDemand, m.targetCharged, m.current.Hosts)
 		out.add(&m.current, 1)
 	}
-	for org, hosts := range estimating {
-		if total := out.Demand[org]; hosts > 0 {
+	averageEstimates(out.Demand, estimating)
+	averageEstimates(out.TargetDemand, estimatingTarget)
+	return out
+}
+
+// addUsage adds the usage of a member that covers hosts to a sum. Estimates of shared buckets are added by host, and estimating
+// counts the hosts.
+func addUsage(sum orglimit.Report, estimating map[string]float64, usage orglimit.Report, charged map[string]float64, hosts int) {
+	for name, u := range usage {
+		total := sum[name]
+		total.Demand += u.Demand
+		total.SharedTokens += u.SharedTokens * float64(hosts)
+		sum[name] = total
+		estimating[name] += float64(hosts)
+	}
+	for name, tokens := range charged {
+		total := sum[name]
+		total.Charged += tokens
+		sum[name] = total
+	}
+}
+
+// averageEstimates divides the sums of estimates by the number of hosts that made them.
+func averageEstimates(sum orglimit.Report, estimating map[string]float64) {
+	for name, hosts := range estimating {
+		if total := sum[name]; hosts > 0 {
 			total.SharedTokens /= hosts
-			out.Demand[org] = total
+			sum[name] = total
 		}
 	}
+}
+
+// subtractUsage returns the sum without a member.
+func subtractUsage(sum, usage orglimit.Report, charged map[string]float64) orglimit.Report {
+	out := maps.Clone(sum)
+	for name, u := range out {
+		u.Charged -= charged[name]
+		u.Demand = max(0, u.Demand-usage[name].Demand)
+		out[name] = u
+	}
 	return out
 }
 
@@ -117,14 +150,11 @@
 	}
 	out := total
 	out.Hosts -= m.current.Hosts
-	out.Demand, out.Loads = maps.Clone(total.Demand), maps.Clone(total.Loads)
+	out.Demand = subtractUsage(total.Demand, m.current.Demand, m.charged)
+	out.TargetDemand = subtractUsage(total.TargetDemand, m.current.TargetDemand, m.targetCharged)
+	out.Loads = maps.Clone(total.Loads)
 	out.EngineLoad, out.AdapterRates = maps.Clone(total.EngineLoad), maps.Clone(total.AdapterRates)
 	out.Suspects = maps.Clone(total.Suspects)
-	for org, u := range out.Demand {
-		u.Charged -= m.charged[org]
-		u.Demand = max(0, u.Demand-m.current.Demand[org].Demand)
-		out.Demand[org] = u
-	}
 	out.add(&m.current, -1)
 	return out
 }
--- a/lib/balance/balance.go
+++ b/lib/balance/balance.go
@@ -22,6 +22,7 @@
 	ErrNoTarget  = errors.New("balance: no ready target of the service; retry when one is ready")
 	ErrNoModel   = errors.New("balance: no target has the model loaded; retry when it is loaded")
 	ErrNoAdapter = errors.New("balance: no target has the adapter loaded; have it loaded")
+	ErrPaced     = errors.New("balance: the targets have stated limits of requests a second that are used up; retry soon")
 	ErrBusy      = errors.New("balance: this host may open no further connection to the targets; retry when one is free")
 )
 
@@ -87,10 +88,21 @@
 	HasIdle(addr string) bool
 }
 
+// Rates keep the requests of all hosts to a target within the rate that it states.
+type Rates interface {
+	// Available reports whether this host may send the target a request now.
+	Available(target string, now time.Time) bool
+	// Take counts a request to the target.
+	Take(target string, now time.Time)
+	// Return takes back a request that did not reach the target.
+	Return(target string)
+}
+
 // Balancer is the load balancer of one entry host: it knows the targets and the load at each. It is safe for concurrent use.
 type Balancer struct {
 	zone        string
 	connections Connections // nil: not limited
+	rates       Rates       // nil: not limited
 
 	mu            sync.Mutex
 	targets       map[string]*target            // guarded by mu; by id
@@ -114,10 +126,10 @@
 }
 
 // New returns a balancer for a host in the zone. random breaks ties between targets of about the same cost. Without
-// connections, nil, the host may have any number of them.
-func New(zone string, connections Connections, random *rand.Rand) *Balancer {
+// connections or rates, nil, these are not limited.
+func New(zone string, connections Connections, rates Rates, random *rand.Rand) *Balancer {
 	return &Balancer{
-		zone: zone, connections: connections, targets: map[string]*target{}, peers: map[string]map[string]Load{}, latencyRatios: map[string]float64{},
+		zone: zone, connections: connections, rates: rates, targets: map[string]*target{}, peers: map[string]map[string]Load{}, latencyRatios: map[string]float64{},
 		random: random,
 	}
 }
@@ -311,7 +323,8 @@
 )
 
 // candidates returns the targets of the first rank that is not empty. A target to which this host may open no further
-// connection is left out. Errors: ErrNoTarget, ErrNoModel, ErrNoAdapter, ErrBusy.
+// connection, or no request within the target's rate, is left out. Errors: ErrNoTarget, ErrNoModel, ErrNoAdapter, ErrBusy,
+// ErrPaced.
 func (b *Balancer) candidates(q Query, now time.Time) ([]*target, error) {
 	var byRank [ranks][]*target
 	err := ErrNoTarget
@@ -322,7 +335,7 @@
 		if q.Call.Model != "" {
 			hasModel, hasAdapter := b.isLoaded(t, q.Call.Model, q.Call.Adapter, now)
 			if !hasAdapter {
-				if hasModel && err != ErrBusy {
+				if hasModel && err != ErrBusy && err != ErrPaced {
 					err = ErrNoAdapter
 				} else if err == ErrNoTarget {
 					err = ErrNoModel
@@ -334,6 +347,10 @@
 			err = ErrBusy
 			continue
 		}
+		if b.rates != nil && !b.rates.Available(t.info.ID, now) {
+			err = ErrPaced
+			continue
+		}
 		r := b.rankOf(t, now)
 		byRank[r] = append(byRank[r], t)
 	}
@@ -395,6 +412,9 @@
 // probes whether t answers again.
 func (b *Balancer) assign(t *target, load Load, model string, now time.Time) *Choice {
 	t.local.add(load, 1)
+	if b.rates != nil {
+		b.rates.Take(t.info.ID, now)
+	}
 	if !t.health.usable(now) || t.health.backoff > 0 {
 		t.health.probing = true
 	}
--- a/lib/balance/balance_test.go
+++ b/lib/balance/balance_test.go
@@ -17,7 +17,7 @@
 const cacheTokens = 232_000
 
 func newBalancer(zone string) *Balancer {
-	b := New(zone, nil, rand.New(rand.NewPCG(1, 1)))
+	b := New(zone, nil, nil, rand.New(rand.NewPCG(1, 1)))
 	b.SetCatalog(catalog.New(catalog.Content{Services: []*catalog.Service{
 		{Name: "llm", Engine: &catalog.Engine{Slots: 64, CacheTokens: cacheTokens}}, {Name: "plain"},
 	}}))
--- a/lib/balance/choice.go
+++ b/lib/balance/choice.go
@@ -39,6 +39,14 @@
 	}
 }
 
+// Unsent records that the request did not reach the target, so that it does not count in the target's rate. It does not end the
+// request.
+func (c *Choice) Unsent() {
+	if c.balancer.rates != nil {
+		c.balancer.rates.Return(c.Target.ID)
+	}
+}
+
 // releaseLoad removes the request from the load of its target; the caller holds the mutex of the balancer.
 func (c *Choice) releaseLoad() {
 	if !c.prefillReleased {
--- a/lib/entryhost/entryhost.go
+++ b/lib/entryhost/entryhost.go
@@ -34,6 +34,7 @@
 	"cuminhook.org/cuminhook/lib/registry"
 	"cuminhook.org/cuminhook/lib/retry"
 	"cuminhook.org/cuminhook/lib/storewatch"
+	"cuminhook.org/cuminhook/lib/targetrate"
 	"cuminhook.org/cuminhook/lib/workload"
 )
 
@@ -93,6 +94,7 @@
 	log          *slog.Logger
 	balancer     *balance.Balancer
 	limiter      *orglimit.Limiter
+	rates        *targetrate.Limits
 	retries      *retry.Budget
 	connections  *connections
 	peers        *peers.Exchanger
@@ -114,10 +116,10 @@
 	if cfg.RequestLog == nil {
 		cfg.RequestLog = cfg.Log
 	}
-	conns := newConnections(&cfg)
+	conns, rates := newConnections(&cfg), targetrate.New(time.Now())
 	h := &Host{
-		cfg: cfg, log: cfg.Log, connections: conns,
-		balancer: balance.New(s.Zone, conns, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
+		cfg: cfg, log: cfg.Log, connections: conns, rates: rates,
+		balancer: balance.New(s.Zone, conns, rates, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		limiter:  orglimit.New(time.Now()), meter: workload.New(), retries: retry.NewBudget(s.RetryRatio, s.RetrySlack),
 	}
 	h.role = newPlacementRole(h)
@@ -151,7 +153,7 @@
 func (h *Host) filters() pipeline.Handler {
 	handler := relay.New(relay.Config{
 		Protocol: h.cfg.Protocol, Client: h.connections.client, Balancer: h.balancer, Retries: h.retries,
-		Placement: h.role, Demand: h.meter, Quarantine: h.quarantine.detector, Log: h.cfg.RequestLog, Metrics: h.cfg.Metrics,
+		Placement: h.role, Demand: h.meter, Rates: h.rates, Quarantine: h.quarantine.detector, Log: h.cfg.RequestLog, Metrics: h.cfg.Metrics,
 	})
 	handler = orgrate.New(handler, orgrate.Config{Limiter: h.limiter, Log: h.cfg.RequestLog})
 	handler = classify.New(handler, classify.Config{Protocol: h.cfg.Protocol, Catalog: h.catalog.Load})
@@ -169,14 +171,25 @@
 // setTargets applies a new list of targets.
 func (h *Host) setTargets(list []*registry.Target) {
 	h.connections.SetTargets(list)
+	h.retainRates(list)
 	h.balancer.SetTargets(list)
 	h.placer.SetTargets(list)
 	h.targetsRead.Store(true)
 }
 
+// retainRates forgets the rates of targets that are not in the list.
+func (h *Host) retainRates(list []*registry.Target) {
+	known := make(map[string]bool, len(list))
+	for _, t := range list {
+		known[t.ID] = true
+	}
+	h.rates.Retain(func(target string) bool { return known[target] })
+}
+
 // setFleet applies what is newly known of the fleet.
 func (h *Host) setFleet(f peers.Fleet) {
 	h.limiter.SetHosts(len(f.Known)+1, f.Spread)
+	h.rates.SetHosts(len(f.Known)+1, f.Spread)
 	h.retries.SetHosts(len(f.Known) + 1)
 	h.connections.SetHosts(f.Known)
 	h.storeWatcher.SetPolling(h.polling(f))
@@ -217,10 +230,11 @@
 		suspects[id] = 1
 	}
 	s.Contribution = aggregate.Contribution{
-		Hosts: 1, Demand: h.limiter.Report(now), Loads: h.balancer.LocalLoads(now), EngineLoad: h.meter.EngineLoad(now),
+		Hosts: 1, Demand: h.limiter.Report(now), TargetDemand: h.rates.Usage(now), Loads: h.balancer.LocalLoads(now), EngineLoad: h.meter.EngineLoad(now),
 		AdapterRates: h.meter.Adapters(now), Suspects: suspects, Outcomes: h.quarantine.detector.Outcomes(now),
 	}
 	h.connections.updateDemand(h.balancer, now)
+	s.TargetRates = h.rates.Statements(now)
 	s.Quarantine = h.quarantine.report(now, h.peers.Fleet().Spread)
 	s.Holder, s.PlacementVersion = h.role.holder(now)
 	s.StoreLost = h.storeWatcher.StoreLost()
@@ -240,10 +254,12 @@
 	now := time.Now()
 	if s.Kind != peers.Partial {
 		h.limiter.ApplyReport(s.Host, s.Boot, s.Hosts, s.Demand, now)
+		h.rates.ApplyUsage(s.Host, s.Boot, s.Hosts, s.TargetDemand, now)
 		h.balancer.SetPeerLoads(s.Host, s.Loads)
 		h.quarantine.detector.SetPeerOutcomes(s.Host, &s.Outcomes)
 		h.role.handleState(s, now)
 	}
+	h.rates.Merge(s.TargetRates, now)
 	h.quarantine.merge(s, now)
 	relay := h.storeWatcher.ApplyChanges(s.Changes, s.Kind == peers.Up)
 	if h.role.applyPlacement(s.Placement, now) || relay {
@@ -300,6 +316,7 @@
 // removeHost drops the loads, demand and suspects of an unreachable host.
 func (h *Host) removeHost(host string) {
 	h.limiter.RemovePeer(host)
+	h.rates.RemovePeer(host)
 	h.balancer.SetPeerLoads(host, nil)
 	h.quarantine.detector.SetPeerOutcomes(host, nil)
 	h.role.removeHost(host)
--- a/lib/filter/relay/harness_test.go
+++ b/lib/filter/relay/harness_test.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -29,6 +30,7 @@
 	"cuminhook.org/cuminhook/lib/quarantine"
 	"cuminhook.org/cuminhook/lib/registry"
 	"cuminhook.org/cuminhook/lib/retry"
+	"cuminhook.org/cuminhook/lib/targetrate"
 	"cuminhook.org/cuminhook/lib/workload"
 	"cuminhook.org/cuminhook/test/httpmain"
 )
@@ -58,9 +60,10 @@
 }
 
 func (testProtocol) ReadAnswer(h *fasthttp.ResponseHeader) passthrough.Answer {
+	rate, _ := strconv.ParseFloat(string(h.Peek("Limit")), 64)
 	return passthrough.Answer{
 		ID: string(h.Peek("Id")), NotRun: len(h.Peek("Not-Run")) > 0,
-		Instance: string(h.Peek("Instance")),
+		Instance: string(h.Peek("Instance")), RateLimit: rate,
 	}
 }
 
@@ -101,9 +104,10 @@
 
 // newHarnessWith is newHarness with a placement. The targets have no model loaded.
 func newHarnessWith(t *testing.T, scripts map[string]script, placement Placement) *harness {
+	rates := targetrate.New(time.Now())
 	r := &harness{
 		t: t, ln: fasthttputil.NewInmemoryListener(), scripts: scripts,
-		balancer: balance.New("z", nil, rand.New(rand.NewPCG(1, 1))), detector: quarantine.New(),
+		balancer: balance.New("z", nil, rates, rand.New(rand.NewPCG(1, 1))), detector: quarantine.New(),
 	}
 	route := func(prefix string, kind catalog.Kind, resumable bool) *catalog.Route {
 		return &catalog.Route{
@@ -125,7 +129,7 @@
 	log := slog.New(slog.DiscardHandler)
 	h := New(Config{
 		Protocol: testProtocol{}, Client: forward.NewClient(forward.Config{Protocol: testProtocol{}, Dial: r.dial}), Balancer: r.balancer,
-		Retries: retry.NewBudget(0.2, 50), Placement: placement, Quarantine: r.detector,
+		Retries: retry.NewBudget(0.2, 50), Placement: placement, Quarantine: r.detector, Rates: rates,
 		Demand: workload.New(), Log: log, Metrics: metrics.NewSet(), Random: func() float64 { return 0.5 },
 	})
 	h = classify.New(h, classify.Config{Protocol: testProtocol{}, Catalog: func() *catalog.Catalog { return c }})
--- a/lib/filter/relay/pick.go
+++ b/lib/filter/relay/pick.go
@@ -10,7 +10,8 @@
 
 const (
 	// pickWaitDivisor divides the objective: a request waits up to objective/pickWaitDivisor for a target to appear. It waits
-	// up to the whole objective for a connection of those that this host may open: its requests end all the time.
+	// up to the whole objective for a connection of those that this host may open, or for a target with a limited rate to
+	// take another request: both come free all the time.
 	pickWaitDivisor = 8
 	// pickInterval is the time between two tries to pick a target while a request waits for one, and loadPollInterval that
 	// while it waits for a model to be loaded, which takes seconds.
@@ -79,7 +80,7 @@
 	switch {
 	case now.Sub(w.began) < r.route.Objective/pickWaitDivisor && !errors.Is(err, balance.ErrNoAdapter):
 		return pickInterval
-	case errors.Is(err, balance.ErrBusy) && now.Sub(w.began) < r.route.Objective && now.Before(w.latest):
+	case (errors.Is(err, balance.ErrBusy) || errors.Is(err, balance.ErrPaced)) && now.Sub(w.began) < r.route.Objective && now.Before(w.latest):
 		return pickInterval
 	case r.cfg.Placement == nil || len(r.tried) > 0 || now.After(w.latest):
 		return refuse
--- a/lib/filter/relay/relay.go
+++ b/lib/filter/relay/relay.go
@@ -24,6 +24,7 @@
 	"cuminhook.org/cuminhook/lib/quarantine"
 	"cuminhook.org/cuminhook/lib/refusal"
 	"cuminhook.org/cuminhook/lib/retry"
+	"cuminhook.org/cuminhook/lib/targetrate"
 	"cuminhook.org/cuminhook/lib/workload"
 )
 
@@ -57,8 +58,9 @@
 	Client    *forward.Client
 	Balancer  *balance.Balancer
 	Retries   *retry.Budget
-	Placement Placement       // nil: models and adapters are not loaded on request
-	Demand    *workload.Meter // counts the demand for each model and adapter
+	Placement Placement          // nil: models and adapters are not loaded on request
+	Demand    *workload.Meter    // counts the demand for each model and adapter
+	Rates     *targetrate.Limits // learns the rates that targets state; nil: they are ignored
 	// Quarantine learns which prompt segments crash targets; nil: a detector of its own.
 	Quarantine *quarantine.Detector
 	Log        *slog.Logger
@@ -201,6 +203,7 @@
 			return r.refuseNoTarget(err)
 		}
 		if err := r.checkQuarantine(); err != nil { // found while the request waited
+			choice.Unsent()
 			choice.Abandoned()
 			return err
 		}
@@ -282,11 +285,29 @@
 		Addr: choice.Target.Addr, ID: r.call.ID, Head: head, Method: string(h.Method()),
 		Body: r.ex.HTTP.Request.Body(), RunOnce: r.route.Kind == catalog.NonIdempotent,
 	})
+	if t.outcome == forward.NotSent {
+		choice.Unsent()
+	}
+	if t.answer != nil {
+		r.recordRateLimit(t)
+	}
 	r.readAnswer(t)
 	r.state.Record(t.outcome)
 	return t
 }
 
+// recordRateLimit records what the answer states of the target's rate.
+func (r *request) recordRateLimit(t *try) {
+	rate := t.answer.Stated.RateLimit
+	switch {
+	case r.cfg.Rates == nil:
+	case rate < 0:
+		r.cfg.Log.Warn("rate of a target not read", "request_id", r.ex.ID, "target", t.choice.Target.ID)
+	case r.cfg.Rates.Stated(t.choice.Target.ID, rate, time.Now()):
+		r.cfg.Log.Info("target rate", "request_id", r.ex.ID, "target", t.choice.Target.ID, "per_s", rate)
+	}
+}
+
 // timeOut cancels an attempt at an unresponsive target.
 func (t *try) timeOut() {
 	t.timedOut.Store(true)
--- a/lib/filter/relay/relay_test.go
+++ b/lib/filter/relay/relay_test.go
@@ -322,3 +322,34 @@
 		}
 	})
 }
+
+// Guards against a target in trouble that gets more requests than it states to take while another one is free, against
+// refusals for that reason, and against a limit that outlives its statement.
+func TestTargetThatStatesALimitIsLeftAlone(t *testing.T) {
+	limit := "Limit: 2\r\n"
+	withTargets(t, map[string]script{
+		"near": func(r *receivedRequest) bool { return reply(200, limit, "near")(r) }, "far": reply(200, "", "far"),
+	}, func(t *testing.T, r *harness) {
+		send := func(n int) (near int) {
+			for i := range n {
+				a := r.call("GET", "/safe/x", fmt.Sprint(i))
+				if a.status != 200 {
+					t.Errorf("%+v", a)
+				}
+				if a.body == "near" {
+					near++
+				}
+				time.Sleep(100 * time.Millisecond)
+			}
+			return near
+		}
+		if near := send(60); near < 9 || near > 15 {
+			t.Errorf("%d requests in 6 s, 2 a second allowed", near)
+		}
+		limit = ""
+		send(10) // the next answer states no limit
+		if near := send(20); near != 20 {
+			t.Errorf("%d of 20 requests after the limit was lifted", near)
+		}
+	})
+}
--- a/lib/filter/relay/stream.go
+++ b/lib/filter/relay/stream.go
@@ -165,6 +165,7 @@
 			return errors.Join(errStreamBroken, err)
 		}
 		if err := r.checkQuarantine(); err != nil {
+			choice.Unsent()
 			choice.Abandoned()
 			return errors.Join(errStreamBroken, err)
 		}
--- a/lib/orglimit/orglimit.go
+++ b/lib/orglimit/orglimit.go
@@ -9,6 +9,7 @@
 package orglimit
 
 import (
+	"maps"
 	"math"
 	"sync"
 	"time"
@@ -179,7 +180,7 @@
 	switch {
 	case available > 0:
 		b.localTokens = max(0, b.localTokens-float64(tokens))
-	case b.localTokens > 0 && b.sharedTokens > -o.Rate*maxSharedDebt.Seconds():
+	case b.mayUseShare():
 		b.localTokens -= float64(tokens)
 	default:
 		decision.Admitted, decision.RetryAfter = false, l.retryAfter(o, b, est, available)
@@ -190,6 +191,26 @@
 	return decision
 }
 
+// mayUseShare reports whether the host may spend of its own share of the rate.
+func (b *bucket) mayUseShare() bool {
+	return b.localTokens > 0 && b.sharedTokens > -b.limit.Rate*maxSharedDebt.Seconds()
+}
+
+// Admits reports whether Charge would admit a charge, without charging.
+func (l *Limiter) Admits(o *catalog.Organisation, now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	b, est := l.refill(o, now)
+	return b.sharedTokens > est.unreportedTokens || b.mayUseShare()
+}
+
+// Retain drops all buckets but those of the names for which keep returns true.
+func (l *Limiter) Retain(keep func(name string) bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	maps.DeleteFunc(l.buckets, func(name string, _ *bucket) bool { return !keep(name) })
+}
+
 // retryAfter returns the time until the shared bucket or this host's share has a token available.
 func (l *Limiter) retryAfter(o *catalog.Organisation, b *bucket, est peerEstimate, available float64) time.Duration {
 	sharedSeconds := (1 - available) / (o.Rate * est.reachableFraction)
--- a/lib/passthrough/passthrough.go
+++ b/lib/passthrough/passthrough.go
@@ -62,6 +62,9 @@
 	NotRun    bool   // the target did not run the request
 	Processed bool   // the target has processed the request
 	Instance  string // id of the target that answered; empty if not stated
+	// RateLimit is the number of requests a second that the target takes from all hosts together; zero: not limited. It is
+	// negative if what is stated cannot be read.
+	RateLimit float64
 }
 
 // Protocol is a request protocol: the headers of one kind of request that passes through.
--- a/lib/peers/state.go
+++ b/lib/peers/state.go
@@ -5,6 +5,7 @@
 	"cuminhook.org/cuminhook/lib/quarantine"
 	"cuminhook.org/cuminhook/lib/registry"
 	"cuminhook.org/cuminhook/lib/storewatch"
+	"cuminhook.org/cuminhook/lib/targetrate"
 )
 
 // Kind states for whom a state is, and which hosts it covers.
@@ -57,9 +58,10 @@
 	StoreLost     bool   `json:"y,omitempty"` // the sender cannot read the store
 	ConfigVersion int64  `json:"c"`           // version of the configuration in force at the sender
 	aggregate.Contribution
-	Quarantine       quarantine.Report        `json:"z,omitzero"` // prompt segments that crash targets
-	Changes          storewatch.TargetChanges `json:"v,omitzero"` // recent changes of targets
-	Holder           Holder                   `json:"t,omitzero"`
-	PlacementVersion PlacementVersion         `json:"q,omitzero"`  // newest placement that the sender knows
-	Placement        *Placement               `json:"p,omitempty"` // for receivers that lack it
+	Quarantine       quarantine.Report               `json:"z,omitzero"`  // prompt segments that crash targets
+	TargetRates      map[string]targetrate.Statement `json:"r,omitempty"` // rates that targets stated, by target
+	Changes          storewatch.TargetChanges        `json:"v,omitzero"`  // recent changes of targets
+	Holder           Holder                          `json:"t,omitzero"`
+	PlacementVersion PlacementVersion                `json:"q,omitzero"`  // newest placement that the sender knows
+	Placement        *Placement                      `json:"p,omitempty"` // for receivers that lack it
 }
--- /dev/null
+++ b/lib/targetrate/targetrate.go
@@ -0,0 +1,150 @@
+// Package targetrate keeps the requests to targets in trouble within the rates that they state. Such a rate holds for all hosts
+// together and may be below one request a second for each host, so that equal parts would not do: the hosts share it as they
+// share the rates of organisations, by what they report to each other.
+//
+// It answers targets that are overloaded or restart slowly while the service as a whole has capacity: what a target does not take
+// goes to the others. The package does no I/O, and takes the time as an argument.
+package targetrate
+
+import (
+	"maps"
+	"sync"
+	"time"
+
+	"cuminhook.org/cuminhook/lib/catalog"
+	"cuminhook.org/cuminhook/lib/orglimit"
+)
+
+const (
+	// tokensPerRequest is the charge of a request. Reports are rounded to whole tokens.
+	tokensPerRequest = 1000
+	// burstTime is the time at its rate for which requests to a target may be saved up; one request may always be.
+	burstTime = 500 * time.Millisecond
+	// minRate is the least rate, in requests a second, at which a target is asked, so that it can state another one.
+	minRate = 0.2
+	// reportTTL is how long a statement is reported to other hosts. A target that gets requests states its limit again.
+	reportTTL = 3 * time.Second
+)
+
+// Limits are the rates that targets have stated. They are safe for concurrent use.
+type Limits struct {
+	limiter *orglimit.Limiter // of targets, in place of organisations
+
+	mu     sync.Mutex
+	stated map[string]statement // guarded by mu; by target
+}
+
+// statement is the latest that a target stated.
+type statement struct {
+	rate  float64               // requests a second; zero: no limit
+	limit *catalog.Organisation // nil: no limit
+	at    time.Time
+}
+
+// Statement is a statement as hosts report it to each other.
+type Statement struct {
+	Rate  float64 `json:"r,omitempty"` // requests a second; zero: no limit
+	AgeMS int64   `json:"t"`
+}
+
+// New returns limits of a host that starts now and knows of none.
+func New(now time.Time) *Limits {
+	return &Limits{limiter: orglimit.New(now), stated: map[string]statement{}}
+}
+
+// SetHosts sets the number of hosts, including this one, and the time between two reports of a host.
+func (l *Limits) SetHosts(n int, period time.Duration) { l.limiter.SetHosts(n, period) }
+
+// Stated records what an answer of a target states: a rate in requests a second, or zero for no limit. It reports whether that
+// differs from what the target stated before.
+func (l *Limits) Stated(target string, rate float64, now time.Time) (changed bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.set(target, rate, now)
+}
+
+// set records a statement unless a later one is known. The caller holds mu.
+func (l *Limits) set(target string, rate float64, at time.Time) (changed bool) {
+	old, known := l.stated[target]
+	if !known && rate == 0 || at.Before(old.at) {
+		return false
+	}
+	s := statement{rate: rate, at: at}
+	if rate > 0 {
+		rate := max(rate, minRate)
+		s.limit = &catalog.Organisation{
+			Name: target, Rate: rate * tokensPerRequest, Burst: max(1, rate*burstTime.Seconds()) * tokensPerRequest,
+		}
+	}
+	l.stated[target] = s
+	if s.limit != nil {
+		l.limiter.Admits(s.limit, at) // from now on, what other hosts send counts
+	}
+	return rate != old.rate
+}
+
+// limit returns the limit of a target, or nil.
+func (l *Limits) limit(target string) *catalog.Organisation {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.stated[target].limit
+}
+
+// Available reports whether this host may send the target a request now.
+func (l *Limits) Available(target string, now time.Time) bool {
+	limit := l.limit(target)
+	return limit == nil || l.limiter.Admits(limit, now)
+}
+
+// Take counts a request that is sent to the target, and Return one that was not sent after all.
+func (l *Limits) Take(target string, now time.Time) {
+	l.limiter.Charge(l.limit(target), tokensPerRequest, now)
+}
+
+// Return takes back a request that was counted by Take and did not reach the target.
+func (l *Limits) Return(target string) { l.limiter.Refund(l.limit(target), tokensPerRequest) }
+
+// Retain forgets all targets but those for which keep returns true.
+func (l *Limits) Retain(keep func(target string) bool) {
+	l.mu.Lock()
+	maps.DeleteFunc(l.stated, func(target string, _ statement) bool { return !keep(target) })
+	l.mu.Unlock()
+	l.limiter.Retain(keep)
+}
+
+// Usage returns what this host has sent to targets with a limit, for other hosts.
+func (l *Limits) Usage(now time.Time) orglimit.Report { return l.limiter.Report(now) }
+
+// ApplyUsage applies the usage that a peer reports, which covers a number of hosts. The boot id distinguishes the peer's starts.
+func (l *Limits) ApplyUsage(host string, boot uint64, hosts int, r orglimit.Report, now time.Time) {
+	l.limiter.ApplyReport(host, boot, hosts, r, now)
+}
+
+// RemovePeer records that a peer's reports no longer arrive.
+func (l *Limits) RemovePeer(host string) { l.limiter.RemovePeer(host) }
+
+// Statements returns the latest statements for other hosts, by target.
+func (l *Limits) Statements(now time.Time) map[string]Statement {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var out map[string]Statement
+	for target, s := range l.stated {
+		if now.Sub(s.at) > reportTTL {
+			continue
+		}
+		if out == nil {
+			out = map[string]Statement{}
+		}
+		out[target] = Statement{s.rate, now.Sub(s.at).Milliseconds()}
+	}
+	return out
+}
+
+// Merge applies the statements that another host reports.
+func (l *Limits) Merge(r map[string]Statement, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for target, s := range r {
+		l.set(target, s.Rate, now.Add(-time.Duration(s.AgeMS)*time.Millisecond))
+	}
+}
