Cleared suspicions are reported beside those with most crashes

Reports hold the sixteen segments with most crashes. In a storm of crashes with more suspected segments than that a host did not report that an answer on a segment had begun, and others could have put a sound one into quarantine (read, not seen). Up to 64 cleared suspicions are now reported besides.

--- a/lib/quarantine/quarantine.go
+++ b/lib/quarantine/quarantine.go
@@ -37,9 +37,11 @@
 	// maxSuspects bounds the suspected segments, and maxKeptCrashes the crashes kept of each.
 	maxSuspects    = 512
 	maxKeptCrashes = 32
-	// maxReported bounds the suspicions in a report, those with most crashes, and maxReportedCrashes the crashes of each.
+	// maxReported bounds the suspicions in a report, those with most crashes, maxReportedCrashes the crashes of each, and
+	// maxReportedCleared the suspicions that were cleared, the latest.
 	maxReported        = 16
 	maxReportedCrashes = 8
+	maxReportedCleared = 64
 	// clearedTTL is how long a host reports that a suspicion is cleared. Any of its reports may be lost.
 	clearedTTL = 3 * time.Second
 	// maxIDBytes is the longest id of a segment that is used as it is; of a longer one a hash stands for it.
--- a/lib/quarantine/report.go
+++ b/lib/quarantine/report.go
@@ -42,14 +42,23 @@
 		}
 	}
 	ids := slices.SortedFunc(maps.Keys(d.suspects), func(a, b string) int {
-		return cmp.Or(cmp.Compare(len(d.suspects[b].crashes), len(d.suspects[a].crashes)), cmp.Compare(a, b))
+		return cmp.Or(cmp.Compare(len(d.suspects[b].crashes), len(d.suspects[a].crashes)),
+			d.suspects[b].changedAt.Compare(d.suspects[a].changedAt), cmp.Compare(a, b))
 	})
 	if len(ids) == 0 {
 		return r
 	}
 	r.Suspects = map[string]Suspicion{}
-	for _, id := range ids[:min(len(ids), maxReported)] {
-		r.Suspects[id] = d.suspects[id].report(now)
+	suspected, cleared := 0, 0
+	for _, id := range ids {
+		s := d.suspects[id]
+		if len(s.crashes) > 0 && suspected < maxReported {
+			suspected++
+			r.Suspects[id] = s.report(now)
+		} else if len(s.crashes) == 0 && cleared < maxReportedCleared {
+			cleared++
+			r.Suspects[id] = s.report(now)
+		}
 	}
 	return r
 }
