Requests beyond the limits of targets are refused at once

While the only targets with a model stated limits below the demand, each request waited its whole objective and was then refused. A host now lets as many wait as these targets take from it within the objective, and tells the others after which time the waiting ones are taken. An answer of another target at the same address no longer counts as a statement.

--- a/lib/balance/balance.go
+++ b/lib/balance/balance.go
@@ -7,6 +7,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -26,6 +27,17 @@
 	ErrBusy      = errors.New("balance: this host may open no further connection to the targets; retry when one is free")
 )
 
+// PacedError is an ErrPaced.
+type PacedError struct {
+	PerSecond float64 // requests a second that this host may send to the targets in question
+}
+
+// Error implements error.
+func (e *PacedError) Error() string { return fmt.Sprintf("%s (%.2f/s)", ErrPaced, e.PerSecond) }
+
+// Is reports whether target is ErrPaced.
+func (e *PacedError) Is(target error) bool { return target == ErrPaced }
+
 const (
 	// prefillTokensPerMS is the initial estimate of the prefill speed of an engine, in prompt tokens per millisecond. The
 	// latency ratio of each model corrects it from the first events that are observed.
@@ -92,6 +104,8 @@
 type Rates interface {
 	// Available reports whether this host may send the target a request now.
 	Available(target string, now time.Time) bool
+	// HostRate returns the requests a second that this host may send to a target with a limit.
+	HostRate(target string, now time.Time) float64
 	// Take counts a request to the target.
 	Take(target string, now time.Time)
 	// Return takes back a request that did not reach the target.
@@ -327,7 +341,7 @@
 // ErrPaced.
 func (b *Balancer) candidates(q Query, now time.Time) ([]*target, error) {
 	var byRank [ranks][]*target
-	err := ErrNoTarget
+	err, pacedRate := ErrNoTarget, 0.0
 	for _, t := range b.targets {
 		if t.info.Service != q.Service || t.info.State != registry.Ready || slices.Contains(q.Tried, t.info.ID) {
 			continue
@@ -349,6 +363,7 @@
 		}
 		if b.rates != nil && !b.rates.Available(t.info.ID, now) {
 			err = ErrPaced
+			pacedRate += b.rates.HostRate(t.info.ID, now)
 			continue
 		}
 		r := b.rankOf(t, now)
@@ -359,6 +374,9 @@
 			return list, nil
 		}
 	}
+	if err == ErrPaced {
+		return nil, &PacedError{pacedRate}
+	}
 	return nil, err
 }
 
--- a/lib/filter/relay/pick.go
+++ b/lib/filter/relay/pick.go
@@ -34,12 +34,14 @@
 	began       time.Time
 	latest      time.Time // a model or adapter that is loaded later is of no use to the request
 	nextAdapter time.Time // when to ask for the adapter again
+	paced       bool      // the request is in the queue for targets with limits
 }
 
 // pick chooses a target. If there is none, the request waits: for a target to appear, or for its model or adapter to be
 // loaded as long as that is expected in time. It is refused as soon as it is known that nothing comes in time.
 func (r *request) pick() (*balance.Choice, error) {
 	w := r.newWait(time.Now())
+	defer r.leavePacedQueue(&w)
 	for {
 		choice, err := r.cfg.Balancer.Pick(balance.Query{Service: r.service, Call: r.call, Tried: r.tried}, time.Now())
 		if err == nil {
@@ -77,6 +79,9 @@
 func (r *request) pause(w *wait, err error) time.Duration {
 	const refuse = -1
 	now := time.Now()
+	if paced := (*balance.PacedError)(nil); errors.As(err, &paced) && !r.joinPacedQueue(w, paced) {
+		return refuse
+	}
 	switch {
 	case now.Sub(w.began) < r.route.Objective/pickWaitDivisor && !errors.Is(err, balance.ErrNoAdapter):
 		return pickInterval
--- a/lib/filter/relay/relay.go
+++ b/lib/filter/relay/relay.go
@@ -71,6 +71,7 @@
 type filter struct {
 	cfg              Config
 	crashes          *crashWatch
+	paced            pacedQueues
 	retryCounter     func(reason string) *metrics.Counter
 	firstByteSeconds *metrics.Histogram
 }
@@ -245,6 +246,9 @@
 	if errors.Is(err, balance.ErrNoModel) {
 		after = r.modelRetryAfter()
 	}
+	if paced := (*balance.PacedError)(nil); errors.As(err, &paced) {
+		after = max(after, r.paced.drainTime(r.pacedQueue(), paced.PerSecond))
+	}
 	if r.state.MayHaveRun() {
 		reason = refusal.TargetFailed
 	}
@@ -300,7 +304,7 @@
 func (r *request) recordRateLimit(t *try) {
 	rate := t.answer.Stated.RateLimit
 	switch {
-	case r.cfg.Rates == nil:
+	case r.cfg.Rates == nil, t.otherInstance():
 	case rate < 0:
 		r.cfg.Log.Warn("rate of a target not read", "request_id", r.ex.ID, "target", t.choice.Target.ID)
 	case r.cfg.Rates.Stated(t.choice.Target.ID, rate, time.Now()):
@@ -373,17 +377,21 @@
 		t.err = err
 	}
 	t.cancel()
-	otherInstance := t.answer.Stated.Instance != "" && t.answer.Stated.Instance != t.choice.Target.ID
 	switch {
 	case t.answer.Header.StatusCode() != fasthttp.StatusMisdirectedRequest:
 		t.choice.Rejected(now)
-	case otherInstance:
+	case t.otherInstance():
 		t.choice.Unresponsive(now) // the address now belongs to another target
 	default:
 		t.choice.ModelMissing(r.call.Model, r.call.Adapter, now)
 	}
 }
 
+// otherInstance reports whether another target answered, to which the address belongs now.
+func (t *try) otherInstance() bool {
+	return t.answer.Stated.Instance != "" && t.answer.Stated.Instance != t.choice.Target.ID
+}
+
 func (r *request) logAttempt(t *try) {
 	status := 0
 	if t.answer != nil {
--- a/lib/orglimit/orglimit.go
+++ b/lib/orglimit/orglimit.go
@@ -204,6 +204,14 @@
 	return b.sharedTokens > est.unreportedTokens || b.mayUseShare()
 }
 
+// Share returns the tokens a second that this host may spend when the shared bucket is empty.
+func (l *Limiter) Share(o *catalog.Organisation, now time.Time) float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	_, est := l.refill(o, now)
+	return o.Rate * est.rateFraction
+}
+
 // Retain drops all buckets but those of the names for which keep returns true.
 func (l *Limiter) Retain(keep func(name string) bool) {
 	l.mu.Lock()
--- a/lib/targetrate/targetrate.go
+++ b/lib/targetrate/targetrate.go
@@ -96,6 +96,15 @@
 	return limit == nil || l.limiter.Admits(limit, now)
 }
 
+// HostRate returns the requests a second that this host may send to a target with a limit, or zero if it has none.
+func (l *Limits) HostRate(target string, now time.Time) float64 {
+	limit := l.limit(target)
+	if limit == nil {
+		return 0
+	}
+	return l.limiter.Share(limit, now) / tokensPerRequest
+}
+
 // Take counts a request that is sent to the target, and Return one that was not sent after all.
 func (l *Limits) Take(target string, now time.Time) {
 	l.limiter.Charge(l.limit(target), tokensPerRequest, now)
