A crash is not hidden by an idle connection

Three of nine crashes had not been noticed: hosts asked their pool for a connection to the target that had broken off, and got an idle one that was not reset yet, so that the target counted as alive. Hosts without idle connections noticed the other six. The check now opens a new connection, and is repeated after a pause if it has no result.

TestIdleConnectionDoesNotHideACrash failed before.

--- a/lib/filter/relay/crashes.go
+++ b/lib/filter/relay/crashes.go
@@ -11,10 +11,11 @@
 )
 
 const (
-	// crashCheckTimeout bounds one check whether a target has crashed; a check without a result is repeated, up to
-	// maxCrashChecks, as a packet may be lost.
+	// crashCheckTimeout bounds one check whether a target has crashed. A check without a result is repeated after
+	// crashCheckDelay, up to maxCrashChecks: a packet may be lost, or all connections that the host may open may be in use.
 	crashCheckTimeout = 500 * time.Millisecond
-	maxCrashChecks    = 3
+	crashCheckDelay   = 50 * time.Millisecond
+	maxCrashChecks    = 4
 )
 
 // crashWatch tells crashes of targets from lost connections and answers, and reports what waited at those that crashed.
@@ -71,6 +72,7 @@
 			return down
 		}
 		w.log.Info("target not checked", "addr", addr, "error", err.Error())
+		time.Sleep(crashCheckDelay)
 	}
 	return false
 }
--- a/lib/forward/forward.go
+++ b/lib/forward/forward.go
@@ -134,10 +134,10 @@
 // HasIdle reports whether a connection to the address is idle.
 func (c *Client) HasIdle(addr string) bool { return c.pool.HasIdle(addr) }
 
-// IsDown reports whether the target at the address refuses connections, as one that has crashed does. A usable idle connection
-// tells that it does not. The error is that of a check without a result.
+// IsDown reports whether the target at the address refuses connections, as one that has crashed does. It opens a new one: idle
+// ones may be reset later. The error is that of a check without a result.
 func (c *Client) IsDown(ctx context.Context, addr string) (bool, error) {
-	conn, err := c.pool.Get(ctx, addr, httpconn.AnyAge)
+	conn, err := c.pool.Get(ctx, addr, httpconn.NewOnly)
 	switch {
 	case err == nil:
 		conn.Release(true)
--- a/lib/forward/forward_test.go
+++ b/lib/forward/forward_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -220,3 +221,27 @@
 		})
 	}
 }
+
+// Guards against a target that has crashed and counts as alive because an idle connection to it has not been reset yet.
+func TestIdleConnectionDoesNotHideACrash(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &testTarget{}
+		crashed := false
+		c := NewClient(Config{Protocol: protocol{}, Dial: func(ctx context.Context, addr string) (net.Conn, error) {
+			if crashed {
+				return nil, syscall.ECONNREFUSED
+			}
+			return s.dial(ctx, addr)
+		}})
+		if _, err := do(t, c, false); err != nil || !c.HasIdle("a") {
+			t.Fatalf("%v, idle connection %v", err, c.HasIdle("a"))
+		}
+		for _, want := range []bool{false, true} {
+			crashed = want
+			if down, err := c.IsDown(t.Context(), "a"); err != nil || down != want {
+				t.Errorf("down %v, %v, want %v", down, err, want)
+			}
+		}
+		c.pool.CloseIdle()
+	})
+}
