Reports of suspected segments are short

A report now holds eight suspected segments, those for which most speaks and which answers have not cleared within 150 ms, and eight cleared ones of those that other hosts know of. Judging looks only at segments with three crashes or more.

--- a/lib/quarantine/outcomes.go
+++ b/lib/quarantine/outcomes.go
@@ -39,11 +39,13 @@
 	d.ownUpdated = now
 }
 
-// Outcomes returns the outcomes at this host.
+// Outcomes returns the outcomes at this host, rounded to tenths to keep reports short.
 func (d *Detector) Outcomes(now time.Time) Outcomes {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.own.decayed(now.Sub(d.ownUpdated))
+	o := d.own.decayed(now.Sub(d.ownUpdated))
+	tenths := func(x float64) float64 { return math.Round(10*x) / 10 }
+	return Outcomes{tenths(o.Began), tenths(o.Waiting), tenths(o.Answering)}
 }
 
 // SetPeerOutcomes stores the outcomes of another host, or of several that it stands for, as it last reported them; nil removes
--- a/lib/quarantine/quarantine.go
+++ b/lib/quarantine/quarantine.go
@@ -37,11 +37,14 @@
 	// maxSuspects bounds the suspected segments, and maxKeptCrashes the crashes kept of each.
 	maxSuspects    = 512
 	maxKeptCrashes = 32
-	// maxReported bounds the suspicions in a report, those with most crashes, maxReportedCrashes the crashes of each, and
-	// maxReportedCleared the suspicions that were cleared, the latest.
-	maxReported        = 16
-	maxReportedCrashes = 8
-	maxReportedCleared = 64
+	// maxReported bounds the suspicions in a report, those for which most speaks, and as many that were cleared. Reports go to
+	// several hosts three times a second. maxReportedCrashes bounds the crashes of each.
+	maxReported        = 8
+	maxReportedCrashes = 12
+	// minSuspicion is the age from which a suspicion is reported. Answers on most segments begin again before.
+	minSuspicion = 150 * time.Millisecond
+	// minCrashes is the least number of crashes for which maxChance can be reached.
+	minCrashes = 3
 	// clearedTTL is how long a host reports that a suspicion is cleared. Any of its reports may be lost.
 	clearedTTL = 3 * time.Second
 	// maxIDBytes is the longest id of a segment that is used as it is; of a longer one a hash stands for it.
@@ -65,6 +68,8 @@
 	beganAt   time.Time
 	crashes   map[string]crash // by id of the target; only those after beganAt
 	changedAt time.Time        // when a crash was last reported, or the suspicion cleared
+	since     time.Time        // when the first of the crashes was known
+	shared    bool             // other hosts may know of the suspicion
 }
 
 // crash is a crash of a target at which a request with the segment waited for its answer to begin.
@@ -163,6 +168,9 @@
 	s.position, s.changedAt = max(s.position, position), c.knownAt
 	_, known := s.crashes[target]
 	if !known && c.at.After(s.beganAt) && len(s.crashes) < maxKeptCrashes {
+		if len(s.crashes) == 0 {
+			s.since = c.knownAt
+		}
 		s.crashes[target] = c
 	}
 }
@@ -271,7 +279,7 @@
 // worst returns the segment to put into quarantine next, or "". The caller holds mu.
 func (d *Detector) worst(now time.Time, settle time.Duration) (worst string) {
 	for id, s := range d.suspects {
-		if !d.convicted(s, now, settle) {
+		if len(s.crashes) < minCrashes || !d.convicted(s, now, settle) {
 			continue
 		}
 		if w := d.suspects[worst]; w == nil ||
--- a/lib/quarantine/report.go
+++ b/lib/quarantine/report.go
@@ -41,48 +41,76 @@
 			r.Quarantined[id] = now.Sub(e.since).Milliseconds()
 		}
 	}
-	ids := slices.SortedFunc(maps.Keys(d.suspects), func(a, b string) int {
-		return cmp.Or(cmp.Compare(len(d.suspects[b].crashes), len(d.suspects[a].crashes)),
-			d.suspects[b].changedAt.Compare(d.suspects[a].changedAt), cmp.Compare(a, b))
-	})
-	if len(ids) == 0 {
-		return r
+	var suspected, cleared []string
+	for id, s := range d.suspects {
+		switch {
+		case len(s.crashes) == 0 && s.shared:
+			cleared = append(cleared, id)
+		case len(s.crashes) > 0 && now.Sub(s.since) >= minSuspicion:
+			suspected = append(suspected, id)
+		}
 	}
-	r.Suspects = map[string]Suspicion{}
-	suspected, cleared := 0, 0
-	for _, id := range ids {
-		s := d.suspects[id]
-		if len(s.crashes) > 0 && suspected < maxReported {
-			suspected++
-			r.Suspects[id] = s.report(now)
-		} else if len(s.crashes) == 0 && cleared < maxReportedCleared {
-			cleared++
-			r.Suspects[id] = s.report(now)
+	slices.SortFunc(suspected, func(a, b string) int {
+		return cmp.Or(cmp.Compare(d.suspects[b].weight(), d.suspects[a].weight()), cmp.Compare(a, b))
+	})
+	slices.SortFunc(cleared, func(a, b string) int { return d.suspects[b].changedAt.Compare(d.suspects[a].changedAt) })
+	suspected, cleared = suspected[:min(len(suspected), maxReported)], cleared[:min(len(cleared), maxReported)]
+	for _, id := range append(suspected, cleared...) {
+		if r.Suspects == nil {
+			r.Suspects = map[string]Suspicion{}
 		}
+		d.suspects[id].shared = true
+		r.Suspects[id] = d.suspects[id].report(now)
 	}
 	return r
 }
 
+// weight orders suspicions by how much speaks for them. A crash after the header of the answer counts for more.
+func (s *suspect) weight() (n int) {
+	for _, c := range s.crashes {
+		if n++; c.answering {
+			n++
+		}
+	}
+	return n
+}
+
 func (s *suspect) report(now time.Time) Suspicion {
 	out := Suspicion{Position: s.position}
 	if !s.beganAt.IsZero() {
 		age := now.Sub(s.beganAt).Milliseconds()
 		out.BeganMS = &age
 	}
-	chain := s.successive()
-	for _, c := range chain[:min(len(chain), maxReportedCrashes)] {
-		for target, kept := range s.crashes {
-			if kept == c {
-				if out.Crashes == nil {
-					out.Crashes = map[string]Crash{}
-				}
-				out.Crashes[target] = Crash{c.addr, now.Sub(c.sentAt).Milliseconds(), now.Sub(c.at).Milliseconds(), c.answering}
-			}
+	for _, target := range s.reportedCrashes() {
+		if out.Crashes == nil {
+			out.Crashes = map[string]Crash{}
 		}
+		c := s.crashes[target]
+		out.Crashes[target] = Crash{c.addr, now.Sub(c.sentAt).Milliseconds(), now.Sub(c.at).Milliseconds(), c.answering}
 	}
 	return out
 }
 
+// reportedCrashes returns the targets of the crashes to report: a chain that convicts, and others, so that hosts do not take
+// these for losses of other requests.
+func (s *suspect) reportedCrashes() []string {
+	inChain := map[crash]bool{}
+	for _, c := range s.successive() {
+		inChain[c] = true
+	}
+	targets := slices.SortedFunc(maps.Keys(s.crashes), func(a, b string) int {
+		ca, cb := s.crashes[a], s.crashes[b]
+		if inChain[ca] != inChain[cb] {
+			if inChain[ca] {
+				return -1
+			}
+			return 1
+		}
+		return ca.at.Compare(cb.at)
+	})
+	return targets[:min(len(targets), maxReportedCrashes)]
+}
+
 // Merge adds the report of another host. It returns the segments that are newly in quarantine by it.
 func (d *Detector) Merge(r Report, now time.Time) (quarantined []string) {
 	d.mu.Lock()
@@ -102,8 +130,11 @@
 				answering: c.Answering,
 			})
 		}
-		if own := d.suspects[id]; own != nil && s.BeganMS != nil {
-			own.clear(now.Add(-milliseconds(*s.BeganMS)), now)
+		if own := d.suspects[id]; own != nil {
+			own.shared = true
+			if s.BeganMS != nil {
+				own.clear(now.Add(-milliseconds(*s.BeganMS)), now)
+			}
 		}
 	}
 	return quarantined
