An answer without events and with a length is whole

An answer without a type is taken for a stream of events only if it states no length. TestStreamThatEndsInsideAnEventIsBrokenOff has the case now.

--- a/lib/filter/relay/events_test.go
+++ b/lib/filter/relay/events_test.go
@@ -62,6 +62,7 @@
 		"after a line":                 {"/stream/x", header + "\r\n" + event(1) + "id: 2\n", false},
 		"in chunks":                    {"/stream/x", header + "Transfer-Encoding: chunked\r\n\r\n5\r\nid: 1\r\n0\r\n\r\n", false},
 		"resumable, without a length":  {"/resumable/x", header + "\r\n" + event(1) + "id: 2\nda", false},
+		"no events, with a length":     {"/stream/x", "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\nok", true},
 		"whole, without a length":      {"/stream/x", header + "\r\n" + event(1) + event(2), true},
 		"whole, with carriage returns": {"/stream/x", header + "\r\nid: 1\r\ndata: 1\r\n\r\nid: 2\rdata: 2\r\r", true},
 	} {
--- a/lib/filter/relay/stream.go
+++ b/lib/filter/relay/stream.go
@@ -9,8 +9,6 @@
 	"sync"
 	"time"
 
-	"github.com/valyala/fasthttp"
-
 	"cuminhook.org/cuminhook/lib/forward"
 	"cuminhook.org/cuminhook/lib/pipeline"
 	"cuminhook.org/cuminhook/lib/refusal"
@@ -83,7 +81,7 @@
 func (s *stream) readRaw(p []byte) (int, error) {
 	n, err := s.current.answer.Read(p)
 	s.boundary.feed(p[:n])
-	if errors.Is(err, io.EOF) && s.boundary.partial && isEventStream(&s.current.answer.Header) {
+	if errors.Is(err, io.EOF) && s.boundary.partial && isEventStream(s.current.answer) {
 		return n, errInsideEvent
 	}
 	if s.boundary.events > 0 || errors.Is(err, io.EOF) {
@@ -92,10 +90,10 @@
 	return n, err
 }
 
-// isEventStream reports whether the body of the answer is a stream of events; a target may leave out the type.
-func isEventStream(h *fasthttp.ResponseHeader) bool {
-	contentType := h.ContentType()
-	return len(contentType) == 0 || bytes.HasPrefix(contentType, []byte("text/event-stream"))
+// isEventStream reports whether the body of the answer is a stream of events. One that states its length and no type is not.
+func isEventStream(a *forward.Answer) bool {
+	contentType := a.Header.ContentType()
+	return bytes.HasPrefix(contentType, []byte("text/event-stream")) || len(contentType) == 0 && a.Length < 0
 }
 
 // recordProgress records the time of the first byte and extends the deadline for writes to the caller.
