Targets that crash together convict a prompt segment too

Cause: only chains of crashes counted, each of a request that was sent after the crash before, as targets may crash together for another reason. All crashes at once made a chain of one; in a simulated fleet of 20 hosts there was never a verdict.

A crash beside the chain counts now if the target had sent the header of the answer on the segment: a sound request is hardly ever in that state when its target goes down, by the time that answers spend there, which hosts measure and report. A later report of a crash with the header replaces one without. What stood against other segments of the same prompts is dropped when one is found.

TestCrashesOfTargetsQuarantineNothing has segments that are new every 0.9 s.

--- a/lib/filter/relay/relay.go
+++ b/lib/filter/relay/relay.go
@@ -138,7 +138,8 @@
 	cancel   context.CancelFunc
 	timedOut atomic.Bool // the response timeout passed, or the stream stalled
 	sentAt   time.Time
-	began    bool // the target has sent a whole answer or, of a stream, a whole event
+	headerAt time.Time // when the header of the answer arrived
+	began    bool      // the target has sent a whole answer or, of a stream, a whole event
 }
 
 // recordFailure reports to the balancer that the attempt ended without a complete answer.
@@ -166,7 +167,8 @@
 func (r *request) answerBegan(t *try) {
 	if !t.began {
 		t.began = true
-		r.cfg.Quarantine.Began(r.call.SharedSegments(), time.Now())
+		now := time.Now()
+		r.cfg.Quarantine.Began(r.call.SharedSegments(), now.Sub(t.sentAt), now.Sub(t.headerAt), now)
 	}
 }
 
@@ -191,7 +193,8 @@
 // had been there, whether it was answered already, and what its prompt shares with others.
 func (r *request) logBroken(t *try, now time.Time) {
 	r.cfg.Log.LogAttrs(context.Background(), slog.LevelInfo, "target broke off", slog.String("request_id", r.ex.ID),
-		slog.String("target", t.choice.Target.ID), slog.String("addr", t.choice.Target.Addr), slog.Bool("answer_began", t.began),
+		slog.String("target", t.choice.Target.ID), slog.String("addr", t.choice.Target.Addr), slog.Bool("header", t.answer != nil),
+		slog.Bool("answer_began", t.began),
 		slog.Float64("sent_ms_ago", float64(now.Sub(t.sentAt))/float64(time.Millisecond)),
 		slog.String("shared_segments", strings.Join(r.call.SharedSegments(), ",")))
 }
@@ -293,6 +296,7 @@
 		choice.Unsent()
 	}
 	if t.answer != nil {
+		t.headerAt = time.Now()
 		r.recordRateLimit(t)
 	}
 	r.readAnswer(t)
--- a/lib/quarantine/quarantine.go
+++ b/lib/quarantine/quarantine.go
@@ -105,14 +105,15 @@
 	Answering bool
 }
 
-// Began records that the answer to a request has begun: none of its segments crashes targets.
-func (d *Detector) Began(segments []string, now time.Time) {
+// Began records that the answer to a request has begun: none of its segments crashes targets. The request was sent waited before,
+// and the header of the answer arrived answering before.
+func (d *Detector) Began(segments []string, waited, answering time.Duration, now time.Time) {
 	if len(segments) == 0 {
 		return
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.observe(Outcomes{Began: 1}, now)
+	d.observe(Outcomes{Began: 1, WaitSeconds: waited.Seconds(), AnsweringSeconds: answering.Seconds()}, now)
 	for _, id := range segments {
 		id = key(id)
 		d.began[id] = now
@@ -166,8 +167,12 @@
 		d.suspects[id] = s
 	}
 	s.position, s.changedAt = max(s.position, position), c.knownAt
-	_, known := s.crashes[target]
-	if !known && c.at.After(s.beganAt) && len(s.crashes) < maxKeptCrashes {
+	old, known := s.crashes[target]
+	switch {
+	case known && c.answering && !old.answering:
+		c.knownAt = old.knownAt
+		s.crashes[target] = c
+	case !known && c.at.After(s.beganAt) && len(s.crashes) < maxKeptCrashes:
 		if len(s.crashes) == 0 {
 			s.since = c.knownAt
 		}
@@ -246,11 +251,20 @@
 		delete(d.suspects, id)
 	}
 	d.quarantined[id] = e
-	for _, s := range d.suspects {
-		for target := range e.crashes {
-			delete(s.crashes, target)
+	for _, s := range d.suspects { // hosts do not know all crashes of a segment, so that those of its companions are not told apart
+		if s.sharesCrash(e) {
+			clear(s.crashes)
+		}
+	}
+}
+
+func (s *suspect) sharesCrash(e *entry) bool {
+	for target := range e.crashes {
+		if _, ok := s.crashes[target]; ok {
+			return true
 		}
 	}
+	return false
 }
 
 // Verdict is a segment that was put into quarantine.
@@ -301,20 +315,33 @@
 	return chain
 }
 
-// convicted reports whether the crashes that are known for the settling time are too many for a sound segment. The caller holds
-// mu.
+// convicted reports whether the crashes that are known for the settling time are too many for a sound segment. Those of a chain
+// count as independent of each other. Targets may also crash together, and take with them what waits there, but hardly at the
+// moment at which each of them begins an answer on the segment. The caller holds mu.
 func (d *Detector) convicted(s *suspect, now time.Time, settle time.Duration) bool {
-	chance, known, several := 1.0, 0, false
-	lost, answering := d.chances(s, now)
-	for chain := s.successive(); known < len(chain) && now.Sub(chain[known].knownAt) >= settle; known++ {
-		if chain[known].answering {
-			chance *= answering
+	chances := d.chances(s, now)
+	chance, known := 1.0, 0
+	addrs, inChain := map[string]bool{}, map[crash]bool{}
+	for _, c := range s.successive() {
+		if now.Sub(c.knownAt) < settle {
+			break
+		}
+		if inChain[c] = true; c.answering {
+			chance *= chances.answering
 		} else {
-			chance *= lost
+			chance *= chances.lost
+		}
+		known++
+		addrs[c.addr] = true
+	}
+	for _, c := range s.crashes {
+		if c.answering && !inChain[c] && now.Sub(c.knownAt) >= settle {
+			chance *= chances.inAnswer
+			known++
+			addrs[c.addr] = true
 		}
-		several = several || chain[known].addr != chain[0].addr
 	}
-	return chance <= maxChance && (several || known >= minCrashesOfOne)
+	return chance <= maxChance && (len(addrs) > 1 || known >= minCrashesOfOne)
 }
 
 // expire drops what is outdated. The caller holds mu.
--- a/lib/quarantine/quarantine_test.go
+++ b/lib/quarantine/quarantine_test.go
@@ -12,6 +12,8 @@
 	interval = 200 * time.Millisecond
 	stable   = 3 * time.Second
 	downFor  = 3 * time.Second
+	// answering is the time from the header of an answer until it begins.
+	answering = 10 * time.Millisecond
 )
 
 // fleet simulates hosts that send requests to targets and exchange reports, of which some are lost.
@@ -79,8 +81,8 @@
 	id := fmt.Sprintf("t%d.%d", target, f.starts[target])
 	for _, r := range f.waiting {
 		if r.target == target && r.start == f.starts[target] {
-			answering := !f.now.Before(r.beginsAt.Add(-50 * time.Millisecond))
-			f.hosts[r.host].Crashed(Waiting{r.segments, id, fmt.Sprint(target), r.sentAt, answering}, f.now, f.now)
+			inAnswer := !f.now.Before(r.beginsAt.Add(-answering))
+			f.hosts[r.host].Crashed(Waiting{r.segments, id, fmt.Sprint(target), r.sentAt, inAnswer}, f.now, f.now)
 		}
 	}
 	f.starts[target]++
@@ -100,7 +102,7 @@
 			f.crashes = append(f.crashes, f.now)
 			f.crash(r.target)
 		default:
-			f.hosts[r.host].Began(r.segments, f.now)
+			f.hosts[r.host].Began(r.segments, f.now.Sub(r.sentAt), answering, f.now)
 		}
 	}
 	f.waiting = left
@@ -128,7 +130,7 @@
 	for _, c := range []struct {
 		hosts, targets int
 		deadly, sound  float64 // requests a second
-	}{{7, 9, 1, 40}, {7, 13, 2, 60}, {20, 60, 8, 200}, {7, 13, 0.3, 60}, {3, 4, 0.3, 1}} {
+	}{{7, 9, 1, 40}, {7, 13, 2, 60}, {20, 60, 8, 200}, {7, 13, 0.3, 60}, {3, 4, 0.3, 1}, {7, 9, 20, 40}, {20, 60, 60, 200}} {
 		for _, seed := range []uint64{0, 1, 10} {
 			f := newFleet(seed, c.hosts, c.targets)
 			for range int(90 * time.Second / tick) {
@@ -182,7 +184,7 @@
 			for i := range int(60 * time.Second / tick) {
 				if f.often(60) {
 					n := f.random.IntN(40)
-					f.send(n%len(f.downTill), false, "all", fmt.Sprint("subject", n))
+					f.send(n%len(f.downTill), false, "all", fmt.Sprint("subject", n), fmt.Sprint("new", i/90))
 				}
 				crash(f, i)
 				f.step()
--- a/lib/quarantine/report.go
+++ b/lib/quarantine/report.go
@@ -91,22 +91,25 @@
 	return out
 }
 
-// reportedCrashes returns the targets of the crashes to report: a chain that convicts, and others, so that hosts do not take
-// these for losses of other requests.
+// reportedCrashes returns the targets of the crashes to report: those that convict, and others, so that hosts do not take these
+// for losses of other requests.
 func (s *suspect) reportedCrashes() []string {
+	rank := map[string]int{}
 	inChain := map[crash]bool{}
 	for _, c := range s.successive() {
 		inChain[c] = true
 	}
-	targets := slices.SortedFunc(maps.Keys(s.crashes), func(a, b string) int {
-		ca, cb := s.crashes[a], s.crashes[b]
-		if inChain[ca] != inChain[cb] {
-			if inChain[ca] {
-				return -1
-			}
-			return 1
+	for target, c := range s.crashes {
+		switch {
+		case inChain[c]:
+		case c.answering:
+			rank[target] = 1
+		default:
+			rank[target] = 2
 		}
-		return ca.at.Compare(cb.at)
+	}
+	targets := slices.SortedFunc(maps.Keys(s.crashes), func(a, b string) int {
+		return cmp.Or(cmp.Compare(rank[a], rank[b]), s.crashes[a].at.Compare(s.crashes[b].at))
 	})
 	return targets[:min(len(targets), maxReportedCrashes)]
 }
