--- a/lib/quarantine/quarantine.go
+++ b/lib/quarantine/quarantine.go
@@ -20,9 +20,12 @@
 )
 
 const (
-	// maxChance is the probability from which on a segment is put into quarantine: that of so many successive crashes if the
-	// segment were sound. It allows for many segments that are judged several times a second.
-	maxChance = 1e-6
+	// maxChance is the probability from which on a segment is put into quarantine: that of so many crashes if the segment were
+	// sound. It allows for many segments that are judged several times a second, and is reached by three crashes with
+	// minLossChance each.
+	maxChance = 1.0001e-6
+	// maxChanceAtOnce is the probability from which on it is done before other hosts could report that an answer has begun.
+	maxChanceAtOnce = 1e-12
 	// minCrashesOfOne is the least number of crashes if all were at the same address, which may be a target in trouble.
 	minCrashesOfOne = 5
 	// Period is how long a segment stays in quarantine, also across restarts of all hosts. It is the longest time to live
@@ -315,33 +318,43 @@
 	return chain
 }
 
-// convicted reports whether the crashes that are known for the settling time are too many for a sound segment. Those of a chain
-// count as independent of each other. Targets may also crash together, and take with them what waits there, but hardly at the
-// moment at which each of them begins an answer on the segment. The caller holds mu.
+// convicted reports whether the crashes are too many for a sound segment: those that are known for the settling time, or
+// overwhelmingly all. The caller holds mu.
 func (d *Detector) convicted(s *suspect, now time.Time, settle time.Duration) bool {
-	chances := d.chances(s, now)
+	c := d.chances(s, now)
+	return s.chance(c, now) <= maxChanceAtOnce || s.chance(c, now.Add(-settle)) <= maxChance
+}
+
+// chance returns the probability of the crashes that were known at the time if the segment were sound. Those of a chain count as
+// independent of each other. Targets may also crash together, and take with them what waits there, but hardly at the moment at
+// which each of them begins an answer on the segment.
+func (s *suspect) chance(each chances, knownBy time.Time) float64 {
 	chance, known := 1.0, 0
 	addrs, inChain := map[string]bool{}, map[crash]bool{}
+	add := func(c crash, chanceOfOne float64) {
+		chance *= chanceOfOne
+		known++
+		addrs[c.addr] = true
+	}
 	for _, c := range s.successive() {
-		if now.Sub(c.knownAt) < settle {
+		if c.knownAt.After(knownBy) {
 			break
 		}
 		if inChain[c] = true; c.answering {
-			chance *= chances.answering
+			add(c, each.answering)
 		} else {
-			chance *= chances.lost
+			add(c, each.lost)
 		}
-		known++
-		addrs[c.addr] = true
 	}
 	for _, c := range s.crashes {
-		if c.answering && !inChain[c] && now.Sub(c.knownAt) >= settle {
-			chance *= chances.inAnswer
-			known++
-			addrs[c.addr] = true
+		if c.answering && !inChain[c] && !c.knownAt.After(knownBy) {
+			add(c, each.inAnswer)
 		}
 	}
-	return chance <= maxChance && (len(addrs) > 1 || known >= minCrashesOfOne)
+	if len(addrs) < 2 && known < minCrashesOfOne {
+		return 1
+	}
+	return chance
 }
 
 // expire drops what is outdated. The caller holds mu.
--- a/lib/quarantine/quarantine_test.go
+++ b/lib/quarantine/quarantine_test.go
@@ -8,10 +8,9 @@
 )
 
 const (
-	tick     = 10 * time.Millisecond
-	interval = 200 * time.Millisecond
-	stable   = 3 * time.Second
-	downFor  = 3 * time.Second
+	tick    = 10 * time.Millisecond
+	stable  = 3 * time.Second
+	downFor = 3 * time.Second
 	// answering is the time from the header of an answer until it begins.
 	answering = 10 * time.Millisecond
 )
@@ -19,6 +18,7 @@
 // fleet simulates hosts that send requests to targets and exchange reports, of which some are lost.
 type fleet struct {
 	random   *rand.Rand
+	interval time.Duration // between two reports of a host
 	now      time.Time
 	hosts    []*Detector
 	downTill []time.Time // by target
@@ -37,9 +37,9 @@
 	sentAt, beginsAt    time.Time
 }
 
-func newFleet(seed uint64, hosts, targets int) *fleet {
+func newFleet(seed uint64, hosts, targets int, interval time.Duration) *fleet {
 	f := &fleet{
-		random: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0),
+		interval: interval, random: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0),
 		downTill: make([]time.Time, targets), starts: make([]int, targets),
 	}
 	for range hosts {
@@ -106,11 +106,11 @@
 		}
 	}
 	f.waiting = left
-	if f.now.UnixNano()%int64(interval) != 0 {
+	if f.now.UnixNano()%int64(f.interval) != 0 {
 		return
 	}
 	for i, h := range f.hosts {
-		h.Judge(f.now, 2*interval)
+		h.Judge(f.now, 2*f.interval)
 		r, o := h.Report(f.now), h.Outcomes(f.now)
 		for j, other := range f.hosts {
 			if i != j && f.random.Float64() > 0.05 {
@@ -130,9 +130,19 @@
 	for _, c := range []struct {
 		hosts, targets int
 		deadly, sound  float64 // requests a second
-	}{{7, 9, 1, 40}, {7, 13, 2, 60}, {20, 60, 8, 200}, {7, 13, 0.3, 60}, {3, 4, 0.3, 1}, {7, 9, 20, 40}, {20, 60, 60, 200}} {
+		interval       time.Duration
+	}{
+		{7, 9, 1, 40, 200 * time.Millisecond},
+		{7, 13, 2, 60, 200 * time.Millisecond},
+		{20, 60, 8, 200, 200 * time.Millisecond},
+		{7, 13, 0.3, 60, 200 * time.Millisecond},
+		{3, 4, 0.3, 1, 200 * time.Millisecond},
+		{7, 9, 20, 40, 200 * time.Millisecond},
+		{20, 60, 60, 200, 200 * time.Millisecond},
+		{40, 90, 60, 300, 900 * time.Millisecond},
+	} {
 		for _, seed := range []uint64{0, 1, 10} {
-			f := newFleet(seed, c.hosts, c.targets)
+			f := newFleet(seed, c.hosts, c.targets, c.interval)
 			for range int(90 * time.Second / tick) {
 				if f.often(c.sound) {
 					f.send(-1, false, "all", fmt.Sprint("subject", f.random.IntN(20)))
@@ -147,7 +157,7 @@
 					c, seed, len(f.crashes), f.late, f.refused, f.sound)
 			}
 			f.hosts[0] = New()
-			for range 2 * interval / tick {
+			for range 2 * c.interval / tick {
 				f.step()
 			}
 			if id, _ := f.hosts[0].Blocked([]string{"all", "deadly", "x"}, f.now); id != "deadly" {
@@ -180,7 +190,7 @@
 		},
 	} {
 		for _, seed := range []uint64{0, 1, 10} {
-			f := newFleet(seed, 7, 9)
+			f := newFleet(seed, 7, 9, 200*time.Millisecond)
 			for i := range int(60 * time.Second / tick) {
 				if f.often(60) {
 					n := f.random.IntN(40)
