A quarantine is announced and stored at once

In fleets with leaves the last host had a verdict 1.2 s after the first. Cause: hosts looked each 0.5 to 1.5 s for verdicts that the store lacks, and told each other in their next states, up to three on the way. The host that finds a segment writes it at once and has it announced, as changes of targets are; hosts that hear of it pass it on once.

TestQuarantineIsAnnouncedAndStoredAtOnce fails before (nothing stored, nothing announced).

--- a/lib/entryhost/entryhost.go
+++ b/lib/entryhost/entryhost.go
@@ -123,7 +123,7 @@
 		limiter:  orglimit.New(time.Now()), meter: workload.New(), retries: retry.NewBudget(s.RetryRatio, s.RetrySlack),
 	}
 	h.role = newPlacementRole(h)
-	h.quarantine = newQuarantineRole(s.Host, cfg.Store, cfg.Log, cfg.Metrics)
+	h.quarantine = newQuarantineRole(s.Host, cfg.Store, func() { h.peers.Relay() }, cfg.Log, cfg.Metrics)
 	h.placer = placer.New(placer.Config{
 		Host: s.Host, Client: cfg.Engines, ShouldCampaign: h.role.shouldCampaign, LoadRateFactor: s.Placement.LoadsOvershoot,
 		Demand: h.role.totalDemand, Suspects: h.role.agreedSuspects,
@@ -243,10 +243,11 @@
 // fillPartialState fills in a partial state and reports whether it carries changes that the audience may not know.
 func (h *Host) fillPartialState(s *peers.State, to storewatch.Audience) bool {
 	s.Changes = h.storeWatcher.NewTargetChanges(to)
+	s.Quarantine = h.quarantine.news(to, time.Now())
 	if c := h.catalog.Load(); c != nil {
 		s.ConfigVersion = c.Version
 	}
-	return !s.Changes.Empty()
+	return !s.Changes.Empty() || len(s.Quarantine.Quarantined) > 0
 }
 
 // handleState applies a state received from another host.
--- a/lib/entryhost/quarantine.go
+++ b/lib/entryhost/quarantine.go
@@ -14,7 +14,6 @@
 	"cuminhook.org/cuminhook/lib/kv"
 	"cuminhook.org/cuminhook/lib/peers"
 	"cuminhook.org/cuminhook/lib/quarantine"
-	"cuminhook.org/cuminhook/lib/sleep"
 	"cuminhook.org/cuminhook/lib/storewatch"
 )
 
@@ -23,7 +22,7 @@
 	// full read does not extend that.
 	quarantineKeyTTL = quarantine.Period - 10*time.Second
 	// persistInterval is the mean time between two looks for segments that the store lacks. It is random, so that one of the
-	// hosts that find a segment together writes it and the others see that.
+	// hosts writes a segment and the others see that.
 	persistInterval = time.Second
 	// maxPersistInterval is that time after a failed call.
 	maxPersistInterval = 5 * time.Second
@@ -38,12 +37,20 @@
 	store    kv.Store
 	log      *slog.Logger
 
-	mu     sync.Mutex
-	stored map[string]bool // guarded by mu; segments that the store has
+	announce   func()        // has partial states sent at once
+	persistNow chan struct{} // ends the wait of persist
+
+	mu          sync.Mutex
+	stored      map[string]bool                         // guarded by mu; segments that the store has
+	unannounced map[storewatch.Audience]map[string]bool // guarded by mu; segments in quarantine that the audience may not know
 }
 
-func newQuarantineRole(host string, store kv.Store, log *slog.Logger, set *metrics.Set) *quarantineRole {
-	q := &quarantineRole{host: host, detector: quarantine.New(), store: store, log: log, stored: map[string]bool{}}
+func newQuarantineRole(host string, store kv.Store, announce func(), log *slog.Logger, set *metrics.Set) *quarantineRole {
+	q := &quarantineRole{
+		host: host, detector: quarantine.New(), store: store, log: log, announce: announce, persistNow: make(chan struct{}, 1),
+		stored:      map[string]bool{},
+		unannounced: map[storewatch.Audience]map[string]bool{storewatch.ToMesh: {}, storewatch.ToLeaves: {}},
+	}
 	set.NewGauge("cuminhook_quarantined_segments", func() float64 { return float64(len(q.detector.Quarantined(time.Now()))) })
 	return q
 }
@@ -53,14 +60,43 @@
 func (q *quarantineRole) report(now time.Time, spread time.Duration) quarantine.Report {
 	for _, v := range q.detector.Judge(now, 2*spread) {
 		q.log.Warn("segment quarantined", "segment", v.Segment, "crashes", v.Crashes, "source", "crashes")
+		q.spread(v.Segment)
+		select {
+		case q.persistNow <- struct{}{}:
+		default:
+		}
 	}
 	return q.detector.Report(now)
 }
 
+// spread has a segment announced that is new in quarantine: each state on the way to a host would take an interval otherwise,
+// while requests crash targets.
+func (q *quarantineRole) spread(segment string) {
+	q.mu.Lock()
+	for _, segments := range q.unannounced {
+		segments[segment] = true
+	}
+	q.mu.Unlock()
+	q.announce()
+}
+
+// news returns what to announce to an audience, which is taken for announced then.
+func (q *quarantineRole) news(to storewatch.Audience, now time.Time) quarantine.Report {
+	q.mu.Lock()
+	segments := q.unannounced[to]
+	q.unannounced[to] = map[string]bool{}
+	q.mu.Unlock()
+	if len(segments) == 0 {
+		return quarantine.Report{}
+	}
+	return q.detector.ReportQuarantined(segments, now)
+}
+
 // merge applies the report in a state of another host.
 func (q *quarantineRole) merge(s *peers.State, now time.Time) {
 	for _, segment := range q.detector.Merge(s.Quarantine, now) {
 		q.log.Warn("segment quarantined", "segment", segment, "source", s.Host)
+		q.spread(segment)
 	}
 }
 
@@ -77,13 +113,17 @@
 	q.detector.Restore(segments, time.Now())
 }
 
-// persist writes segments in quarantine into the store until ctx ends, so that they stay there when all hosts restart. Hosts
-// that poll the store do it for the fleet.
+// persist writes segments in quarantine into the store until ctx ends, so that they stay there when all hosts restart. A host
+// that has found one does it at once, and those that poll the store do it for the fleet.
 func (q *quarantineRole) persist(ctx context.Context, poller func() bool) {
-	for wait := persistInterval; sleep.For(ctx, wait/2+rand.N(wait)); {
+	for wait := persistInterval; ; {
+		found := q.waitFound(ctx, wait/2+rand.N(wait))
+		if ctx.Err() != nil {
+			return
+		}
 		segments := q.detector.Quarantined(time.Now())
 		q.forgetStored(segments)
-		if !poller() {
+		if !found && !poller() {
 			continue
 		}
 		wait = persistInterval
@@ -103,6 +143,19 @@
 	}
 }
 
+// waitFound waits until this host finds a segment, which it reports, the time is over or ctx ends.
+func (q *quarantineRole) waitFound(ctx context.Context, limit time.Duration) bool {
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case <-q.persistNow:
+		return true
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return false
+}
+
 func (q *quarantineRole) isStored(segment string) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
--- a/lib/entryhost/quarantine_test.go
+++ b/lib/entryhost/quarantine_test.go
@@ -21,7 +21,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		store := memkv.New()
 		start := func(host string) *quarantineRole {
-			return newQuarantineRole(host, store, slog.New(slog.DiscardHandler), metrics.NewSet())
+			return newQuarantineRole(host, store, func() {}, slog.New(slog.DiscardHandler), metrics.NewSet())
 		}
 		first, second := start("a"), start("b")
 		report := quarantine.Report{Quarantined: map[string]int64{"deadly": 0}}
@@ -55,3 +55,34 @@
 		}
 	})
 }
+
+// Guards against a segment that goes on crashing targets while the hosts hear of it from state to state, or once all hosts are
+// killed right after one has found it.
+func TestQuarantineIsAnnouncedAndStoredAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, announced := memkv.New(), 0
+		q := newQuarantineRole("a", store, func() { announced++ }, slog.New(slog.DiscardHandler), metrics.NewSet())
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go q.persist(ctx, func() bool { return false })
+		for i := range 4 {
+			time.Sleep(time.Millisecond)
+			sent := time.Now()
+			time.Sleep(100 * time.Millisecond)
+			target := string(rune('a' + i))
+			q.detector.Crashed(quarantine.Waiting{
+				Segments: []string{"deadly"}, Target: target, Addr: target, SentAt: sent, Answering: true,
+			}, time.Now(), time.Now())
+		}
+		q.report(time.Now(), 0)
+		synctest.Wait()
+		if entries, err := store.List(t.Context(), storewatch.QuarantinePrefix); err != nil || len(entries) != 1 || announced != 1 {
+			t.Errorf("store has %v (%v), announced %d times", entries, err, announced)
+		}
+		for _, to := range []storewatch.Audience{storewatch.ToMesh, storewatch.ToLeaves} {
+			if first, second := q.news(to, time.Now()), q.news(to, time.Now()); len(first.Quarantined) != 1 || len(second.Quarantined) != 0 {
+				t.Errorf("announced to audience %d: %v, then %v", to, first, second)
+			}
+		}
+	})
+}
--- a/lib/quarantine/report.go
+++ b/lib/quarantine/report.go
@@ -65,6 +65,20 @@
 	return r
 }
 
+// ReportQuarantined returns a report of those of the segments that are in quarantine, and of nothing else.
+func (d *Detector) ReportQuarantined(segments map[string]bool, now time.Time) Report {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.expire(now)
+	r := Report{Quarantined: map[string]int64{}}
+	for id := range segments {
+		if e := d.quarantined[id]; e != nil {
+			r.Quarantined[id] = now.Sub(e.since).Milliseconds()
+		}
+	}
+	return r
+}
+
 // weight orders suspicions by how much speaks for them. A crash after the header of the answer counts for more.
 func (s *suspect) weight() (n int) {
 	for _, c := range s.crashes {
