A claim waits for a planned change of its slot's owner

Cause: a host that gives up its slots, or has just got them, refuses each claim until tables and records have changed hands, and nobody asks again, although that takes a fraction of a second. The same holds for a copy to the successor that takes over 200 ms. The owner's reply says now whether a refusal is passing, and the host of the caller repeats such a claim for up to a second, each time as a new attempt. Owners that lost their records refuse at once as before.

--- a/lib/idem/idem_test.go
+++ b/lib/idem/idem_test.go
@@ -534,3 +534,30 @@
 		t.Fatalf("sent %+v, received %+v", in, out)
 	}
 }
+
+// Guards against claims that are refused because the owner of their slot stops as planned.
+func TestClaimsWaitForAPlannedHandover(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newCluster(1, false)
+		old := w.hosts["b"]
+		owners := slices.Clone(w.snap.Manifest.Slots.Owners)
+		for i := range owners {
+			if owners[i] == old.id {
+				owners[i] = "c"
+			}
+		}
+		for n := range 200 {
+			if n == 50 {
+				w.assignSlots(owners)
+			}
+			for _, h := range []*simHost{w.hosts["a"], old, w.hosts["c"]} {
+				w.wg.Go(func() { w.attempt(h, MakeKey(h.id, fmt.Sprint(n)), Done, 0) })
+			}
+			w.advance(10 * time.Millisecond)
+		}
+		w.close()
+		if w.results["run"] != 600 || len(w.results) != 1 {
+			t.Errorf("outcomes of 600 claims: %v", w.results)
+		}
+	})
+}
--- a/lib/idem/manager.go
+++ b/lib/idem/manager.go
@@ -15,6 +15,7 @@
 	"cuminhook.org/cuminhook/lib/confview"
 	"cuminhook.org/cuminhook/lib/peer"
 	"cuminhook.org/cuminhook/lib/refusal"
+	"cuminhook.org/cuminhook/lib/sleep"
 )
 
 const (
@@ -23,6 +24,10 @@
 	copyTimeout       = 200 * time.Millisecond // for the copy to the successor within a claim
 	syncTimeout       = 700 * time.Millisecond // for transferring all records of a slot
 	maxFinishAttempts = 6                      // one per second; if all fail, the claim counts as unknown after RunsFor
+	// handoverWait is how long a claim is repeated, each handoverPoll, while its slot changes owner or successor. Both take
+	// less while hosts reach each other.
+	handoverWait = time.Second
+	handoverPoll = 50 * time.Millisecond
 	// maxClaimAge bounds the time between sending a claim and running the request. It is far below
 	// Retention, after which another attempt may run.
 	maxClaimAge = 30 * time.Second
@@ -310,6 +315,8 @@
 type ClaimReply struct {
 	Decision Decision
 	Response Response
+	// Passing states that a claim without permission to run may get it as soon as the records of its slot have changed hands.
+	Passing bool
 }
 
 // FinishArgs reports the outcome of an attempt.
@@ -363,9 +370,10 @@
 	}
 	m.mu.Lock()
 	decision, rec := m.store.Claim(m.now(), args.Key, args.Digest, args.Claim, args.RunsFor)
+	passing := m.store.passing(slot)
 	m.mu.Unlock()
 	if decision != Proceed {
-		return ClaimReply{Decision: decision, Response: rec.Response}
+		return ClaimReply{Decision: decision, Response: rec.Response, Passing: passing}
 	}
 	ctx, cancel := context.WithTimeout(m.ctx, copyTimeout)
 	defer cancel()
@@ -381,7 +389,7 @@
 	}
 	copyFailures.Inc()
 	m.finishAsOwner(&FinishArgs{Key: args.Key, Claim: args.Claim, State: Released})
-	return ClaimReply{Decision: Unconfirmed}
+	return ClaimReply{Decision: Unconfirmed, Passing: true}
 }
 
 // finishAsOwner records an outcome as the owner of the slot. It returns false if this host may not decide on claims of
@@ -427,19 +435,37 @@
 	sent time.Time
 }
 
-// Claim asks for permission to run a request. It returns a Claim, or the stored response of an earlier
-// attempt, or a refusal. runsFor bounds how long the attempt may take.
+// Claim asks for permission to run a request. It returns a Claim, or the stored response of an earlier attempt, or a refusal. It
+// waits up to handoverWait for a slot that changes hands. runsFor bounds how long the attempt may take.
 func (m *Manager) Claim(
 	ctx context.Context, key Key, digest [32]byte, runsFor time.Duration,
 ) (*Claim, *Response, error) {
-	if err := m.refreshTable(); err != nil {
-		return nil, nil, err
+	for start := time.Now(); ; {
+		if err := m.refreshTable(); err != nil {
+			return nil, nil, err
+		}
+		c := &Claim{m: m, key: key, id: uuid.NewString(), sent: time.Now()}
+		reply := c.ask(ctx, digest, runsFor)
+		if reply.Passing && time.Since(start) < handoverWait && sleep.For(ctx, handoverPoll) {
+			continue
+		}
+		countDecision(reply.Decision)
+		switch reply.Decision {
+		case Proceed:
+			return c, nil, nil
+		case Replay:
+			return nil, &reply.Response, nil
+		}
+		return nil, nil, refusalFor(reply.Decision)
 	}
-	c := &Claim{m: m, key: key, id: uuid.NewString(), sent: time.Now()}
-	owner := m.owner(key)
-	args := &ClaimArgs{Key: key, Digest: digest, Claim: c.id, RunsFor: runsFor}
+}
+
+// ask asks the owner of the key's slot once.
+func (c *Claim) ask(ctx context.Context, digest [32]byte, runsFor time.Duration) ClaimReply {
+	m := c.m
+	args := &ClaimArgs{Key: c.key, Digest: digest, Claim: c.id, RunsFor: runsFor}
 	reply := ClaimReply{Decision: Unconfirmed}
-	switch owner {
+	switch owner := m.owner(c.key); owner {
 	case "":
 	case m.view.Self():
 		reply = m.claimAsOwner(args)
@@ -458,14 +484,7 @@
 		c.finish(Released, Response{})
 		reply.Decision = Unconfirmed
 	}
-	countDecision(reply.Decision)
-	switch reply.Decision {
-	case Proceed:
-		return c, nil, nil
-	case Replay:
-		return nil, &reply.Response, nil
-	}
-	return nil, nil, refusalFor(reply.Decision)
+	return reply
 }
 
 func (m *Manager) owner(key Key) string {
--- a/lib/idem/store.go
+++ b/lib/idem/store.go
@@ -312,6 +312,13 @@
 	return Proceed
 }
 
+// passing reports whether the slot is changing hands: another host owns it by a newer table, or this host is about to take its
+// records.
+func (s *Store) passing(slot int) bool {
+	o := &s.ownSlots[slot]
+	return !o.owned || !o.ready && o.source.owner != "" && o.source.owner != s.self
+}
+
 // Claim decides on an attempt. After Proceed, the caller copies the returned record to the successor and calls
 // Confirm before the request runs.
 func (s *Store) Claim(now int64, key Key, digest [32]byte, claim string, runsFor time.Duration) (Decision, Record) {
