A prompt segment that relapses goes back into quarantine at once

Each ten minutes a quarantine ends, and about four more targets crashed until the next verdict. A segment whose quarantine has ended goes back at the first crash at which a target had sent the header of its answer, unless an answer on it has begun since. TestSegmentThatRelapsesIsQuarantinedAtOnce; it failed before (no verdict after one crash).

--- a/lib/quarantine/quarantine.go
+++ b/lib/quarantine/quarantine.go
@@ -31,6 +31,8 @@
 	// Period is how long a segment stays in quarantine, also across restarts of all hosts. It is the longest time to live
 	// that the store grants.
 	Period = 10 * time.Minute
+	// formerTTL is how long a segment whose quarantine has ended goes back there at its first crash, unless an answer has begun.
+	formerTTL = 6 * Period
 	// suspicionTTL is how long a crash counts against a segment on which no answer begins.
 	suspicionTTL = 2 * time.Minute
 	// beganTTL is how long a host remembers that an answer on a segment began.
@@ -60,6 +62,7 @@
 	began       map[string]time.Time // guarded by mu; by segment: when an answer on it last began at this host
 	suspects    map[string]*suspect  // guarded by mu; by segment
 	quarantined map[string]*entry    // guarded by mu; by segment
+	former      map[string]time.Time // guarded by mu; by segment: when its quarantine ended
 	own         Outcomes             // guarded by mu; at this host, as of ownUpdated
 	ownUpdated  time.Time            // guarded by mu
 	peers       map[string]Outcomes  // guarded by mu; at other hosts
@@ -93,7 +96,8 @@
 // New returns a detector that suspects nothing.
 func New() *Detector {
 	return &Detector{
-		began: map[string]time.Time{}, suspects: map[string]*suspect{}, quarantined: map[string]*entry{}, peers: map[string]Outcomes{},
+		began: map[string]time.Time{}, suspects: map[string]*suspect{}, quarantined: map[string]*entry{},
+		former: map[string]time.Time{}, peers: map[string]Outcomes{},
 	}
 }
 
@@ -120,6 +124,7 @@
 	for _, id := range segments {
 		id = key(id)
 		d.began[id] = now
+		delete(d.former, id)
 		if s := d.suspects[id]; s != nil {
 			s.clear(now, now)
 		}
@@ -296,7 +301,7 @@
 // worst returns the segment to put into quarantine next, or "". The caller holds mu.
 func (d *Detector) worst(now time.Time, settle time.Duration) (worst string) {
 	for id, s := range d.suspects {
-		if len(s.crashes) < minCrashes || !d.convicted(s, now, settle) {
+		if !d.relapsed(id, s) && (len(s.crashes) < minCrashes || !d.convicted(s, now, settle)) {
 			continue
 		}
 		if w := d.suspects[worst]; w == nil ||
@@ -307,6 +312,19 @@
 	return worst
 }
 
+// relapsed reports whether a target has crashed as it began an answer on a segment whose quarantine has ended. The caller holds mu.
+func (d *Detector) relapsed(id string, s *suspect) bool {
+	if _, ok := d.former[id]; !ok {
+		return false
+	}
+	for _, c := range s.crashes {
+		if c.answering {
+			return true
+		}
+	}
+	return false
+}
+
 // successive returns the longest chain of crashes each of whose requests was sent after the crash before.
 func (s *suspect) successive() (chain []crash) {
 	all := slices.SortedFunc(maps.Values(s.crashes), func(a, b crash) int { return a.at.Compare(b.at) })
@@ -359,7 +377,14 @@
 
 // expire drops what is outdated. The caller holds mu.
 func (d *Detector) expire(now time.Time) {
-	maps.DeleteFunc(d.quarantined, func(_ string, e *entry) bool { return now.Sub(e.since) >= Period })
+	maps.DeleteFunc(d.quarantined, func(id string, e *entry) bool {
+		ended := now.Sub(e.since) >= Period
+		if ended {
+			d.former[id] = now
+		}
+		return ended
+	})
+	maps.DeleteFunc(d.former, func(_ string, at time.Time) bool { return now.Sub(at) > formerTTL })
 	maps.DeleteFunc(d.suspects, func(_ string, s *suspect) bool {
 		maps.DeleteFunc(s.crashes, func(_ string, c crash) bool { return now.Sub(c.at) > suspicionTTL })
 		return len(s.crashes) == 0 && now.Sub(s.changedAt) > clearedTTL
--- a/lib/quarantine/quarantine_test.go
+++ b/lib/quarantine/quarantine_test.go
@@ -217,3 +217,22 @@
 		t.Errorf("%q after its period", id)
 	}
 }
+
+// Guards against a segment that takes down several targets again each time its quarantine ends, and against one that stays under
+// suspicion although it is sound by now.
+func TestSegmentThatRelapsesIsQuarantinedAtOnce(t *testing.T) {
+	for _, sound := range []bool{false, true} {
+		d, now := New(), time.Unix(1000, 0)
+		d.Restore([]string{"a"}, now)
+		now = now.Add(Period)
+		d.Judge(now, 0)
+		if sound {
+			d.Began([]string{"a"}, time.Second, 0, now)
+		}
+		now = now.Add(time.Second)
+		d.Crashed(Waiting{Segments: []string{"a"}, Target: "t", Addr: "t", SentAt: now, Answering: true}, now, now)
+		if verdicts := d.Judge(now, time.Second); (len(verdicts) == 0) != sound {
+			t.Errorf("sound by now %t: %v", sound, verdicts)
+		}
+	}
+}
