Hosts send each other the configuration compressed

Calls were given up after a second, and the leaves polled the store instead. The configuration goes compressed, a tenth of its size; the compression of states moves into lib/deflate for both.

--- a/lib/entryhost/entryhost.go
+++ b/lib/entryhost/entryhost.go
@@ -44,9 +44,6 @@
 	// leaseWait is how long a candidate's call waits for the end of another holder's lease. It is bounded because the
 	// store may never answer a call that it accepted in an outage.
 	leaseWait = 2 * time.Second
-	// rpcConfig is the name of the net/rpc service from which a host reads a newer configuration of a peer, also when it
-	// cannot reach the store.
-	rpcConfig = "Config"
 	// catchUpDelay is the delay before reading a configuration from a peer, so that the host's own watch can deliver it
 	// first.
 	catchUpDelay = 700 * time.Millisecond
@@ -135,7 +132,7 @@
 	h.peers = peers.New(peers.Config{Host: s.Host, Zone: s.Zone, Addr: s.Peers, LinkMbps: s.LinkMbps}, peers.Handlers{
 		FillState: h.fillState, FillPartialState: h.fillPartialState, Placement: h.role.latestPlacement,
 		OnState: h.handleState, OnUnreachable: h.removeHost, OnFleet: h.setFleet,
-		RPC: map[string]any{rpcPlacement: &placementService{h}, rpcConfig: &configService{h}},
+		RPC: map[string]any{rpcPlacement: &placementService{h}, rpcConfig: &configService{value: func() []byte { return h.storeWatcher.ConfigValue() }}},
 	}, cfg.Log)
 	h.storeWatcher = storewatch.New(cfg.Store, cfg.Codec, storewatch.Handlers{
 		OnCatalog: h.setCatalog, OnTargets: h.setTargets, OnHosts: h.peers.SetEntries, OnQuarantine: h.quarantine.restore,
@@ -295,8 +292,8 @@
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), catchUpTimeout)
 		defer cancel()
-		var value []byte
-		if err := h.peers.Call(ctx, host, rpcConfig+".Value", struct{}{}, &value); err != nil {
+		value, err := h.readConfig(ctx, host)
+		if err != nil {
 			h.log.Warn("configuration of a peer not read", "peer", host, "error", err.Error())
 			h.storeWatcher.PollNow()
 			return
@@ -305,15 +302,6 @@
 	}()
 }
 
-// configService serves the net/rpc calls of other hosts that read the configuration.
-type configService struct{ host *Host }
-
-// Value returns the configuration in force as the operator wrote it, or nil if there is none.
-func (s *configService) Value(_ struct{}, reply *[]byte) error {
-	*reply = s.host.storeWatcher.ConfigValue()
-	return nil
-}
-
 // removeHost drops the loads, demand and suspects of an unreachable host.
 func (h *Host) removeHost(host string) {
 	h.limiter.RemovePeer(host)
