A leaf whose aggregator is silent polls the store

The host had heard nothing of three aggregators one after the other, 1.5 s each, while states repeat a change for 3 s only. A leaf that leaves a silent aggregator has the store polled at once.

TestLeavesOfASilentAggregatorAreTold; before, nothing was told of it. Fleets of up to 16 hosts have no leaves and are not affected.

--- a/lib/entryhost/entryhost.go
+++ b/lib/entryhost/entryhost.go
@@ -132,7 +132,11 @@
 	h.peers = peers.New(peers.Config{Host: s.Host, Zone: s.Zone, Addr: s.Peers, LinkMbps: s.LinkMbps}, peers.Handlers{
 		FillState: h.fillState, FillPartialState: h.fillPartialState, Placement: h.role.latestPlacement,
 		OnState: h.handleState, OnUnreachable: h.removeHost, OnFleet: h.setFleet,
-		RPC: map[string]any{rpcPlacement: &placementService{h}, rpcConfig: &configService{value: func() []byte { return h.storeWatcher.ConfigValue() }}},
+		OnAggregatorSilent: func() { h.storeWatcher.PollNow() },
+		RPC: map[string]any{
+			rpcPlacement: &placementService{h},
+			rpcConfig:    &configService{value: func() []byte { return h.storeWatcher.ConfigValue() }},
+		},
 	}, cfg.Log)
 	h.storeWatcher = storewatch.New(cfg.Store, cfg.Codec, storewatch.Handlers{
 		OnCatalog: h.setCatalog, OnTargets: h.setTargets, OnHosts: h.peers.SetEntries, OnQuarantine: h.quarantine.restore,
--- a/lib/peers/peers.go
+++ b/lib/peers/peers.go
@@ -89,7 +89,9 @@
 	OnState          func(*State)      // called with each state received from another host
 	OnUnreachable    func(host string) // called when the states of a host no longer arrive here
 	OnFleet          func(Fleet)       // called when the fleet, as this host knows it, has changed
-	RPC              map[string]any    // services for calls of other hosts, by name
+	// OnAggregatorSilent is called when this host, a leaf, leaves a silent aggregator: it may have missed what others announced.
+	OnAggregatorSilent func()
+	RPC                map[string]any // services for calls of other hosts, by name
 }
 
 // Exchanger exchanges states between this host and the others.
--- a/lib/peers/peers_test.go
+++ b/lib/peers/peers_test.go
@@ -148,6 +148,7 @@
 	storeLost bool
 	fleet     Fleet
 	relay     bool
+	silences  int // silent aggregators that it has left
 }
 
 func (h *testHost) load() (sum int) {
@@ -185,6 +186,8 @@
 			},
 			OnUnreachable: func(host string) { delete(h.loads, host) },
 			OnFleet:       func(fleet Fleet) { h.fleet = fleet },
+
+			OnAggregatorSilent: func() { h.silences++ },
 		}, slog.New(slog.DiscardHandler))
 		f.hosts[name] = h
 		value, err := json.Marshal(Entry{Addr: addr, Zone: zone})
@@ -334,6 +337,27 @@
 	})
 }
 
+// Guards against leaves that miss a change of a target because their aggregators fall silent one after the other: they have to hear
+// of it in time to read the store.
+func TestLeavesOfASilentAggregatorAreTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t, 84, 3)
+		f.run(3 * time.Second)
+		leaves := map[string]bool{}
+		silent := f.hosts["host-000"].topology.mesh[0]
+		for name, h := range f.hosts {
+			leaves[name] = h.aggregator == silent
+		}
+		f.down[silent] = true
+		f.run(2 * time.Second)
+		for name, h := range f.hosts {
+			if want := map[bool]int{true: 1}[leaves[name]]; h.silences != want {
+				t.Errorf("%s: %d silent aggregators, want %d", name, h.silences, want)
+			}
+		}
+	})
+}
+
 // Guards against a placement that is sent with every state, that does not reach leaves, or that is missing after lost
 // datagrams. The controller is a host of the mesh or a leaf.
 func TestPlacementReachesAllHosts(t *testing.T) {
--- a/lib/peers/receive.go
+++ b/lib/peers/receive.go
@@ -92,12 +92,16 @@
 	if x.topologyOutdated {
 		lost = append(lost, x.updateTopology()...)
 	}
-	lost = append(lost, x.chooseAggregator(now)...)
+	former, silent := x.chooseAggregator(now)
+	lost = append(lost, former...)
 	fleet, changed := x.currentFleet()
 	x.mu.Unlock()
 	for _, host := range lost {
 		x.handlers.OnUnreachable(host)
 	}
+	if silent {
+		x.handlers.OnAggregatorSilent()
+	}
 	if changed {
 		x.log.Info("hosts", "count", len(fleet.Known)+1, "reachable", fleet.Reachable, "mesh", fleet.Mesh, "leaf", fleet.Leaf)
 		x.handlers.OnFleet(fleet)
@@ -181,19 +185,20 @@
 }
 
 // chooseAggregator chooses the aggregator of a leaf: the first in the order of the topology that is not silent. What the
-// former one reported counts until the next one reports. It returns the hosts whose states no longer count. The caller
-// holds mu.
-func (x *Exchanger) chooseAggregator(now time.Time) (lost []string) {
+// former one reported counts until the next one reports. It returns the hosts whose states no longer count, and whether the former
+// one is silent. The caller holds mu.
+func (x *Exchanger) chooseAggregator(now time.Time) (lost []string, silent bool) {
 	if x.topology.inMesh[x.host] {
-		return nil
+		return nil, false
 	}
 	if p := x.peers[x.aggregator]; p != nil && x.topology.inMesh[x.aggregator] {
 		if now.Sub(later(p.receivedAt, x.chosenAt)) <= aggregatorTimeout {
 			if p.link == aggregatorLink {
 				lost = x.dropFormerAggregators()
 			}
-			return lost
+			return lost, false
 		}
+		silent = true
 		x.log.Warn("aggregator silent", "peer", x.aggregator)
 		x.avoid[x.aggregator] = now.Add(aggregatorRetryDelay)
 	}
@@ -205,7 +210,7 @@
 			break
 		}
 	}
-	return nil
+	return nil, silent
 }
 
 // dropFormerAggregators drops the links to aggregators other than the present one, and returns these hosts. The caller
