A test that fails: idle targets in large fleets get more than they state

After a pause each of the hosts that want a target sends the one request that it has saved up, before it hears of the others.

--- a/lib/aggregate/targetrates_test.go
+++ b/lib/aggregate/targetrates_test.go
@@ -131,3 +131,22 @@
 		}
 	}
 }
+
+// Guards against a target that gets a request of each host at once when many want it after a time without requests: it has saved
+// up one, and no host knows of the others.
+func TestIdleTargetGetsTheRateThatItStates(t *testing.T) {
+	const limit = 1.4
+	window := 4 * time.Second
+	for seed := range uint64(3) {
+		f := newPacedFleet(15, 4, seed)
+		f.run(10*time.Second, limit, 3*limit)
+		f.run(7*time.Second, limit, 0)
+		sum := 0.0
+		for _, x := range f.run(window, limit, 30) {
+			sum += x
+		}
+		if sum > 1.5*limit*window.Seconds()+5 {
+			t.Errorf("seed %d: %.0f requests in a window at a limit of %.1f a second", seed, sum, limit)
+		}
+	}
+}
