--- a/lib/quarantine/quarantine.go
+++ b/lib/quarantine/quarantine.go
@@ -259,7 +259,8 @@
 		delete(d.suspects, id)
 	}
 	d.quarantined[id] = e
-	for _, s := range d.suspects { // hosts do not know all crashes of a segment, so that those of its companions are not told apart
+	// A host does not know all crashes of a segment, so it cannot tell which of a companion's crashes the segment explains.
+	for _, s := range d.suspects {
 		if s.sharesCrash(e) {
 			clear(s.crashes)
 		}
