Crashes of a target that starts again under its id count each

Crashes that stand against a prompt segment were kept by the id of the target. A target may start again under the id that it had, so that its later crashes counted for nothing: a segment that crashes the same two targets again and again was never put into quarantine. They are kept by id and start now.

TestCrashesOfTargetsThatKeepTheirIDsCount failed before (no verdict after four crashes of two targets), passes now.

--- a/lib/filter/relay/relay.go
+++ b/lib/filter/relay/relay.go
@@ -156,8 +156,8 @@
 		r.logBroken(t, now)
 		if !t.began {
 			r.crashes.check(quarantine.Waiting{
-				Segments: r.call.SharedSegments(), Target: t.choice.Target.ID, Addr: t.choice.Target.Addr, SentAt: t.sentAt,
-				Answering: t.answer != nil,
+				Segments: r.call.SharedSegments(), Target: t.choice.Target.ID, Started: t.choice.Target.Started,
+				Addr: t.choice.Target.Addr, SentAt: t.sentAt, Answering: t.answer != nil,
 			}, now)
 		}
 	}
--- a/lib/quarantine/quarantine.go
+++ b/lib/quarantine/quarantine.go
@@ -75,7 +75,7 @@
 type suspect struct {
 	position  int // in the prompt; the highest that was seen
 	beganAt   time.Time
-	crashes   map[string]crash // by id of the target; only those after beganAt
+	crashes   map[string]crash // by incarnation of the target; only those after beganAt
 	changedAt time.Time        // when a crash was last reported, or the suspicion cleared
 	since     time.Time        // when the first of the crashes was known
 	shared    bool             // other hosts may know of the suspicion
@@ -108,6 +108,7 @@
 type Waiting struct {
 	Segments []string // ids of the segments that its prompt shares with others, in order
 	Target   string   // id of the target
+	Started  int64    // identifies the target's incarnation, as registry.Target.Started does
 	Addr     string   // IP:port of the target
 	SentAt   time.Time
 	// Answering states that the header of the answer had arrived: the target was about to write, and few requests are in that
@@ -115,6 +116,14 @@
 	Answering bool
 }
 
+// incarnation returns the name under which a crash is kept. A target may start again under the id that it had.
+func (w *Waiting) incarnation() string {
+	if w.Started == 0 {
+		return w.Target
+	}
+	return w.Target + "@" + strconv.FormatInt(w.Started, 36)
+}
+
 // Began records that the answer to a request has begun: none of its segments crashes targets. The request was sent waited before,
 // and the header of the answer arrived answering before.
 func (d *Detector) Began(segments []string, waited, answering time.Duration, now time.Time) {
@@ -156,7 +165,7 @@
 	blocked := false
 	for _, id := range w.Segments {
 		if e := d.quarantined[key(id)]; e != nil {
-			e.explain(w.Target, c)
+			e.explain(w.incarnation(), c)
 			blocked = true
 		}
 	}
@@ -164,7 +173,7 @@
 		d.observe(outcomeOf(w.Answering), now)
 	}
 	for i, id := range w.Segments {
-		d.suspect(key(id), i, w.Target, c)
+		d.suspect(key(id), i, w.incarnation(), c)
 	}
 }
 
--- a/lib/quarantine/quarantine_test.go
+++ b/lib/quarantine/quarantine_test.go
@@ -26,7 +26,7 @@
 	waiting  []request
 	crashes  map[string][]time.Time // by deadly segment
 	late     map[string]int         // requests sent more than stable after the fifth crash, by deadly segment
-	refused  int         // sound requests refused
+	refused  int                    // sound requests refused
 	sound    int
 }
 
@@ -83,7 +83,9 @@
 	for _, r := range f.waiting {
 		if r.target == target && r.start == f.starts[target] {
 			inAnswer := !f.now.Before(r.beginsAt.Add(-answering))
-			f.hosts[r.host].Crashed(Waiting{r.segments, id, fmt.Sprint(target), r.sentAt, inAnswer}, f.now, f.now)
+			f.hosts[r.host].Crashed(Waiting{
+				Segments: r.segments, Target: id, Addr: fmt.Sprint(target), SentAt: r.sentAt, Answering: inAnswer,
+			}, f.now, f.now)
 		}
 	}
 	f.starts[target]++
@@ -274,3 +276,20 @@
 		}
 	}
 }
+
+// Guards against a segment that crashes the same two targets again and again, as each starts again under the id that it had.
+func TestCrashesOfTargetsThatKeepTheirIDsCount(t *testing.T) {
+	d, now := New(), time.Unix(1000, 0)
+	for i := range 4 {
+		target := fmt.Sprint("t", i%2)
+		sent := now
+		now = now.Add(time.Second)
+		d.Crashed(Waiting{
+			Segments: []string{"deadly"}, Target: target, Started: int64(1000 + i/2), Addr: target, SentAt: sent, Answering: true,
+		}, now, now)
+		now = now.Add(2 * time.Second)
+	}
+	if verdicts := d.Judge(now, time.Second); len(verdicts) != 1 {
+		t.Errorf("after four crashes of two targets: %v", verdicts)
+	}
+}
--- a/lib/quarantine/report.go
+++ b/lib/quarantine/report.go
@@ -17,7 +17,7 @@
 type Suspicion struct {
 	Position int              `json:"p,omitempty"`
 	BeganMS  *int64           `json:"b,omitempty"` // since an answer on the segment began; nil: none is known
-	Crashes  map[string]Crash `json:"c,omitempty"` // by target
+	Crashes  map[string]Crash `json:"c,omitempty"` // by incarnation of the target
 }
 
 // Crash is a report about one crash.
