Hosts draw which of them may send to a target that states a low limit

Cause: a host may spend of its part of the rate as soon as it has any of it, but spends a whole request, and all hosts do so at the same time; and what is saved up belongs to each of them until reports have passed. Demand that waits was not reported.

Change: hosts report what they want of a target. For each request that wants it a host draws a number, and may send if that is below what the rate and the shared bucket leave of the demand. Demand that is too new to have been reported is taken for as much at each other host. Rates of organisations are as before, as their charges are small beside what a host may spend.

--- a/lib/aggregate/targetrates_test.go
+++ b/lib/aggregate/targetrates_test.go
@@ -25,7 +25,7 @@
 		var group []*targetrate.Limits
 		var phases []time.Duration
 		for range size {
-			l := targetrate.New(f.now)
+			l := targetrate.New(f.now, f.random)
 			l.SetHosts(groups*size, 3*interval)
 			group, phases = append(group, l), append(phases, time.Duration(f.random.Int64N(int64(interval/step)))*step)
 		}
@@ -82,6 +82,7 @@
 			group := f.groups[f.random.IntN(len(f.groups))]
 			l := group[f.random.IntN(len(group))]
 			f.waiting[l] = append(f.waiting[l], f.now.Add(patience))
+			l.Wanted("t", f.now)
 		}
 		sum := 0.0
 		for l, until := range f.waiting {
--- a/lib/balance/balance.go
+++ b/lib/balance/balance.go
@@ -88,6 +88,7 @@
 	Service string
 	Call    *passthrough.Call
 	Tried   []string // ids of targets that must not be chosen again
+	First   bool     // the request is new; false if it waited for a target before, or was tried at one
 }
 
 // Connections states how many connections a host may have to a target.
@@ -102,6 +103,8 @@
 
 // Rates keep the requests of all hosts to a target within the rate that it states.
 type Rates interface {
+	// Wanted records that a new request could be sent to the target, whether it is available now or not.
+	Wanted(target string, now time.Time)
 	// Available reports whether this host may send the target a request now.
 	Available(target string, now time.Time) bool
 	// HostRate returns the requests a second that this host may send to a target with a limit.
@@ -361,6 +364,9 @@
 			err = ErrBusy
 			continue
 		}
+		if b.rates != nil && q.First {
+			b.rates.Wanted(t.info.ID, now)
+		}
 		if b.rates != nil && !b.rates.Available(t.info.ID, now) {
 			err = ErrPaced
 			pacedRate += b.rates.HostRate(t.info.ID, now)
--- a/lib/entryhost/entryhost.go
+++ b/lib/entryhost/entryhost.go
@@ -113,10 +113,10 @@
 	if cfg.RequestLog == nil {
 		cfg.RequestLog = cfg.Log
 	}
-	conns, rates := newConnections(&cfg), targetrate.New(time.Now())
+	conns, rates := newConnections(&cfg), targetrate.New(time.Now(), newRandom())
 	h := &Host{
 		cfg: cfg, log: cfg.Log, connections: conns, rates: rates,
-		balancer: balance.New(s.Zone, conns, rates, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
+		balancer: balance.New(s.Zone, conns, rates, newRandom()),
 		limiter:  orglimit.New(time.Now()), meter: workload.New(), retries: retry.NewBudget(s.RetryRatio, s.RetrySlack),
 	}
 	h.role = newPlacementRole(h)
@@ -178,6 +178,8 @@
 	h.targetsRead.Store(true)
 }
 
+func newRandom() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
+
 // retainRates forgets the rates of targets that are not in the list.
 func (h *Host) retainRates(list []*registry.Target) {
 	known := make(map[string]bool, len(list))
--- a/lib/filter/relay/harness_test.go
+++ b/lib/filter/relay/harness_test.go
@@ -104,7 +104,7 @@
 
 // newHarnessWith is newHarness with a placement. The targets have no model loaded.
 func newHarnessWith(t *testing.T, scripts map[string]script, placement Placement) *harness {
-	rates := targetrate.New(time.Now())
+	rates := targetrate.New(time.Now(), rand.New(rand.NewPCG(2, 2)))
 	r := &harness{
 		t: t, ln: fasthttputil.NewInmemoryListener(), scripts: scripts,
 		balancer: balance.New("z", nil, rates, rand.New(rand.NewPCG(1, 1))), detector: quarantine.New(),
--- a/lib/filter/relay/pick.go
+++ b/lib/filter/relay/pick.go
@@ -42,8 +42,9 @@
 func (r *request) pick() (*balance.Choice, error) {
 	w := r.newWait(time.Now())
 	defer r.leavePacedQueue(&w)
-	for {
-		choice, err := r.cfg.Balancer.Pick(balance.Query{Service: r.service, Call: r.call, Tried: r.tried}, time.Now())
+	for first := !r.picked; ; first = false {
+		r.picked = true
+		choice, err := r.cfg.Balancer.Pick(balance.Query{Service: r.service, Call: r.call, Tried: r.tried, First: first}, time.Now())
 		if err == nil {
 			return choice, nil
 		}
--- a/lib/orglimit/orglimit.go
+++ b/lib/orglimit/orglimit.go
@@ -68,11 +68,13 @@
 	updated       time.Time             // when the tokens were last refilled
 	usage         Usage
 	demandUpdated time.Time // when usage.Demand was last decayed
+	coarse        coarseState
 }
 
 // Limiter enforces the limits at one host. It is safe for concurrent use.
 type Limiter struct {
 	started time.Time
+	coarse  *Coarse // nil: a charge is little beside what a host may spend
 
 	mu      sync.Mutex
 	hosts   int                // guarded by mu
@@ -170,7 +172,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	b, est := l.refill(o, now)
-	b.usage.Demand += float64(tokens) / demandTimeConstant.Seconds()
+	if l.coarse == nil {
+		b.usage.Demand += float64(tokens) / demandTimeConstant.Seconds()
+	}
 	// A charge may exceed what is available, because requests larger than the burst would never be admitted otherwise.
 	available := b.sharedTokens - est.unreportedTokens
 	decision := Decision{
@@ -180,20 +184,27 @@
 	switch {
 	case available > 0:
 		b.localTokens = max(0, b.localTokens-float64(tokens))
-	case b.mayUseShare():
+	case l.mayUseShare(b, est, now):
 		b.localTokens -= float64(tokens)
 	default:
 		decision.Admitted, decision.RetryAfter = false, l.retryAfter(o, b, est, available)
 		return decision
 	}
+	b.coarse.drawn = false
 	b.sharedTokens -= float64(tokens)
 	b.usage.Charged += float64(tokens)
 	return decision
 }
 
-// mayUseShare reports whether the host may spend of its own share of the rate.
-func (b *bucket) mayUseShare() bool {
-	return b.localTokens > 0 && b.sharedTokens > -b.limit.Rate*maxSharedDebt.Seconds()
+// mayUseShare reports whether the host may spend of its own share of the rate. The caller holds mu.
+func (l *Limiter) mayUseShare(b *bucket, est peerEstimate, now time.Time) bool {
+	if b.sharedTokens <= -b.limit.Rate*maxSharedDebt.Seconds() {
+		return false
+	}
+	if l.coarse != nil {
+		return l.wins(b, est, now)
+	}
+	return b.localTokens > 0
 }
 
 // Admits reports whether Charge would admit a charge, without charging.
@@ -201,7 +212,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	b, est := l.refill(o, now)
-	return b.sharedTokens > est.unreportedTokens || b.mayUseShare()
+	return b.sharedTokens > est.unreportedTokens || l.mayUseShare(b, est, now)
 }
 
 // Share returns the tokens a second that this host may spend when the shared bucket is empty.
@@ -250,6 +261,7 @@
 	}
 	b.limit = o
 	b.decayDemand(now)
+	l.noteDemand(b, est, now)
 	if dt := now.Sub(b.updated).Seconds(); dt > 0 {
 		b.sharedTokens += dt * o.Rate * est.reachableFraction
 		b.localTokens += dt * o.Rate * est.rateFraction
@@ -264,6 +276,8 @@
 
 // peerEstimate is what a host estimates of the other hosts' charges of an organisation.
 type peerEstimate struct {
+	reachable         int     // hosts that are reachable, including this one
+	demand            float64 // tokens a second, of all reachable hosts
 	reachableFraction float64 // fraction of the hosts that are reachable, including this one
 	rateFraction      float64 // fraction of the rate that this host may spend when the shared bucket is empty
 	unreportedTokens  float64 // tokens that peers have probably charged since their last reports
@@ -285,8 +299,9 @@
 		}
 	}
 	est := peerEstimate{
+		reachable: reachable, demand: localDemand + peerDemand,
 		reachableFraction: float64(reachable) / float64(max(l.hosts, reachable)),
-		unreportedTokens:  peerDemand * (l.period/2 + reportDelay).Seconds(),
+		unreportedTokens:  l.unreportedTokens(localDemand, peerDemand, reachable),
 	}
 	fraction := 1 / float64(reachable)
 	if localDemand+peerDemand > 0 {
--- a/lib/targetrate/targetrate.go
+++ b/lib/targetrate/targetrate.go
@@ -8,6 +8,7 @@
 
 import (
 	"maps"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -47,9 +48,11 @@
 	AgeMS int64   `json:"t"`
 }
 
-// New returns limits of a host that starts now and knows of none.
-func New(now time.Time) *Limits {
-	return &Limits{limiter: orglimit.New(now), stated: map[string]statement{}}
+// New returns limits of a host that starts now and knows of none. random need not be safe for concurrent use.
+func New(now time.Time, random *rand.Rand) *Limits {
+	return &Limits{
+		limiter: orglimit.NewCoarse(now, orglimit.Coarse{ChargeTokens: tokensPerRequest, Random: random.Float64}), stated: map[string]statement{},
+	}
 }
 
 // SetHosts sets the number of hosts, including this one, and the time between two reports of a host.
@@ -90,6 +93,13 @@
 	return l.stated[target].limit
 }
 
+// Wanted records that a request of this host could be sent to the target, whether it is available now or not.
+func (l *Limits) Wanted(target string, now time.Time) {
+	if limit := l.limit(target); limit != nil {
+		l.limiter.Want(limit, now)
+	}
+}
+
 // Available reports whether this host may send the target a request now.
 func (l *Limits) Available(target string, now time.Time) bool {
 	limit := l.limit(target)
