Requests for adapters cost the controller little

Callers saw 404 for routes that were three seconds old, and 503 for adapters for seconds after targets had crashed.

Cause: a request that waits for an adapter asked the controller every 0.15 s, and for each call the controller summed the demand of all hosts, sorted its targets and published its placement. With hundreds of calls a second that took the processor time of a small host: it read the new configuration 2.9 s late, its leaves found it silent, and it lost the placement lease.

Change: the demand of the latest plan is used; changes of adapters are published together within 50 ms; the time between two tries of a request doubles up to 0.6 s, while it looks at what is published.

--- a/lib/filter/relay/pick.go
+++ b/lib/filter/relay/pick.go
@@ -17,10 +17,12 @@
 	// while it waits for a model to be loaded, which takes seconds.
 	pickInterval     = 15 * time.Millisecond
 	loadPollInterval = 50 * time.Millisecond
-	// adapterLoadTimeout bounds one try to have an adapter loaded, and adapterRetryInterval is the time between two tries:
-	// a target that loads a model takes no other order meanwhile.
-	adapterLoadTimeout   = 400 * time.Millisecond
-	adapterRetryInterval = 150 * time.Millisecond
+	// adapterLoadTimeout bounds one try to have an adapter loaded. minAdapterRetryInterval is the time from a failed try to the
+	// next, as a target that loads a model takes no other order meanwhile. It doubles with each try, up to
+	// maxAdapterRetryInterval: many requests wait where targets are short, and all of them ask one controller.
+	adapterLoadTimeout      = 400 * time.Millisecond
+	minAdapterRetryInterval = 150 * time.Millisecond
+	maxAdapterRetryInterval = 600 * time.Millisecond
 	// loadRetryAfter is the Retry-After when no target has the model and nobody places models: another controller takes over
 	// within seconds.
 	loadRetryAfter = 1500 * time.Millisecond
@@ -31,10 +33,11 @@
 
 // wait is a request's wait for a target.
 type wait struct {
-	began       time.Time
-	latest      time.Time // a model or adapter that is loaded later is of no use to the request
-	nextAdapter time.Time // when to ask for the adapter again
-	paced       bool      // the request is in the queue for targets with limits
+	began                time.Time
+	latest               time.Time     // a model or adapter that is loaded later is of no use to the request
+	nextAdapter          time.Time     // when to ask for the adapter again
+	adapterRetryInterval time.Duration // between the last try to have the adapter loaded and the next
+	paced                bool          // the request is in the queue for targets with limits
 }
 
 // pick chooses a target. If there is none, the request waits: for a target to appear, or for its model or adapter to be
@@ -112,12 +115,13 @@
 // pauseForAdapter asks for the adapter to be loaded, again and again while the targets that have the model are busy.
 func (r *request) pauseForAdapter(w *wait, now time.Time) time.Duration {
 	if now.Before(w.nextAdapter) {
-		return pickInterval
+		return loadPollInterval
 	}
 	ctx, cancel := context.WithTimeout(r.ctx, adapterLoadTimeout)
 	defer cancel()
 	err := r.cfg.Placement.Ensure(ctx, r.service, r.call.Model, r.call.Adapter)
-	w.nextAdapter = time.Now().Add(adapterRetryInterval)
+	w.adapterRetryInterval = min(maxAdapterRetryInterval, max(minAdapterRetryInterval, 2*w.adapterRetryInterval))
+	w.nextAdapter = time.Now().Add(w.adapterRetryInterval)
 	if err == nil {
 		return 0
 	}
@@ -125,7 +129,7 @@
 	if r.cfg.Placement.Reaction() == 0 {
 		return -1
 	}
-	return adapterRetryInterval
+	return loadPollInterval
 }
 
 // modelRetryAfter returns the time after which a refused caller may find the model loaded.
--- a/lib/filter/relay/pick_test.go
+++ b/lib/filter/relay/pick_test.go
@@ -109,7 +109,8 @@
 	}
 }
 
-// Guards against refusing a request after one try to load its adapter while all targets of the model are busy with a load.
+// Guards against refusing a request after one try to load its adapter while all targets of the model are busy with a load, and
+// against requests that keep the controller busy with asking again.
 func TestAdapterIsAskedForAgainWhileTargetsAreBusy(t *testing.T) {
 	p := &fakePlacement{reaction: 300 * time.Millisecond, busy: 1500 * time.Millisecond}
 	callModel(t, p, "Adapter: a1\r\n", time.Nanosecond, func(a answer) {
@@ -125,5 +126,8 @@
 		if a.status != 503 || a.took > timeout*8/10 {
 			t.Errorf("%d after %v, want 503 before the answer would be late", a.status, a.took)
 		}
+		if p.asked > 10 {
+			t.Errorf("asked %d times in %v, at most every 600 ms once targets are known to be busy", p.asked, a.took)
+		}
 	})
 }
--- a/lib/placer/adapters.go
+++ b/lib/placer/adapters.go
@@ -92,12 +92,11 @@
 func (p *Placer) loadAdapter(ctx context.Context, service, model, adapter string) (string, error) {
 	var tried []*target
 	for ctx.Err() == nil {
-		demand := p.cfg.Demand().Adapters
 		p.mu.Lock()
 		var t *target
 		var victim adapterName
 		if s := p.engineService(service); s != nil {
-			t, victim = p.chooseAdapterTarget(s, model, demand, tried)
+			t, victim = p.chooseAdapterTarget(s, model, tried)
 		}
 		if t == nil {
 			p.mu.Unlock()
@@ -131,15 +130,15 @@
 
 // chooseAdapterTarget returns the cheapest target that has the model ready and is not among tried, and the adapter that
 // must be evicted there if it has no free slot. Without such a target it returns nil. The caller holds mu.
-func (p *Placer) chooseAdapterTarget(s *catalog.Service, model string, demand map[string]float64, tried []*target) (*target, adapterName) {
+func (p *Placer) chooseAdapterTarget(s *catalog.Service, model string, tried []*target) (*target, adapterName) {
 	if s.Engine.AdapterSlots <= 0 {
 		return nil, adapterName{}
 	}
 	var best *target
 	var victim adapterName
-	lowest := 0.0
-	for _, t := range p.orderableTargets(s) {
-		if !t.synced || t.busy || t.adapterOrderPending || !t.serves(model, "") || slices.Contains(tried, t) {
+	lowest, demand := 0.0, p.demand.Adapters
+	for _, t := range p.targets {
+		if !t.isOrderable(s) || !t.synced || t.busy || t.adapterOrderPending || !t.serves(model, "") || slices.Contains(tried, t) {
 			continue
 		}
 		cost, v := float64(t.adapterCount())*usedSlotCost, adapterName{}
@@ -147,7 +146,7 @@
 			v = t.leastRequestedAdapter(demand)
 			cost = evictionCost + demand[v.key()]
 		}
-		if best == nil || cost < lowest {
+		if best == nil || cost < lowest || cost == lowest && t.info.ID < best.info.ID {
 			best, victim, lowest = t, v, cost
 		}
 	}
@@ -174,7 +173,7 @@
 		p.mu.Lock()
 		t.adapterOrderPending = false
 		p.mu.Unlock()
-		p.cfg.Publish()
+		p.publishSoon()
 	}()
 	if victim.adapter != "" {
 		p.setAdapterLoaded(t, victim, false)
--- a/lib/placer/placer.go
+++ b/lib/placer/placer.go
@@ -28,6 +28,8 @@
 	// the controller's time: plans of a thousand targets take tens of milliseconds on a small host, which also serves requests.
 	planInterval    = 100 * time.Millisecond
 	planRestDivisor = 10
+	// publishDelay is the time in which changes of adapters are gathered to be published together: hosts ask for hundreds a second.
+	publishDelay = 50 * time.Millisecond
 	// maxLoadBurst is the maximum number of loads from the weight store that may start at once. The platform tolerates
 	// three loads above its rate in a window.
 	maxLoadBurst = 2
@@ -72,7 +74,9 @@
 	active       bool                          // guarded by mu
 	epoch        int64                         // guarded by mu; of the current or last term
 	planners     map[string]*residency.Planner // guarded by mu; by service
+	demand       Demand                        // guarded by mu; as of the latest plan; not changed
 	adapterLoads map[string]chan struct{}      // guarded by mu; closed when a load ends; by service/model/adapter
+	publishing   bool                          // guarded by mu; publishSoon will publish
 }
 
 // New returns a placer that does nothing until Run is called.
@@ -233,7 +237,7 @@
 func (p *Placer) beginTerm(epoch int64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.active, p.epoch = true, epoch
+	p.active, p.epoch, p.demand = true, epoch, Demand{}
 	p.planners = map[string]*residency.Planner{}
 	for _, t := range p.targets {
 		t.reset()
@@ -264,11 +268,28 @@
 	}
 }
 
+// publishSoon publishes after publishDelay, together with what changes until then.
+func (p *Placer) publishSoon() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.publishing {
+		return
+	}
+	p.publishing = true
+	time.AfterFunc(publishDelay, func() {
+		p.mu.Lock()
+		p.publishing = false
+		p.mu.Unlock()
+		p.cfg.Publish()
+	})
+}
+
 // planServices starts the loads, unloads and reads of reports that every service with engines needs now.
 func (p *Placer) planServices(ctx context.Context) {
 	demand, suspects := p.cfg.Demand(), p.cfg.Suspects()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.demand = demand
 	p.updateSuspects(suspects)
 	if p.catalog == nil {
 		return
@@ -298,7 +319,7 @@
 func (p *Placer) orderableTargets(s *catalog.Service) []*target {
 	var out []*target
 	for _, t := range p.targets {
-		if t.info.Service == s.Name && t.info.State == registry.Ready && !t.suspect {
+		if t.isOrderable(s) {
 			out = append(out, t)
 		}
 	}
--- a/lib/placer/placer_test.go
+++ b/lib/placer/placer_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -201,10 +202,12 @@
 // candidate is a host that campaigns for the placement lease.
 type candidate struct {
 	*Placer
-	mu     sync.Mutex
-	demand Demand
-	cancel context.CancelFunc
-	done   chan struct{}
+	mu        sync.Mutex
+	demand    Demand
+	demands   int          // calls of Demand
+	published atomic.Int64 // calls of Publish
+	cancel    context.CancelFunc
+	done      chan struct{}
 }
 
 func (h *candidate) setDemand(engineLoad map[string]float64, adapters map[string]float64) {
@@ -217,8 +220,13 @@
 	h := &candidate{done: make(chan struct{})}
 	h.Placer = New(Config{
 		Host: name, Lease: lease.New(store, "placement", name, leaseTTL), Client: client, LoadRateFactor: 1.1,
-		Demand:   func() Demand { h.mu.Lock(); defer h.mu.Unlock(); return h.demand },
-		Suspects: func() map[string]bool { return nil }, Publish: func() {},
+		Demand: func() Demand {
+			h.mu.Lock()
+			defer h.mu.Unlock()
+			h.demands++
+			return h.demand
+		},
+		Suspects: func() map[string]bool { return nil }, Publish: func() { h.published.Add(1) },
 		StateInterval: func() time.Duration { return 200 * time.Millisecond },
 		Log:           slog.New(slog.DiscardHandler), Metrics: metrics.NewSet(),
 	})
@@ -399,6 +407,36 @@
 	})
 }
 
+// Guards against a controller that spends its time on requests for adapters: for each of hundreds a second it summed the demand of all
+// hosts and published its placement, so that it lost its lease and got configurations late.
+func TestRequestsForAdaptersCostLittle(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		client := newFakeClient(t, "a", "b")
+		ctx, cancel := context.WithCancel(t.Context())
+		go client.refreshReports(ctx)
+		h := startCandidate(t, "h", memkv.New(), client, 2, "a", "b")
+		h.setDemand(map[string]float64{"m0": 100}, nil)
+		time.Sleep(10 * time.Second)
+		h.mu.Lock()
+		demands, published, began := h.demands, h.published.Load(), time.Now()
+		h.mu.Unlock()
+		for i := range 500 {
+			_, _ = h.Ensure(ctx, "s", "m0", fmt.Sprintf("a%d", i%12+1))
+			_, _ = h.Ensure(ctx, "s", "not loaded", "a1")
+		}
+		plans := int(time.Since(began)/planInterval) + 1
+		if n := h.demands - demands; n > plans {
+			t.Errorf("summed the demand %d times in %d plans", n, plans)
+		}
+		if n := h.published.Load() - published; n > int64(plans+int(time.Since(began)/publishDelay)) {
+			t.Errorf("published %d times in %v", n, time.Since(began))
+		}
+		h.cancel()
+		<-h.done
+		cancel()
+	})
+}
+
 // Guards against a controller that ends itself when a request asks for an adapter of a service without adapter slots.
 func TestAdapterWithoutSlotsIsRefused(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/lib/placer/target.go
+++ b/lib/placer/target.go
@@ -42,6 +42,11 @@
 	t.info = info
 }
 
+// isOrderable reports whether the target is of the service and may get orders.
+func (t *target) isOrderable(s *catalog.Service) bool {
+	return t.info.Service == s.Name && t.info.State == registry.Ready && !t.suspect
+}
+
 // addLoading adds a model that is being loaded.
 func (t *target) addLoading(model string, readyBy time.Time) {
 	t.models[model] = &loadedModel{adapters: map[string]bool{}, readyBy: readyBy}
