Limited targets get their rate when a model in demand is loaded there

With logs: forty requests of as many hosts in the second after a model was loaded at a target whose limit all of them knew.

Cause: what hosts know of the demand at a target is that for the models that it had. A model in demand brings all of its demand at once, and hosts hear of that after 0.9 s. A request that had waited for the model was not counted as wanted there at all.

Change: the chance of a draw also goes by what this host usually wants for the model (average over half a minute), times the hosts. A request is counted once at each limited target that it could be sent to, also if the target gets its model later.

--- a/lib/aggregate/targetrates_test.go
+++ b/lib/aggregate/targetrates_test.go
@@ -17,6 +17,8 @@
 	waiting map[*targetrate.Limits][]time.Time // by host: until when its requests wait
 	now     time.Time
 	random  *rand.Rand
+	// usualRate is what each host usually wants a second, of this target and of others.
+	usualRate float64
 }
 
 func newPacedFleet(groups, size int, seed uint64) *pacedFleet {
@@ -82,7 +84,7 @@
 			group := f.groups[f.random.IntN(len(f.groups))]
 			l := group[f.random.IntN(len(group))]
 			f.waiting[l] = append(f.waiting[l], f.now.Add(patience))
-			l.Wanted("t", f.now)
+			l.Want("t", f.usualRate, f.now)
 		}
 		sum := 0.0
 		for l, until := range f.waiting {
@@ -151,3 +153,22 @@
 		}
 	}
 }
+
+// Guards against a target that gets a request of each host at once when a model in demand is loaded there: what the hosts know of the
+// demand there is that for other models.
+func TestTargetWithANewModelGetsTheRateThatItStates(t *testing.T) {
+	const limit, hosts, demand = 1.0, 60, 60.0
+	window := 4 * time.Second
+	for seed := range uint64(5) {
+		f := newPacedFleet(15, 4, seed)
+		f.run(20*time.Second, limit, 0.5)
+		f.usualRate = demand / hosts
+		sum := 0.0
+		for _, x := range f.run(window, limit, demand) {
+			sum += x
+		}
+		if sum > 1.5*limit*window.Seconds()+5 {
+			t.Errorf("seed %d: %.0f requests in a window at a limit of %.1f a second", seed, sum, limit)
+		}
+	}
+}
--- a/lib/balance/balance.go
+++ b/lib/balance/balance.go
@@ -88,7 +88,11 @@
 	Service string
 	Call    *passthrough.Call
 	Tried   []string // ids of targets that must not be chosen again
-	First   bool     // the request is new; false if it waited for a target before, or was tried at one
+	// Wanted holds the targets with a limited rate that the request was counted at as wanted. Pick adds to it, so that a request
+	// which waits is counted once at each.
+	Wanted map[string]bool
+	// UsualRate is the requests a second for the model at this host, averaged over a longer time.
+	UsualRate float64
 }
 
 // Connections states how many connections a host may have to a target.
@@ -103,8 +107,9 @@
 
 // Rates keep the requests of all hosts to a target within the rate that it states.
 type Rates interface {
-	// Wanted records that a new request could be sent to the target, whether it is available now or not.
-	Wanted(target string, now time.Time)
+	// Want records that a request could be sent to the target, whether that is available now or not, and reports whether the target
+	// states a rate. usualRate is what this host usually wants of such requests a second, wherever it sends them.
+	Want(target string, usualRate float64, now time.Time) bool
 	// Available reports whether this host may send the target a request now.
 	Available(target string, now time.Time) bool
 	// HostRate returns the requests a second that this host may send to a target with a limit.
@@ -364,10 +369,7 @@
 			err = ErrBusy
 			continue
 		}
-		if b.rates != nil && q.First {
-			b.rates.Wanted(t.info.ID, now)
-		}
-		if b.rates != nil && !b.rates.Available(t.info.ID, now) {
+		if !b.mayTake(t, q, now) {
 			err = ErrPaced
 			pacedRate += b.rates.HostRate(t.info.ID, now)
 			continue
@@ -386,6 +388,17 @@
 	return nil, err
 }
 
+// mayTake reports whether this host may send the target a request within its rate.
+func (b *Balancer) mayTake(t *target, q Query, now time.Time) bool {
+	if b.rates == nil {
+		return true
+	}
+	if q.Wanted != nil && !q.Wanted[t.info.ID] && b.rates.Want(t.info.ID, q.UsualRate, now) {
+		q.Wanted[t.info.ID] = true
+	}
+	return b.rates.Available(t.info.ID, now)
+}
+
 // isFull reports whether all connections that this host may have to the target are in use.
 func (b *Balancer) isFull(t *target, now time.Time) bool {
 	if b.connections == nil {
--- a/lib/balance/balance_test.go
+++ b/lib/balance/balance_test.go
@@ -369,3 +369,31 @@
 		t.Error("picked t01, whose only connection is in use")
 	}
 }
+
+// wantedRates are rates of targets that take no request.
+type wantedRates map[string]int
+
+func (w wantedRates) Want(target string, _ float64, _ time.Time) bool { w[target]++; return true }
+func (w wantedRates) Available(string, time.Time) bool                { return false }
+func (w wantedRates) HostRate(string, time.Time) float64              { return 0 }
+func (w wantedRates) Take(string, time.Time)                          {}
+func (w wantedRates) Return(string)                                   {}
+
+// Guards against hosts that all send to a limited target at once when a model is loaded there that their requests wait for: none of
+// them has stated that it wants the target.
+func TestWaitingRequestIsCountedOnceAtEachLimitedTarget(t *testing.T) {
+	wanted := wantedRates{}
+	b := New("z", nil, wanted, rand.New(rand.NewPCG(1, 1)))
+	q := Query{Service: "llm", Call: &passthrough.Call{Model: "m"}, Wanted: map[string]bool{}}
+	now := time.Unix(1000, 0)
+	for i := range 6 {
+		target := &registry.Target{ID: "t", Service: "llm", State: registry.Ready, Slots: 4, Revision: int64(i)}
+		if i > 2 {
+			target.Models = []registry.ResidentModel{{Model: "m"}}
+		}
+		b.SetTargets([]*registry.Target{target})
+		if _, err := b.Pick(q, now); i > 2 && wanted["t"] != 1 || i <= 2 && wanted["t"] != 0 || err == nil {
+			t.Fatalf("look %d: counted %d times, %v", i, wanted["t"], err)
+		}
+	}
+}
--- a/lib/filter/relay/pick.go
+++ b/lib/filter/relay/pick.go
@@ -45,9 +45,12 @@
 func (r *request) pick() (*balance.Choice, error) {
 	w := r.newWait(time.Now())
 	defer r.leavePacedQueue(&w)
-	for first := !r.picked; ; first = false {
-		r.picked = true
-		choice, err := r.cfg.Balancer.Pick(balance.Query{Service: r.service, Call: r.call, Tried: r.tried, First: first}, time.Now())
+	q := balance.Query{
+		Service: r.service, Call: r.call, Wanted: map[string]bool{}, UsualRate: r.cfg.Demand.UsualRate(r.call.Model, time.Now()),
+	}
+	for {
+		q.Tried = r.tried
+		choice, err := r.cfg.Balancer.Pick(q, time.Now())
 		if err == nil {
 			return choice, nil
 		}
--- a/lib/filter/relay/relay.go
+++ b/lib/filter/relay/relay.go
@@ -123,7 +123,6 @@
 	service      string
 	state        attempt.State
 	tried        []string
-	picked       bool   // a target was looked for
 	failedAnswer *try   // latest 5xx answer; passed on unless a later attempt succeeds
 	lastEventID  string // id of the last event passed on
 }
--- a/lib/orglimit/coarse.go
+++ b/lib/orglimit/coarse.go
@@ -22,6 +22,7 @@
 type coarseState struct {
 	drawn      bool // a number was drawn and no charge made since
 	draw       float64
+	usual      float64   // tokens a second that this host usually wants, of the latest Want
 	knownSince time.Time // since when demand is known; zero: none is
 }
 
@@ -32,22 +33,25 @@
 	return l
 }
 
-// Want records that this host would make a charge, whether it makes one later or not, and draws for it.
-func (l *Limiter) Want(o *catalog.Organisation, now time.Time) {
+// Want records that this host would make a charge, whether it makes one later or not, and draws for it. usual is what the host usually
+// wants of such charges, in tokens a second, from whatever rates they are taken.
+func (l *Limiter) Want(o *catalog.Organisation, usual float64, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	b, _ := l.refill(o, now)
 	b.usage.Demand += l.coarse.ChargeTokens / demandTimeConstant.Seconds()
-	b.coarse.draw, b.coarse.drawn = l.coarse.Random(), true
+	b.coarse.draw, b.coarse.drawn, b.coarse.usual = l.coarse.Random(), true, usual
 }
 
 // wins reports whether the number that was drawn for the latest charge that this host wants is within the chance that it has. Until
-// the demand has been known for the time that reports take, the other hosts may want as much as this one. The caller holds mu.
+// the demand has been known for the time that reports take, the other hosts may want as much as this one. They may always want what is
+// usual here, as a model that has just been loaded brings its whole demand along. The caller holds mu.
 func (l *Limiter) wins(b *bucket, est peerEstimate, now time.Time) bool {
 	if !b.coarse.drawn {
 		return false
 	}
 	demand := est.demand - min(b.usage.Demand, l.coarse.ChargeTokens/demandTimeConstant.Seconds()) // beside this charge
+	demand = max(demand, float64(est.reachable)*b.coarse.usual)
 	if !l.isDemandKnown(b, now) {
 		demand = max(demand, float64(est.reachable)*b.usage.Demand)
 	}
--- a/lib/targetrate/targetrate.go
+++ b/lib/targetrate/targetrate.go
@@ -93,11 +93,14 @@
 	return l.stated[target].limit
 }
 
-// Wanted records that a request of this host could be sent to the target, whether it is available now or not.
-func (l *Limits) Wanted(target string, now time.Time) {
-	if limit := l.limit(target); limit != nil {
-		l.limiter.Want(limit, now)
+// Want records that a request of this host could be sent to the target, whether that is available now or not, and reports whether
+// the target states a rate. usualRate is what this host usually wants of such requests a second, wherever it sends them.
+func (l *Limits) Want(target string, usualRate float64, now time.Time) bool {
+	limit := l.limit(target)
+	if limit != nil {
+		l.limiter.Want(limit, usualRate*tokensPerRequest, now)
 	}
+	return limit != nil
 }
 
 // Available reports whether this host may send the target a request now.
--- a/lib/workload/workload.go
+++ b/lib/workload/workload.go
@@ -3,6 +3,7 @@
 package workload
 
 import (
+	"maps"
 	"math"
 	"sync"
 	"time"
@@ -13,6 +14,10 @@
 const (
 	// averageTimeConstant is the time constant of the averages; demand moves to other models over a few seconds.
 	averageTimeConstant = 1500 * time.Millisecond
+	// usualTimeConstant is the time constant of the usual rates of requests.
+	usualTimeConstant = 30 * time.Second
+	// minUsualRate is the usual rate below which it is dropped, in requests per second.
+	minUsualRate = 0.001
 	// minAverage is the value below which an average is dropped, in milliseconds or requests per second. A single request
 	// falls below it after a few time constants.
 	minAverage = 0.01
@@ -33,19 +38,20 @@
 
 // average is an exponentially decaying average of a rate per second.
 type average struct {
-	value   float64
-	updated time.Time
+	value        float64
+	updated      time.Time
+	timeConstant time.Duration
 }
 
 // add counts x at the time now.
 func (a *average) add(x float64, now time.Time) {
-	a.value = a.get(now) + x/averageTimeConstant.Seconds()
+	a.value = a.get(now) + x/a.timeConstant.Seconds()
 	a.updated = now
 }
 
 // get returns the average decayed until now.
 func (a *average) get(now time.Time) float64 {
-	return a.value * math.Exp(-float64(now.Sub(a.updated))/float64(averageTimeConstant))
+	return a.value * math.Exp(-float64(now.Sub(a.updated))/float64(a.timeConstant))
 }
 
 // Meter measures the demand at one host. It is safe for concurrent use.
@@ -53,28 +59,40 @@
 	mu         sync.Mutex
 	engineLoad map[string]*average // guarded by mu; milliseconds per second, by model
 	adapters   map[string]*average // guarded by mu; requests per second, by model/adapter
+	usual      map[string]*average // guarded by mu; requests per second over a longer time, by model
 }
 
 // New returns an empty meter.
 func New() *Meter {
-	return &Meter{engineLoad: map[string]*average{}, adapters: map[string]*average{}}
+	return &Meter{engineLoad: map[string]*average{}, adapters: map[string]*average{}, usual: map[string]*average{}}
 }
 
 // Add counts a request.
 func (m *Meter) Add(call *passthrough.Call, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	addTo(m.engineLoad, call.Model, CostMS(call), now)
+	addTo(m.engineLoad, call.Model, CostMS(call), averageTimeConstant, now)
+	addTo(m.usual, call.Model, 1, usualTimeConstant, now)
 	if call.Adapter != "" {
-		addTo(m.adapters, call.Model+"/"+call.Adapter, 1, now)
+		addTo(m.adapters, call.Model+"/"+call.Adapter, 1, averageTimeConstant, now)
 	}
 }
 
+// UsualRate returns the requests for a model per second, averaged over about half a minute.
+func (m *Meter) UsualRate(model string, now time.Time) float64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if a := m.usual[model]; a != nil {
+		return a.get(now)
+	}
+	return 0
+}
+
 // addTo adds x to the average of the key.
-func addTo(averages map[string]*average, key string, x float64, now time.Time) {
+func addTo(averages map[string]*average, key string, x float64, timeConstant time.Duration, now time.Time) {
 	a := averages[key]
 	if a == nil {
-		a = &average{updated: now}
+		a = &average{updated: now, timeConstant: timeConstant}
 		averages[key] = a
 	}
 	a.add(x, now)
@@ -84,6 +102,7 @@
 func (m *Meter) EngineLoad(now time.Time) map[string]float64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	maps.DeleteFunc(m.usual, func(_ string, a *average) bool { return a.get(now) < minUsualRate })
 	return currentValues(m.engineLoad, now)
 }
 
