--- a/lib/orglimit/orglimit.go
+++ b/lib/orglimit/orglimit.go
@@ -3,7 +3,8 @@
 //
 // The hosts report to each other what they have charged. Each host estimates the token bucket that all hosts share, and
 // admits requests as long as the estimate exceeds what its peers have probably charged since their last reports. When the
-// shared bucket is nearly empty, each host spends a fraction of the rate that depends on its fraction of the demand.
+// shared bucket is nearly empty, each host spends a fraction of the rate that depends on its fraction of the demand. Where one charge
+// is more than such a fraction, hosts draw which of them may make it; see Coarse.
 //
 // The package does no I/O, and takes the time as an argument.
 package orglimit
