A request that waits is answered before its host stops

A stopping host cuts what is open after stop_limit.

Change: on a stopping host the wait ends early enough for the request to be served before open requests are cut. It is refused then, truly not run, and its caller has time to go to another host.

TestRequestThatWaitsIsAnsweredBeforeItsHostStops failed before (an answer after 4.005 s where the host stops after 4 s) and passes now.

--- a/lib/entryhost/entryhost.go
+++ b/lib/entryhost/entryhost.go
@@ -105,6 +105,7 @@
 	catchingUp   atomic.Bool // a configuration is being read from a peer
 	targetsRead  atomic.Bool // a list of targets has been read
 	stopping     atomic.Bool
+	stopBy       atomic.Pointer[time.Time] // when open requests are cut; nil while the host is not stopping
 }
 
 // New returns a Host. It opens no connections before Run.
@@ -154,7 +155,7 @@
 func (h *Host) filters() pipeline.Handler {
 	handler := relay.New(relay.Config{
 		Protocol: h.cfg.Protocol, Client: h.connections.client, Balancer: h.balancer, Retries: h.retries,
-		Placement: h.role, Demand: h.meter, Rates: h.rates, Quarantine: h.quarantine.detector, Log: h.cfg.RequestLog, Metrics: h.cfg.Metrics,
+		Placement: h.role, Demand: h.meter, Rates: h.rates, Quarantine: h.quarantine.detector, StopBy: h.stopTime, Log: h.cfg.RequestLog, Metrics: h.cfg.Metrics,
 	})
 	handler = orgrate.New(handler, orgrate.Config{Limiter: h.limiter, Log: h.cfg.RequestLog})
 	handler = classify.New(handler, classify.Config{Protocol: h.cfg.Protocol, Catalog: h.catalog.Load})
@@ -377,10 +378,20 @@
 	}
 }
 
+// stopTime returns when open requests are cut, or zero while the host is not stopping.
+func (h *Host) stopTime() (by time.Time) {
+	if p := h.stopBy.Load(); p != nil {
+		by = *p
+	}
+	return by
+}
+
 // stop reports the host as not ready, waits StopDelay until load balancers send no new connections, and lets open
 // requests finish.
 func (h *Host) stop(ctx context.Context) error {
 	h.log.Info("stopping", "signal", "term")
+	by := time.Now().Add(h.cfg.Settings.StopLimit)
+	h.stopBy.Store(&by)
 	h.stopping.Store(true)
 	h.server.BeginStop()
 	time.Sleep(h.cfg.Settings.StopDelay)
--- a/lib/filter/relay/harness_test.go
+++ b/lib/filter/relay/harness_test.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -84,6 +85,7 @@
 	ln       *fasthttputil.InmemoryListener
 	balancer *balance.Balancer
 	detector *quarantine.Detector
+	stopBy   atomic.Pointer[time.Time] // when the host cuts open requests
 
 	mu       sync.Mutex
 	scripts  map[string]script // by address
@@ -131,6 +133,12 @@
 		Protocol: testProtocol{}, Client: forward.NewClient(forward.Config{Protocol: testProtocol{}, Dial: r.dial}), Balancer: r.balancer,
 		Retries: retry.NewBudget(0.2, 50), Placement: placement, Quarantine: r.detector, Rates: rates,
 		Demand: workload.New(), Log: log, Metrics: metrics.NewSet(), Random: func() float64 { return 0.5 },
+		StopBy: func() (by time.Time) {
+			if p := r.stopBy.Load(); p != nil {
+				by = *p
+			}
+			return by
+		},
 	})
 	h = classify.New(h, classify.Config{Protocol: testProtocol{}, Catalog: func() *catalog.Catalog { return c }})
 	s := pipeline.NewServer(pipeline.ServerConfig{
--- a/lib/filter/relay/pick_test.go
+++ b/lib/filter/relay/pick_test.go
@@ -109,6 +109,26 @@
 	}
 }
 
+// Guards against cutting off a request without an answer when its host stops while it waits for a model, and against refusing one whose
+// model comes in time nevertheless.
+func TestRequestThatWaitsIsAnsweredBeforeItsHostStops(t *testing.T) {
+	for ready, want := range map[time.Duration]int{2 * time.Second: 200, 4 * time.Second: 503} {
+		p := &fakePlacement{noticed: time.Nanosecond, expected: ready, reaction: 300 * time.Millisecond}
+		synctest.Test(t, func(t *testing.T) {
+			p.harness = newHarnessWith(t, map[string]script{"a": reply(200, "", "ok")}, p)
+			p.began = time.Now()
+			time.AfterFunc(ready, func() { p.load() })
+			time.AfterFunc(time.Second, func() {
+				by := p.began.Add(4 * time.Second)
+				p.harness.stopBy.Store(&by)
+			})
+			if a := p.harness.callWith("POST", "/unsafe/x", "1", "Model: m\r\n"); a.status != want || a.took >= 4*time.Second {
+				t.Errorf("model ready after %v: %d after %v, want %d before the host stops after 4 s", ready, a.status, a.took, want)
+			}
+		})
+	}
+}
+
 // Guards against refusing a request after one try to load its adapter while all targets of the model are busy with a load, and
 // against requests that keep the controller busy with asking again.
 func TestAdapterIsAskedForAgainWhileTargetsAreBusy(t *testing.T) {
--- a/lib/filter/relay/relay.go
+++ b/lib/filter/relay/relay.go
@@ -63,9 +63,11 @@
 	Rates     *targetrate.Limits // learns the rates that targets state; nil: they are ignored
 	// Quarantine learns which prompt segments crash targets; nil: a detector of its own.
 	Quarantine *quarantine.Detector
-	Log        *slog.Logger
-	Metrics    *metrics.Set
-	Random     func() float64 // uniform in [0, 1); nil: the default source
+	// StopBy returns when this host cuts open requests, or zero while it is not stopping; nil: never.
+	StopBy  func() time.Time
+	Log     *slog.Logger
+	Metrics *metrics.Set
+	Random  func() float64 // uniform in [0, 1); nil: the default source
 }
 
 type filter struct {
@@ -81,6 +83,9 @@
 	if cfg.Random == nil {
 		cfg.Random = rand.Float64
 	}
+	if cfg.StopBy == nil {
+		cfg.StopBy = func() time.Time { return time.Time{} }
+	}
 	if cfg.Quarantine == nil {
 		cfg.Quarantine = quarantine.New()
 	}
