A fake lease is read under its lock

The fake lease of the tests returned its epoch without the lock under which the goroutine that it had just started renews it, and looked at a second field without it. Both are read under the lock now. The test checks what it checked.

--- a/lib/controller/fakes_test.go
+++ b/lib/controller/fakes_test.go
@@ -222,26 +222,30 @@
 			return 0, nil, ctx.Err()
 		}
 	}
+	p.mu.Lock()
+	epoch := p.epoch
+	p.mu.Unlock()
 	lost := make(chan struct{})
 	p.env.wg.Go(func() {
 		defer close(lost)
 		for {
 			sleep(context.Background(), time.Second)
 			p.mu.Lock()
-			over := p.dead || time.Now().After(p.leaseValidUntil)
+			dead := p.dead
+			over := dead || time.Now().After(p.leaseValidUntil)
 			p.mu.Unlock()
 			if over {
 				p.env.mu.Lock()
 				skip := p.env.faults.skipLease
 				p.env.mu.Unlock()
-				if !skip || p.dead {
+				if !skip || dead {
 					return
 				}
 			}
 			l.renew(false)
 		}
 	})
-	return p.epoch, lost, nil
+	return epoch, lost, nil
 }
 
 func (l *procLease) Resign(context.Context) error {
