Segments that come with a deadly one are not suspected once that is in quarantine

Cause: of the crashes that a segment in quarantine explains, 32 were kept. Where nearly half of a kind is deadly, requests on their way crash more targets than that, and further crashes counted against what else was in their prompts; so did crashes that hosts report which do not know of the quarantine yet.

Change: a crash under a request with a segment in quarantine counts against none of its other segments. What a segment in quarantine explains is kept up to 1,024 crashes, also those of reports.

TestCompanionsOfAQuarantinedSegmentAreNotSuspected failed before (the companion was convicted with 28 crashes) and passes now.

--- a/lib/quarantine/quarantine.go
+++ b/lib/quarantine/quarantine.go
@@ -42,6 +42,8 @@
 	// maxSuspects bounds the suspected segments, and maxKeptCrashes the crashes kept of each.
 	maxSuspects    = 512
 	maxKeptCrashes = 32
+	// maxExplained bounds the crashes that a segment in quarantine is known to explain.
+	maxExplained = 1024
 	// maxReported bounds the suspicions in a report, those for which most speaks, and as many that were cleared. Reports go to
 	// several hosts three times a second. maxReportedCrashes bounds the crashes of each.
 	maxReported        = 8
@@ -169,9 +171,10 @@
 			blocked = true
 		}
 	}
-	if !blocked {
-		d.observe(outcomeOf(w.Answering), now)
+	if blocked {
+		return
 	}
+	d.observe(outcomeOf(w.Answering), now)
 	for i, id := range w.Segments {
 		d.suspect(key(id), i, w.incarnation(), c)
 	}
@@ -229,7 +232,7 @@
 
 func (e *entry) explain(target string, c crash) {
 	old, known := e.crashes[target]
-	if known && !old.answering || !known && len(e.crashes) < maxKeptCrashes {
+	if known && !old.answering || !known && len(e.crashes) < maxExplained {
 		e.crashes[target] = c
 	}
 }
--- a/lib/quarantine/quarantine_test.go
+++ b/lib/quarantine/quarantine_test.go
@@ -293,3 +293,20 @@
 		t.Errorf("after four crashes of two targets: %v", verdicts)
 	}
 }
+
+// Guards against refusing sound requests that share a segment with deadly ones: those that were on their way when the deadly segment went
+// into quarantine go on crashing targets.
+func TestCompanionsOfAQuarantinedSegmentAreNotSuspected(t *testing.T) {
+	d, now := New(), time.Unix(1000, 0)
+	d.Restore([]string{"deadly"}, now)
+	for i := range 60 {
+		target := fmt.Sprint("t", i)
+		d.Crashed(Waiting{
+			Segments: []string{"companion", "deadly"}, Target: target, Addr: target, SentAt: now, Answering: true,
+		}, now.Add(10*time.Millisecond), now.Add(10*time.Millisecond))
+		now = now.Add(20 * time.Millisecond)
+	}
+	if verdicts := d.Judge(now.Add(time.Second), time.Second); len(verdicts) > 0 {
+		t.Errorf("%v", verdicts)
+	}
+}
--- a/lib/quarantine/report.go
+++ b/lib/quarantine/report.go
@@ -128,6 +128,13 @@
 	return targets[:min(len(targets), maxReportedCrashes)]
 }
 
+// known returns the crash as this host keeps it from now on.
+func (c *Crash) known(now time.Time) crash {
+	return crash{
+		addr: c.Addr, sentAt: now.Add(-milliseconds(c.SentMS)), at: now.Add(-milliseconds(c.AgeMS)), knownAt: now, answering: c.Answering,
+	}
+}
+
 // Merge adds the report of another host. It returns the segments that are newly in quarantine by it.
 func (d *Detector) Merge(r Report, now time.Time) (quarantined []string) {
 	d.mu.Lock()
@@ -140,12 +147,16 @@
 			d.quarantine(id, since)
 		}
 	}
+	for id, s := range r.Suspects {
+		if e := d.quarantined[id]; e != nil { // the other host does not know yet, and suspects what comes in the same requests too
+			for target, c := range s.Crashes {
+				e.explain(target, c.known(now))
+			}
+		}
+	}
 	for id, s := range r.Suspects {
 		for target, c := range s.Crashes {
-			d.suspect(id, s.Position, target, crash{
-				addr: c.Addr, sentAt: now.Add(-milliseconds(c.SentMS)), at: now.Add(-milliseconds(c.AgeMS)), knownAt: now,
-				answering: c.Answering,
-			})
+			d.suspect(id, s.Position, target, c.known(now))
 		}
 		if own := d.suspects[id]; own != nil {
 			own.shared = true
