Versions and lease ids of the store tell its era

A store that comes back from an older copy gives out its revisions and lease ids again. No code read the header Store-Era, so a watch went on from a revision that another change had by then, and a lease of before was renewed, or ended, under the id of somebody else's lease.

A kv.Version holds it above the revision, so that versions rise across a restoration, and a kv.LeaseID is a handle that holds it too: the store's own ids use more bits than are left.

--- a/lib/kv/feed.go
+++ b/lib/kv/feed.go
@@ -6,7 +6,8 @@
 	"time"
 )
 
-// ErrCompacted is returned by Feed.Changes when the service no longer has the changes after the given revision.
+// ErrCompacted is returned by Feed.Changes when the service no longer has the changes after the given revision, also because
+// it was restored since.
 var ErrCompacted = errors.New("kv: history no longer available; take a new snapshot")
 
 // Snapshot holds all entries under a prefix. It may already contain some changes made after Revision.
--- a/lib/kv/kv.go
+++ b/lib/kv/kv.go
@@ -12,9 +12,45 @@
 // does not exist.
 type Version int64
 
-// LeaseID identifies a lease; zero means no lease.
+// LeaseID identifies a lease and is never reused; zero means no lease.
 type LeaseID int64
 
+// Era counts the restorations of a service from older copies of its data. A restored service gives out again the revisions and
+// lease ids that it has given out since the copy, so a Version and a LeaseID also tell the era in which they were read. Zero is
+// the era of a service that states none.
+type Era int64
+
+// History is what a client knows of the eras of a service.
+type History struct {
+	Era      Era           // the newest that an answer has stated
+	Since    time.Duration // when the first such answer arrived, by the client's clock
+	Restored bool          // an earlier answer stated another era
+}
+
+const (
+	// eraShift leaves 40 bits for the revisions of one era: over 300 years at 100 writes a second.
+	eraShift = 40
+	// MaxEra is the highest era that versions can state.
+	MaxEra Era = 1<<(63-eraShift) - 1
+	// MaxRevision is the highest revision that they can state.
+	MaxRevision = 1<<eraShift - 1
+)
+
+// NewVersion returns the version of a key that had a revision of the service, above zero, when it was read in an era.
+func NewVersion(e Era, revision int64) Version { return Version(int64(e)<<eraShift | revision) }
+
+// Era returns the era in which the version was read.
+func (v Version) Era() Era { return Era(v >> eraShift) }
+
+// Revision returns the revision of the service in the version's era.
+func (v Version) Revision() int64 { return int64(v) & MaxRevision }
+
+// NewLeaseID returns the id of the n-th lease that a client was granted in an era.
+func NewLeaseID(e Era, n int64) LeaseID { return LeaseID(NewVersion(e, n)) }
+
+// Era returns the era in which the lease was granted.
+func (id LeaseID) Era() Era { return Version(id).Era() }
+
 // MaxValueBytes is the largest size of a value that the service stores.
 const MaxValueBytes = 1 << 20
 
--- a/lib/kv/memkv/memkv.go
+++ b/lib/kv/memkv/memkv.go
@@ -47,11 +47,15 @@
 	mu       sync.Mutex
 	injector Injector   // guarded by mu
 	calls    map[Op]int // guarded by mu
+	history  kv.History // guarded by mu; by the time since started
+	answered bool       // guarded by mu
+	started  time.Time
 }
 
 // data is what the service stores. All clients share it.
 type data struct {
 	mu        sync.Mutex
+	era       kv.Era                   // guarded by mu
 	version   kv.Version               // guarded by mu; newest version of any key
 	entries   map[string]entry         // guarded by mu
 	leases    map[kv.LeaseID]*lease    // guarded by mu
@@ -77,7 +81,7 @@
 	})
 }
 
-func newClient(d *data) *Store { return &Store{d: d, calls: map[Op]int{}} }
+func newClient(d *data) *Store { return &Store{d: d, calls: map[Op]int{}, started: time.Now()} }
 
 // Client returns another store with the same content and with faults and call counts of its own. It can stand for a
 // host that is cut off while others are not.
@@ -100,6 +104,76 @@
 	return s.calls[op]
 }
 
+// History returns what this client knows of the eras. Its clock is the time since the client was made.
+func (s *Store) History() kv.History {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.history
+}
+
+// Clock returns the time since the client was made.
+func (s *Store) Clock() time.Duration { return time.Since(s.started) }
+
+// recordEra records that an answer stated an era.
+func (s *Store) recordEra(era kv.Era) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.answered || era > s.history.Era {
+		s.history = kv.History{Era: era, Since: s.Clock(), Restored: s.answered}
+	}
+	s.answered = true
+}
+
+// Backup is a copy of what a service stores.
+type Backup struct{ d *data }
+
+// Backup returns a copy of what the service stores now.
+func (s *Store) Backup() Backup {
+	d := s.d
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	c := &data{version: d.version, entries: maps.Clone(d.entries), leases: map[kv.LeaseID]*lease{}, lastLease: d.lastLease}
+	for id, l := range d.leases {
+		c.leases[id] = &lease{ttl: l.ttl}
+	}
+	return Backup{c}
+}
+
+// Restore replaces what the service stores by a copy and begins a new era, which its answers state unless silent is set. The
+// service gives out again the revisions and lease ids that it has given out since the copy. Leases of the copy run for their
+// whole time to live.
+func (s *Store) Restore(b Backup, silent bool) {
+	d := s.d
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, l := range d.leases {
+		l.timer.Stop()
+	}
+	if !silent {
+		d.era++
+	}
+	revision := b.d.version.Revision()
+	d.version, d.lastLease = kv.NewVersion(d.era, revision), leaseIn(d.era, b.d.lastLease)
+	d.leases, d.entries = map[kv.LeaseID]*lease{}, map[string]entry{}
+	for id, l := range b.d.leases {
+		id = leaseIn(d.era, id)
+		d.leases[id] = &lease{ttl: l.ttl, timer: time.AfterFunc(l.ttl, func() { d.expire(id) })}
+	}
+	for key, e := range b.d.entries {
+		e.version = kv.NewVersion(d.era, e.version.Revision())
+		if e.lease != 0 {
+			e.lease = leaseIn(d.era, e.lease)
+		}
+		d.entries[key] = e
+	}
+	for key := range d.changed {
+		d.notify(key)
+	}
+}
+
+// leaseIn returns the id that a lease of a copy has in an era.
+func leaseIn(e kv.Era, id kv.LeaseID) kv.LeaseID { return kv.NewLeaseID(e, kv.Version(id).Revision()) }
+
 // Get implements kv.Store.
 func (s *Store) Get(ctx context.Context, key string) (kv.Entry, error) {
 	d := s.d
@@ -294,6 +368,9 @@
 		s.d.mu.Lock()
 		defer s.d.mu.Unlock()
 		v, err := effect()
+		if !f.LoseAnswer {
+			s.recordEra(s.d.era)
+		}
 		return result[T]{v, err}
 	}
 	var r result[T]
