Terms of the placement lease do not meet after the store was restored

Cause: the restored store has lost the lease and the epoch of a term. It grants the lease at once, while the holder of the lost term relies on it for up to 2.7 s, and the next holder counts the same epoch again.

Epochs of an era begin above all epochs of earlier ones. The first candidate of an era waits until a time to live has passed since its process saw the era; the store was restored before that, and no lost lease is renewed after it.

--- a/lib/entryhost/entryhost.go
+++ b/lib/entryhost/entryhost.go
@@ -71,6 +71,8 @@
 type Store interface {
 	kv.Store
 	kv.Feed
+	// History returns what the store's answers have stated of its eras, by the boot clock.
+	History() kv.History
 }
 
 // Config holds the settings and dependencies of a Host.
@@ -127,7 +129,7 @@
 		Demand: h.role.totalDemand, Suspects: h.role.agreedSuspects,
 		StateInterval: func() time.Duration { return h.peers.Fleet().Interval }, Publish: h.role.publish,
 		Lease: lease.NewWithOptions(cfg.Store, leasePrefix, s.Host, s.Placement.Lease,
-			lease.Options{Wait: leaseWait, Clock: bootclock.Now}),
+			lease.Options{Wait: leaseWait, Clock: bootclock.Now, History: cfg.Store.History}),
 		Log: cfg.Log, Metrics: cfg.Metrics,
 	})
 	h.peers = peers.New(peers.Config{Host: s.Host, Zone: s.Zone, Addr: s.Peers, LinkMbps: s.LinkMbps}, peers.Handlers{
--- a/lib/lease/campaign.go
+++ b/lib/lease/campaign.go
@@ -24,6 +24,8 @@
 	renewalsPerTTL = 3
 	// unknownVersion differs from every version of a key.
 	unknownVersion kv.Version = -1
+	// epochsPerEra is the number of epochs that each era of the service has for itself.
+	epochsPerEra = 1 << 20
 	// safetyMarginDivisor sets the safety margin, the last part of the time to live in which the holder no longer relies on
 	// the lease: a tenth. It allows for clocks that run at different speeds here and in the key-value service.
 	safetyMarginDivisor = 10
@@ -35,8 +37,11 @@
 // errExpired is the error of an attempt whose granted lease expired before the term began.
 var errExpired = errors.New("lease: expired before the epoch was incremented; campaigning again")
 
+// errRestored is the error of an attempt during which the service was restored from an older copy.
+var errRestored = errors.New("lease: the service was restored meanwhile; campaigning again")
+
 // Lease is a lease on the key <prefix>/lease, with its epoch in <prefix>/epoch. Each term has a higher epoch than all
-// earlier terms. It is safe for concurrent use.
+// earlier terms, also of those that a restored service has lost. It is safe for concurrent use.
 type Lease struct {
 	store  kv.Store
 	prefix string
@@ -72,6 +77,8 @@
 	// Clock is the monotonic clock that measures validity; nil: the monotonic clock of the process, which stops while the
 	// machine is suspended.
 	Clock func() time.Duration
+	// History returns what this process knows of the service's eras, by Clock; nil: the service is never restored.
+	History func() kv.History
 }
 
 // New returns a lease that is not held, with the default options. holder is written into the lease key for operators. The
@@ -89,6 +96,9 @@
 		start := time.Now()
 		opts.Clock = func() time.Duration { return time.Since(start) }
 	}
+	if opts.History == nil {
+		opts.History = func() kv.History { return kv.History{} }
+	}
 	return &Lease{store: store, prefix: prefix, holder: holder, ttl: ttl, opts: opts}
 }
 
@@ -165,10 +175,16 @@
 	if err := l.waitUntilFree(ctx); err != nil {
 		return nil, err
 	}
+	era, err := l.waitOutEarlierEra(ctx)
+	if err != nil {
+		return nil, err
+	}
 	var id kv.LeaseID
 	sent := l.opts.Clock()
-	err := l.call(ctx, func(ctx context.Context) (err error) {
-		id, err = l.store.Grant(ctx, l.ttl)
+	err = l.call(ctx, func(ctx context.Context) (err error) {
+		if id, err = l.store.Grant(ctx, l.ttl); err == nil && id.Era() != era {
+			err = errRestored
+		}
 		return err
 	})
 	if err != nil {
@@ -198,17 +214,23 @@
 func (l *Lease) writeLease(ctx context.Context, id kv.LeaseID, validUntil time.Duration) (int64, error) {
 	value := []byte(l.holder + " " + uuid.NewString())
 	err := l.call(ctx, func(ctx context.Context) error {
-		_, err := l.store.Put(ctx, l.prefix+"/lease", value, 0, id)
+		version, err := l.store.Put(ctx, l.prefix+"/lease", value, 0, id)
+		if err == nil && version.Era() != id.Era() {
+			err = errRestored
+		}
 		return err
 	})
 	if err != nil {
 		return 0, err
 	}
 	for l.opts.Clock() < validUntil {
-		epoch, err := l.incrementEpoch(ctx)
+		epoch, err := l.incrementEpoch(ctx, id.Era())
 		if err == nil && l.opts.Clock() < validUntil {
 			return epoch, nil
 		}
+		if errors.Is(err, errRestored) {
+			return 0, err
+		}
 		if err := sleep(ctx, retryDelay); err != nil {
 			return 0, err
 		}
@@ -216,30 +238,72 @@
 	return 0, errExpired
 }
 
-// incrementEpoch increments the stored epoch by one and returns it. If the outcome is unknown, the caller calls it again,
-// which may skip an epoch. The compare-and-swap of a candidate that was paused until after the next holder's term began
-// fails, because that holder has incremented the epoch.
-func (l *Lease) incrementEpoch(ctx context.Context) (int64, error) {
-	key := l.prefix + "/epoch"
-	var old kv.Entry
-	err := l.call(ctx, func(ctx context.Context) (err error) {
-		old, err = l.store.Get(ctx, key)
-		return err
-	})
-	if err != nil && !errors.Is(err, kv.ErrNotFound) {
+// incrementEpoch increases the stored epoch in an era of the service and returns it. If the outcome is unknown, the caller
+// calls it again, which may skip an epoch. The compare-and-swap of a candidate that was paused until after the next holder's
+// term began fails, because that holder has increased the epoch.
+func (l *Lease) incrementEpoch(ctx context.Context, era kv.Era) (int64, error) {
+	old, version, err := l.readEpoch(ctx)
+	if err != nil {
 		return 0, err
 	}
-	var epoch int64
-	if old.Version != 0 {
-		if epoch, err = strconv.ParseInt(string(old.Value), 10, 64); err != nil {
-			return 0, eris.Wrapf(err, "lease: key %s does not hold an epoch; write a number above all epochs used", key)
-		}
-	}
-	epoch++
+	epoch := l.nextEpoch(old, version, era)
 	return epoch, l.call(ctx, func(ctx context.Context) error {
-		_, err := l.store.Put(ctx, key, strconv.AppendInt(nil, epoch, 10), old.Version, 0)
+		written, err := l.store.Put(ctx, l.prefix+"/epoch", strconv.AppendInt(nil, epoch, 10), version, 0)
+		if err == nil && written.Era() != era {
+			err = errRestored
+		}
+		return err
+	})
+}
+
+// readEpoch returns the stored epoch and its version; both are zero before the first term.
+func (l *Lease) readEpoch(ctx context.Context) (epoch int64, version kv.Version, err error) {
+	key := l.prefix + "/epoch"
+	var e kv.Entry
+	err = l.call(ctx, func(ctx context.Context) (err error) {
+		e, err = l.store.Get(ctx, key)
 		return err
 	})
+	if errors.Is(err, kv.ErrNotFound) {
+		return 0, 0, nil
+	}
+	if err != nil {
+		return 0, 0, err
+	}
+	if epoch, err = strconv.ParseInt(string(e.Value), 10, 64); err != nil {
+		err = eris.Wrapf(err, "lease: key %s does not hold an epoch; write a number above all epochs used", key)
+	}
+	return epoch, e.Version, err
+}
+
+// firstTermNumber is the number, within its era, of the epoch of the first term ever.
+const firstTermNumber = 1
+
+// nextEpoch returns the epoch of a term that begins in an era, after the stored one. The epochs of an era are above all that a
+// restored service may have lost. firstTermNumber is left out if there may have been such epochs.
+func (l *Lease) nextEpoch(stored int64, version kv.Version, era kv.Era) int64 {
+	first := int64(era)*epochsPerEra + firstTermNumber
+	if version != 0 || l.opts.History().Restored {
+		first++
+	}
+	return max(stored+1, first)
+}
+
+// IsFirstTerm reports whether the epoch is that of the first term ever.
+func IsFirstTerm(epoch int64) bool { return epoch%epochsPerEra == firstTermNumber }
+
+// waitOutEarlierEra waits until the terms of earlier eras have ended, and returns the era. A restored service grants the lease
+// again although a term that it has lost may last for up to a time to live.
+func (l *Lease) waitOutEarlierEra(ctx context.Context) (kv.Era, error) {
+	h := l.opts.History()
+	if h.Era == 0 {
+		return 0, nil
+	}
+	epoch, _, err := l.readEpoch(ctx)
+	if err != nil || epoch >= int64(h.Era)*epochsPerEra {
+		return h.Era, err
+	}
+	return h.Era, sleep(ctx, h.Since+l.ttl-l.opts.Clock())
 }
 
 // waitUntilFree waits until nobody holds the lease.
--- a/lib/lease/campaign_test.go
+++ b/lib/lease/campaign_test.go
@@ -86,20 +86,30 @@
 	},
 }
 
+// faults are faults of candidates and of the store in runCandidates.
+type faults struct {
+	countFromAnswer bool
+	restores        bool // the store is restored from copies of up to 9 s ago
+	silentEras      bool // the store does not state its eras
+}
+
 // runCandidates lets candidates campaign, pause and resign for 100 s. It returns the history of Held, the number of terms
 // and the number of instants with more than one holder.
-func runCandidates(seed uint64, countFromAnswer bool) (history []porcupine.Operation, epochs, overlaps int) {
+func runCandidates(seed uint64, f faults) (history []porcupine.Operation, epochs, overlaps int) {
 	const candidates = 3
 	store := memkv.New()
-	store.SetInjector(newFaultInjector(seed))
+	var backups []memkv.Backup // one each second
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	r := rand.New(rand.NewPCG(seed, 3))
 	leases, resume := make([]*Lease, candidates), make([]atomic.Int64, candidates)
 	ended := make(chan struct{}, candidates)
 	for i := range leases {
-		leases[i] = New(pausableStore{store, &resume[i]}, "cell/a", fmt.Sprint(i), ttl)
-		leases[i].countFromAnswer = countFromAnswer
+		client := store.Client()
+		client.SetInjector(newFaultInjector(seed + uint64(i)))
+		leases[i] = NewWithOptions(pausableStore{client, &resume[i]}, "cell/a", fmt.Sprint(i), ttl,
+			Options{Clock: client.Clock, History: client.History})
+		leases[i].countFromAnswer = f.countFromAnswer
 		go func() {
 			defer func() { ended <- struct{}{} }()
 			for ctx.Err() == nil {
@@ -113,9 +123,14 @@
 		}()
 	}
 	seen := map[int64]bool{}
-	for range 2000 {
+	for step := range 2000 {
 		time.Sleep(50 * time.Millisecond)
 		synctest.Wait()
+		if f.restores && step%20 == 0 {
+			if backups = append(backups, store.Backup()); r.IntN(10) == 0 {
+				store.Restore(backups[max(0, len(backups)-1-r.IntN(10))], f.silentEras)
+			}
+		}
 		held := 0
 		for i, l := range leases {
 			epoch, ok := l.Held()
@@ -152,12 +167,19 @@
 
 // Guards against two holders at one instant, and against a holder whose lease is still valid after a later term has begun.
 // Holders are paused, and the store loses answers and fails.
-func TestAtMostOneHolder(t *testing.T) {
+func TestAtMostOneHolder(t *testing.T) { checkAtMostOneHolder(t, faults{}) }
+
+// Guards against two holders, or one epoch given twice, when a restored store has lost a lease and its epoch.
+func TestAtMostOneHolderOfARestoredStore(t *testing.T) {
+	checkAtMostOneHolder(t, faults{restores: true})
+}
+
+func checkAtMostOneHolder(t *testing.T, f faults) {
 	rapid.Check(t, func(rt *rapid.T) {
 		seed := rapid.Uint64Range(0, 1<<20).Draw(rt, "seed")
 		var history []porcupine.Operation
 		var epochs, overlaps int
-		synctest.Test(t, func(*testing.T) { history, epochs, overlaps = runCandidates(seed, false) })
+		synctest.Test(t, func(*testing.T) { history, epochs, overlaps = runCandidates(seed, f) })
 		ordered := porcupine.CheckOperations(termModel, history)
 		if overlaps > 0 || epochs < 2 || !ordered {
 			rt.Fatalf("%d instants with two holders, %d terms, epochs in order: %v", overlaps, epochs, ordered)
@@ -167,10 +189,19 @@
 
 // Negative control: validity counted from the answer must show as two holders or as epochs out of order.
 func TestAtMostOneHolderDetectsValidityFromAnswer(t *testing.T) {
+	detectFault(t, faults{countFromAnswer: true})
+}
+
+// Negative control: so must a restored store that does not state its era.
+func TestAtMostOneHolderDetectsRestoration(t *testing.T) {
+	detectFault(t, faults{restores: true, silentEras: true})
+}
+
+func detectFault(t *testing.T, f faults) {
 	for seed := range uint64(200) {
 		caught := false
 		synctest.Test(t, func(*testing.T) {
-			history, _, overlaps := runCandidates(seed, true)
+			history, _, overlaps := runCandidates(seed, f)
 			caught = overlaps > 0 || !porcupine.CheckOperations(termModel, history)
 		})
 		if caught {
@@ -178,7 +209,7 @@
 			return
 		}
 	}
-	t.Fatal("no overlap of holders was found although validity counted from the answer")
+	t.Fatal("no overlap of holders was found in spite of the fault")
 }
 
 // Guards against a candidate that waits for Options.Wait although the lease is free.
--- a/lib/placer/placer.go
+++ b/lib/placer/placer.go
@@ -36,9 +36,6 @@
 	// loadRateFraction is the fraction of the tolerated load rate that the planner uses. The remainder allows for orders
 	// that are executed late and close together.
 	loadRateFraction = 0.93
-	// firstEpoch is the epoch of the first term ever. Only in that term may a burst of loads start at once, because no
-	// earlier controller can have started loads shortly before.
-	firstEpoch = 1
 	// unknownModelMB is the memory that a loaded model is assumed to take if it is not in the configuration.
 	unknownModelMB = 80000
 )
@@ -337,7 +334,8 @@
 	now := time.Now()
 	planner := p.planners[s.Name]
 	if planner == nil {
-		planner = residency.NewPlanner(0, maxLoadBurst, p.epoch == firstEpoch, now)
+		// Only in the first term may a burst of loads start at once: no earlier controller can have started loads shortly before.
+		planner = residency.NewPlanner(0, maxLoadBurst, lease.IsFirstTerm(p.epoch), now)
 		p.planners[s.Name] = planner
 	}
 	planner.SetRate(s.Engine.LoadsPerSecond * p.cfg.LoadRateFactor * loadRateFraction)
