What a restored store has lost is read again, what has left stays away

After the store came back from an older copy its revisions were lower than those of the entries and tombstones that a host knew. A target removed then stayed in use, one that wrote its entry again was not used, and a departure announced by a peer was ignored, until the revisions had caught up.

With eras in the versions the revisions rise, but the entries of the copy are new ones too. So a tombstone and a departure also name the number of the target's last entry: an entry restores the target only if its number is higher. Entries of the copy count as that last one. Missing entries have the same time to return as after an outage.

TestRestoredStoreIsReadAgain fails if the store does not state its era: a target that the store has lost stays in use for ever.

--- a/lib/registry/registry.go
+++ b/lib/registry/registry.go
@@ -67,18 +67,24 @@
 type Departure struct {
 	ID      string `json:"i"`
 	Started int64  `json:"s"`
+	Beat    int64  `json:"b,omitempty"` // of the last entry that the reporting host knew
 	Removed bool   `json:"g,omitempty"` // its entry was removed; otherwise the target drains
 
 	Revision int64 `json:"r"` // store revision at or after the change
 }
 
-// ApplyDeparture applies a departure that another host has seen. A target that has restarted since is left unchanged.
+// ApplyDeparture applies a departure that another host has seen. A target that has restarted since, or written an entry after
+// its removal, is left unchanged.
 func (t *Table) ApplyDeparture(d Departure, now time.Time) (changed bool) {
 	old := t.targets[d.ID]
-	if old == nil || old.Started != d.Started || d.Revision < old.Revision {
+	if old == nil || old.Started != d.Started {
 		return false
 	}
 	if d.Removed {
+		// An entry of a restored store has a later revision than the removal that the store has lost.
+		if d.Revision < old.Revision && d.Beat < old.Beat {
+			return false
+		}
 		t.drop(d.ID, d.Revision, now)
 		return true
 	}
@@ -117,9 +123,16 @@
 // tombstone marks a dropped target, so that an entry written before the drop does not restore it.
 type tombstone struct {
 	revision int64     // store revision; older entries do not restore the target
+	started  int64     // the incarnation that was dropped
+	beat     int64     // of its last known entry, which a restored store may show with a later revision
 	at       time.Time // when the target was dropped
 }
 
+// excludes reports whether the target's entry was written before the drop.
+func (s tombstone) excludes(t *Target) bool {
+	return t.Revision < s.revision || t.Started < s.started || t.Started == s.started && t.Beat <= s.beat
+}
+
 // tombstoneTTL is how long a tombstone is kept. Hosts announce a change to each other for three seconds, and may be
 // suspended meanwhile.
 const tombstoneTTL = 30 * time.Second
@@ -147,7 +160,10 @@
 		t.drop(u.ID, u.Revision, now)
 		return true
 	}
-	if !u.Target.Supersedes(old) || u.Target.Revision < t.tombstones[u.ID].revision {
+	if !u.Target.Supersedes(old) {
+		return false
+	}
+	if stone, dropped := t.tombstones[u.ID]; dropped && stone.excludes(u.Target) {
 		return false
 	}
 	delete(t.missing, u.ID)
@@ -157,9 +173,25 @@
 
 // drop removes a target. Entries written before the revision do not restore it.
 func (t *Table) drop(id string, revision int64, now time.Time) {
+	stone := tombstone{revision: max(t.tombstones[id].revision, revision), at: now}
+	if old := t.targets[id]; old != nil {
+		stone.started, stone.beat = old.Started, old.Beat
+	}
 	delete(t.targets, id)
 	delete(t.missing, id)
-	t.tombstones[id] = tombstone{max(t.tombstones[id].revision, revision), now}
+	t.tombstones[id] = stone
+}
+
+// Restored takes the entries that a restored store shows of dropped incarnations for ones written before the drop: it may have
+// lost their removal. A target that still writes is back with its next entry.
+func (t *Table) Restored(entries []Update) {
+	for _, u := range entries {
+		stone, dropped := t.tombstones[u.ID]
+		if dropped && u.Target != nil && u.Target.Started == stone.started {
+			stone.beat = max(stone.beat, u.Target.Beat)
+			t.tombstones[u.ID] = stone
+		}
+	}
 }
 
 // Missing returns a removal for each target in the table that a full read, as of a revision, does not contain.
--- a/lib/storewatch/changes.go
+++ b/lib/storewatch/changes.go
@@ -60,7 +60,7 @@
 	switch {
 	case u.Target == nil:
 		w.add(changeKey{u.ID, old.Started, targetRemoved}, recentChange{
-			departure: registry.Departure{ID: u.ID, Started: old.Started, Removed: true, Revision: u.Revision},
+			departure: registry.Departure{ID: u.ID, Started: old.Started, Beat: old.Beat, Removed: true, Revision: u.Revision},
 		}, now)
 	case u.Target.State == registry.Draining:
 		key := changeKey{u.ID, u.Target.Started, targetDraining}
--- a/lib/storewatch/storewatch.go
+++ b/lib/storewatch/storewatch.go
@@ -83,7 +83,9 @@
 	OnHosts   func(map[string][]byte)  // values of the hosts' entries, by host
 	// OnQuarantine is called with segments that are in quarantine, those of a full read or one that was added; may be nil.
 	OnQuarantine func(segments []string)
-	Announce     func() // there are changes to announce to other hosts at once; may be nil
+	// OnRestored is called when the store was restored from an older copy, before its entries are passed on; may be nil.
+	OnRestored func()
+	Announce   func() // there are changes to announce to other hosts at once; may be nil
 }
 
 // Watcher watches the store and passes changes to its handlers.
@@ -103,6 +105,7 @@
 	seen           map[changeKey]time.Duration // guarded by mu; changes of the last seenTTL: when recorded, by the boot clock
 	settled        bool                        // guarded by mu; settle has run
 	snapshotRead   bool                        // guarded by mu; a full read has succeeded
+	era            kv.Era                      // guarded by mu; era of the store at the last full read
 	configValue    []byte                      // guarded by mu; configuration in force as it was read
 	configVersion  int64                       // guarded by mu; version of the configuration in force, -1 before the first
 	targets        *registry.Table             // guarded by mu
@@ -149,7 +152,7 @@
 		case ctx.Err() != nil:
 		case errors.Is(err, errRefresh), errors.Is(err, errIdle):
 		case errors.Is(err, kv.ErrCompacted):
-			w.log.Info("store history compacted; reading all keys again")
+			w.log.Info("store history compacted or store restored; reading all keys again")
 		default:
 			w.recordFailure(err)
 			sleep.For(ctx, delay+rand.N(delay)) // jitter: hosts that lost the store together retry at different times
@@ -198,6 +201,7 @@
 		return 0, err
 	}
 	w.recordAnswer()
+	w.reportRestored(snap.Revision.Era())
 	var targets, hosts []kv.Entry
 	var segments []string
 	for _, e := range snap.Entries {
@@ -218,6 +222,20 @@
 	return snap.Revision, nil
 }
 
+// reportRestored calls the handler if the era is later than that of the last full read.
+func (w *Watcher) reportRestored(era kv.Era) {
+	w.mu.Lock()
+	restored, before := w.snapshotRead && era > w.era, w.era
+	w.mu.Unlock()
+	if !restored {
+		return
+	}
+	w.log.Warn("store restored from an older copy", "era", int64(era), "era_before", int64(before))
+	if w.handlers.OnRestored != nil {
+		w.handlers.OnRestored()
+	}
+}
+
 // watch applies changes after the version until a call fails, a poll returns no changes or Refresh ends the watch.
 func (w *Watcher) watch(ctx context.Context, after kv.Version) error {
 	ctx, cancel := context.WithCancelCause(ctx)
--- a/lib/storewatch/storewatch_test.go
+++ b/lib/storewatch/storewatch_test.go
@@ -43,6 +43,7 @@
 // fakeFeed is a store that can fail, leave calls unanswered, break watches and lose its history without an error.
 type fakeFeed struct {
 	mu           sync.Mutex
+	era          kv.Era
 	entries      map[string]kv.Entry
 	changes      []kv.Change
 	historyLost  bool // watches return no changes
@@ -59,7 +60,7 @@
 func (f *fakeFeed) put(key, value string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	e := kv.Entry{Key: key, Value: []byte(value), Version: kv.Version(len(f.changes) + 1)}
+	e := kv.Entry{Key: key, Value: []byte(value), Version: f.next()}
 	f.entries[key] = e
 	f.record(kv.Change{Entry: e})
 }
@@ -68,7 +69,26 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	delete(f.entries, key)
-	f.record(kv.Change{Entry: kv.Entry{Key: key, Version: kv.Version(len(f.changes) + 1)}, Deleted: true})
+	f.record(kv.Change{Entry: kv.Entry{Key: key, Version: f.next()}, Deleted: true})
+}
+
+// next returns the version of the next change; the caller holds mu.
+func (f *fakeFeed) next() kv.Version { return kv.NewVersion(f.era, int64(len(f.changes)+1)) }
+
+// restore undoes the last n changes and begins a new era.
+func (f *fakeFeed) restore(n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.era++
+	f.changes = f.changes[:len(f.changes)-n]
+	clear(f.entries)
+	for i, c := range f.changes {
+		if c.Version = kv.NewVersion(f.era, int64(i+1)); c.Deleted {
+			delete(f.entries, c.Key)
+		} else {
+			f.entries[c.Key] = c.Entry
+		}
+	}
 }
 
 func (f *fakeFeed) record(c kv.Change) {
@@ -96,7 +116,7 @@
 	if f.down {
 		return kv.Snapshot{}, kv.ErrUnavailable
 	}
-	out := kv.Snapshot{Revision: kv.Version(len(f.changes))}
+	out := kv.Snapshot{Revision: f.next() - 1}
 	for key, e := range f.entries {
 		if len(key) >= len(prefix) && key[:len(prefix)] == prefix {
 			out.Entries = append(out.Entries, e)
@@ -109,8 +129,12 @@
 	end := time.After(wait)
 	for {
 		f.mu.Lock()
-		at, cut, changed := kv.Version(len(f.changes)), f.cut, f.changed
-		pending := f.changes[after:]
+		at, cut, changed := f.next()-1, f.cut, f.changed
+		if after.Era() != f.era {
+			f.mu.Unlock()
+			return nil, after, kv.ErrCompacted
+		}
+		pending := f.changes[after.Revision():]
 		if f.historyLost {
 			pending = nil
 		}
@@ -329,6 +353,55 @@
 	})
 }
 
+// Guards against a host that goes on with what a restored store has lost: it misses changes whose revisions it has seen before,
+// ignores removals with lower revisions than the entries it knows, and uses targets whose removal was lost.
+func TestRestoredStoreIsReadAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		feed := newFakeFeed()
+		for _, id := range []string{"stays", "left", "leaves"} {
+			feed.put("targets/"+id, "ready")
+		}
+		_, s := startWatcher(t, feed)
+		time.Sleep(time.Second)
+		for range 3 {
+			feed.put("targets/leaves", "ready") // its last entry has a higher revision than its removal
+		}
+		feed.put("op/config", "2")
+		feed.put("targets/lost", "ready")
+		feed.remove("targets/left")
+		time.Sleep(4 * time.Second)
+		feed.restore(6)
+		feed.cutWatches()
+		feed.remove("targets/leaves")
+		feed.put("op/config", "3")
+		beat := func(d time.Duration) { // the watch is never idle, so that no full read follows
+			for range d / (300 * time.Millisecond) {
+				feed.put("targets/stays", "ready")
+				time.Sleep(300 * time.Millisecond)
+			}
+		}
+		beat(time.Second)
+		if _, ok := s.targetState("left"); ok {
+			t.Error("a target that left is used again because the store lost its removal")
+		}
+		if _, ok := s.targetState("lost"); !ok {
+			t.Error("a target was dropped before it could write its entry again")
+		}
+		beat(drainDeadline + returnTime)
+		for id, want := range map[string]bool{"stays": true, "left": false, "leaves": false, "lost": false} {
+			if _, ok := s.targetState(id); ok != want {
+				t.Errorf("%s: in use %v, want %v", id, ok, want)
+			}
+		}
+		if got := s.installedVersion(); got != 3 {
+			t.Errorf("version %d in force, want 3", got)
+		}
+	})
+}
+
+// returnTime is the time in which targets write entries again that a store has lost.
+const returnTime = 2 * time.Second
+
 // Guards against sending work to a draining or removed target. The limit is two seconds from the change of its entry; a
 // host without peers needs at most one.
 func TestDrainingOrRemovedTargetIsDetectedInTime(t *testing.T) {
--- a/lib/storewatch/targets.go
+++ b/lib/storewatch/targets.go
@@ -57,6 +57,11 @@
 	for _, e := range entries {
 		all = append(all, w.decodeTarget(e.Key, e.Value, e.Version))
 	}
+	if restored := revision.Era() > w.era; restored && !first {
+		w.lastFailure = time.Now() // targets have as much time to write their entries again as after an outage
+		w.targets.Restored(all)
+	}
+	w.era = max(w.era, revision.Era())
 	for _, u := range append(all, w.targets.Missing(all, int64(revision))...) {
 		w.applyTargetUpdate(u)
 	}
