Segments in quarantine are written again after the store was restored

A host remembered which segments the store holds. One that was lost with the store's last seconds was not written again, so that a fleet restarting within ten minutes would have let it crash targets anew. The memory is cleared when the store states a later era; the full read that follows fills it again.

--- a/lib/entryhost/entryhost.go
+++ b/lib/entryhost/entryhost.go
@@ -143,7 +143,7 @@
 	}, cfg.Log)
 	h.storeWatcher = storewatch.New(cfg.Store, cfg.Codec, storewatch.Handlers{
 		OnCatalog: h.setCatalog, OnTargets: h.setTargets, OnHosts: h.peers.SetEntries, OnQuarantine: h.quarantine.restore,
-		Announce: h.peers.Announce,
+		OnRestored: h.quarantine.forgetAllStored, Announce: h.peers.Announce,
 	}, cfg.Log)
 	h.server = pipeline.NewServer(pipeline.ServerConfig{
 		First: h.filters(), MaxBodyBytes: maxBodyBytes, MaxBufferedBytes: maxBufferedBytes, MaxHeaderBytes: maxHeaderBytes,
--- a/lib/entryhost/quarantine.go
+++ b/lib/entryhost/quarantine.go
@@ -173,6 +173,13 @@
 	}
 }
 
+// forgetAllStored has all segments in quarantine written again, for a store that may have lost them.
+func (q *quarantineRole) forgetAllStored() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	clear(q.stored)
+}
+
 // write writes one segment, with the name of this host, unless another host has.
 func (q *quarantineRole) write(ctx context.Context, segment string) error {
 	ctx, cancel := context.WithTimeout(ctx, persistTimeout)
