relay: log why a stream was cut

A stream that ends early was logged with a reason only, so that a target that broke off, a stall, a resumption without credit or target and a caller that cannot be written to looked alike. The error, whether the caller has got events and the time that was left now tell them apart.

--- a/lib/filter/relay/stream.go
+++ b/lib/filter/relay/stream.go
@@ -2,9 +2,12 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
+	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"sync"
 	"time"
@@ -222,12 +225,21 @@
 		out.Reason, out.Run = refusal.StreamBroken, refusal.RunUnknown
 	}
 	if !complete {
-		s.req.cfg.Log.Info("stream cut", "request_id", ex.ID, "reason", string(out.Reason), "last_event", s.req.lastEventID,
-			"outcome", forward.Unknown.String())
+		s.logCut(out.Reason, err)
 	}
 	ex.Finish(out)
 }
 
+// logCut logs what ended an incomplete stream: its own error, or err, that of the write to the caller.
+func (s *stream) logCut(reason refusal.Reason, err error) {
+	r := s.req
+	cause := cmp.Or(s.readErr, err)
+	r.cfg.Log.LogAttrs(context.Background(), slog.LevelInfo, "stream cut", slog.String("request_id", r.ex.ID),
+		slog.String("reason", string(reason)), slog.String("error", fmt.Sprint(cause)), slog.Bool("begun", s.firstByte > 0),
+		slog.Float64("left_ms", float64(time.Until(r.ex.AnswerBy))/float64(time.Millisecond)),
+		slog.String("last_event", r.lastEventID), slog.String("outcome", forward.Unknown.String()))
+}
+
 // abandonAttempt closes the current attempt because the caller left; the balancer does not count it against the target.
 func (s *stream) abandonAttempt() {
 	if t := s.current; t != nil {
