relay: a target that pauses no longer ends a stream

Callers saw: a stream that had begun closed without its end although its target was sound.

Cause: a resumable stream without a whole event for four times its route's longest gap was cancelled first, and only then was it asked whether another target could continue it: whether a further run is allowed, a repeat is in the budget (about two for each host and service with 59 hosts), a target has the model, and takes the request. If not, the caller's connection was closed. Rare models have one copy, so that the stream was sent again to the target that was silent. The attempt that continued a stream had such a limit too, though none could follow it. A host that was itself paused counted what lay in its own buffers as silence.

Change: the read of a stalled target is interrupted by a limit on its silence, not by closing its connection. The present attempt ends only when another target has begun to answer, or 50 ms after a send that was not refused; otherwise the target keeps the stream and the next try follows a stall timeout later. The same target is tried only from the second time on. An attempt that continues a stream has no response timeout if none can follow. After its limit a connection is read once more before it counts as silent.

TestAnswerThatWaitsIsNoSilence covers the new read. No existing test changed; the harness got a field for the budget.

--- a/lib/attempt/attempt.go
+++ b/lib/attempt/attempt.go
@@ -47,6 +47,13 @@
 	return s.possibleRuns == 0 || s.Repeatable && s.possibleRuns < s.MaxRuns
 }
 
+// MayFollow reports whether the request may be sent to another target after one more attempt that ends without an answer.
+func (s *State) MayFollow() bool {
+	next := *s
+	next.Record(forward.Unknown)
+	return next.MaySend()
+}
+
 // NextIsRetry reports whether the next attempt is a retry, which counts against the retry budget.
 func (s *State) NextIsRetry() bool { return s.sends > 0 }
 
--- a/lib/filter/relay/harness_test.go
+++ b/lib/filter/relay/harness_test.go
@@ -85,6 +85,7 @@
 	ln       *fasthttputil.InmemoryListener
 	balancer *balance.Balancer
 	detector *quarantine.Detector
+	retries  *retry.Budget
 	stopBy   atomic.Pointer[time.Time] // when the host cuts open requests
 
 	mu       sync.Mutex
@@ -110,6 +111,7 @@
 	r := &harness{
 		t: t, ln: fasthttputil.NewInmemoryListener(), scripts: scripts,
 		balancer: balance.New("z", nil, rates, rand.New(rand.NewPCG(1, 1))), detector: quarantine.New(),
+		retries: retry.NewBudget(0.2, 50),
 	}
 	route := func(prefix string, kind catalog.Kind, resumable bool) *catalog.Route {
 		return &catalog.Route{
@@ -131,7 +133,7 @@
 	log := slog.New(slog.DiscardHandler)
 	h := New(Config{
 		Protocol: testProtocol{}, Client: forward.NewClient(forward.Config{Protocol: testProtocol{}, Dial: r.dial}), Balancer: r.balancer,
-		Retries: retry.NewBudget(0.2, 50), Placement: placement, Quarantine: r.detector, Rates: rates,
+		Retries: r.retries, Placement: placement, Quarantine: r.detector, Rates: rates,
 		Demand: workload.New(), Log: log, Metrics: metrics.NewSet(), Random: func() float64 { return 0.5 },
 		StopBy: func() (by time.Time) {
 			if p := r.stopBy.Load(); p != nil {
--- a/lib/filter/relay/relay.go
+++ b/lib/filter/relay/relay.go
@@ -130,6 +130,7 @@
 	tried        []string
 	failedAnswer *try   // latest 5xx answer; passed on unless a later attempt succeeds
 	lastEventID  string // id of the last event passed on
+	streaming    bool   // the answer is passed on as a stream: without a further attempt it would be cut
 }
 
 // try is one attempt at a target.
@@ -330,7 +331,7 @@
 // responseTimeout returns the time after which an attempt without an answer is cancelled in favour of another one. Zero
 // means that the attempt may last until the request's deadline.
 func (r *request) responseTimeout(choice *balance.Choice) time.Duration {
-	if !r.state.Repeatable || r.route.MaxAttempts < 2 {
+	if !r.state.Repeatable || r.route.MaxAttempts < 2 || r.streaming && !r.state.MayFollow() {
 		return 0
 	}
 	return max(minResponseTimeout, responseTimeoutFactor*r.route.Objective, 2*choice.ExpectedFirstEvent)
@@ -443,6 +444,7 @@
 		return nil
 	}
 	r.ex.Detach()
+	r.streaming = true
 	resp.SetBodyStream(newStream(r, t), -1)
 	return nil
 }
--- a/lib/filter/relay/stream.go
+++ b/lib/filter/relay/stream.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"cuminhook.org/cuminhook/lib/balance"
 	"cuminhook.org/cuminhook/lib/forward"
 	"cuminhook.org/cuminhook/lib/pipeline"
 	"cuminhook.org/cuminhook/lib/refusal"
@@ -21,8 +22,10 @@
 	// writeTimeout bounds each write to the caller, so that a caller that stops reading is detected.
 	writeTimeout = 5 * time.Second
 	// stallFactor times the route's longest gap between events is the time after which a stalled resumable stream
-	// continues at another target.
+	// continues at another target, if one takes it.
 	stallFactor = 4
+	// maxOverlap bounds the time in which a stalled target may still work on a stream while another one begins to continue it.
+	maxOverlap = 50 * time.Millisecond
 	// statusCallerGone is the status logged for streams whose caller closed its connection.
 	statusCallerGone = 499
 	readBufferBytes  = 4 << 10
@@ -35,6 +38,9 @@
 // errInsideEvent means that the target ended a stream properly, but inside an event: the rest of the stream is missing.
 var errInsideEvent = errors.New("relay: the target's stream ended inside an event")
 
+// errStalled ends the reading of a stalled target once another target may continue the stream.
+var errStalled = errors.New("relay: the target sent no event in time")
+
 // stream is the response body of a streamed answer. The server writes the result of each Read to the caller at once.
 type stream struct {
 	req         *request
@@ -51,6 +57,8 @@
 	// Set for resumable streams only.
 	events *eventReader
 	ready  []byte // whole events that Read has not returned yet
+	stalls int    // times in a row that the current target has stalled
+	next   *try   // attempt that continues the stream in place of the stalled one
 }
 
 func newStream(r *request, t *try) *stream {
@@ -119,8 +127,8 @@
 // sends no whole event in time has stalled, also if it sends a byte now and then.
 func (s *stream) readEvents(p []byte) (int, error) {
 	var buf [readBufferBytes]byte
-	stall := s.startStallTimer()
-	defer func() { stall.Stop() }()
+	s.limitStall()
+	defer s.endStallLimit()
 	for len(s.ready) == 0 {
 		n, err := s.current.answer.Read(buf[:])
 		var tooLarge error
@@ -137,11 +145,10 @@
 			err = errInsideEvent
 		}
 		if err != nil && !errors.Is(err, io.EOF) && len(s.ready) == 0 {
-			stall.Stop()
 			if err := s.resume(err); err != nil {
 				return 0, err
 			}
-			stall = s.startStallTimer()
+			s.limitStall()
 		}
 	}
 	n := copy(p, s.ready)
@@ -149,15 +156,87 @@
 	return n, nil
 }
 
-// startStallTimer has the current attempt time out if its target stalls.
-func (s *stream) startStallTimer() *time.Timer {
-	return time.AfterFunc(max(minResponseTimeout, stallFactor*s.req.route.MaxGap), s.current.timeOut)
+// stallTimeout returns the time without a whole event after which the target has stalled.
+func (s *stream) stallTimeout() time.Duration {
+	return max(minResponseTimeout, stallFactor*s.req.route.MaxGap)
+}
+
+// limitStall has handOver called if the current target stalls.
+func (s *stream) limitStall() {
+	s.stalls = 0
+	s.current.answer.LimitSilence(time.Now().Add(s.stallTimeout()), s.handOver)
+}
+
+func (s *stream) endStallLimit() {
+	if s.current != nil {
+		s.current.answer.LimitSilence(time.Time{}, nil)
+	}
+}
+
+// handOver is called while the target stalls. It returns errStalled if another target continues the stream or may do so. Otherwise the
+// target keeps it, since it may only pause, and handOver returns when to try again.
+func (s *stream) handOver() (time.Time, error) {
+	s.stalls++
+	r, old := s.req, s.current
+	later := time.Now().Add(s.stallTimeout())
+	choice := r.pickForStalled(s.stalls > 1)
+	if choice == nil {
+		return later, r.ctx.Err()
+	}
+	r.retryCounter("stream_stalled").Inc()
+	r.lastEventID = s.events.lastID
+	if choice.Target.ID == old.choice.Target.ID {
+		old.timeOut()
+	} else {
+		defer time.AfterFunc(maxOverlap, old.timeOut).Stop()
+	}
+	t := r.attempt(choice)
+	r.logAttempt(t)
+	if t.stream {
+		old.timeOut()
+		s.next = t
+	}
+	if old.timedOut.Load() {
+		return time.Time{}, errStalled
+	}
+	return later, nil
+}
+
+// pickForStalled chooses a target that may continue a stream while its present one stalls, or nil if there is none or no further
+// attempt is allowed. Targets that were tried before are chosen only if again is set.
+func (r *request) pickForStalled(again bool) *balance.Choice {
+	if segment, _ := r.cfg.Quarantine.Blocked(r.call.SharedSegments(), time.Now()); segment != "" || !r.state.MaySend() {
+		return nil
+	}
+	q := balance.Query{
+		Service: r.service, Call: r.call, Tried: r.tried, Wanted: map[string]bool{},
+		UsualRate: r.cfg.Demand.UsualRate(r.call.Model, time.Now()),
+	}
+	choice, err := r.cfg.Balancer.Pick(q, time.Now())
+	if err != nil && again {
+		q.Tried = nil
+		choice, err = r.cfg.Balancer.Pick(q, time.Now())
+	}
+	if err != nil {
+		return nil
+	}
+	if !r.cfg.Retries.Allow(r.service) {
+		choice.Unsent()
+		choice.Abandoned()
+		return nil
+	}
+	return choice
 }
 
 // resume continues the stream at another target, after the last event passed on.
 func (s *stream) resume(cause error) error {
 	r := s.req
 	s.endAttempt(false)
+	if s.next != nil {
+		s.current, s.next = s.next, nil
+		s.events.dropPartial()
+		return nil
+	}
 	for r.ctx.Err() == nil && r.state.MaySend() && r.cfg.Retries.Allow(r.service) {
 		r.retryCounter("stream_broken").Inc()
 		r.lastEventID = s.events.lastID
--- a/lib/forward/forward.go
+++ b/lib/forward/forward.go
@@ -333,6 +333,11 @@
 // Read reads from the body. io.EOF means that the body is complete.
 func (a *Answer) Read(p []byte) (int, error) { return a.body.Read(p) }
 
+// LimitSilence has reads of the body call onSilence; see httpconn.Conn.LimitSilence.
+func (a *Answer) LimitSilence(until time.Time, onSilence func() (time.Time, error)) {
+	a.conn.LimitSilence(until, onSilence)
+}
+
 // Buffered reports whether bytes of the connection have been received but not read yet.
 func (a *Answer) Buffered() bool { return a.conn.Reader().Buffered() > 0 }
 
--- a/lib/httpconn/httpconn.go
+++ b/lib/httpconn/httpconn.go
@@ -12,6 +12,7 @@
 	"fmt"
 	"math"
 	"net"
+	"os"
 	"sync"
 	"time"
 
@@ -47,6 +48,8 @@
 	// closeSlack is added to the time in which a target closes a connection above its limit; it covers this host's own
 	// delay in reading.
 	closeSlack = 2 * time.Millisecond
+	// maxReadDelay is how late this host may read what has arrived: it may have been paused itself.
+	maxReadDelay = 20 * time.Millisecond
 	// AnyAge permits Get to reuse any idle connection that is within its idle timeout.
 	AnyAge time.Duration = math.MaxInt64
 	// NewOnly makes Get open a new connection.
@@ -113,9 +116,11 @@
 	idleLimit time.Duration // how long the connection may be idle
 	dialTook  time.Duration
 	connected time.Time
-	answered  bool        // the target has answered a request on the connection
-	stopWatch func() bool // stops the current request's context from closing the connection; nil once called
-	intact    bool        // the context did not close the connection before stopWatch was called
+	answered  bool                      // the target has answered a request on the connection
+	stopWatch func() bool               // stops the current request's context from closing the connection; nil once called
+	intact    bool                      // the context did not close the connection before stopWatch was called
+	onSilence func() (time.Time, error) // of LimitSilence; nil: reads are not limited
+	rechecked bool                      // the connection has been read once more after the time of LimitSilence
 }
 
 // Get returns an idle connection to addr that was last used within maxIdle, or else a new one. The connection is closed if
@@ -291,7 +296,7 @@
 	c := &Conn{Conn: nc, addr: addr, pool: p, idleLimit: cmp.Or(p.IdleTimeout, idleTimeout)}
 	c.connected = time.Now()
 	c.dialTook = c.connected.Sub(started)
-	c.br = bufio.NewReaderSize(nc, bufferBytes)
+	c.br = bufio.NewReaderSize(c, bufferBytes)
 	c.bw = bufio.NewWriterSize(countingWriter{c}, bufferBytes)
 	p.mu.Lock()
 	p.count(Dialled)
@@ -348,6 +353,36 @@
 	return n, err
 }
 
+// LimitSilence has reads call onSilence at the time until. It returns when it is to be called again, or an error that ends the
+// read. The limit ends with the next LimitSilence; a nil onSilence sets none.
+func (c *Conn) LimitSilence(until time.Time, onSilence func() (time.Time, error)) {
+	c.onSilence, c.rechecked = onSilence, false
+	if onSilence == nil {
+		until = time.Time{}
+	}
+	_ = c.SetReadDeadline(until) // fails only on a closed connection, whose reads fail too
+}
+
+// Read implements net.Conn.
+func (c *Conn) Read(p []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(p)
+		if n > 0 || c.onSilence == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
+			return n, err
+		}
+		next := time.Now().Add(maxReadDelay)
+		if c.rechecked {
+			if next, err = c.onSilence(); err != nil {
+				return 0, err
+			}
+		}
+		c.rechecked = !c.rechecked
+		if err := c.SetReadDeadline(next); err != nil {
+			return 0, err
+		}
+	}
+}
+
 // Reader returns the connection's buffered reader.
 func (c *Conn) Reader() *bufio.Reader { return c.br }
 
--- a/lib/httpconn/httpconn_test.go
+++ b/lib/httpconn/httpconn_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -228,3 +229,34 @@
 		}
 	})
 }
+
+// lateConn is a connection whose reads fail, as after a deadline that passed while the host was paused, before they return what
+// has arrived.
+type lateConn struct {
+	scriptedConn
+	late int // reads that fail
+}
+
+func (l *lateConn) Read(p []byte) (int, error) {
+	if l.late--; l.late >= 0 {
+		return 0, os.ErrDeadlineExceeded
+	}
+	return l.scriptedConn.Read(p)
+}
+
+// Guards against a target that counts as silent although its answer waits to be read by a host that was paused.
+func TestAnswerThatWaitsIsNoSilence(t *testing.T) {
+	for late, want := range map[int]int{0: 0, 1: 0, 2: 1, 4: 2} {
+		l := &lateConn{scriptedConn{acceptsBytes: -1, answer: strings.NewReader("x")}, late}
+		p := &Pool{Dial: func(context.Context, string) (net.Conn, error) { return l, nil }}
+		c, err := p.Get(context.Background(), "a", AnyAge)
+		if err != nil {
+			t.Fatal(err)
+		}
+		silences := 0
+		c.LimitSilence(time.Now(), func() (time.Time, error) { silences++; return time.Now(), nil })
+		if b, err := c.Reader().ReadByte(); b != 'x' || err != nil || silences != want {
+			t.Errorf("%d late reads: %q, %v, silent %d times, want %d", late, b, err, silences, want)
+		}
+	}
+}
