relay: pass on the end of a stream that comes after a pause

Callers would see: a stream with all its events but without its end, so that it counts as cut, while the access log says complete.

Cause: the deadline for writes to the caller is extended when events arrive. The end brings no event, and the server writes the last chunk by itself: if the target pauses for 5 s between its last event and the end, that write fails.

TestEndOfAStreamAfterAPauseIsPassedOn failed before: unexpected EOF after the only event. The harness's connections now fail each write after its deadline, as TCP does; the in-memory ones did so only while they were full, and all tests pass with the stricter ones.

--- a/lib/filter/relay/harness_test.go
+++ b/lib/filter/relay/harness_test.go
@@ -147,7 +147,7 @@
 		First: h, MaxBodyBytes: 1 << 20, MaxHeaderBytes: 4096, ReadTimeout: 10 * time.Second, WriteTimeout: 10 * time.Second,
 		IdleTimeout: time.Minute, MaxConns: 100, FineRetryAfter: true, Log: log,
 	})
-	go func() { _ = s.Serve(r.ln) }()
+	go func() { _ = s.Serve(strictListener{r.ln}) }()
 	t.Cleanup(func() {
 		_ = s.Stop(context.Background())
 		r.mu.Lock()
@@ -269,3 +269,29 @@
 }
 
 func event(n int) string { return fmt.Sprintf("id: %d\ndata: %d\n\n", n, n) }
+
+// strictListener accepts connections that fail each write after their deadline, as TCP does; in-memory ones do so only while they
+// are full.
+type strictListener struct{ net.Listener }
+
+func (l strictListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	return &strictConn{Conn: conn}, err
+}
+
+type strictConn struct {
+	net.Conn
+	writeBy atomic.Pointer[time.Time]
+}
+
+func (c *strictConn) SetWriteDeadline(t time.Time) error {
+	c.writeBy.Store(&t)
+	return c.Conn.SetWriteDeadline(t)
+}
+
+func (c *strictConn) Write(p []byte) (int, error) {
+	if by := c.writeBy.Load(); by != nil && !by.IsZero() && !time.Now().Before(*by) {
+		return 0, os.ErrDeadlineExceeded
+	}
+	return c.Conn.Write(p)
+}
--- a/lib/filter/relay/silence_test.go
+++ b/lib/filter/relay/silence_test.go
@@ -58,3 +58,18 @@
 		})
 	}
 }
+
+// Guards against a stream whose end the caller misses because the target paused before it.
+func TestEndOfAStreamAfterAPauseIsPassedOn(t *testing.T) {
+	withTargets(t, map[string]script{"near": func(r *receivedRequest) bool {
+		startStream(r)
+		chunk(r.conn, event(1))
+		time.Sleep(writeTimeout + 100*time.Millisecond)
+		_, err := fmt.Fprint(r.conn, "0\r\n\r\n")
+		return err == nil
+	}}, func(t *testing.T, r *harness) {
+		if a := r.call("POST", "/stream/x", "1"); a.body != event(1) || a.err != nil {
+			t.Errorf("%+v", a)
+		}
+	})
+}
--- a/lib/filter/relay/stream.go
+++ b/lib/filter/relay/stream.go
@@ -82,6 +82,7 @@
 	switch {
 	case errors.Is(err, io.EOF):
 		s.sawEOF = true
+		s.extendWriteDeadline(time.Now()) // for the last chunk, which the server writes by itself
 	case err != nil:
 		s.readErr = err
 	}
@@ -115,6 +116,10 @@
 		s.req.filter.firstByteSeconds.Update(s.firstByte.Seconds())
 	}
 	s.current.choice.FirstEvent(now)
+	s.extendWriteDeadline(now)
+}
+
+func (s *stream) extendWriteDeadline(now time.Time) {
 	if now.Sub(s.deadlineSet) > writeTimeout/10 {
 		s.deadlineSet = now
 		if err := s.conn.SetWriteDeadline(now.Add(writeTimeout)); err != nil {
