relay: hand a stalled stream over only once its new target can be reached

Cause: the hand-over of a stalled stream still gave its attempt up in two cases before another one was accepted: at once if the next target is the same, and 50 ms after it was chosen, which a connection that does not come about (250 ms) exceeds.

Change: the overlap begins when the request is sent (forward.Request.OnSend), and the same target gets it too: what matters is that the earlier run has ended soon after the later one began.

TestPauseOfATargetEndsNoStream has two more cases; both failed on (the only target, which rejects it; the other cannot be reached).

--- a/lib/filter/relay/harness_test.go
+++ b/lib/filter/relay/harness_test.go
@@ -168,8 +168,15 @@
 	return "z"
 }
 
+// unreachable is the address of a target to which no connection can be opened.
+const unreachable = "far-unreachable"
+
 // dial connects to a scripted target.
-func (r *harness) dial(_ context.Context, addr string) (net.Conn, error) {
+func (r *harness) dial(ctx context.Context, addr string) (net.Conn, error) {
+	if addr == unreachable {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
 	r.mu.Lock()
 	script := r.scripts[addr]
 	r.mu.Unlock()
--- a/lib/filter/relay/relay.go
+++ b/lib/filter/relay/relay.go
@@ -130,6 +130,7 @@
 	tried        []string
 	failedAnswer *try   // latest 5xx answer; passed on unless a later attempt succeeds
 	lastEventID  string // id of the last event passed on
+	onSend       func() // called before an attempt is sent; nil: none
 	streaming    bool   // the answer is passed on as a stream: without a further attempt it would be cut
 }
 
@@ -296,7 +297,7 @@
 	})
 	t.answer, t.outcome, t.err = r.cfg.Client.Do(ctx, &forward.Request{
 		Addr: choice.Target.Addr, ID: r.call.ID, Head: head, Method: string(h.Method()),
-		Body: r.ex.HTTP.Request.Body(), RunOnce: r.route.Kind == catalog.NonIdempotent,
+		Body: r.ex.HTTP.Request.Body(), RunOnce: r.route.Kind == catalog.NonIdempotent, OnSend: r.onSend,
 	})
 	if t.outcome == forward.NotSent {
 		choice.Unsent()
--- a/lib/filter/relay/silence_test.go
+++ b/lib/filter/relay/silence_test.go
@@ -26,6 +26,16 @@
 	}
 }
 
+// rejectsResumption returns a script that runs s and rejects requests to continue a stream.
+func rejectsResumption(s script) script {
+	return func(r *receivedRequest) bool {
+		if r.lastEventID != "" {
+			return notRun(r)
+		}
+		return s(r)
+	}
+}
+
 // Guards against a stream that is ended because its sound target pauses while no other target may continue it.
 func TestPauseOfATargetEndsNoStream(t *testing.T) {
 	const pause = 1600 * time.Millisecond
@@ -38,13 +48,15 @@
 		scripts  map[string]script
 		noCredit bool
 	}{
-		"the last target that may run it":  {map[string]script{"near": pauseInStream(4, pause), "far": pauseInStream(4, pause)}, false},
-		"no credit for repeats":            {map[string]script{"near": pauseInStream(4, pause), "far": pauseInStream(4, pause)}, true},
-		"the only target":                  {map[string]script{"near": pauseInStream(4, pause)}, false},
-		"all others reject it":             {map[string]script{"near": pauseInStream(4, pause), "far": notRun, "far2": notRun, "far3": notRun}, false},
-		"the other breaks off at once":     {map[string]script{"near": pauseInStream(4, pause), "far": closeWithoutAnswer}, false},
-		"the other begins late":            {map[string]script{"near": pauseInStream(4, time.Minute), "far": late}, false},
-		"the other accepts no connections": {map[string]script{"near": pauseInStream(4, pause), "far": nil}, false},
+		"the last target that may run it":   {map[string]script{"near": pauseInStream(4, pause), "far": pauseInStream(4, pause)}, false},
+		"the only target, which rejects it": {map[string]script{"near": rejectsResumption(pauseInStream(4, 2*pause))}, false},
+		"no credit for repeats":             {map[string]script{"near": pauseInStream(4, pause), "far": pauseInStream(4, pause)}, true},
+		"the only target":                   {map[string]script{"near": pauseInStream(4, pause)}, false},
+		"all others reject it":              {map[string]script{"near": pauseInStream(4, pause), "far": notRun, "far2": notRun, "far3": notRun}, false},
+		"the other breaks off at once":      {map[string]script{"near": pauseInStream(4, pause), "far": closeWithoutAnswer}, false},
+		"the other cannot be reached":       {map[string]script{"near": rejectsResumption(pauseInStream(4, pause)), unreachable: notRun}, false},
+		"the other begins late":             {map[string]script{"near": pauseInStream(4, time.Minute), "far": late}, false},
+		"the other accepts no connections":  {map[string]script{"near": pauseInStream(4, pause), "far": nil}, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			withTargets(t, tc.scripts, func(t *testing.T, r *harness) {
--- a/lib/filter/relay/stream.go
+++ b/lib/filter/relay/stream.go
@@ -24,7 +24,7 @@
 	// stallFactor times the route's longest gap between events is the time after which a stalled resumable stream
 	// continues at another target, if one takes it.
 	stallFactor = 4
-	// maxOverlap bounds the time in which a stalled target may still work on a stream while another one begins to continue it.
+	// maxOverlap bounds the time in which a stalled target may still work on a stream while it is sent to another one.
 	maxOverlap = 50 * time.Millisecond
 	// statusCallerGone is the status logged for streams whose caller closed its connection.
 	statusCallerGone = 499
@@ -190,12 +190,13 @@
 	}
 	r.retryCounter("stream_stalled").Inc()
 	r.lastEventID = s.events.lastID
-	if choice.Target.ID == old.choice.Target.ID {
-		old.timeOut()
-	} else {
-		defer time.AfterFunc(maxOverlap, old.timeOut).Stop()
-	}
+	var overlap *time.Timer
+	r.onSend = func() { overlap = time.AfterFunc(maxOverlap, old.timeOut) }
 	t := r.attempt(choice)
+	r.onSend = nil
+	if overlap != nil {
+		overlap.Stop()
+	}
 	r.logAttempt(t)
 	if t.stream {
 		old.timeOut()
--- a/lib/forward/forward.go
+++ b/lib/forward/forward.go
@@ -75,7 +75,8 @@
 	Head    []byte // request line and header without the fields that frame the body
 	Method  string
 	Body    []byte
-	RunOnce bool // the request must not be sent again once it may have run
+	RunOnce bool   // the request must not be sent again once it may have run
+	OnSend  func() // called when the target is connected, before the request is written; may be nil
 }
 
 // Answer is a target's answer. Its header has been read, its body is read by Read or ReadAll.
@@ -156,6 +157,9 @@
 	if err != nil {
 		return nil, NotSent, err
 	}
+	if r.OnSend != nil {
+		r.OnSend()
+	}
 	written, err := send(conn, r)
 	if err != nil {
 		conn.Release(false)
