A refusal is believed only if it certainly answers this attempt

Callers were told "not run, send it again" for requests that a target had run or was running, or the request ran at a second target.

Could it happen here: yes, in two ways. A refusal with the id of another request was skipped already. But a refusal without an id was taken for the answer, also on a connection that had carried others; a request that must run once then went to a second target. And a copy of a refusal of the same request has the right id: a repeatable request that went to its only target again reused the connection on which it had been refused, took the copy for the answer, and was sent a fourth time, so that it ran more often than max_attempts allows. Requests that must run once never go to a target twice and were not affected by that.

Change: only the first answer on a connection may lack an id; later ones without are skipped, as those of other requests are, and the answer that follows counts. Without one the outcome is unknown. A request is not sent again on a connection that carried an answer to it; that connection stays in the pool for others.

Evidence: both tests failed on the code before (200 from the second target after "near 1, near 2, far 2"; 3 runs, 2 allowed).

--- a/lib/filter/relay/relay.go
+++ b/lib/filter/relay/relay.go
@@ -128,10 +128,11 @@
 	service      string
 	state        attempt.State
 	tried        []string
-	failedAnswer *try   // latest 5xx answer; passed on unless a later attempt succeeds
-	lastEventID  string // id of the last event passed on
-	onSend       func() // called before an attempt is sent; nil: none
-	streaming    bool   // the answer is passed on as a stream: without a further attempt it would be cut
+	answers      []*forward.Answer // to earlier attempts
+	failedAnswer *try              // latest 5xx answer; passed on unless a later attempt succeeds
+	lastEventID  string            // id of the last event passed on
+	onSend       func()            // called before an attempt is sent; nil: none
+	streaming    bool              // the answer is passed on as a stream: without a further attempt it would be cut
 }
 
 // try is one attempt at a target.
@@ -298,11 +299,13 @@
 	t.answer, t.outcome, t.err = r.cfg.Client.Do(ctx, &forward.Request{
 		Addr: choice.Target.Addr, ID: r.call.ID, Head: head, Method: string(h.Method()),
 		Body: r.ex.HTTP.Request.Body(), RunOnce: r.route.Kind == catalog.NonIdempotent, OnSend: r.onSend,
+		Earlier: r.answers,
 	})
 	if t.outcome == forward.NotSent {
 		choice.Unsent()
 	}
 	if t.answer != nil {
+		r.answers = append(r.answers, t.answer)
 		t.headerAt = time.Now()
 		r.recordRateLimit(t)
 	}
--- a/lib/filter/relay/relay_test.go
+++ b/lib/filter/relay/relay_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -134,6 +135,61 @@
 	})
 }
 
+// Guards against a copy of an earlier refusal that is taken for the answer to a request which its target runs.
+func TestRefusalWithoutIDOnAKeptConnectionIsNotBelieved(t *testing.T) {
+	for name, c := range map[string]struct {
+		kept, answered bool
+		want           int
+		requests       string
+	}{
+		"first answer":            {false, false, 200, "near 2, far 2"},
+		"kept, answer follows":    {true, true, 200, "near 1, near 2"},
+		"kept, no answer follows": {true, false, 504, "near 1, near 2"},
+	} {
+		near := func(r *receivedRequest) bool {
+			if r.id == "1" {
+				return reply(200, "", "one")(r)
+			}
+			fmt.Fprint(r.conn, "HTTP/1.1 503 X\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
+			return !c.answered || reply(200, "", "ok")(r)
+		}
+		withTargets(t, map[string]script{"near": near, "far": reply(200, "", "ok")}, func(t *testing.T, r *harness) {
+			if c.kept {
+				r.call("GET", "/safe/x", "1")
+			}
+			if a := r.call("POST", "/unsafe/x", "2"); a.status != c.want || a.retryAfter != "" || r.requests() != c.requests {
+				t.Errorf("%s: %+v after %s", name, a, r.requests())
+			}
+		})
+	}
+}
+
+// Guards against a copy of a target's refusal that is taken for its answer to the same request sent once more, which then
+// runs more often than allowed.
+func TestSecondCopyOfARefusalIsNotTakenForTheNextAnswer(t *testing.T) {
+	n, runs := 0, 0
+	var refusedOn net.Conn
+	withTargets(t, map[string]script{"near": func(r *receivedRequest) bool {
+		switch n++; n {
+		case 1: // ran, answer lost
+			runs++
+			return false
+		case 2:
+			refusedOn = r.conn
+			return notRun(r)
+		}
+		runs++
+		if n == 3 && r.conn == refusedOn {
+			notRun(r)
+		}
+		return reply(200, "", "ok")(r)
+	}}, func(t *testing.T, r *harness) {
+		if a := r.call("GET", "/safe/x", "1"); a.status != 200 || runs != 2 {
+			t.Errorf("%d runs: %+v", runs, a)
+		}
+	})
+}
+
 // Guards against losing the body of an answer with neither Content-Length nor chunks.
 func TestAnswerWithoutLengthIsReadToTheEndOfTheConnection(t *testing.T) {
 	withTargets(t, map[string]script{"near": func(r *receivedRequest) bool {
--- a/lib/forward/forward.go
+++ b/lib/forward/forward.go
@@ -71,12 +71,15 @@
 // Request is the request of one attempt.
 type Request struct {
 	Addr    string // IP:port of the target
-	ID      string // id that the answer must state, if it states one
+	ID      string // id that the answer must state; only the first answer on a connection may lack it
 	Head    []byte // request line and header without the fields that frame the body
 	Method  string
 	Body    []byte
 	RunOnce bool   // the request must not be sent again once it may have run
 	OnSend  func() // called when the target is connected, before the request is written; may be nil
+	// Earlier are the answers to earlier attempts of the request. Their connections are not used again: a target may repeat
+	// such an answer, and its id would be that of this attempt.
+	Earlier []*Answer
 }
 
 // Answer is a target's answer. Its header has been read, its body is read by Read or ReadAll.
@@ -193,7 +196,11 @@
 	if r.RunOnce {
 		usedWithin = runOnceMaxIdle
 	}
-	conn, err := c.pool.Get(ctx, r.Addr, usedWithin)
+	var avoid []*httpconn.Conn
+	for _, a := range r.Earlier {
+		avoid = append(avoid, a.conn)
+	}
+	conn, err := c.pool.GetExcept(ctx, r.Addr, usedWithin, avoid)
 	if err != nil || !r.RunOnce {
 		return conn, err
 	}
@@ -251,16 +258,18 @@
 	return written, nil
 }
 
-// readHeader reads the header of the answer to r. It skips late answers to earlier requests on the connection.
+// readHeader reads the header of the answer to r. It skips late answers to earlier requests on the connection, for which it
+// also takes answers without an id unless they are the first on the connection.
 func (c *Client) readHeader(a *Answer, r *Request) error {
 	br := a.conn.Reader()
-	for range maxSkippedAnswers + 1 {
+	for skipped := range maxSkippedAnswers + 1 {
 		if err := readFinalHeader(&a.Header, br); err != nil {
 			return err
 		}
 		a.Stated = c.cfg.Protocol.ReadAnswer(&a.Header)
 		a.initBody(r.Method)
-		if a.Stated.ID == "" || a.Stated.ID == r.ID {
+		first := skipped == 0 && !a.conn.HasAnswered()
+		if a.Stated.ID == r.ID || a.Stated.ID == "" && first {
 			return nil
 		}
 		if a.unframed {
--- a/lib/httpconn/httpconn.go
+++ b/lib/httpconn/httpconn.go
@@ -13,6 +13,7 @@
 	"math"
 	"net"
 	"os"
+	"slices"
 	"sync"
 	"time"
 
@@ -126,10 +127,15 @@
 // Get returns an idle connection to addr that was last used within maxIdle, or else a new one. The connection is closed if
 // ctx ends before Release or Detach. Errors wrap ErrNotSent, and ErrLimit if the limit forbids another connection.
 func (p *Pool) Get(ctx context.Context, addr string, maxIdle time.Duration) (*Conn, error) {
+	return p.GetExcept(ctx, addr, maxIdle, nil)
+}
+
+// GetExcept is Get without the connections in avoid.
+func (p *Pool) GetExcept(ctx context.Context, addr string, maxIdle time.Duration, avoid []*Conn) (*Conn, error) {
 	if err := ctx.Err(); err != nil {
 		return nil, errors.Join(ErrNotSent, err)
 	}
-	c, err := p.takeIdle(addr, maxIdle)
+	c, err := p.takeIdle(addr, maxIdle, avoid)
 	if err != nil {
 		return nil, err
 	}
@@ -147,9 +153,10 @@
 	return c, nil
 }
 
-// takeIdle removes the most recently used idle connection to addr from the pool. If none was used within maxIdle, it
-// returns nil and counts a connection that the caller must dial, in place of an idle one if the limit is reached.
-func (p *Pool) takeIdle(addr string, maxIdle time.Duration) (*Conn, error) {
+// takeIdle removes the most recently used idle connection to addr that is not in avoid from the pool. If none was used
+// within maxIdle, it returns nil and counts a connection that the caller must dial, in place of an idle one if the limit is
+// reached.
+func (p *Pool) takeIdle(addr string, maxIdle time.Duration, avoid []*Conn) (*Conn, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.addrs == nil {
@@ -161,13 +168,16 @@
 		p.addrs[addr] = a
 	}
 	now := time.Now()
-	for n := len(a.idle); n > 0; n = len(a.idle) {
-		c := a.idle[n-1]
+	for i := len(a.idle) - 1; i >= 0; i-- {
+		c := a.idle[i]
 		usable := now.Sub(c.lastUse) < c.idleLimit && !tcpopt.Stale(c.Conn)
 		if usable && now.Sub(c.lastUse) >= maxIdle {
 			break
 		}
-		a.idle = a.idle[:n-1]
+		if usable && slices.Contains(avoid, c) {
+			continue
+		}
+		a.idle = slices.Delete(a.idle, i, i+1)
 		if usable {
 			p.count(Reused)
 			return c, nil
@@ -329,6 +339,9 @@
 	}
 }
 
+// HasAnswered reports whether the target has answered an earlier request on the connection.
+func (c *Conn) HasAnswered() bool { return c.answered }
+
 // ClosedAtOnce reports whether a connection that the target has just closed was closed as soon as it was opened. An error
 // that comes later, or after an answer, has other causes.
 func (c *Conn) ClosedAtOnce() bool {
