Only the events that follow are taken from a target that resumes a stream

Reported by other operators: a stream had begun and broke off, and the next target answered with an error. Callers found the error's text, at times its whole head, in the middle of their stream, or the stream ended as if it were complete.

Could it happen here: yes. An answer with an error status was never passed on, but any answer of status 200 on a stream route was taken for a stream of events, whatever its type, length or encoding, and text without an id was taken for an event. So the text of an error in a 200 went to the caller, and so did a head that came where events were due, glued to the half event before it. An empty body, or a stream that ended without a single event, completed the caller's stream. A target that started anew instead of resuming was joined to the first run, ids that went back were dropped without a word, and a stream without ids was started anew after a part of it had been passed on. An answer that is no stream, on a resumable route, was broken off at its end.

Change: a stream continues only with an answer that is a stream of events without an encoding. Its events must be well formed, their ids must increase, the first must have one, and it must not be that with which the stream began; at least one must come. Anything else ends the attempt as a broken connection does: another target may continue, else the caller's connection ends without the end of the answer. This also holds for the first target of a resumable stream. A stream without ids is not resumed. An answer that is no stream of events is passed on as it is. "stream broke off" logs why a stream is resumed.

Not covered: a target that ends its stream properly but too early can't be told from one that is done. Where nothing but the end of a stream is missing, the end that another target sends is not believed, and the caller's stream stays incomplete.

--- a/lib/filter/relay/events.go
+++ b/lib/filter/relay/events.go
@@ -2,15 +2,22 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
+	"slices"
 	"strconv"
 )
 
-// eventReader splits a stream of server-sent events into whole events. It skips events that were already passed on,
-// since a target that resumes a stream may repeat them.
+// eventReader splits a stream of server-sent events into whole events, while several targets send it one after the other. It
+// skips events that were already passed on, since a target that resumes a stream may repeat them.
 type eventReader struct {
-	pending []byte // bytes of an incomplete event
-	lastID  string // id of the last event passed on
+	pending  []byte // bytes of an incomplete event
+	firstID  string // id of the first event passed on
+	lastID   string // id of the last event passed on
+	began    bool   // an event with fields was passed on
+	resumed  bool   // the target is to continue after lastID
+	targetID string // id of the last event that the target has sent
+	err      error  // ends the attempt at the target
 }
 
 // maxEventBytes bounds an event. Events carry a few tokens each; a target in trouble may send bytes without end.
@@ -19,30 +26,100 @@
 // errEventTooLarge ends the attempt of a stream whose event does not end.
 var errEventTooLarge = fmt.Errorf("relay: the target sent more than %d bytes without the end of an event", maxEventBytes)
 
-// feed adds the bytes b to the stream and appends the events that are now complete to dst. Error: errEventTooLarge.
+// Errors of events that cannot belong to the stream. A target in trouble may send the text of an error, or even the head of
+// an answer, where events are due.
+var (
+	errNotAnEvent   = errors.New("relay: the target sent text that is not an event")
+	errOutOfOrder   = errors.New("relay: the ids of the target's events do not increase")
+	errStartedAnew  = errors.New("relay: the target started the stream anew instead of resuming it")
+	errNothingAdded = errors.New("relay: the target ended a resumed stream without an event")
+)
+
+// feed adds the bytes b to the stream and appends the events that are now complete to dst. An error ends the target's part of
+// the stream: errEventTooLarge, or one of events that cannot belong to the stream.
 func (r *eventReader) feed(dst, b []byte) ([]byte, error) {
 	r.pending = append(r.pending, b...)
-	for {
+	for r.err == nil {
 		end := eventEnd(r.pending)
 		if end < 0 {
 			if len(r.pending) > maxEventBytes {
-				return dst, errEventTooLarge
+				r.err = errEventTooLarge
 			}
-			return dst, nil
+			break
 		}
 		event := r.pending[:end]
-		if id := eventID(event); id == "" || follows(id, r.lastID) {
+		id := eventID(event)
+		hasFields, ok := parseFields(event)
+		if r.err = r.check(id, hasFields, ok); r.err != nil {
+			break
+		}
+		if id == "" || follows(id, r.lastID) {
 			dst = append(dst, event...)
-			if id != "" {
-				r.lastID = id
-			}
+			r.began = r.began || hasFields
+		}
+		if id != "" {
+			r.recordID(id)
 		}
 		r.pending = append(r.pending[:0], r.pending[end:]...)
 	}
+	return dst, r.err
+}
+
+// check returns an error if an event with the id, or "", cannot belong to the stream. The results of parseFields describe it.
+func (r *eventReader) check(id string, hasFields, ok bool) error {
+	first := r.targetID == ""
+	switch {
+	case !ok, hasFields && id == "" && first && r.resumed:
+		return errNotAnEvent
+	case id == "":
+		return nil
+	case !first && !follows(id, r.targetID):
+		return errOutOfOrder
+	case first && r.resumed && !follows(id, r.firstID) && id != r.lastID:
+		return errStartedAnew
+	}
+	return nil
+}
+
+// recordID records the id of an event that belongs to the stream.
+func (r *eventReader) recordID(id string) {
+	r.targetID = id
+	if r.firstID == "" {
+		r.firstID = id
+	}
+	if follows(id, r.lastID) {
+		r.lastID = id
+	}
 }
 
-// insideEvent reports whether bytes of an incomplete event have been read.
-func (r *eventReader) insideEvent() bool { return len(bytes.Trim(r.pending, "\r\n")) > 0 }
+// ended returns an error if the end of the target's part cannot be the end of the stream, although the target ended it properly.
+func (r *eventReader) ended() error {
+	switch {
+	case len(bytes.Trim(r.pending, "\r\n")) > 0:
+		return errInsideEvent
+	case r.resumed && r.targetID == "":
+		return errNothingAdded
+	}
+	return nil
+}
+
+// parseFields reports whether the event has fields, comments aside, and whether all its lines are comments or fields. The names of
+// fields are in lower case.
+func parseFields(event []byte) (hasFields, ok bool) {
+	for line := range bytes.Lines(event) {
+		line = bytes.TrimRight(line, "\r\n")
+		name, _, hasValue := bytes.Cut(line, []byte(":"))
+		if len(name) == 0 {
+			continue
+		}
+		hasFields = true
+		known := slices.Contains([]string{"data", "event", "id", "retry"}, string(name))
+		if !known && (!hasValue || bytes.ContainsFunc(name, func(c rune) bool { return c != '-' && (c < 'a' || c > 'z') })) {
+			return true, false
+		}
+	}
+	return hasFields, true
+}
 
 // eventBoundary follows a stream of server-sent events that is passed on unchanged.
 type eventBoundary struct {
@@ -70,8 +147,13 @@
 	}
 }
 
-// dropPartial drops the incomplete event of a stream that broke.
-func (r *eventReader) dropPartial() { r.pending = r.pending[:0] }
+// resumable reports whether another target can continue the stream.
+func (r *eventReader) resumable() bool { return !r.began || r.lastID != "" }
+
+// dropPartial drops the incomplete event of a stream that broke. Another target continues it.
+func (r *eventReader) dropPartial() {
+	r.pending, r.resumed, r.targetID, r.err = r.pending[:0], r.began, "", nil
+}
 
 // eventEnd returns the length of the first event with the blank line that ends it, or -1.
 func eventEnd(b []byte) int {
--- a/lib/filter/relay/relay.go
+++ b/lib/filter/relay/relay.go
@@ -132,7 +132,7 @@
 	failedAnswer *try              // latest 5xx answer; passed on unless a later attempt succeeds
 	lastEventID  string            // id of the last event passed on
 	onSend       func()            // called before an attempt is sent; nil: none
-	streaming    bool              // the answer is passed on as a stream: without a further attempt it would be cut
+	streaming    bool              // the answer is passed on as a stream: a further attempt has to continue it
 }
 
 // try is one attempt at a target.
@@ -370,7 +370,7 @@
 		return
 	}
 	status := t.answer.Header.StatusCode()
-	if r.route.Kind == catalog.Stream && status == fasthttp.StatusOK {
+	if r.route.Kind == catalog.Stream && status == fasthttp.StatusOK && (!r.streaming || isEventStream(t.answer)) {
 		t.stream = true
 		return
 	}
--- /dev/null
+++ b/lib/filter/relay/resume_test.go
@@ -0,0 +1,104 @@
+package relay
+
+import (
+	"fmt"
+	"testing"
+)
+
+// Guards against an error of the target at which a stream is resumed, or bytes that are no events of that stream, in the
+// middle of the caller's stream, and against such a stream that ends as if it were complete.
+func TestOnlyEventsOfAResumedStreamReachTheCaller(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nId: 1\r\n"
+	const events = head + "Content-Type: text/event-stream\r\n"
+	const failure = "HTTP/1.1 500 X\r\nContent-Length: 5\r\n\r\nerror"
+	for name, second := range map[string]string{
+		"error":                      "HTTP/1.1 500 X\r\nId: 1\r\nContent-Type: text/event-stream\r\nContent-Length: 7\r\n\r\nerror\n\n",
+		"error as text":              head + "Content-Type: text/plain\r\nContent-Length: 7\r\n\r\nerror\n\n",
+		"error without a type":       head + "Content-Length: 7\r\n\r\nerror\n\n",
+		"error without an end":       head + "Content-Type: text/html\r\n\r\nerror\n\n",
+		"empty body":                 head + "Content-Length: 0\r\n\r\n",
+		"no content":                 "HTTP/1.1 204 X\r\nId: 1\r\n\r\n",
+		"encoded":                    events + "Content-Encoding: gzip\r\nContent-Length: 7\r\n\r\nerror\n\n",
+		"error text in the events":   events + "Content-Length: 7\r\n\r\nerror\n\n",
+		"error head in the events":   events + "\r\n" + failure,
+		"error head in an event":     events + "\r\n" + event(3)[:9] + failure,
+		"error head in a chunk":      events + "Transfer-Encoding: chunked\r\n\r\n40\r\n" + event(3)[:9] + failure,
+		"ends without an event":      events + "Content-Length: 0\r\n\r\n",
+		"begins at the first event":  events + "\r\n" + event(1) + event(2) + event(3),
+		"goes back":                  events + "\r\n" + event(3) + event(1),
+		"begins before the first":    events + "\r\n" + event(0) + event(3),
+		"sends the first event only": events + "\r\n" + event(1),
+	} {
+		t.Run(name, func(t *testing.T) {
+			withTargets(t, map[string]script{"near": func(r *receivedRequest) bool {
+				startStream(r)
+				chunk(r.conn, event(1)+event(2))
+				return false
+			}, "far": func(r *receivedRequest) bool {
+				fmt.Fprint(r.conn, second)
+				return false
+			}}, func(t *testing.T, r *harness) {
+				a := r.call("POST", "/resumable/x", "1")
+				if a.err == nil || a.body != event(1)+event(2) && a.body != event(1)+event(2)+event(3) {
+					t.Errorf("%q, %v", a.body, a.err)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a stream without ids that is started anew at another target after a part of it was passed on.
+func TestStreamWithoutIDsIsNotResumed(t *testing.T) {
+	withTargets(t, map[string]script{"near": func(r *receivedRequest) bool {
+		startStream(r)
+		chunk(r.conn, ": hello\n\ndata: 1\n\n")
+		return false
+	}, "far": func(r *receivedRequest) bool {
+		startStream(r)
+		chunk(r.conn, "data: 1\n\n")
+		fmt.Fprint(r.conn, "0\r\n\r\n")
+		return true
+	}}, func(t *testing.T, r *harness) {
+		if a := r.call("POST", "/resumable/x", "1"); a.body != ": hello\n\ndata: 1\n\n" || a.err == nil || r.requests() != "near 1" {
+			t.Errorf("%+v after %s", a, r.requests())
+		}
+	})
+}
+
+// Guards against text that is no event in the stream of the first target, and against its loss of the events around it.
+func TestStreamThatTurnsIntoAnErrorIsResumed(t *testing.T) {
+	for name, text := range map[string]string{
+		"text": "error\n\n", "head": "HTTP/1.1 500 X\r\nA: b\r\n\r\n", "head in an event": event(3)[:9] + "HTTP/1.1 500 X\r\nA: b\r\n\r\n",
+		"ids go back": event(1),
+	} {
+		t.Run(name, func(t *testing.T) {
+			withTargets(t, map[string]script{"near": func(r *receivedRequest) bool {
+				startStream(r)
+				chunk(r.conn, event(1)+event(2)+text)
+				fmt.Fprint(r.conn, "0\r\n\r\n")
+				return true
+			}, "far": func(r *receivedRequest) bool {
+				startStream(r)
+				chunk(r.conn, "cuminhook-versions: 2\n"+event(3)+": ping\n\n"+event(4)+"data\n\n")
+				fmt.Fprint(r.conn, "0\r\n\r\n")
+				return true
+			}}, func(t *testing.T, r *harness) {
+				want := event(1) + event(2) + "cuminhook-versions: 2\n" + event(3) + ": ping\n\n" + event(4) + "data\n\n"
+				if a := r.call("POST", "/resumable/x", "1"); a.body != want || a.err != nil {
+					t.Errorf("%q, %v", a.body, a.err)
+				}
+			})
+		})
+	}
+}
+
+// Guards against an answer on a stream route that is not a stream and is taken for a broken one.
+func TestAnswerThatIsNotAStreamIsPassedOnWhole(t *testing.T) {
+	withTargets(t, map[string]script{
+		"near": reply(200, "Content-Type: application/json\r\n", "{}"), "far": reply(200, "", "never"),
+	}, func(t *testing.T, r *harness) {
+		if a := r.call("POST", "/resumable/x", "1"); a.status != 200 || a.body != "{}" || a.err != nil || r.requests() != "near 1" {
+			t.Errorf("%+v after %s", a, r.requests())
+		}
+	})
+}
--- a/lib/filter/relay/stream.go
+++ b/lib/filter/relay/stream.go
@@ -54,7 +54,7 @@
 
 	boundary eventBoundary // of a stream that is not resumable
 
-	// Set for resumable streams only.
+	// Set for resumable streams of events only.
 	events *eventReader
 	ready  []byte // whole events that Read has not returned yet
 	stalls int    // times in a row that the current target has stalled
@@ -63,7 +63,7 @@
 
 func newStream(r *request, t *try) *stream {
 	s := &stream{req: r, current: t, conn: r.ex.HTTP.Conn()}
-	if r.route.Resumable {
+	if r.route.Resumable && isEventStream(t.answer) {
 		s.events = &eventReader{}
 	}
 	return s
@@ -104,6 +104,9 @@
 
 // isEventStream reports whether the body of the answer is a stream of events. One that states its length and no type is not.
 func isEventStream(a *forward.Answer) bool {
+	if len(a.Header.ContentEncoding()) > 0 {
+		return false
+	}
 	contentType := a.Header.ContentType()
 	return bytes.HasPrefix(contentType, []byte("text/event-stream")) || len(contentType) == 0 && a.Length < 0
 }
@@ -136,18 +139,17 @@
 	defer s.endStallLimit()
 	for len(s.ready) == 0 {
 		n, err := s.current.answer.Read(buf[:])
-		var tooLarge error
-		if s.ready, tooLarge = s.events.feed(s.ready, buf[:n]); tooLarge != nil {
-			err = tooLarge
+		var invalid error
+		if s.ready, invalid = s.events.feed(s.ready, buf[:n]); invalid != nil {
+			err = invalid
 		}
 		if len(s.ready) > 0 {
 			s.req.answerBegan(s.current)
 		}
 		if errors.Is(err, io.EOF) && len(s.ready) == 0 {
-			if !s.events.insideEvent() {
+			if err = s.events.ended(); err == nil {
 				return 0, io.EOF
 			}
-			err = errInsideEvent
 		}
 		if err != nil && !errors.Is(err, io.EOF) && len(s.ready) == 0 {
 			if err := s.resume(err); err != nil {
@@ -184,7 +186,10 @@
 	s.stalls++
 	r, old := s.req, s.current
 	later := time.Now().Add(s.stallTimeout())
-	choice := r.pickForStalled(s.stalls > 1)
+	var choice *balance.Choice
+	if s.events.resumable() {
+		choice = r.pickForStalled(s.stalls > 1)
+	}
 	if choice == nil {
 		return later, r.ctx.Err()
 	}
@@ -237,13 +242,15 @@
 // resume continues the stream at another target, after the last event passed on.
 func (s *stream) resume(cause error) error {
 	r := s.req
+	r.cfg.Log.Info("stream broke off", "request_id", r.ex.ID, "target", s.current.choice.Target.ID, "last_event", s.events.lastID,
+		"error", cause.Error())
 	s.endAttempt(false)
 	if s.next != nil {
 		s.current, s.next = s.next, nil
 		s.events.dropPartial()
 		return nil
 	}
-	for r.ctx.Err() == nil && r.state.MaySend() && r.cfg.Retries.Allow(r.service) {
+	for s.events.resumable() && r.ctx.Err() == nil && r.state.MaySend() && r.cfg.Retries.Allow(r.service) {
 		r.retryCounter("stream_broken").Inc()
 		r.lastEventID = s.events.lastID
 		choice, err := r.pick()
