Entries of one era are ordered by revision again

Cause: since a tombstone excludes entries whose beat is not above that of the dropped one, and a reported removal drops a target whose beat is not higher, also when both were read in one era, where the revision alone tells which change came first. Targets write an entry again after a silence, and the platform changes an entry only when more than its beat changes.

The target would stay shut out until the tombstone expires (30 s) and its entry changes or is read in full.

Change: beats and starts decide only between an entry of a later era and a removal of an earlier one.

--- a/lib/registry/registry.go
+++ b/lib/registry/registry.go
@@ -3,6 +3,8 @@
 
 import (
 	"time"
+
+	"cuminhook.org/cuminhook/lib/kv"
 )
 
 // State is the state that a target reports in its entry.
@@ -82,7 +84,7 @@
 	}
 	if d.Removed {
 		// An entry of a restored store has a later revision than the removal that the store has lost.
-		if d.Revision < old.Revision && d.Beat < old.Beat {
+		if d.Revision < old.Revision && (d.Beat < old.Beat || !isLaterEra(old.Revision, d.Revision)) {
 			return false
 		}
 		t.drop(d.ID, d.Revision, now)
@@ -130,7 +132,16 @@
 
 // excludes reports whether the target's entry was written before the drop.
 func (s tombstone) excludes(t *Target) bool {
-	return t.Revision < s.revision || t.Started < s.started || t.Started == s.started && t.Beat <= s.beat
+	if isLaterEra(t.Revision, s.revision) {
+		return t.Started < s.started || t.Started == s.started && t.Beat <= s.beat
+	}
+	return t.Revision < s.revision
+}
+
+// isLaterEra reports whether a revision is of a later era than another one. Only within an era do revisions tell which of two
+// changes came first.
+func isLaterEra(revision, other int64) bool {
+	return kv.Version(revision).Era() > kv.Version(other).Era()
 }
 
 // tombstoneTTL is how long a tombstone is kept. Hosts announce a change to each other for three seconds, and may be
--- a/lib/registry/registry_test.go
+++ b/lib/registry/registry_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"cuminhook.org/cuminhook/lib/kv"
 )
 
 // Guards against entries that arrive out of order: an older one of the same incarnation, one of an earlier incarnation, and
@@ -49,3 +51,26 @@
 		t.Error("a later entry did not restore the target")
 	}
 }
+
+// Guards against a target that stays shut out because its entry, written after its removal, has the beat that it had.
+func TestTargetWrittenAgainAfterItsRemovalIsBack(t *testing.T) {
+	entryAt := func(revision int64) *Target {
+		return &Target{ID: "a", Started: 1, Beat: 5, Revision: int64(kv.NewVersion(1, revision))}
+	}
+	now := time.Unix(1000, 0)
+	dropped := func() *Table {
+		table := NewTable()
+		table.ApplyUpdate(Update{ID: "a", Target: entryAt(5), Revision: entryAt(5).Revision}, now, false)
+		table.ApplyUpdate(Update{ID: "a", Revision: int64(kv.NewVersion(1, 9))}, now, false)
+		return table
+	}
+	table, back := dropped(), entryAt(12)
+	table.ApplyUpdate(Update{ID: "a", Target: back, Revision: back.Revision}, now, false)
+	if table.Get("a") != back {
+		t.Error("an entry written after the removal did not restore the target")
+	}
+	table.ApplyDeparture(Departure{ID: "a", Started: 1, Beat: 5, Removed: true, Revision: int64(kv.NewVersion(1, 9))}, now)
+	if table.Get("a") != back {
+		t.Error("a late report of the removal dropped the target that is back")
+	}
+}
