A target that has returned drains in a restored store

Cause: a tombstone outlived the return of its target. Table.Restored raised its beat to that of the entry in the restored store, and ApplyUpdate then took the entry of the target in use for one written before the drop. If that entry says that the target drains, it stayed ready until its next entry.

Evidence: TestReturnedTargetDrainsInARestoredStore fails without the change: the target stays ready.

Change: the entry that brings a target back ends its tombstone.

--- a/lib/registry/registry.go
+++ b/lib/registry/registry.go
@@ -178,6 +178,7 @@
 		return false
 	}
 	delete(t.missing, u.ID)
+	delete(t.tombstones, u.ID) // from now on the entry itself tells older ones
 	t.targets[u.ID] = u.Target
 	return true
 }
--- a/lib/registry/registry_test.go
+++ b/lib/registry/registry_test.go
@@ -74,3 +74,26 @@
 		t.Error("a late report of the removal dropped the target that is back")
 	}
 }
+
+// Guards against work for a draining target that was gone before: a restored store shows its entry, which is taken for an old one.
+func TestReturnedTargetDrainsInARestoredStore(t *testing.T) {
+	now, in := time.Unix(1000, 0), func(era kv.Era, revision int64) int64 { return int64(kv.NewVersion(era, revision)) }
+	table := NewTable()
+	for _, u := range []Update{
+		{ID: "a", Target: &Target{ID: "a", Started: 1, Beat: 5}, Revision: in(1, 5)},
+		{ID: "a", Revision: in(1, 9)},
+		{ID: "a", Target: &Target{ID: "a", Started: 1, Beat: 7}, Revision: in(1, 12)},
+	} {
+		if u.Target != nil {
+			u.Target.Revision = u.Revision
+		}
+		table.ApplyUpdate(u, now, false)
+	}
+	draining := &Target{ID: "a", Started: 1, Beat: 8, State: Draining, Revision: in(2, 13)}
+	read := []Update{{ID: "a", Target: draining, Revision: draining.Revision}}
+	table.Restored(read)
+	table.ApplyUpdate(read[0], now, false)
+	if got := table.Get("a"); got == nil || got.State != Draining {
+		t.Errorf("the target is %+v, want it to drain", got)
+	}
+}
