A target that writes a lost entry again is back

Cause: for a removal of an earlier era that a restored store has lost too, only the beat decided whether an entry was written before the drop, also for entries written after this host's full read. A target that writes the lost entry again as it was stayed shut out until the tombstone expired. The platform states that what the servers wrote is written again; whether with the same beat is not known.

Evidence: TestTargetThatWritesALostEntryAgainIsBack fails without the change.

Change: a full read of a restored store raises the revisions of tombstones above its own instead of their beats: what it shows of a dropped incarnation stays away, what is written later is used.

Result: lib/registry and lib/storewatch pass with -race -cpu 1.

--- a/lib/registry/registry.go
+++ b/lib/registry/registry.go
@@ -194,14 +194,19 @@
 	t.tombstones[id] = stone
 }
 
-// Restored takes the entries that a restored store shows of dropped incarnations for ones written before the drop: it may have
-// lost their removal. A target that still writes is back with its next entry.
-func (t *Table) Restored(entries []Update) {
-	for _, u := range entries {
-		stone, dropped := t.tombstones[u.ID]
-		if dropped && u.Target != nil && u.Target.Started == stone.started {
-			stone.beat = max(stone.beat, u.Target.Beat)
-			t.tombstones[u.ID] = stone
+// Restored takes the entries that a full read of a restored store, as of a revision, shows of dropped incarnations for ones
+// written before the drop: it may have lost their removal. A target that writes after the read is back.
+func (t *Table) Restored(read []Update, revision int64) {
+	started := make(map[string]int64, len(read))
+	for _, u := range read {
+		if u.Target != nil {
+			started[u.ID] = u.Target.Started
+		}
+	}
+	for id, stone := range t.tombstones {
+		if at, ok := started[id]; !ok || at <= stone.started {
+			stone.revision = max(stone.revision, revision+1)
+			t.tombstones[id] = stone
 		}
 	}
 }
--- a/lib/registry/registry_test.go
+++ b/lib/registry/registry_test.go
@@ -91,9 +91,24 @@
 	}
 	draining := &Target{ID: "a", Started: 1, Beat: 8, State: Draining, Revision: in(2, 13)}
 	read := []Update{{ID: "a", Target: draining, Revision: draining.Revision}}
-	table.Restored(read)
+	table.Restored(read, in(2, 13))
 	table.ApplyUpdate(read[0], now, false)
 	if got := table.Get("a"); got == nil || got.State != Draining {
 		t.Errorf("the target is %+v, want it to drain", got)
 	}
 }
+
+// Guards against a target that stays shut out because it wrote the entry that a restored store had lost again, as it was.
+func TestTargetThatWritesALostEntryAgainIsBack(t *testing.T) {
+	now, in := time.Unix(1000, 0), func(era kv.Era, revision int64) int64 { return int64(kv.NewVersion(era, revision)) }
+	table := NewTable()
+	old := &Target{ID: "a", Started: 1, Beat: 5, Revision: in(1, 12)}
+	table.ApplyUpdate(Update{ID: "a", Target: old, Revision: old.Revision}, now, false)
+	table.ApplyUpdate(Update{ID: "a", Revision: in(1, 13)}, now, false)
+	table.Restored(nil, in(2, 10))
+	back := &Target{ID: "a", Started: 1, Beat: 5, Revision: in(2, 11)}
+	table.ApplyUpdate(Update{ID: "a", Target: back, Revision: back.Revision}, now, false)
+	if table.Get("a") != back {
+		t.Error("an entry written after the full read did not restore the target")
+	}
+}
--- a/lib/storewatch/targets.go
+++ b/lib/storewatch/targets.go
@@ -59,7 +59,7 @@
 	}
 	if restored := revision.Era() > w.era; restored && !first {
 		w.lastFailure = time.Now() // targets have as much time to write their entries again as after an outage
-		w.targets.Restored(all)
+		w.targets.Restored(all, int64(revision))
 	}
 	w.era = max(w.era, revision.Era())
 	for _, u := range append(all, w.targets.Missing(all, int64(revision))...) {
