An arrival that a restored store has lost ends with the others

Cause: a host that has read a restored store applies an arrival that another host read in an earlier era and still announces. If the store has lost that entry and its target is gone too, no removal is ever reported, and while the watch is never idle no full read follows: the target stays in use.

Evidence: TestArrivalThatARestoredStoreHasLostIsNotUsed fails without the change.

Change: such a target has as much time to write its entry again as those that were in use when the store was restored.

Result: lib/storewatch passes with -race -cpu 1.

--- a/lib/storewatch/changes.go
+++ b/lib/storewatch/changes.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"cuminhook.org/cuminhook/lib/bootclock"
+	"cuminhook.org/cuminhook/lib/kv"
 	"cuminhook.org/cuminhook/lib/registry"
 )
 
@@ -144,6 +145,10 @@
 		if old == nil || old.Started != t.Started {
 			changed = w.targets.ApplyUpdate(
 				registry.Update{ID: t.ID, Target: t, Revision: t.Revision}, now, false) || changed
+			// A restored store may have lost the entry, and does not report its removal then.
+			if kv.Version(t.Revision).Era() < w.era && w.targets.Get(t.ID) == t {
+				w.targets.ApplyUpdate(registry.Update{ID: t.ID, Revision: int64(kv.NewVersion(w.era, 0))}, now, true)
+			}
 		}
 		announce = w.recordReceived(changeKey{t.ID, t.Started, targetAdded}, recentChange{arrival: t}, fromLeaf) || announce
 	}
--- a/lib/storewatch/storewatch_test.go
+++ b/lib/storewatch/storewatch_test.go
@@ -399,6 +399,26 @@
 	})
 }
 
+// Guards against a target that stays in use for ever because a host announces an entry that the restored store has lost.
+func TestArrivalThatARestoredStoreHasLostIsNotUsed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		feed := newFakeFeed()
+		feed.put("targets/stays", "ready")
+		lost := &registry.Target{ID: "lost", Beat: 1, Revision: int64(kv.NewVersion(0, 2))}
+		feed.restore(0)
+		w, s := startWatcher(t, feed)
+		time.Sleep(time.Second)
+		w.ApplyChanges(TargetChanges{Arrivals: []*registry.Target{lost}}, false)
+		for range 20 { // the watch is never idle, so that no full read follows
+			feed.put("targets/stays", "ready")
+			time.Sleep(300 * time.Millisecond)
+		}
+		if _, ok := s.targetState("lost"); ok {
+			t.Error("the target is in use")
+		}
+	})
+}
+
 // returnTime is the time in which targets write entries again that a store has lost.
 const returnTime = 2 * time.Second
 
