relay: refuse a request whose stream never began

Callers saw: a connection that is closed without a byte of an answer, after a whole request: neither an answer nor a refusal.

Cause: an answer was committed as a stream once its head had arrived. If the target then broke off, or sent bytes that are no chunk or no whole event, before anything could be passed on, the server had sent nothing yet and could only close the connection. The case belongs to the class of answers that are committed before there is something to send.

Change: what a stream passes on first is read before the answer is committed. A target that fails before that ends the request with 502, or 504 at its deadline, as for other answers; a resumable stream is tried elsewhere first, as before.

TestEmptyStreamIsComplete passed before and guards the new code. No existing test changed.

--- a/lib/filter/relay/relay.go
+++ b/lib/filter/relay/relay.go
@@ -432,6 +432,16 @@
 
 // deliver passes the answer on to the caller. A stream is read while the server writes it, after deliver has returned.
 func (r *request) deliver(t *try) error {
+	var body *stream
+	if t.stream {
+		r.streaming = true
+		body = newStream(r, t)
+		if err := body.begin(); err != nil {
+			body.endAttempt(false)
+			r.cfg.Log.Info("stream not begun", "request_id", r.ex.ID, "error", err.Error())
+			return r.fail(refusal.TargetFailed, 0)
+		}
+	}
 	resp := &r.ex.HTTP.Response
 	resp.SetStatusCode(t.answer.Header.StatusCode())
 	resp.Header.SetNoDefaultContentType(true)
@@ -448,7 +458,6 @@
 		return nil
 	}
 	r.ex.Detach()
-	r.streaming = true
-	resp.SetBodyStream(newStream(r, t), -1)
+	resp.SetBodyStream(body, -1)
 	return nil
 }
--- a/lib/filter/relay/stream.go
+++ b/lib/filter/relay/stream.go
@@ -52,11 +52,15 @@
 	readErr     error
 	closeOnce   sync.Once
 
-	boundary eventBoundary // of a stream that is not resumable
+	// Set for streams that are not resumable only.
+	boundary eventBoundary
+	ahead    []byte // read by begin, not returned by Read yet
+	aheadErr error  // follows ahead
 
 	// Set for resumable streams of events only.
 	events *eventReader
 	ready  []byte // whole events that Read has not returned yet
+	ended  bool   // the target's stream is complete
 	stalls int    // times in a row that the current target has stalled
 	next   *try   // attempt that continues the stream in place of the stalled one
 }
@@ -89,8 +93,41 @@
 	return n, err
 }
 
+// begin reads what is passed on first, so that a request whose stream never begins can still be refused. An error means that it
+// did not begin.
+func (s *stream) begin() error {
+	if s.events != nil {
+		if err := s.fillEvents(); !errors.Is(err, io.EOF) {
+			return err
+		}
+		return nil
+	}
+	buf := make([]byte, readBufferBytes)
+	n, err := 0, error(nil)
+	for n == 0 && err == nil {
+		n, err = s.readTarget(buf)
+	}
+	s.ahead, s.aheadErr = buf[:n], err
+	if n > 0 || errors.Is(err, io.EOF) {
+		return nil
+	}
+	return err
+}
+
 // readRaw reads bytes as the target sends them.
 func (s *stream) readRaw(p []byte) (int, error) {
+	if len(s.ahead) > 0 {
+		n := copy(p, s.ahead)
+		s.ahead = s.ahead[n:]
+		return n, nil
+	}
+	if s.aheadErr != nil {
+		return 0, s.aheadErr
+	}
+	return s.readTarget(p)
+}
+
+func (s *stream) readTarget(p []byte) (int, error) {
 	n, err := s.current.answer.Read(p)
 	s.boundary.feed(p[:n])
 	if errors.Is(err, io.EOF) && s.boundary.partial && isEventStream(s.current.answer) {
@@ -134,6 +171,21 @@
 // readEvents reads whole events only, so that the stream can be resumed at another target after any of them. A target that
 // sends no whole event in time has stalled, also if it sends a byte now and then.
 func (s *stream) readEvents(p []byte) (int, error) {
+	if len(s.ready) == 0 {
+		if err := s.fillEvents(); err != nil {
+			return 0, err
+		}
+	}
+	n := copy(p, s.ready)
+	s.ready = s.ready[n:]
+	return n, nil
+}
+
+// fillEvents waits for the next events. It returns io.EOF at the end of the stream.
+func (s *stream) fillEvents() error {
+	if s.ended {
+		return io.EOF
+	}
 	var buf [readBufferBytes]byte
 	s.limitStall()
 	defer s.endStallLimit()
@@ -148,19 +200,18 @@
 		}
 		if errors.Is(err, io.EOF) && len(s.ready) == 0 {
 			if err = s.events.ended(); err == nil {
-				return 0, io.EOF
+				s.ended = true
+				return io.EOF
 			}
 		}
 		if err != nil && !errors.Is(err, io.EOF) && len(s.ready) == 0 {
 			if err := s.resume(err); err != nil {
-				return 0, err
+				return err
 			}
 			s.limitStall()
 		}
 	}
-	n := copy(p, s.ready)
-	s.ready = s.ready[n:]
-	return n, nil
+	return nil
 }
 
 // stallTimeout returns the time without a whole event after which the target has stalled.
