Log when a target has executed an order, and after how long

The log showed when a load was ordered, but not when the model was there. Whether a model that is never served waits for a slow load, is evicted, or is never ordered could not be told apart.

--- a/lib/placer/models.go
+++ b/lib/placer/models.go
@@ -189,7 +189,7 @@
 		return
 	}
 	if !done {
-		p.awaitExecution(ctx, t, time.Duration(firstPollFraction*float64(loadDuration(e, a))))
+		p.awaitExecution(ctx, t, orders.Order{Op: orders.Load, Model: a.Model}, time.Duration(firstPollFraction*float64(loadDuration(e, a))))
 		return
 	}
 	p.requireSync(t, maxReportAge)
@@ -218,13 +218,14 @@
 		p.requireSync(t, syncInterval)
 		return
 	}
-	p.awaitExecution(ctx, t, reportPollInterval)
+	p.awaitExecution(ctx, t, orders.Order{Op: orders.Unload, Model: model}, reportPollInterval)
 }
 
-// awaitExecution polls the target's report, first after firstPoll, until the target has executed all accepted orders or
-// executionTimeout has passed.
-func (p *Placer) awaitExecution(ctx context.Context, t *target, firstPoll time.Duration) {
-	deadline := time.Now().Add(executionTimeout)
+// awaitExecution polls the target's report, first after firstPoll, until the target has executed the accepted order o and all
+// before it, or executionTimeout has passed.
+func (p *Placer) awaitExecution(ctx context.Context, t *target, o orders.Order, firstPoll time.Duration) {
+	began := time.Now()
+	deadline := began.Add(executionTimeout)
 	wait := firstPoll
 	for sleep.For(ctx, wait) && time.Now().Before(deadline) {
 		wait = reportPollInterval
@@ -236,6 +237,7 @@
 		if err == nil && !r.Busy && r.Accepted >= t.accepted {
 			t.applyReport(r)
 			p.mu.Unlock()
+			p.cfg.Log.Info("order executed", "op", string(o.Op), "model", o.Model, "target", t.info.ID, "seconds", time.Since(began).Seconds())
 			return
 		}
 		removed := p.targets[t.info.ID] != t
@@ -244,5 +246,8 @@
 			return
 		}
 	}
+	if ctx.Err() == nil {
+		p.cfg.Log.Warn("order not executed in time", "op", string(o.Op), "model", o.Model, "target", t.info.ID)
+	}
 	p.requireSync(t, maxReportAge)
 }
