A surplus copy that is too small no longer keeps a model from its first copy

Callers of a model without a copy were refused for as long as any other model had a copy to spare, wherever it was and however small: memory for the missing copy was taken from surplus copies only, while one existed, and a copy of 34 GB makes no room for a model of 73 GB. Where no model had a copy to spare and all were in use, nothing was unloaded at all, though some had six.

The planner now goes on to the last copies of unused models, and then to further copies of models whose other copies can do the work, when no surplus copy, also at a busy target, makes the room.

--- a/lib/residency/residency.go
+++ b/lib/residency/residency.go
@@ -33,6 +33,9 @@
 	// maxYieldingUsage is the fraction of another model's demand for each of its copies below which the average demand of an
 	// unused model has to be for its last copy to give way to a further copy of the other.
 	maxYieldingUsage = 0.1
+	// maxSharedFraction is the fraction of a target's time that a model's demand may take at each of its copies after one of them
+	// has given way to a model without a copy. Beyond it prompts wait long for each other.
+	maxSharedFraction = 0.5
 	// storeLoadCostMS and sameZoneCostMS are added to the load of a target, in milliseconds of engine time per second:
 	// the first if a copy would come from the weight store and not from the target's own disk, the second if the
 	// target's zone has a copy already.
@@ -360,31 +363,51 @@
 }
 
 // evictFor unloads a copy from a target that then has free memory for the missing one: a surplus copy, or else the last one
-// of an unused model that is rarely asked for. Of the targets it chooses the one with the least load, since that unload is
-// done soonest.
+// of an unused model that is rarely asked for, or else, for a model without a copy, a further copy of a model whose other
+// copies can do its work.
 func (s *planState) evictFor(c missingCopy) (Action, bool) {
 	m := c.model
-	if s.any(&s.anySurplus, s.hasSurplus) {
-		t, v := s.cheapestVictim(m, s.hasSurplus)
-		if t == nil {
-			return Action{}, false // it is at busy targets, which will have done their orders before a rare model is loaded again
-		}
-		s.claimed++
-		return s.unload(t, v, ReasonFreeMemory), true
-	}
-	if !s.any(&s.anyRare, s.isRare) {
-		return Action{}, false
-	}
 	limit := math.Inf(1)
 	if c.reason == ReasonDemand {
 		limit = maxYieldingUsage * m.EngineLoad / float64(s.copies[m.Name])
 	}
-	t, v := s.cheapestVictim(m, func(v *Model) bool { return s.isRare(v) && s.usage[v.Name] <= limit })
-	if t == nil {
-		return Action{}, false
+	for _, kind := range []struct {
+		exists bool
+		yields func(*Model) bool
+		cost   func(*Model) float64
+	}{
+		{s.any(&s.anySurplus, s.hasSurplus), s.hasSurplus, s.demandCost},
+		{s.any(&s.anyRare, s.isRare), func(v *Model) bool { return s.isRare(v) && s.usage[v.Name] <= limit }, s.demandCost},
+		{c.reason == ReasonLost, s.canShare, s.sharedLoad},
+	} {
+		if !kind.exists {
+			continue
+		}
+		t, v, later := s.cheapestVictim(m, kind.yields, kind.cost)
+		if t != nil {
+			s.claimed++
+			return s.unload(t, v, ReasonFreeMemory), true
+		}
+		if later || c.reason == ReasonDemand {
+			// A busy target has done its order before a model that has to yield otherwise is loaded again, and a further copy
+			// that does not fit is no reason to take a model its last one.
+			return Action{}, false
+		}
 	}
-	s.claimed++
-	return s.unload(t, v, ReasonFreeMemory), true
+	return Action{}, false
+}
+
+// demandCost is the cost of a copy by the demand for its model.
+func (s *planState) demandCost(m *Model) float64 { return m.EngineLoad + s.usage[m.Name] }
+
+// sharedLoad returns the demand for each copy of the model if it has one copy less.
+func (s *planState) sharedLoad(m *Model) float64 {
+	return m.EngineLoad / float64(max(1, s.copies[m.Name]-1))
+}
+
+// canShare reports whether the model's other copies can do its work if it has one ready copy less.
+func (s *planState) canShare(m *Model) bool {
+	return s.copies[m.Name] > 1 && s.ready[m.Name] > 1 && s.sharedLoad(m) <= 1000*maxSharedFraction
 }
 
 // hasSurplus reports whether the model has a surplus copy.
@@ -407,19 +430,24 @@
 	return *known == yes
 }
 
-// cheapestVictim returns the target, and a copy there that may yield, whose unload gives it free memory for the model at the
-// least cost; nil if there is none. A target that has the model on its disk loads it several times as fast.
-func (s *planState) cheapestVictim(m *Model, yields func(*Model) bool) (best *Target, victim *Model) {
+// cheapestVictim returns the idle target, and a copy there that may yield, whose unload gives it free memory for the model at
+// the least cost; nil if there is none. later reports that there is one at a busy target. A target that has the model on its
+// disk loads it several times as fast.
+func (s *planState) cheapestVictim(m *Model, yields func(*Model) bool, costOf func(*Model) float64) (best *Target, victim *Model, later bool) {
 	var lowest float64
 	for _, t := range s.targets {
-		if s.busy[t.ID] || t.hasModel(m.Name) {
+		if t.hasModel(m.Name) || s.busy[t.ID] && later {
 			continue
 		}
-		v := s.victim(t, yields, m.MB-t.freeMB())
+		v := s.victim(t, yields, costOf, m.MB-t.freeMB())
 		if v == nil {
 			continue
 		}
-		cost := s.loadMS[t.ID] + v.EngineLoad + s.usage[v.Name]
+		if s.busy[t.ID] {
+			later = true
+			continue
+		}
+		cost := s.loadMS[t.ID] + costOf(v)
 		if !slices.Contains(t.Cached, m.Name) {
 			cost += storeLoadCostMS
 		}
@@ -427,18 +455,18 @@
 			best, victim, lowest = t, v, cost
 		}
 	}
-	return best, victim
+	return best, victim, later
 }
 
-// victim returns the least used model of a target that may yield and frees at least neededMB, or nil.
-func (s *planState) victim(t *Target, yields func(*Model) bool, neededMB float64) *Model {
+// victim returns the model of a target that may yield, frees at least neededMB and costs the least, or nil.
+func (s *planState) victim(t *Target, yields func(*Model) bool, costOf func(*Model) float64, neededMB float64) *Model {
 	var best *Model
 	for _, h := range t.Models {
 		m := s.byName[h.Model]
 		if m == nil || !h.Ready || h.Unloading || m.MB < neededMB || !yields(m) {
 			continue
 		}
-		if best == nil || m.EngineLoad+s.usage[m.Name] < best.EngineLoad+s.usage[best.Name] {
+		if best == nil || costOf(m) < costOf(best) {
 			best = m
 		}
 	}
@@ -501,7 +529,7 @@
 		if s.busy[t.ID] || t.freeMB() >= neededMB {
 			continue
 		}
-		v := s.victim(t, func(m *Model) bool { return s.surplus(m, minCopies+spareCopies) > 0 }, neededMB-t.freeMB())
+		v := s.victim(t, func(m *Model) bool { return s.surplus(m, minCopies+spareCopies) > 0 }, s.demandCost, neededMB-t.freeMB())
 		if v == nil || v.EngineLoad > minUsedLoadMS && s.surplus(v, minCopies) < 2*spareCopies {
 			continue
 		}
