Removals after a restoration are followed in time again

Cause: a host that reads a restored store took that moment for a failure of the store, and kept targets whose entries were removed in the three seconds after it for returnGrace. It reads up to a poll interval after the restoration, so that this also held for removals from which the time limits apply again (3 s after it); returnGrace (2.2 s) is above the limit (2 s).

Evidence: TestRemovalLongAfterARestorationIsDetectedInTime fails without the change.

Change: only entries that are missing in the read of the restored store have that time. A removal of a target that is missing already no longer drops it before its time, which a second read did then (TestSecondReadOfARestoredStoreLeavesTargetsTheirTime fails without that part).

Result: lib/registry and lib/storewatch pass with -race -cpu 1.

--- a/lib/registry/registry.go
+++ b/lib/registry/registry.go
@@ -162,10 +162,11 @@
 		if old == nil || u.Revision < old.Revision {
 			return false
 		}
+		if _, ok := t.missing[u.ID]; ok {
+			return false
+		}
 		if inOutage {
-			if _, ok := t.missing[u.ID]; !ok {
-				t.missing[u.ID] = missing{now.Add(returnGrace), u.Revision}
-			}
+			t.missing[u.ID] = missing{now.Add(returnGrace), u.Revision}
 			return false
 		}
 		t.drop(u.ID, u.Revision, now)
--- a/lib/storewatch/storewatch_test.go
+++ b/lib/storewatch/storewatch_test.go
@@ -419,6 +419,47 @@
 	})
 }
 
+// Guards against dropping a target that a restored store has lost before it could write its entry again: another full read follows.
+func TestSecondReadOfARestoredStoreLeavesTargetsTheirTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		feed := newFakeFeed()
+		feed.put("targets/stays", "ready")
+		w, s := startWatcher(t, feed)
+		time.Sleep(time.Second)
+		feed.put("targets/lost", "ready")
+		time.Sleep(time.Second)
+		feed.restore(1)
+		feed.put("targets/stays", "ready")
+		time.Sleep(returnTime / 2)
+		w.Refresh()
+		time.Sleep(returnTime / 4)
+		if _, ok := s.targetState("lost"); !ok {
+			t.Error("the target was dropped")
+		}
+	})
+}
+
+// Guards against sending work too long to a target that was removed when the time limits applied again after a restoration.
+func TestRemovalLongAfterARestorationIsDetectedInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		feed := newFakeFeed()
+		for _, id := range []string{"stays", "leaves"} {
+			feed.put("targets/"+id, "ready")
+		}
+		_, s := startWatcher(t, feed)
+		time.Sleep(4 * time.Second)
+		feed.put("targets/stays", "ready") // the host reads the store again after minPollInterval
+		time.Sleep(10 * time.Millisecond)
+		feed.restore(0)
+		time.Sleep(recoveryPeriod)
+		feed.remove("targets/leaves")
+		time.Sleep(drainDeadline)
+		if _, ok := s.targetState("leaves"); ok {
+			t.Error("the target is in use")
+		}
+	})
+}
+
 // returnTime is the time in which targets write entries again that a store has lost.
 const returnTime = 2 * time.Second
 
--- a/lib/storewatch/targets.go
+++ b/lib/storewatch/targets.go
@@ -34,14 +34,15 @@
 	if !c.Deleted {
 		u = w.decodeTarget(c.Key, c.Value, c.Version)
 	}
-	return w.applyTargetUpdate(u)
+	return w.applyTargetUpdate(u, false)
 }
 
-// applyTargetUpdate applies an update to the table and records what other hosts need of it. The caller holds mu.
-func (w *Watcher) applyTargetUpdate(u registry.Update) (changed bool) {
+// applyTargetUpdate applies an update to the table and records what other hosts need of it. A target may write a removed entry
+// again if a restored store has lost it, or after an outage. The caller holds mu.
+func (w *Watcher) applyTargetUpdate(u registry.Update, lost bool) (changed bool) {
 	now := time.Now()
 	old := w.targets.Get(u.ID)
-	changed = w.targets.ApplyUpdate(u, now, u.Target == nil && w.afterOutage(now))
+	changed = w.targets.ApplyUpdate(u, now, u.Target == nil && (lost || w.afterOutage(now)))
 	if changed {
 		w.recordChange(u, old)
 	}
@@ -57,13 +58,16 @@
 	for _, e := range entries {
 		all = append(all, w.decodeTarget(e.Key, e.Value, e.Version))
 	}
-	if restored := revision.Era() > w.era; restored && !first {
-		w.lastFailure = time.Now() // targets have as much time to write their entries again as after an outage
+	restored := !first && revision.Era() > w.era
+	if restored {
 		w.targets.Restored(all, int64(revision))
 	}
 	w.era = max(w.era, revision.Era())
-	for _, u := range append(all, w.targets.Missing(all, int64(revision))...) {
-		w.applyTargetUpdate(u)
+	for _, u := range all {
+		w.applyTargetUpdate(u, false)
+	}
+	for _, u := range w.targets.Missing(all, int64(revision)) {
+		w.applyTargetUpdate(u, restored)
 	}
 	if first {
 		clear(w.changes)
