Odd entries of another writer are no targets and no hosts

Reported by other operators: another writer left one odd entry among those of the targets (deeply nested, a number too large, a port out of range), and the hosts that read the list ended again and again or stopped following it.

Could it happen here: hosts did not end, and went on following the list: nesting, numbers that are no int and ports out of range failed to decode, and such an entry is passed over. But entries that decoded were used, whatever they said: - A target at the host's own address was sent requests, which came back without their key: callers got 401. One at port 0 or at an unspecified, multicast or broadcast address, or with 10^18 slots at an address where nobody listens, was tried like any other. - An id with a line end added lines to the header of requests. - A description of 100 KB of names made the state of the host larger than a datagram. Then none of its states is sent for as long as it announces the target, and at 1.5 s the others take the host for unreachable. - A host's entry of null, {} or with port 0 counted as a host among which limits are divided. Names were resolved, with the lock of the exchange held, which takes seconds where no name server answers.

Entries of hosts need the IP and port of a host. A host leaves out targets at its own addresses.

Not covered: an entry in all respects like that of a target can't be told from one, nor one under the id of a target with a later start or a higher beat, which holds until the entry is removed.

--- a/lib/entryhost/entryhost.go
+++ b/lib/entryhost/entryhost.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -172,8 +173,12 @@
 	h.catalog.Store(c)
 }
 
-// setTargets applies a new list of targets.
+// setTargets applies a new list of targets. A target at an address of this host would send requests back to it.
 func (h *Host) setTargets(list []*registry.Target) {
+	s := h.cfg.Settings
+	list = slices.DeleteFunc(list, func(t *registry.Target) bool {
+		return t.Addr == s.Listen || t.Addr == s.Ready || t.Addr == s.Peers || t.Addr == s.Metrics
+	})
 	h.connections.SetTargets(list)
 	h.retainRates(list)
 	h.balancer.SetTargets(list)
--- a/lib/peers/peers.go
+++ b/lib/peers/peers.go
@@ -18,6 +18,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"cuminhook.org/cuminhook/lib/aggregate"
+	"cuminhook.org/cuminhook/lib/registry"
 	"cuminhook.org/cuminhook/lib/sleep"
 	"cuminhook.org/cuminhook/lib/storewatch"
 )
@@ -182,12 +183,7 @@
 		if host == x.host {
 			continue
 		}
-		var e Entry
-		err := json.Unmarshal(value, &e)
-		var addr *net.UDPAddr
-		if err == nil {
-			addr, err = net.ResolveUDPAddr("udp", e.Addr)
-		}
+		e, addr, err := parseEntry(value)
 		if err != nil {
 			x.log.Warn("host entry not decoded", "host", host, "error", err.Error())
 			continue
@@ -204,6 +200,18 @@
 	x.update(now)
 }
 
+// parseEntry decodes the entry of a host. Names are not resolved: that takes seconds where no name server answers.
+func parseEntry(value []byte) (e Entry, addr *net.UDPAddr, err error) {
+	if err := json.Unmarshal(value, &e); err != nil {
+		return e, nil, err
+	}
+	ap, err := registry.ParseAddr(e.Addr)
+	if err != nil {
+		return e, nil, err
+	}
+	return e, net.UDPAddrFromAddrPort(ap), nil
+}
+
 // Addr returns the address (IP:port) for calls to a host, or false if the host is not known.
 func (x *Exchanger) Addr(host string) (string, bool) {
 	x.mu.Lock()
--- a/lib/peers/peers_test.go
+++ b/lib/peers/peers_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"reflect"
 	"slices"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -69,6 +70,49 @@
 	return x
 }
 
+// Guards against odd entries that count as hosts, among which limits are divided, or hold up states while names are resolved.
+func TestOddEntriesAreNoHosts(t *testing.T) {
+	var received []uint64
+	var hosts int
+	x := newExchanger(&received, &hosts)
+	entries := map[string][]byte{"other": []byte(`{"addr":"127.0.0.1:2","zone":"z"}`)}
+	for i, text := range []string{
+		"null", "{}", `{"addr":7}`, `{"addr":":0"}`, `{"addr":"127.0.0.1:0"}`, `{"addr":"0.0.0.0:5"}`, `{"addr":"127.0.0.1:65536"}`,
+		`{"addr":"localhost:5"}`, `{"addr":"127.0.0.1:http"}`, `{"addr":"224.0.0.1:5"}`, strings.Repeat("[", 100_000), "\xff",
+	} {
+		entries[fmt.Sprint("odd-", i)] = []byte(text)
+	}
+	x.SetEntries(entries)
+	for host := range entries {
+		if addr, known := x.Addr(host); known != (host == "other") {
+			t.Errorf("%s %.30s: known %v at %s", host, entries[host], known, addr)
+		}
+	}
+}
+
+// Guards against a target whose description is too large for the states of all hosts, which then count as unreachable.
+func TestDescriptionOfATargetFitsIntoAState(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 1))
+	name := func(n int) string {
+		b := make([]byte, n)
+		for i := range b {
+			b[i] = byte(33 + random.IntN(94))
+		}
+		return string(b)
+	}
+	target := &registry.Target{ID: "t", Addr: "127.0.0.1:80", Slots: 1}
+	for target.Validate() == nil {
+		target.Models = append(target.Models, registry.ResidentModel{Model: name(500)})
+	}
+	target.Models = target.Models[1:]
+	if err := target.Validate(); err != nil || len(target.Models) < 10 {
+		t.Fatalf("%d models: %v", len(target.Models), err)
+	}
+	if _, err := encode(&State{Changes: storewatch.TargetChanges{Arrivals: []*registry.Target{target}}}); err != nil {
+		t.Error(err)
+	}
+}
+
 // Guards against a host that ignores all states until it has read the entries in the store again: a state carries the
 // address of its host.
 func TestStateOfHostWithoutEntryIsAccepted(t *testing.T) {
