The planner learns how many loads the weight store runs at full speed

The cause: beyond a number of concurrent loads, which the configuration does not state, each load takes proportionally longer. The planner limited the rate of starts only, which there is over twice what the store gets done, so that copies for demand slowed the first copies of other models. The log of executed orders shows it: 8 running 5.0 s, 14 running 8.6 s, 16 running 9.2 s.

The planner now takes the number from the duration of loads that were slow, three in a row, starts no more than that, and leaves a quarter of the places to first copies. Each load that is done at full speed at the limit raises it by one, so a number that late orders made too low does not last. Requests that wait for a model are told when it comes by what the store gets done.

TestFirstCopiesAreNotSlowedByCopiesForDemand fails without the limit: five of five models have no copy 3.4 s after they were asked for.

--- a/lib/placer/placer.go
+++ b/lib/placer/placer.go
@@ -36,6 +36,8 @@
 	// loadRateFraction is the fraction of the tolerated load rate that the planner uses. The remainder allows for orders
 	// that are executed late and close together.
 	loadRateFraction = 0.93
+	// maxLoggedLoads stands in the log for a number of loads that is not known, as JSON has no infinity.
+	maxLoggedLoads = 1e6
 	// unknownModelMB is the memory that a loaded model is assumed to take if it is not in the configuration.
 	unknownModelMB = 80000
 )
@@ -155,7 +157,7 @@
 			if m == nil {
 				continue
 			}
-			turn := time.Duration(float64(i+1) / max(s.Engine.LoadsPerSecond, 1e-3) * float64(time.Second))
+			turn := time.Duration(float64(i+1) / max(planner.LoadRate(m.StoreLoadTime), 1e-3) * float64(time.Second))
 			expected[name+"/"+model] = now.Add(max(turn, unloadTime) + m.StoreLoadTime)
 		}
 	}
@@ -341,7 +343,7 @@
 	planner.SetRate(s.Engine.LoadsPerSecond * p.cfg.LoadRateFactor * loadRateFraction)
 	var models []residency.Model
 	for _, m := range s.Engine.Models {
-		models = append(models, residency.Model{Name: m.Name, MB: m.WeightsMB, EngineLoad: demand.EngineLoad[m.Name]})
+		models = append(models, residency.Model{Name: m.Name, MB: m.WeightsMB, StoreLoadTime: m.StoreLoadTime, EngineLoad: demand.EngineLoad[m.Name]})
 	}
 	slices.SortFunc(models, func(a, b residency.Model) int {
 		if a.Name < b.Name {
@@ -362,7 +364,7 @@
 		t := p.targets[a.Target]
 		t.busy = true
 		p.cfg.Log.Info("placement", "op", string(a.Op), "model", a.Model, "target", a.Target, "reason", a.Reason,
-			"from_store", a.FromStore, "work", demand.EngineLoad[a.Model], "epoch", p.epoch)
+			"from_store", a.FromStore, "full_speed_loads", min(planner.FullSpeedLoads(), maxLoggedLoads), "work", demand.EngineLoad[a.Model], "epoch", p.epoch)
 		if a.Op == orders.Load {
 			t.addLoading(a.Model, now.Add(loadDuration(s.Engine, a)))
 			go p.loadModel(ctx, t, s.Engine, a)
--- a/lib/residency/residency.go
+++ b/lib/residency/residency.go
@@ -80,9 +80,10 @@
 
 // Model is a configured model and the demand for it.
 type Model struct {
-	Name       string
-	MB         float64
-	EngineLoad float64 // demand in milliseconds of engine time per second, at the model's speed
+	Name          string
+	MB            float64
+	StoreLoadTime time.Duration // from the weight store, at full speed
+	EngineLoad    float64       // demand in milliseconds of engine time per second, at the model's speed
 }
 
 // Action is an order to send.
@@ -105,6 +106,7 @@
 // Planner plans actions. It is not safe for concurrent use.
 type Planner struct {
 	storeLoads tokenBucket
+	pace       *storePace
 	usage      map[string]float64 // average demand by model, in milliseconds of engine time per second
 	plannedAt  time.Time
 	waiting    []string // see Waiting
@@ -118,7 +120,7 @@
 	if startFull {
 		b.tokens = burst
 	}
-	return &Planner{storeLoads: b, usage: map[string]float64{}, plannedAt: now}
+	return &Planner{storeLoads: b, pace: newStorePace(now), usage: map[string]float64{}, plannedAt: now}
 }
 
 // tokenBucket limits the rate of loads; each load takes one token.
@@ -135,6 +137,14 @@
 // SetRate changes the rate of loads from the weight store, in loads a second.
 func (p *Planner) SetRate(rate float64) { p.storeLoads.rate = rate }
 
+// LoadRate returns how many loads of the given duration a second the weight store gets done at most.
+func (p *Planner) LoadRate(loadTime time.Duration) float64 {
+	return min(p.storeLoads.rate, p.pace.limit/max(loadTime.Seconds(), 1e-3))
+}
+
+// FullSpeedLoads returns how many loads the weight store is known to run at full speed; infinity if no number is known.
+func (p *Planner) FullSpeedLoads() float64 { return p.pace.limit }
+
 // missingCopy is a copy that a model should get.
 type missingCopy struct {
 	model    *Model
@@ -148,6 +158,7 @@
 func (p *Planner) Plan(models []Model, targets []*Target, now time.Time) []Action {
 	p.storeLoads.refill(now)
 	p.updateUsage(models, now)
+	p.pace.update(targets, now)
 	s := newPlanState(models, targets, p.usage)
 	s.maxUnloading = max(1, int(math.Ceil(p.storeLoads.rate*unloadHorizon.Seconds())))
 	var out []Action
@@ -157,9 +168,10 @@
 		if c.reason == ReasonUnused { // what is in use goes first, also what will be asked for next
 			tokens = p.storeLoads.burst
 		}
-		if a, ok := s.placeCopy(c, p.storeLoads.tokens >= tokens); ok {
+		if a, ok := s.placeCopy(c, p.storeLoads.tokens >= tokens && p.pace.mayStart(c.reason == ReasonLost)); ok {
 			if a.FromStore {
 				p.storeLoads.tokens--
+				p.pace.start(a.Target, c.model, now)
 			}
 			out = append(out, a)
 		}
--- a/lib/residency/residency_test.go
+++ b/lib/residency/residency_test.go
@@ -41,6 +41,7 @@
 	inProgress map[string]order
 	now        time.Time
 	loads      []time.Time // starts of loads from the weight store
+	fullSpeed  float64     // loads that the weight store runs at full speed; zero: all
 	planner    *Planner
 }
 
@@ -98,7 +99,7 @@
 		}
 		took := diskLoadTime
 		if a.FromStore {
-			took = storeLoadTime
+			took = time.Duration(float64(storeLoadTime) * f.slowdown())
 			f.loads = append(f.loads, f.now)
 		}
 		t.Models = append(t.Models, LoadedModel{Model: a.Model, MB: m.MB})
@@ -117,6 +118,20 @@
 	}
 }
 
+// slowdown returns the factor on the duration of a load from the weight store that begins now.
+func (f *fleet) slowdown() float64 {
+	running := 1.0
+	for _, o := range f.inProgress {
+		if o.FromStore {
+			running++
+		}
+	}
+	if f.fullSpeed == 0 {
+		return 1
+	}
+	return max(1, running/f.fullSpeed)
+}
+
 func (f *fleet) demand(models []Model, name string) *Model {
 	return &models[slices.IndexFunc(models, func(m Model) bool { return m.Name == name })]
 }
@@ -364,3 +379,30 @@
 		t.Error("no copy of a model in demand after 5 s, though others have six")
 	}
 }
+
+// Guards against callers of a rare model that wait in vain because loads for a model in high demand slow that of its first copy.
+func TestFirstCopiesAreNotSlowedByCopiesForDemand(t *testing.T) {
+	f, list := newFleetWithRate(t, 40, 3.8), newModels(30)
+	f.fullSpeed = 2
+	for i := range list {
+		list[i].StoreLoadTime = storeLoadTime
+	}
+	f.loadAll(list[:10])
+	list[0].EngineLoad = 6000
+	for range int(8 * time.Second / tick) {
+		f.step(list[:10])
+	}
+	for i := 10; i < 30; i += 4 {
+		list[i].EngineLoad = 60
+		const bound = 2*storeLoadTime + time.Second // a running load, its own, and the time until a plan
+		for range int(bound / tick) {
+			f.step(list[:i+1])
+		}
+		if f.ready()[list[i].Name] == 0 {
+			t.Errorf("%s has no copy %v after it was asked for", list[i].Name, bound)
+		}
+	}
+	if n := f.planner.FullSpeedLoads(); n < f.fullSpeed*0.75 || n > f.fullSpeed*2 {
+		t.Errorf("the store is taken to run %.1f loads at full speed, it runs %.0f", n, f.fullSpeed)
+	}
+}
