Read and log Server-Leaving and the pauses that targets state

No code read either field of a target's answer. platform.Protocol now translates them into passthrough.Answer: leaving is "1" and nothing else; a pause is the Retry-After of a 503, in seconds with a fraction. Dates, signs, exponents and other text are no duration, the longest of several values counts, and 24 h bound it. Attempts log both.

TestReadAnswerReadsLeavingAndPauses does not compile without the change.

--- a/lib/filter/relay/relay.go
+++ b/lib/filter/relay/relay.go
@@ -418,6 +418,12 @@
 		slog.String("outcome", t.outcome.String()), slog.Int("status", status), slog.Int("attempt", len(r.tried)),
 		slog.Float64("after_ms", float64(time.Since(r.ex.Start))/float64(time.Millisecond)),
 	}
+	if t.answer != nil && t.answer.Stated.Leaving {
+		attrs = append(attrs, slog.Bool("leaving", true))
+	}
+	if t.answer != nil && t.answer.Stated.Pause != 0 {
+		attrs = append(attrs, slog.Float64("pause_s", t.answer.Stated.Pause.Seconds()))
+	}
 	if t.err != nil {
 		attrs = append(attrs, slog.String("error", t.err.Error()))
 	}
--- a/lib/passthrough/passthrough.go
+++ b/lib/passthrough/passthrough.go
@@ -65,6 +65,10 @@
 	// RateLimit is the number of requests a second that the target takes from all hosts together; zero: not limited. It is
 	// negative if what is stated cannot be read.
 	RateLimit float64
+	Leaving   bool // the target that answered is leaving
+	// Pause is how long the target wants no request from this host; zero: not stated. It is negative if what is stated cannot be
+	// read.
+	Pause time.Duration
 }
 
 // Protocol is a request protocol: the headers of one kind of request that passes through.
