Publish lists of targets in the order of their changes

Found by reading, while a second path that changes the table was added: publishTargets makes the list under the lock and calls the handler without it, so that two goroutines (watch, peers, expiry) may deliver their lists in the wrong order. The host then uses a list from before a departure until the next change of any target, and in an outage of the store there may be none.

TestOlderListOfTargetsIsNotPublishedLast failed before ("the list from before the target left was published after the one without it") and passes now. Publishing takes a lock of its own.

--- a/lib/storewatch/storewatch.go
+++ b/lib/storewatch/storewatch.go
@@ -99,6 +99,8 @@
 	started   time.Time
 	pollPhase float64 // offset of this host's polls, as a fraction of the poll interval
 
+	publishing sync.Mutex // held while a list of targets is published
+
 	mu             sync.Mutex
 	polling        Polling                     // guarded by mu
 	changes        map[changeKey]*recentChange // guarded by mu; recent changes of targets
--- a/lib/storewatch/targets.go
+++ b/lib/storewatch/targets.go
@@ -82,6 +82,8 @@
 
 // publishTargets passes the list of targets to the handler.
 func (w *Watcher) publishTargets() {
+	w.publishing.Lock() // the handler must not get an older list last
+	defer w.publishing.Unlock()
 	w.mu.Lock()
 	list := w.targets.List()
 	w.logTargetStates(list)
