Targets that say that they leave get no more requests

What callers would see: a target that leaves answers "Server-Leaving: 1" to everything, and hosts go on to send it requests until the store tells them, which a host without the store never learns, until the target is gone and the requests are lost.

Cause: what a target says of itself in answers had one place only, its rate. A departure came from the store or from a host that had read it there.

Change: an answer with the field makes that incarnation (id and time of start) draining at this host at once, on the path of a departure read from the store, and is announced to the other hosts at once (registry.Departure.Stated, which has no revision). registry.Table keeps the statement apart from the entry: an entry that says ready, comes later, vanishes or returns from an older copy of the store is draining as long as it is of that incarnation. A later start under the id is not affected. A target that states no time of start is draining only as long as its entry is known. Answers of another target at the address (421 without the id of the target that was asked, or with another id) say nothing. Streams and requests under way go on.

"target leaves" is logged and cuminhook_target_statements_total{kind="leaving"} counts once for each incarnation; kind="limit" counts changed limits beside the line "target rate".

Tests: TestTargetThatSaidItLeavesIsNotReadyAgain (ten orders of news and entries), TestTargetThatSaidItLeavesIsLeftByAllHosts (7 and 200 hosts without a store, half of the news lost, the rest in any order), TestTargetThatSaysItLeavesGetsNoMoreRequests (with the statements not recorded, both later requests went to the target), TestStreamOfATargetThatLeavesGoesOn, TestLeavingOfAnotherServiceAtTheAddressIsIgnored, TestTargetThatSaysItLeavesIsLeftWhileTheStoreIsSilent (whole host: stream under way, store silent, store back with entries that say ready, new start under the id). The harness of lib/filter/relay and its protocol have one more field; no existing check changed.

--- a/lib/entryhost/entryhost.go
+++ b/lib/entryhost/entryhost.go
@@ -99,6 +99,7 @@
 	connections  *connections
 	peers        *peers.Exchanger
 	storeWatcher *storewatch.Watcher
+	statements   *statements
 	meter        *workload.Meter
 	quarantine   *quarantineRole
 	placer       *placer.Placer
@@ -146,6 +147,7 @@
 		OnCatalog: h.setCatalog, OnTargets: h.setTargets, OnHosts: h.peers.SetEntries, OnQuarantine: h.quarantine.restore,
 		OnRestored: h.quarantine.forgetAllStored, Announce: h.peers.Announce,
 	}, cfg.Log)
+	h.statements = &statements{h.storeWatcher, cfg.Log, cfg.Metrics}
 	h.server = pipeline.NewServer(pipeline.ServerConfig{
 		First: h.filters(), MaxBodyBytes: maxBodyBytes, MaxBufferedBytes: maxBufferedBytes, MaxHeaderBytes: maxHeaderBytes,
 		ReadTimeout: readTimeout, WriteTimeout: readTimeout, IdleTimeout: idleTimeout, MaxConns: maxConns, FineRetryAfter: true,
@@ -158,7 +160,7 @@
 func (h *Host) filters() pipeline.Handler {
 	handler := relay.New(relay.Config{
 		Protocol: h.cfg.Protocol, Client: h.connections.client, Balancer: h.balancer, Retries: h.retries,
-		Placement: h.role, Demand: h.meter, Rates: h.rates, Quarantine: h.quarantine.detector, StopBy: h.stopTime, Log: h.cfg.RequestLog, Metrics: h.cfg.Metrics,
+		Placement: h.role, Demand: h.meter, Rates: h.rates, Statements: h.statements, Quarantine: h.quarantine.detector, StopBy: h.stopTime, Log: h.cfg.RequestLog, Metrics: h.cfg.Metrics,
 	})
 	handler = orgrate.New(handler, orgrate.Config{Limiter: h.limiter, Log: h.cfg.RequestLog})
 	handler = classify.New(handler, classify.Config{Protocol: h.cfg.Protocol, Catalog: h.catalog.Load})
--- a/lib/filter/relay/harness_test.go
+++ b/lib/filter/relay/harness_test.go
@@ -64,7 +64,7 @@
 	rate, _ := strconv.ParseFloat(string(h.Peek("Limit")), 64)
 	return passthrough.Answer{
 		ID: string(h.Peek("Id")), NotRun: len(h.Peek("Not-Run")) > 0,
-		Instance: string(h.Peek("Instance")), RateLimit: rate,
+		Instance: string(h.Peek("Instance")), RateLimit: rate, Leaving: len(h.Peek("Leaving")) > 0,
 	}
 }
 
@@ -91,8 +91,9 @@
 	mu       sync.Mutex
 	scripts  map[string]script // by address
 	received []string          // "address id" of each request that a target received
-	closed   []time.Time       // when each target's connection ended
-	conns    []net.Conn        // the targets' ends of the connections
+	targets  []*registry.Target
+	closed   []time.Time // when each target's connection ended
+	conns    []net.Conn  // the targets' ends of the connections
 }
 
 const (
@@ -129,11 +130,12 @@
 		// Two zones fix the order of targets: those whose address begins with "far" are picked last.
 		targets = append(targets, &registry.Target{ID: addr, Addr: addr, Service: "s", Zone: zoneOf(addr), Slots: 6})
 	}
+	r.targets = targets
 	r.balancer.SetTargets(targets)
 	log := slog.New(slog.DiscardHandler)
 	h := New(Config{
 		Protocol: testProtocol{}, Client: forward.NewClient(forward.Config{Protocol: testProtocol{}, Dial: r.dial}), Balancer: r.balancer,
-		Retries: r.retries, Placement: placement, Quarantine: r.detector, Rates: rates,
+		Retries: r.retries, Placement: placement, Quarantine: r.detector, Rates: rates, Statements: r,
 		Demand: workload.New(), Log: log, Metrics: metrics.NewSet(), Random: func() float64 { return 0.5 },
 		StopBy: func() (by time.Time) {
 			if p := r.stopBy.Load(); p != nil {
@@ -161,6 +163,20 @@
 	return r
 }
 
+// Leaving implements Statements.
+func (r *harness) Leaving(t *registry.Target, _ string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for i, old := range r.targets {
+		if old.ID == t.ID {
+			left := *old
+			left.State = registry.Draining
+			r.targets[i] = &left
+		}
+	}
+	r.balancer.SetTargets(r.targets)
+}
+
 func zoneOf(addr string) string {
 	if strings.HasPrefix(addr, "far") {
 		return "other"
--- a/lib/filter/relay/relay.go
+++ b/lib/filter/relay/relay.go
@@ -23,6 +23,7 @@
 	"cuminhook.org/cuminhook/lib/pipeline"
 	"cuminhook.org/cuminhook/lib/quarantine"
 	"cuminhook.org/cuminhook/lib/refusal"
+	"cuminhook.org/cuminhook/lib/registry"
 	"cuminhook.org/cuminhook/lib/retry"
 	"cuminhook.org/cuminhook/lib/targetrate"
 	"cuminhook.org/cuminhook/lib/workload"
@@ -52,6 +53,12 @@
 	Reaction() time.Duration
 }
 
+// Statements learns what targets state of themselves in answers.
+type Statements interface {
+	// Leaving records that the target leaves.
+	Leaving(t *registry.Target, requestID string)
+}
+
 // Config are the settings of the filter.
 type Config struct {
 	Protocol  passthrough.Protocol
@@ -61,6 +68,8 @@
 	Placement Placement          // nil: models and adapters are not loaded on request
 	Demand    *workload.Meter    // counts the demand for each model and adapter
 	Rates     *targetrate.Limits // learns the rates that targets state; nil: they are ignored
+	// Statements learns what else targets state of themselves; nil: it is ignored.
+	Statements Statements
 	// Quarantine learns which prompt segments crash targets; nil: a detector of its own.
 	Quarantine *quarantine.Detector
 	// StopBy returns when this host cuts open requests, or zero while it is not stopping; nil: never.
@@ -307,13 +316,27 @@
 	if t.answer != nil {
 		r.answers = append(r.answers, t.answer)
 		t.headerAt = time.Now()
-		r.recordRateLimit(t)
+		r.recordStatements(t)
 	}
 	r.readAnswer(t)
 	r.state.Record(t.outcome)
 	return t
 }
 
+// recordStatements records what the target states of itself in the header of the answer.
+func (r *request) recordStatements(t *try) {
+	r.recordRateLimit(t)
+	stated := &t.answer.Stated
+	// Another target that has the address now answers 421, and may not state its id.
+	if r.cfg.Statements == nil || t.otherInstance() ||
+		t.answer.Header.StatusCode() == fasthttp.StatusMisdirectedRequest && stated.Instance == "" {
+		return
+	}
+	if stated.Leaving {
+		r.cfg.Statements.Leaving(t.choice.Target, r.ex.ID)
+	}
+}
+
 // recordRateLimit records what the answer states of the target's rate.
 func (r *request) recordRateLimit(t *try) {
 	rate := t.answer.Stated.RateLimit
@@ -322,6 +345,7 @@
 	case rate < 0:
 		r.cfg.Log.Warn("rate of a target not read", "request_id", r.ex.ID, "target", t.choice.Target.ID)
 	case r.cfg.Rates.Stated(t.choice.Target.ID, rate, time.Now()):
+		r.cfg.Metrics.GetOrCreateCounter(`cuminhook_target_statements_total{kind="limit"}`).Inc()
 		r.cfg.Log.Info("target rate", "request_id", r.ex.ID, "target", t.choice.Target.ID, "per_s", rate)
 	}
 }
--- a/lib/registry/registry.go
+++ b/lib/registry/registry.go
@@ -71,6 +71,7 @@
 	Started int64  `json:"s"`
 	Beat    int64  `json:"b,omitempty"` // of the last entry that the reporting host knew
 	Removed bool   `json:"g,omitempty"` // its entry was removed; otherwise the target drains
+	Stated  bool   `json:"l,omitempty"` // the target itself said so in an answer; such a departure has no revision
 
 	Revision int64 `json:"r"` // store revision at or after the change
 }
@@ -78,6 +79,9 @@
 // ApplyDeparture applies a departure that another host has seen. A target that has restarted since, or written an entry after
 // its removal, is left unchanged.
 func (t *Table) ApplyDeparture(d Departure, now time.Time) (changed bool) {
+	if d.Stated {
+		return t.applyStatement(d, now)
+	}
 	old := t.targets[d.ID]
 	if old == nil || old.Started != d.Started {
 		return false
@@ -90,12 +94,17 @@
 		t.drop(d.ID, d.Revision, now)
 		return true
 	}
+	return t.drain(old)
+}
+
+// drain marks a target in the table as draining and reports whether it was not.
+func (t *Table) drain(old *Target) (changed bool) {
 	if old.State == Draining {
 		return false
 	}
 	draining := *old
 	draining.State = Draining
-	t.targets[d.ID] = &draining
+	t.targets[old.ID] = &draining
 	return true
 }
 
@@ -114,6 +123,7 @@
 	targets    map[string]*Target
 	missing    map[string]missing   // targets whose entries vanished in an outage
 	tombstones map[string]tombstone // targets that were dropped recently
+	leaving    map[string]leaving   // incarnations that said that they leave
 }
 
 // missing is the removal of an entry that vanished in an outage.
@@ -150,7 +160,7 @@
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{targets: map[string]*Target{}, missing: map[string]missing{}, tombstones: map[string]tombstone{}}
+	return &Table{targets: map[string]*Target{}, missing: map[string]missing{}, tombstones: map[string]tombstone{}, leaving: map[string]leaving{}}
 }
 
 // ApplyUpdate applies an update and reports whether the list of targets changed. A target whose entry vanished in or
@@ -172,6 +182,7 @@
 		t.drop(u.ID, u.Revision, now)
 		return true
 	}
+	u.Target = t.withStatement(u.Target)
 	if !u.Target.Supersedes(old) {
 		return false
 	}
@@ -239,6 +250,11 @@
 			delete(t.tombstones, id)
 		}
 	}
+	for id, l := range t.leaving {
+		if now.Sub(l.at) > leavingTTL {
+			delete(t.leaving, id)
+		}
+	}
 	return changed
 }
 
--- a/lib/storewatch/changes.go
+++ b/lib/storewatch/changes.go
@@ -80,6 +80,22 @@
 	w.seen[key] = now
 }
 
+// TargetLeaving records that an incarnation of a target said in an answer that it leaves, and announces that to the other hosts.
+// It reports whether that is new here.
+func (w *Watcher) TargetLeaving(id string, started int64) (changed bool) {
+	d := registry.Departure{ID: id, Started: started, Stated: true}
+	w.mu.Lock()
+	if changed = w.targets.ApplyDeparture(d, time.Now()); changed {
+		w.add(changeKey{id, started, targetDraining}, recentChange{departure: d}, bootclock.Now())
+	}
+	w.mu.Unlock()
+	if changed {
+		w.publishTargets()
+		w.announceChanges()
+	}
+	return changed
+}
+
 // announceChanges has changes sent to the other hosts at once.
 func (w *Watcher) announceChanges() {
 	if w.handlers.Announce != nil {
