Targets that ask for a pause get nothing from this host until its end

What callers would see: a target that turns a request away with 503 and Retry-After is asked again at once by the next request; when all targets do, callers wait an eighth of the objective and are told to come back in half a second, into the pause.

Cause: Retry-After of a target's answer was read by no code. A refusal counts as a fortieth of a failure, which keeps a target away only as long as the others cost less.

Change: any 503 with a readable pause, of a request or an order, bars the target's incarnation at this host until its end, on the monotonic clock and for a minute at most. The latest end counts; zero, signs, dates and other text are no pause. Requests, repeats, orders and reads of reports go elsewhere or wait; an order without an answer is sent again after the pause. If all targets that could take a request are in a pause, it is refused at once, and told the earliest end and up to half a second more, not cut to the time that the caller has left. After the pause each host waits a random delay that grows with the hosts for each slot (2 s at most), sends one request, and twice as many in each step of 100 ms in which the target began to serve. "target pause" is logged and cuminhook_target_statements_total{kind="pause"} counts.

New with their code: those of lib/balance/pause_test.go, TestRefusalStatesThePauseOfTheTarget and TestAnswersToOrdersTellOfLeavingAndPauses (whole host and client).

Harnesses have new fields (lib/filter/relay: Pause; lib/placer: a target in a pause; platform: the answer to orders); no existing check changed.

--- a/lib/balance/balance.go
+++ b/lib/balance/balance.go
@@ -133,6 +133,7 @@
 	latencyRatios map[string]float64            // guarded by mu; by model: observed over expected time to the first event
 	catalog       *catalog.Catalog
 	random        *rand.Rand
+	hosts         int // guarded by mu; including this one
 }
 
 // target is a target with its load, what its KV cache probably holds, and its health.
@@ -145,6 +146,7 @@
 	missing        map[string]time.Time // by model or model/adapter: until when it counts as not loaded
 	prefixCache    segmentCache
 	health         health
+	pause          pause
 }
 
 // New returns a balancer for a host in the zone. random breaks ties between targets of about the same cost. Without
@@ -313,7 +315,7 @@
 }
 
 // Pick chooses the target of least cost and adds the request to its load. Errors: ErrNoTarget, ErrNoModel,
-// ErrNoAdapter.
+// ErrNoAdapter, ErrBusy, ErrPaced, ErrPaused.
 func (b *Balancer) Pick(q Query, now time.Time) (*Choice, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -344,14 +346,28 @@
 	ranks
 )
 
-// candidates returns the targets of the first rank that is not empty. A target to which this host may open no further
-// connection, or no request within the target's rate, is left out. Errors: ErrNoTarget, ErrNoModel, ErrNoAdapter, ErrBusy,
-// ErrPaced.
+// candidates returns the targets of the first rank that is not empty. A target in a pause, or to which this host may open no
+// further connection, or send no request within the target's rate, is left out. Errors: ErrNoTarget, ErrNoModel, ErrNoAdapter,
+// ErrBusy, ErrPaced, ErrPaused.
 func (b *Balancer) candidates(q Query, now time.Time) ([]*target, error) {
 	var byRank [ranks][]*target
+	var pausedUntil time.Time // the earliest
 	err, pacedRate := ErrNoTarget, 0.0
 	for _, t := range b.targets {
-		if t.info.Service != q.Service || t.info.State != registry.Ready || slices.Contains(q.Tried, t.info.ID) {
+		if t.info.Service != q.Service || t.info.State != registry.Ready {
+			continue
+		}
+		if t.pause.active(now) {
+			if !b.couldServe(t, q, now) {
+				if err == ErrNoTarget {
+					err = ErrNoModel
+				}
+			} else if pausedUntil.IsZero() || t.pause.until.Before(pausedUntil) {
+				pausedUntil = t.pause.until
+			}
+			continue
+		}
+		if slices.Contains(q.Tried, t.info.ID) {
 			continue
 		}
 		if q.Call.Model != "" {
@@ -365,7 +381,7 @@
 				continue
 			}
 		}
-		if b.isFull(t, now) {
+		if t.pause.holdsBack(t.info.Slots, now) || b.isFull(t, now) {
 			err = ErrBusy
 			continue
 		}
@@ -382,12 +398,24 @@
 			return list, nil
 		}
 	}
-	if err == ErrPaced {
+	switch {
+	case err == ErrPaced:
 		return nil, &PacedError{pacedRate}
+	case (err == ErrNoTarget || err == ErrNoModel) && !pausedUntil.IsZero():
+		return nil, &PausedError{pausedUntil}
 	}
 	return nil, err
 }
 
+// couldServe reports whether the target has the model of the request loaded, if it names one.
+func (b *Balancer) couldServe(t *target, q Query, now time.Time) bool {
+	if q.Call.Model == "" {
+		return true
+	}
+	hasModel, _ := b.isLoaded(t, q.Call.Model, "", now)
+	return hasModel
+}
+
 // mayTake reports whether this host may send the target a request within its rate.
 func (b *Balancer) mayTake(t *target, q Query, now time.Time) bool {
 	if b.rates == nil {
@@ -455,5 +483,7 @@
 	if !t.health.usable(now) || t.health.backoff > 0 {
 		t.health.probing = true
 	}
-	return &Choice{Target: t.info, balancer: b, picked: t, load: load, model: model, pickedAt: now}
+	return &Choice{
+		Target: t.info, balancer: b, picked: t, load: load, model: model, pickedAt: now, returnStep: t.pause.send(now),
+	}
 }
--- a/lib/balance/choice.go
+++ b/lib/balance/choice.go
@@ -18,6 +18,7 @@
 	model              string
 	pickedAt           time.Time
 	prefillReleased    bool // the prefill tokens of the load are released
+	returnStep         int  // step of the return from a pause to which the request counts until the target serves it; zero: none
 }
 
 // FirstEvent records the first event of the answer: the prompt is prefilled, and the observed time corrects the model's
@@ -26,6 +27,7 @@
 	b := c.balancer
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	c.endReturn(true)
 	if c.prefillReleased {
 		return
 	}
@@ -49,6 +51,7 @@
 
 // releaseLoad removes the request from the load of its target; the caller holds the mutex of the balancer.
 func (c *Choice) releaseLoad() {
+	c.endReturn(false)
 	if !c.prefillReleased {
 		c.prefillReleased = true
 		c.picked.local.PrefillTokens -= c.load.PrefillTokens
@@ -61,6 +64,7 @@
 func (c *Choice) Answered(failed bool, now time.Time) {
 	c.balancer.mu.Lock()
 	defer c.balancer.mu.Unlock()
+	c.endReturn(true)
 	c.releaseLoad()
 	c.picked.health.answered(failed, now)
 }
--- a/lib/entryhost/entryhost.go
+++ b/lib/entryhost/entryhost.go
@@ -129,6 +129,7 @@
 	h.placer = placer.New(placer.Config{
 		Host: s.Host, Client: cfg.Engines, ShouldCampaign: h.role.shouldCampaign, LoadRateFactor: s.Placement.LoadsOvershoot,
 		Demand: h.role.totalDemand, Suspects: h.role.agreedSuspects,
+		Paused:        func(id string) bool { return h.balancer.Paused(id, time.Now()) },
 		StateInterval: func() time.Duration { return h.peers.Fleet().Interval }, Publish: h.role.publish,
 		Lease: lease.NewWithOptions(cfg.Store, leasePrefix, s.Host, s.Placement.Lease,
 			lease.Options{Wait: leaseWait, Clock: bootclock.Now, History: cfg.Store.History}),
@@ -147,7 +148,10 @@
 		OnCatalog: h.setCatalog, OnTargets: h.setTargets, OnHosts: h.peers.SetEntries, OnQuarantine: h.quarantine.restore,
 		OnRestored: h.quarantine.forgetAllStored, Announce: h.peers.Announce,
 	}, cfg.Log)
-	h.statements = &statements{h.storeWatcher, cfg.Log, cfg.Metrics}
+	h.statements = &statements{h.storeWatcher, h.balancer, cfg.Log, cfg.Metrics}
+	if source, ok := cfg.Engines.(orders.StatedSource); ok {
+		source.OnStated(h.statements.ofOrders)
+	}
 	h.server = pipeline.NewServer(pipeline.ServerConfig{
 		First: h.filters(), MaxBodyBytes: maxBodyBytes, MaxBufferedBytes: maxBufferedBytes, MaxHeaderBytes: maxHeaderBytes,
 		ReadTimeout: readTimeout, WriteTimeout: readTimeout, IdleTimeout: idleTimeout, MaxConns: maxConns, FineRetryAfter: true,
@@ -203,6 +207,7 @@
 func (h *Host) setFleet(f peers.Fleet) {
 	h.limiter.SetHosts(len(f.Known)+1, f.Spread)
 	h.rates.SetHosts(len(f.Known)+1, f.Spread)
+	h.balancer.SetHosts(len(f.Known) + 1)
 	h.retries.SetHosts(len(f.Known) + 1)
 	h.connections.SetHosts(f.Known)
 	h.storeWatcher.SetPolling(h.polling(f))
--- a/lib/filter/relay/harness_test.go
+++ b/lib/filter/relay/harness_test.go
@@ -62,9 +62,10 @@
 
 func (testProtocol) ReadAnswer(h *fasthttp.ResponseHeader) passthrough.Answer {
 	rate, _ := strconv.ParseFloat(string(h.Peek("Limit")), 64)
+	pause, _ := time.ParseDuration(string(h.Peek("Pause")))
 	return passthrough.Answer{
 		ID: string(h.Peek("Id")), NotRun: len(h.Peek("Not-Run")) > 0,
-		Instance: string(h.Peek("Instance")), RateLimit: rate, Leaving: len(h.Peek("Leaving")) > 0,
+		Instance: string(h.Peek("Instance")), RateLimit: rate, Leaving: len(h.Peek("Leaving")) > 0, Pause: pause,
 	}
 }
 
@@ -177,6 +178,11 @@
 	r.balancer.SetTargets(r.targets)
 }
 
+// Pause implements Statements.
+func (r *harness) Pause(t *registry.Target, d time.Duration, _ string) {
+	r.balancer.Pause(t.ID, t.Started, d, time.Now())
+}
+
 func zoneOf(addr string) string {
 	if strings.HasPrefix(addr, "far") {
 		return "other"
--- a/lib/filter/relay/pick.go
+++ b/lib/filter/relay/pick.go
@@ -102,6 +102,8 @@
 		return refuse
 	}
 	switch {
+	case errors.Is(err, balance.ErrPaused):
+		return refuse
 	case now.Sub(w.began) < r.route.Objective/pickWaitDivisor && !errors.Is(err, balance.ErrNoAdapter):
 		return pickInterval
 	case (errors.Is(err, balance.ErrBusy) || errors.Is(err, balance.ErrPaced)) && now.Sub(w.began) < r.route.Objective && now.Before(w.latest):
--- a/lib/filter/relay/relay.go
+++ b/lib/filter/relay/relay.go
@@ -57,6 +57,8 @@
 type Statements interface {
 	// Leaving records that the target leaves.
 	Leaving(t *registry.Target, requestID string)
+	// Pause records that the target wants no request from this host for a time, or a negative time if that cannot be read.
+	Pause(t *registry.Target, d time.Duration, requestID string)
 }
 
 // Config are the settings of the filter.
@@ -274,11 +276,25 @@
 	}
 	r.cfg.Log.Info("no target", "request_id", r.ex.ID, "service", r.service, "model", r.call.Model,
 		"adapter", r.call.Adapter, "tried", len(r.tried), "reason", err.Error())
+	if paused := (*balance.PausedError)(nil); errors.As(err, &paused) {
+		return r.end(reason, r.pauseRetryAfter(paused))
+	}
 	return r.fail(reason, after)
 }
 
-// fail ends the request after its last attempt: with the latest answered failure if there is one, else with a refusal.
+// pauseRetryAfter returns the time to the end of a pause, and up to busyRetryAfter more, so that refused callers do not come back
+// at the same moment.
+func (r *request) pauseRetryAfter(paused *balance.PausedError) time.Duration {
+	return time.Until(paused.Until) + time.Duration(r.cfg.Random()*float64(busyRetryAfter))
+}
+
+// fail ends the request after its last attempt. The caller may come back after a time that is cut to what it has left.
 func (r *request) fail(reason refusal.Reason, after time.Duration) error {
+	return r.end(reason, min(after, time.Until(r.ex.AnswerBy)/retryAfterDivisor))
+}
+
+// end ends the request: with the latest answered failure if there is one, else with a refusal.
+func (r *request) end(reason refusal.Reason, after time.Duration) error {
 	if r.failedAnswer != nil {
 		return r.deliver(r.failedAnswer)
 	}
@@ -286,7 +302,6 @@
 	if errors.Is(context.Cause(r.ctx), pipeline.ErrCallerGone) {
 		reason = refusal.CallerGone
 	}
-	after = min(after, time.Until(r.ex.AnswerBy)/retryAfterDivisor)
 	return r.state.Refusal(reason, timedOut, after)
 }
 
@@ -335,6 +350,9 @@
 	if stated.Leaving {
 		r.cfg.Statements.Leaving(t.choice.Target, r.ex.ID)
 	}
+	if stated.Pause != 0 {
+		r.cfg.Statements.Pause(t.choice.Target, stated.Pause, r.ex.ID)
+	}
 }
 
 // recordRateLimit records what the answer states of the target's rate.
--- a/lib/orders/orders.go
+++ b/lib/orders/orders.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"cuminhook.org/cuminhook/lib/registry"
 )
@@ -16,6 +17,7 @@
 	ErrWrongTarget = errors.New("orders: another target has the address; use the newest entry of the target")
 	ErrInvalid     = errors.New("orders: the target rejects the order as invalid")
 	ErrNotSent     = errors.New("orders: the target was not reached; nothing was sent")
+	ErrPaused      = errors.New("orders: the target has asked for a pause; nothing was sent, send it when the pause has ended")
 )
 
 // Op is the operation of an order.
@@ -47,6 +49,18 @@
 	OnDisk   []string                 // models with a copy on disk
 }
 
+// Stated is what a target states of itself in its answer to an order or a read of its report.
+type Stated struct {
+	Leaving bool
+	Pause   time.Duration // how long the target wants no request from this host; negative if that cannot be read
+}
+
+// StatedSource is implemented by clients that pass on what targets state of themselves.
+type StatedSource interface {
+	// OnStated sets the function to call with statements. It must be called before the first order.
+	OnStated(func(*registry.Target, Stated))
+}
+
 // Client sends orders to targets and reads their reports.
 type Client interface {
 	// Send sends an order. done means that its effect is in place already; otherwise the target has started to execute it.
--- a/lib/placer/adapters.go
+++ b/lib/placer/adapters.go
@@ -138,7 +138,8 @@
 	var victim adapterName
 	lowest, demand := 0.0, p.demand.Adapters
 	for _, t := range p.targets {
-		if !t.isOrderable(s) || !t.synced || t.busy || t.adapterOrderPending || !t.serves(model, "") || slices.Contains(tried, t) {
+		if !t.isOrderable(s) || !t.synced || t.busy || t.adapterOrderPending || !t.serves(model, "") || slices.Contains(tried, t) ||
+			p.cfg.Paused(t.info.ID) {
 			continue
 		}
 		cost, v := float64(t.adapterCount())*usedSlotCost, adapterName{}
@@ -222,6 +223,9 @@
 	if !held {
 		return false, ErrInactive
 	}
+	if p.cfg.Paused(info.ID) {
+		return false, orders.ErrPaused
+	}
 	o.Fence = epoch
 	ctx, cancel := context.WithTimeout(ctx, adapterOrderTimeout)
 	defer cancel()
@@ -254,7 +258,7 @@
 		}
 	}
 	for _, t := range targets {
-		if started >= maxAdapterPrefetches || !t.synced || t.busy || t.adapterOrderPending {
+		if started >= maxAdapterPrefetches || !t.synced || t.busy || t.adapterOrderPending || p.cfg.Paused(t.info.ID) {
 			continue
 		}
 		name, victim, ok := t.nextAdapter(s.Engine, modelsInDemand, copies, demand.Adapters)
--- a/lib/placer/models.go
+++ b/lib/placer/models.go
@@ -41,7 +41,7 @@
 func (p *Placer) syncTargets(ctx context.Context, s *catalog.Service) {
 	now := time.Now()
 	for _, t := range p.orderableTargets(s) {
-		if t.synced || t.syncing || now.Before(t.nextSync) {
+		if t.synced || t.syncing || now.Before(t.nextSync) || p.cfg.Paused(t.info.ID) {
 			continue
 		}
 		t.syncing, t.nextSync = true, now.Add(syncInterval)
@@ -67,10 +67,13 @@
 
 // fetchReport returns the target's report, which may be up to maxReportAge old.
 func (p *Placer) fetchReport(ctx context.Context, t *target) (orders.Report, error) {
-	p.cfg.Metrics.GetOrCreateCounter("cuminhook_target_reports_total").Inc()
 	p.mu.Lock()
 	info := t.info
 	p.mu.Unlock()
+	if p.cfg.Paused(info.ID) {
+		return orders.Report{}, orders.ErrPaused
+	}
+	p.cfg.Metrics.GetOrCreateCounter("cuminhook_target_reports_total").Inc()
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	return p.cfg.Client.Report(ctx, info)
@@ -115,6 +118,15 @@
 		if !held {
 			return false, context.Canceled
 		}
+		if p.cfg.Paused(info.ID) {
+			if retries == 0 {
+				return false, orders.ErrPaused
+			}
+			if !sleep.For(ctx, orderRetryDelay) {
+				return false, ctx.Err()
+			}
+			continue
+		}
 		o.Fence = epoch
 		call, cancel := context.WithTimeout(ctx, orderTimeout)
 		done, err = p.cfg.Client.Send(call, info, o)
@@ -150,7 +162,7 @@
 // hasNoEffect reports whether the error of an order proves that the order has no effect and never will have. After any
 // other error the outcome is unknown.
 func hasNoEffect(err error) bool {
-	for _, e := range []error{orders.ErrConflict, orders.ErrFenced, orders.ErrWrongTarget, orders.ErrInvalid, orders.ErrNotSent} {
+	for _, e := range []error{orders.ErrConflict, orders.ErrFenced, orders.ErrWrongTarget, orders.ErrInvalid, orders.ErrNotSent, orders.ErrPaused} {
 		if errors.Is(err, e) {
 			return true
 		}
--- a/lib/placer/placer.go
+++ b/lib/placer/placer.go
@@ -57,6 +57,7 @@
 	LoadRateFactor float64 // factor on the weight store's rate up to which loads are tolerated
 	Demand         func() Demand
 	Suspects       func() map[string]bool // targets that several hosts find unresponsive, by id
+	Paused         func(id string) bool   // whether a target wants no requests from this host now; nil: never
 	StateInterval  func() time.Duration   // time between two states that this host broadcasts
 	Publish        func()                 // called when the resident models or adapters may have changed
 	Log            *slog.Logger
@@ -80,6 +81,9 @@
 
 // New returns a placer that does nothing until Run is called.
 func New(cfg Config) *Placer {
+	if cfg.Paused == nil {
+		cfg.Paused = func(string) bool { return false }
+	}
 	return &Placer{cfg: cfg, targets: map[string]*target{}, adapterLoads: map[string]chan struct{}{}}
 }
 
@@ -354,7 +358,9 @@
 	var targets []*residency.Target
 	for _, t := range p.orderableTargets(s) {
 		if t.synced {
-			targets = append(targets, t.plannerTarget(s.Engine))
+			target := t.plannerTarget(s.Engine)
+			target.Busy = target.Busy || p.cfg.Paused(t.info.ID)
+			targets = append(targets, target)
 		}
 	}
 	if len(targets) == 0 {
--- a/lib/placer/placer_test.go
+++ b/lib/placer/placer_test.go
@@ -206,6 +206,7 @@
 	demand    Demand
 	demands   int          // calls of Demand
 	published atomic.Int64 // calls of Publish
+	paused    atomic.Value // id of the target that has asked for a pause
 	cancel    context.CancelFunc
 	done      chan struct{}
 }
@@ -218,6 +219,7 @@
 
 func startCandidate(t *testing.T, name string, store *memkv.Store, client orders.Client, models int, ids ...string) *candidate {
 	h := &candidate{done: make(chan struct{})}
+	h.paused.Store("")
 	h.Placer = New(Config{
 		Host: name, Lease: lease.New(store, "placement", name, leaseTTL), Client: client, LoadRateFactor: 1.1,
 		Demand: func() Demand {
@@ -227,6 +229,7 @@
 			return h.demand
 		},
 		Suspects: func() map[string]bool { return nil }, Publish: func() { h.published.Add(1) },
+		Paused:        func(id string) bool { return h.paused.Load() == id },
 		StateInterval: func() time.Duration { return 200 * time.Millisecond },
 		Log:           slog.New(slog.DiscardHandler), Metrics: metrics.NewSet(),
 	})
