An answer that begins anywhere releases a segment from quarantine

Cause: a quarter of the targets crashed together at 13.6 s, each with requests of the popular route that had the header of their answer. Such crashes convict a segment unless an answer on it has begun since, on any host. Each of 195 hosts begins an answer on it about once in two seconds, and the report of a host names eight cleared segments at most, while hundreds were suspected. So one host (front-agrigento-6, the log shows it) heard of no answer for 2.7 s, judged alone, and all others followed its verdict without a word, although 117 to 141 answers on the route had begun in each half second meanwhile. A verdict is also written to the store for ten minutes.

Change: a verdict names the first crash that convicted the segment. A host on which an answer has begun since does not follow, and tells the others at once, which release the segment; so does an answer to a request that was under way. The pollers delete it from the store. A complete failure (5xx) of a target no longer counts as an answer that began.

TestVerdictOfOneHostAgainstAnAnsweredSegmentIsReleased failed before on all three hosts: the witness, the judge and a third one refused the segment. Deadly segments are not released: no answer on them begins (the other tests of the package pass unchanged).

--- a/lib/entryhost/entryhost.go
+++ b/lib/entryhost/entryhost.go
@@ -265,7 +265,7 @@
 	if c := h.catalog.Load(); c != nil {
 		s.ConfigVersion = c.Version
 	}
-	return !s.Changes.Empty() || len(s.Quarantine.Quarantined) > 0
+	return !s.Changes.Empty() || len(s.Quarantine.Quarantined)+len(s.Quarantine.Suspects) > 0
 }
 
 // handleState applies a state received from another host.
--- a/lib/entryhost/quarantine.go
+++ b/lib/entryhost/quarantine.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -42,13 +43,14 @@
 
 	mu          sync.Mutex
 	stored      map[string]bool                         // guarded by mu; segments that the store has
-	unannounced map[storewatch.Audience]map[string]bool // guarded by mu; segments in quarantine that the audience may not know
+	unannounced map[storewatch.Audience]map[string]bool // guarded by mu; segments put into quarantine or released, unknown to the audience
+	released    map[string]bool                         // guarded by mu; segments to delete from the store
 }
 
 func newQuarantineRole(host string, store kv.Store, announce func(), log *slog.Logger, set *metrics.Set) *quarantineRole {
 	q := &quarantineRole{
 		host: host, detector: quarantine.New(), store: store, log: log, announce: announce, persistNow: make(chan struct{}, 1),
-		stored:      map[string]bool{},
+		stored: map[string]bool{}, released: map[string]bool{},
 		unannounced: map[storewatch.Audience]map[string]bool{storewatch.ToMesh: {}, storewatch.ToLeaves: {}},
 	}
 	set.NewGauge("cuminhook_quarantined_segments", func() float64 { return float64(len(q.detector.Quarantined(time.Now()))) })
@@ -66,9 +68,22 @@
 		default:
 		}
 	}
+	q.spreadReleased()
 	return q.detector.Report(now)
 }
 
+// spreadReleased has segments announced that the detector has released.
+func (q *quarantineRole) spreadReleased() {
+	for _, segment := range q.detector.Released() {
+		q.log.Warn("segment released", "segment", segment, "reason", "an answer on it has begun")
+		q.mu.Lock()
+		q.released[segment] = true
+		delete(q.stored, segment)
+		q.mu.Unlock()
+		q.spread(segment)
+	}
+}
+
 // spread has a segment announced that is new in quarantine: each state on the way to a host would take an interval otherwise,
 // while requests crash targets.
 func (q *quarantineRole) spread(segment string) {
@@ -98,6 +113,7 @@
 		q.log.Warn("segment quarantined", "segment", segment, "source", s.Host)
 		q.spread(segment)
 	}
+	q.spreadReleased()
 }
 
 // restore applies segments that the store holds.
@@ -111,6 +127,7 @@
 	}
 	q.mu.Unlock()
 	q.detector.Restore(segments, time.Now())
+	q.spreadReleased()
 }
 
 // persist writes segments in quarantine into the store until ctx ends, so that they stay there when all hosts restart. A host
@@ -123,10 +140,16 @@
 		}
 		segments := q.detector.Quarantined(time.Now())
 		q.forgetStored(segments)
+		released := q.takeReleased()
 		if !found && !poller() {
 			continue
 		}
 		wait = persistInterval
+		for _, segment := range released {
+			if err := q.remove(ctx, segment); err != nil {
+				q.log.Warn("released segment not removed from the store; it will expire", "segment", segment, "error", err.Error())
+			}
+		}
 		for _, segment := range segments {
 			if q.isStored(segment) {
 				continue
@@ -173,6 +196,29 @@
 	}
 }
 
+// takeReleased returns the segments that were released since the last call.
+func (q *quarantineRole) takeReleased() []string {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	out := slices.Collect(maps.Keys(q.released))
+	clear(q.released)
+	return out
+}
+
+// remove deletes one segment from the store.
+func (q *quarantineRole) remove(ctx context.Context, segment string) error {
+	ctx, cancel := context.WithTimeout(ctx, persistTimeout)
+	defer cancel()
+	e, err := q.store.Get(ctx, storewatch.QuarantinePrefix+segment)
+	if err == nil {
+		err = q.store.Delete(ctx, e.Key, e.Version)
+	}
+	if errors.Is(err, kv.ErrNotFound) || errors.Is(err, kv.ErrConflict) {
+		err = nil
+	}
+	return err
+}
+
 // forgetAllStored has all segments in quarantine written again, for a store that may have lost them.
 func (q *quarantineRole) forgetAllStored() {
 	q.mu.Lock()
--- a/lib/filter/relay/relay.go
+++ b/lib/filter/relay/relay.go
@@ -419,7 +419,9 @@
 	t.body, t.err = t.answer.ReadAll()
 	t.cancel()
 	if t.err == nil {
-		r.answerBegan(t)
+		if status < fasthttp.StatusInternalServerError { // a target may fail before it begins to answer on the prompt
+			r.answerBegan(t)
+		}
 		t.choice.Answered(status >= fasthttp.StatusInternalServerError, now)
 		return
 	}
--- a/lib/quarantine/quarantine.go
+++ b/lib/quarantine/quarantine.go
@@ -68,6 +68,7 @@
 	suspects    map[string]*suspect  // guarded by mu; by segment
 	quarantined map[string]*entry    // guarded by mu; by segment
 	former      map[string]time.Time // guarded by mu; by segment: when its quarantine ended
+	released    []string             // guarded by mu; see Released
 	own         Outcomes             // guarded by mu; at this host, as of ownUpdated
 	ownUpdated  time.Time            // guarded by mu
 	peers       map[string]Outcomes  // guarded by mu; at other hosts
@@ -81,6 +82,7 @@
 	changedAt time.Time        // when a crash was last reported, or the suspicion cleared
 	since     time.Time        // when the first of the crashes was known
 	shared    bool             // other hosts may know of the suspicion
+	released  bool             // the segment was in quarantine although an answer on it had begun
 }
 
 // crash is a crash of a target at which a request with the segment waited for its answer to begin.
@@ -94,8 +96,9 @@
 
 // entry is a segment in quarantine.
 type entry struct {
-	since   time.Time
-	crashes map[string]crash // that it explains
+	since      time.Time
+	firstCrash time.Time        // of those that convicted it, or since if that is not known
+	crashes    map[string]crash // that it explains
 }
 
 // New returns a detector that suspects nothing.
@@ -139,6 +142,7 @@
 		id = key(id)
 		d.began[id] = now
 		delete(d.former, id)
+		d.release(id, now, now)
 		if s := d.suspects[id]; s != nil {
 			s.clear(now, now)
 		}
@@ -265,19 +269,64 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, id := range ids {
-		d.quarantine(key(id), now)
+		if id = key(id); !d.witnessed(id, now.Add(-beganTTL), now) {
+			d.quarantine(id, now, now)
+		}
+	}
+}
+
+// witnessed reports whether an answer on the segment has begun since a time, as this host knows, so that a verdict which says that
+// none has is wrong. The caller holds mu.
+func (d *Detector) witnessed(id string, since, now time.Time) bool {
+	began, ok := d.began[id]
+	if !ok || !began.After(since) {
+		return false
+	}
+	d.markReleased(id, began, now)
+	return true
+}
+
+// release ends the quarantine of a segment on which an answer began after the crashes that convicted it. The caller holds mu.
+func (d *Detector) release(id string, began, now time.Time) {
+	if e := d.quarantined[id]; e != nil && began.After(e.firstCrash) {
+		delete(d.quarantined, id)
+		d.markReleased(id, began, now)
+	}
+}
+
+// markReleased has other hosts told that an answer on the segment began. The caller holds mu.
+func (d *Detector) markReleased(id string, began, now time.Time) {
+	s := d.suspects[id]
+	if s == nil {
+		s = &suspect{crashes: map[string]crash{}}
+		d.suspects[id] = s
+	}
+	s.clear(began, now)
+	s.changedAt, s.shared = now, true
+	if !s.released {
+		s.released = true
+		d.released = append(d.released, id)
 	}
 }
 
+// Released returns the segments whose quarantine was found wrong since the last call.
+func (d *Detector) Released() []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	out := d.released
+	d.released = nil
+	return out
+}
+
 // quarantine puts a segment into quarantine, unless it is there since an earlier time. The caller holds mu.
-func (d *Detector) quarantine(id string, since time.Time) {
+func (d *Detector) quarantine(id string, since, firstCrash time.Time) {
 	if e := d.quarantined[id]; e != nil {
 		if since.Before(e.since) {
 			e.since = since
 		}
 		return
 	}
-	e := &entry{since: since, crashes: map[string]crash{}}
+	e := &entry{since: since, firstCrash: firstCrash, crashes: map[string]crash{}}
 	if s := d.suspects[id]; s != nil {
 		e.crashes = s.crashes
 		delete(d.suspects, id)
@@ -322,8 +371,9 @@
 		if id == "" {
 			return out
 		}
-		out = append(out, Verdict{id, len(d.suspects[id].crashes)})
-		d.quarantine(id, now)
+		s := d.suspects[id]
+		out = append(out, Verdict{id, len(s.crashes)})
+		d.quarantine(id, now, s.firstCrash())
 	}
 }
 
@@ -354,6 +404,16 @@
 	return false
 }
 
+// firstCrash returns the time of the first crash that is known.
+func (s *suspect) firstCrash() (first time.Time) {
+	for _, c := range s.crashes {
+		if first.IsZero() || c.at.Before(first) {
+			first = c.at
+		}
+	}
+	return first
+}
+
 // successive returns the longest chain of crashes each of whose requests was sent after the crash before.
 func (s *suspect) successive() (chain []crash) {
 	all := slices.SortedFunc(maps.Values(s.crashes), func(a, b crash) int { return a.at.Compare(b.at) })
--- a/lib/quarantine/quarantine_test.go
+++ b/lib/quarantine/quarantine_test.go
@@ -310,3 +310,43 @@
 		t.Errorf("%v", verdicts)
 	}
 }
+
+// Guards against refusing a sound segment everywhere because one host, which heard of no answer on it, judged targets that crashed together.
+func TestVerdictOfOneHostAgainstAnAnsweredSegmentIsReleased(t *testing.T) {
+	now := time.Unix(1000, 0)
+	judge, witness, other := New(), New(), New()
+	for range 100 {
+		judge.Began([]string{"another"}, 300*time.Millisecond, time.Millisecond, now)
+	}
+	for i := range 6 {
+		judge.Crashed(Waiting{
+			Segments: []string{"sound", fmt.Sprint("own", i)}, Target: fmt.Sprint("t", i), Addr: fmt.Sprint("a", i),
+			SentAt: now.Add(-300 * time.Millisecond), Answering: true,
+		}, now, now)
+	}
+	now = now.Add(time.Second)
+	witness.Began([]string{"sound"}, 300*time.Millisecond, answering, now)
+	now = now.Add(time.Second)
+	if v := judge.Judge(now, time.Second); len(v) == 0 || v[0].Segment != "sound" {
+		t.Fatalf("verdicts %v", v)
+	}
+	verdict := judge.Report(now)
+	other.Merge(verdict, now)
+	witness.Merge(verdict, now)
+	answer := witness.Report(now)
+	judge.Merge(answer, now)
+	other.Merge(answer, now)
+	judge.Merge(verdict, now) // another host repeats it
+	for name, d := range map[string]*Detector{"judge": judge, "witness": witness, "other": other} {
+		if id, _ := d.Blocked([]string{"sound"}, now); id != "" {
+			t.Errorf("%s refuses the segment", name)
+		}
+		if got := d.Released(); len(got) != 1 {
+			t.Errorf("%s released %v", name, got)
+		}
+		d.Restore([]string{"sound"}, now)
+		if id, _ := d.Blocked([]string{"sound"}, now); id != "" {
+			t.Errorf("%s refuses the segment that the store still holds", name)
+		}
+	}
+}
--- a/lib/quarantine/report.go
+++ b/lib/quarantine/report.go
@@ -11,6 +11,7 @@
 type Report struct {
 	Suspects    map[string]Suspicion `json:"s,omitempty"` // by segment
 	Quarantined map[string]int64     `json:"q,omitempty"` // by segment: for how long
+	FirstCrash  map[string]int64     `json:"f,omitempty"` // by segment in quarantine: since the first crash that convicted it
 }
 
 // Suspicion is a report about one suspected segment.
@@ -35,11 +36,8 @@
 	defer d.mu.Unlock()
 	d.expire(now)
 	r := Report{}
-	if len(d.quarantined) > 0 {
-		r.Quarantined = map[string]int64{}
-		for id, e := range d.quarantined {
-			r.Quarantined[id] = now.Sub(e.since).Milliseconds()
-		}
+	for id, e := range d.quarantined {
+		r.addQuarantined(id, e, now)
 	}
 	var suspected, cleared []string
 	for id, s := range d.suspects {
@@ -53,7 +51,13 @@
 	slices.SortFunc(suspected, func(a, b string) int {
 		return cmp.Or(cmp.Compare(d.suspects[b].weight(), d.suspects[a].weight()), cmp.Compare(a, b))
 	})
-	slices.SortFunc(cleared, func(a, b string) int { return d.suspects[b].changedAt.Compare(d.suspects[a].changedAt) })
+	slices.SortFunc(cleared, func(a, b string) int {
+		x, y := d.suspects[a], d.suspects[b]
+		if x.released != y.released {
+			return map[bool]int{true: -1, false: 1}[x.released]
+		}
+		return y.changedAt.Compare(x.changedAt)
+	})
 	suspected, cleared = suspected[:min(len(suspected), maxReported)], cleared[:min(len(cleared), maxReported)]
 	for _, id := range append(suspected, cleared...) {
 		if r.Suspects == nil {
@@ -65,15 +69,28 @@
 	return r
 }
 
-// ReportQuarantined returns a report of those of the segments that are in quarantine, and of nothing else.
+func (r *Report) addQuarantined(id string, e *entry, now time.Time) {
+	if r.Quarantined == nil {
+		r.Quarantined, r.FirstCrash = map[string]int64{}, map[string]int64{}
+	}
+	r.Quarantined[id], r.FirstCrash[id] = now.Sub(e.since).Milliseconds(), now.Sub(e.firstCrash).Milliseconds()
+}
+
+// ReportQuarantined returns a report of those of the segments that are in quarantine or were released, and of nothing else.
 func (d *Detector) ReportQuarantined(segments map[string]bool, now time.Time) Report {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.expire(now)
-	r := Report{Quarantined: map[string]int64{}}
+	r := Report{}
 	for id := range segments {
-		if e := d.quarantined[id]; e != nil {
-			r.Quarantined[id] = now.Sub(e.since).Milliseconds()
+		switch e, s := d.quarantined[id], d.suspects[id]; {
+		case e != nil:
+			r.addQuarantined(id, e, now)
+		case s != nil && s.released:
+			if r.Suspects == nil {
+				r.Suspects = map[string]Suspicion{}
+			}
+			r.Suspects[id] = s.report(now)
 		}
 	}
 	return r
@@ -140,14 +157,22 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for id, age := range r.Quarantined {
-		if since := now.Add(-milliseconds(age)); now.Sub(since) < Period {
-			if d.quarantined[id] == nil {
-				quarantined = append(quarantined, id)
-			}
-			d.quarantine(id, since)
+		since, firstCrash := now.Add(-milliseconds(age)), now.Add(-milliseconds(max(age, r.FirstCrash[id])))
+		if now.Sub(since) >= Period || d.witnessed(id, firstCrash, now) {
+			continue
 		}
+		if d.quarantined[id] == nil {
+			quarantined = append(quarantined, id)
+		}
+		d.quarantine(id, since, firstCrash)
 	}
 	for id, s := range r.Suspects {
+		if s.BeganMS != nil && d.quarantined[id] != nil {
+			began := now.Add(-milliseconds(*s.BeganMS))
+			if d.release(id, began, now); d.quarantined[id] == nil {
+				d.began[id] = began
+			}
+		}
 		if e := d.quarantined[id]; e != nil { // the other host does not know yet, and suspects what comes in the same requests too
 			for target, c := range s.Crashes {
 				e.explain(target, c.known(now))
