Programs of the process tests listen on ports that no connection takes

TestLeavingTargetsGetNoNewWork and four others failed once beside a load average of 28 to 40: 'bind: address already in use'. freeAddrs chose ports of the kernel's ephemeral range and closed them, so that an outgoing connection of any process could take one before the program listened. Ports are now below that range, as in the tests of platform.

--- a/test/process/env_test.go
+++ b/test/process/env_test.go
@@ -13,6 +13,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -98,13 +99,19 @@
 	client      *http.Client
 }
 
-// usedAddrs holds the addresses that any testEnv has been given, because the kernel may offer a port again until the
-// program that will use it listens.
+// usedAddrs holds the addresses that any testEnv has been given.
 var (
 	usedAddrsMu sync.Mutex
 	usedAddrs   = map[string]bool{} // guarded by usedAddrsMu
 )
 
+// Programs listen on ports below the kernel's ephemeral range (32768 and above), so that no outgoing connection takes a port between
+// freeAddrs and their start.
+const (
+	firstPort = 10_000
+	portCount = 5_000
+)
+
 // freeAddrs returns n loopback addresses that were free just now and that no other testEnv has been given.
 func freeAddrs(t *testing.T, n int) []string {
 	t.Helper()
@@ -112,15 +119,20 @@
 	defer usedAddrsMu.Unlock()
 	var addrs []string
 	for tries := 0; len(addrs) < n; tries++ {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil || tries > 100*n {
-			t.Fatal("no free ports", err)
+		if tries > 100*n {
+			t.Fatal("no free ports")
 		}
-		defer ln.Close() // only on return, so that the kernel offers no port twice
-		if addr := ln.Addr().String(); !usedAddrs[addr] {
-			usedAddrs[addr] = true
-			addrs = append(addrs, addr)
+		addr := fmt.Sprint("127.0.0.1:", firstPort+rand.IntN(portCount))
+		if usedAddrs[addr] {
+			continue
+		}
+		ln, err := net.Listen("tcp", addr)
+		if err != nil {
+			continue
 		}
+		_ = ln.Close()
+		usedAddrs[addr] = true
+		addrs = append(addrs, addr)
 	}
 	return addrs
 }
