A stalled target's last bytes no longer follow the hand-over of its stream

Cause: fillEvents fed what a read had returned also when the read ended with errStalled. The chunked reader holds back what it has of a chunk until the chunk is whole; handOver runs inside that read, so that the next target was asked to go on after an id before the events held. These were then passed on, and the next target's copies of them skipped.

Evidence, on the code before, with a target that stalls in a chunk after events 2 and 3: - begun: events 2 and 3 of the stalled target are followed by event 4 of the one that was asked to go on after 1 (ORDER: two runs joined). - not begun: the stream is cut after events 2 and 3, as the next target, which was asked for the whole stream, starts it anew. - If the write of the events held failed, as the caller had left, the attempt at the next target was never ended: Running stayed 1 in its load 9 s later. By reading only: the connection would stay in the pool's count too, and after a pause the request would keep the only place of its step.

Change: a read that ends with errStalled adds no events; the next target sends them again. Since nothing is passed on then, the stream always goes on with the next target, which ends with it.

--- a/lib/filter/relay/stream.go
+++ b/lib/filter/relay/stream.go
@@ -191,6 +191,9 @@
 	defer s.endStallLimit()
 	for len(s.ready) == 0 {
 		n, err := s.current.answer.Read(buf[:])
+		if errors.Is(err, errStalled) {
+			n = 0 // the next target sends these events again
+		}
 		var invalid error
 		if s.ready, invalid = s.events.feed(s.ready, buf[:n]); invalid != nil {
 			err = invalid
