A leaving target that a restored store has lost is dropped

Cause: ApplyChanges ends an arrival of an earlier era if the table holds the very pointer that was received. Since statements of leaving, ApplyUpdate puts a draining copy of such a target into the table, so that the arrival was not ended. The restored store never reports its removal.

Evidence: the new test, in which the statement comes first and the arrival that the store has lost second, listed the target as draining 6 s later. It gets no requests, but stays in the list until the next full read.

Change: the result of ApplyUpdate tells whether the arrival was applied.

--- a/lib/storewatch/changes.go
+++ b/lib/storewatch/changes.go
@@ -159,10 +159,10 @@
 	for _, t := range c.Arrivals {
 		old := w.targets.Get(t.ID)
 		if old == nil || old.Started != t.Started {
-			changed = w.targets.ApplyUpdate(
-				registry.Update{ID: t.ID, Target: t, Revision: t.Revision}, now, false) || changed
+			applied := w.targets.ApplyUpdate(registry.Update{ID: t.ID, Target: t, Revision: t.Revision}, now, false)
+			changed = applied || changed
 			// A restored store may have lost the entry, and does not report its removal then.
-			if kv.Version(t.Revision).Era() < w.era && w.targets.Get(t.ID) == t {
+			if applied && kv.Version(t.Revision).Era() < w.era {
 				w.targets.ApplyUpdate(registry.Update{ID: t.ID, Revision: int64(kv.NewVersion(w.era, 0))}, now, true)
 			}
 		}
--- a/lib/storewatch/leaving_test.go
+++ b/lib/storewatch/leaving_test.go
@@ -8,6 +8,7 @@
 	"testing/synctest"
 	"time"
 
+	"cuminhook.org/cuminhook/lib/kv"
 	"cuminhook.org/cuminhook/lib/registry"
 )
 
@@ -76,3 +77,25 @@
 		}
 	}
 }
+
+// Guards against a target that stays listed for ever: it said that it leaves, and the restored store has lost its entry.
+func TestLeavingTargetThatARestoredStoreHasLostIsDropped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		feed := newFakeFeed()
+		feed.put("targets/stays", "ready")
+		lost := &registry.Target{ID: "lost", Started: 5, Beat: 1, Revision: int64(kv.NewVersion(0, 2))}
+		feed.restore(0)
+		w, s := startWatcher(t, feed)
+		time.Sleep(time.Second)
+		w.ApplyChanges(TargetChanges{
+			Departures: []registry.Departure{{ID: "lost", Started: 5, Stated: true}}, Arrivals: []*registry.Target{lost},
+		}, false)
+		for range 20 { // the watch is never idle, so that no full read follows
+			feed.put("targets/stays", "ready")
+			time.Sleep(300 * time.Millisecond)
+		}
+		if state, ok := s.targetState("lost"); ok {
+			t.Errorf("the target is listed as %v", state)
+		}
+	})
+}
