A weight store that was once slow is used at full speed again

Cause: only a load that took the last place below the limit raises it, and copies that are not the first of their model may take three quarters of the places only. At a limit of 2 they run one at a time and never take the last place, so that the limit stays for the rest of the controller's term unless first copies run side by side.

Evidence: after one batch of slow loads the limit is 1; the new test ran 1 copy for demand at once after 20 fast ones, on a store that runs 8 at full speed.

Change: the last place is that of the load's own kind. A copy for demand raises the limit no further than to where one more of them may run: above that it shows nothing.

--- a/lib/residency/residency.go
+++ b/lib/residency/residency.go
@@ -171,7 +171,7 @@
 		if a, ok := s.placeCopy(c, p.storeLoads.tokens >= tokens && p.pace.mayStart(c.reason == ReasonLost)); ok {
 			if a.FromStore {
 				p.storeLoads.tokens--
-				p.pace.start(a.Target, c.model, now)
+				p.pace.start(a.Target, c.model, c.reason == ReasonLost, now)
 			}
 			out = append(out, a)
 		}
--- a/lib/residency/storepace.go
+++ b/lib/residency/storepace.go
@@ -37,7 +37,7 @@
 	configured  time.Duration // at full speed
 	loadSeconds float64       // of the storePace when the load began
 	together    float64       // loads that ran when the load began, with itself
-	atLimit     bool          // the load took the last place
+	raisesTo    float64       // highest limit that the load shows if it runs at full speed; zero unless it took the last place
 }
 
 func newStorePace(now time.Time) *storePace {
@@ -96,8 +96,8 @@
 	}
 	if took <= slowLoadFactor*configured+reportDelay.Seconds() {
 		s.slow = nil
-		if l.atLimit {
-			s.limit++ // more may run at full speed than the limit says; what has made loads late may be over
+		if l.raisesTo > s.limit {
+			s.limit = min(s.limit+1, l.raisesTo) // more may run at full speed than the limit says; what has made loads late may be over
 		}
 		return
 	}
@@ -123,9 +123,16 @@
 }
 
 // start counts a load.
-func (s *storePace) start(target string, m *Model, now time.Time) {
-	s.running[targetModel{target, m.Name}] = runningLoad{
-		beganAt: now, configured: m.StoreLoadTime, loadSeconds: s.loadSeconds,
-		together: float64(len(s.running) + 1), atLimit: float64(len(s.running)+2) > s.limit,
+func (s *storePace) start(target string, m *Model, first bool, now time.Time) {
+	key := targetModel{target, m.Name}
+	l := runningLoad{beganAt: now, configured: m.StoreLoadTime, loadSeconds: s.loadSeconds}
+	s.running[key] = l
+	l.together = float64(len(s.running))
+	if !s.mayStart(first) {
+		l.raisesTo = math.Inf(1)
+		if !first {
+			l.raisesTo = math.Ceil((l.together + 1) / (1 - firstCopyShare)) // one more of them may run then
+		}
 	}
+	s.running[key] = l
 }
