A model without a copy does not wait for the pause of a target

Cause: a joint of two changes. evictFor returns nothing while a copy that may yield is at a busy target, as that has done its order soon. Targets in a pause are given to the planner as busy since, and a pause may last a minute.

Evidence: the new test, surplus copies at paused targets only and an unused model at another: no unload is planned for the model in demand.

Change: the planner knows paused targets apart. They get no orders, and nobody waits for them.

Result: the test fails before and passes now; go test -race of lib/residency and lib/placer passes.

--- a/lib/placer/placer.go
+++ b/lib/placer/placer.go
@@ -359,7 +359,7 @@
 	for _, t := range p.orderableTargets(s) {
 		if t.synced {
 			target := t.plannerTarget(s.Engine)
-			target.Busy = target.Busy || p.cfg.Paused(t.info.ID)
+			target.Paused = p.cfg.Paused(t.info.ID)
 			targets = append(targets, target)
 		}
 	}
--- a/lib/residency/residency.go
+++ b/lib/residency/residency.go
@@ -61,6 +61,7 @@
 	MemoryMB float64 // memory for models
 	Models   []LoadedModel
 	Busy     bool     // an order is being executed or its outcome is unknown
+	Paused   bool     // gets no orders now, and perhaps not for longer than an order takes
 	Cached   []string // models that the target can load without the weight store
 }
 
@@ -235,7 +236,7 @@
 		s.byName[models[i].Name] = &models[i]
 	}
 	for _, t := range targets {
-		s.busy[t.ID] = t.Busy
+		s.busy[t.ID] = t.Busy || t.Paused
 		for _, h := range t.Models {
 			s.inZone[zoneModel{t.Zone, h.Model}]++
 			if !h.Unloading {
@@ -448,7 +449,7 @@
 func (s *planState) cheapestVictim(m *Model, yields func(*Model) bool, costOf func(*Model) float64) (best *Target, victim *Model, later bool) {
 	var lowest float64
 	for _, t := range s.targets {
-		if t.hasModel(m.Name) || s.busy[t.ID] && later {
+		if t.hasModel(m.Name) || t.Paused || s.busy[t.ID] && later {
 			continue
 		}
 		v := s.victim(t, yields, costOf, m.MB-t.freeMB())
--- a/lib/residency/residency_test.go
+++ b/lib/residency/residency_test.go
@@ -380,6 +380,22 @@
 	}
 }
 
+// Guards against a model in demand that gets no copy while the only surplus copies are at targets that have asked for a pause.
+func TestModelWithoutCopyDoesNotWaitForThePauseOfATarget(t *testing.T) {
+	const mb = 72_700
+	list := []Model{{Name: "rare", MB: mb}, {Name: "spare", MB: mb}, {Name: "wanted", MB: mb, EngineLoad: 50}}
+	targets := []*Target{{ID: "a", MemoryMB: mb, Models: []LoadedModel{{Model: "rare", MB: mb, Ready: true}}}}
+	for i := range 4 {
+		targets = append(targets, &Target{
+			ID: fmt.Sprintf("paused%d", i), MemoryMB: mb, Models: []LoadedModel{{Model: "spare", MB: mb, Ready: true}}, Paused: true,
+		})
+	}
+	got := NewPlanner(loadsPerSecond, loadBurst, true, start).Plan(list, targets, start.Add(tick))
+	if len(got) != 1 || got[0].Op != orders.Unload || got[0].Target != "a" {
+		t.Errorf("%+v, want an unload at the target that takes orders", got)
+	}
+}
+
 // Guards against callers of a rare model that wait in vain because loads for a model in high demand slow that of its first copy.
 func TestFirstCopiesAreNotSlowedByCopiesForDemand(t *testing.T) {
 	f, list := newFleetWithRate(t, 40, 3.8), newModels(30)
