A pause outlives the entry of its target

SetTargets forgot a target with its pause when its entry vanished, and a target whose entry came back, as after lost heartbeats, was sent requests in its pause (found in a review; not seen on the bench). Pauses of absent targets are kept, by incarnation, until they end. TestPauseOutlivesTheEntryOfItsTarget failed before: a request 1 ms later was sent.

--- a/lib/balance/balance.go
+++ b/lib/balance/balance.go
@@ -133,7 +133,8 @@
 	latencyRatios map[string]float64            // guarded by mu; by model: observed over expected time to the first event
 	catalog       *catalog.Catalog
 	random        *rand.Rand
-	hosts         int // guarded by mu; including this one
+	hosts         int                    // guarded by mu; including this one
+	absent        map[string]absentPause // guarded by mu; pauses of targets that are not in the list, by target
 }
 
 // target is a target with its load, what its KV cache probably holds, and its health.
@@ -176,6 +177,10 @@
 		if t == nil || t.info.Started != info.Started {
 			t = &target{missing: map[string]time.Time{}}
 			b.targets[info.ID] = t
+			if a, ok := b.absent[info.ID]; ok && a.started == info.Started {
+				t.pause = a.pause
+			}
+			delete(b.absent, info.ID)
 		}
 		if t.info != nil && info.Beat > t.info.Beat {
 			t.health.probing = false // a new heartbeat allows another probe
@@ -184,6 +189,7 @@
 	}
 	for id := range b.targets {
 		if !seen[id] {
+			b.keepPause(b.targets[id])
 			delete(b.targets, id)
 		}
 	}
--- a/lib/balance/pause.go
+++ b/lib/balance/pause.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"time"
 )
 
@@ -44,6 +45,27 @@
 	served  bool      // the target has begun to serve a request of a return since then
 }
 
+// absentPause is the pause of an incarnation that is not in the list of targets. Its entry may come back before the pause ends.
+type absentPause struct {
+	started int64
+	pause   pause
+}
+
+// keepPause keeps the pause of a target that leaves the list; the caller holds the mutex.
+func (b *Balancer) keepPause(t *target) {
+	if t.pause.until.IsZero() {
+		return
+	}
+	if b.absent == nil {
+		b.absent = map[string]absentPause{}
+	}
+	p := t.pause
+	if p.allowed > 0 {
+		p.beginStep(1) // requests under way are forgotten with the target
+	}
+	b.absent[t.info.ID] = absentPause{t.info.Started, p}
+}
+
 // active reports whether the target must not get requests.
 func (p *pause) active(now time.Time) bool { return !p.until.IsZero() && now.Before(p.until) }
 
@@ -107,6 +129,7 @@
 func (b *Balancer) Pause(id string, started int64, d time.Duration, now time.Time) (until time.Time, changed bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	maps.DeleteFunc(b.absent, func(_ string, a absentPause) bool { return !a.pause.active(now) })
 	t := b.targets[id]
 	if t == nil || t.info.Started != started || d <= 0 {
 		return time.Time{}, false
--- a/lib/balance/pause_test.go
+++ b/lib/balance/pause_test.go
@@ -183,3 +183,23 @@
 		}
 	}
 }
+
+// Guards against requests during a pause to a target whose entry vanished and came back.
+func TestPauseOutlivesTheEntryOfItsTarget(t *testing.T) {
+	b := newBalancer("a")
+	list := plainTargets(1)
+	b.SetTargets(list)
+	b.Pause(list[0].ID, list[0].Started, time.Second, now)
+	b.SetTargets(nil)
+	b.SetTargets(list)
+	if _, err := b.Pick(plainQuery, now.Add(time.Millisecond)); !errors.Is(err, ErrPaused) {
+		t.Errorf("a request in the pause: %v", err)
+	}
+	b.SetTargets(nil)
+	restarted := *list[0]
+	restarted.Started++
+	b.SetTargets([]*registry.Target{&restarted})
+	if _, err := b.Pick(plainQuery, now.Add(time.Millisecond)); err != nil {
+		t.Errorf("a request to the target after its restart: %v", err)
+	}
+}
