Review: requests in a server's queue are cut by a planned stop

Cause: a host that stops exits after StopLimit with what is open. Nothing ends an attempt at a target in time for an answer of the host's own, so requests that a target has queued and not begun get none.

Clients of the stand-ins follow the platform's balancer and the idle timeout.

--- a/review/lab/client.go
+++ b/review/lab/client.go
@@ -29,16 +29,18 @@
 // conn is a client's connection to a machine.
 type conn struct {
 	net.Conn
-	br   *bufio.Reader
-	uses int // requests sent
+	machine string
+	br      *bufio.Reader
+	uses    int // requests sent
+	lastUse time.Time
 }
 
-func dial(addr string) (*conn, error) {
-	c, err := net.DialTimeout("tcp", addr, time.Second)
+func dial(m *machine) (*conn, error) {
+	c, err := net.DialTimeout("tcp", m.addrs[0], time.Second)
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: c, br: bufio.NewReader(c)}, nil
+	return &conn{Conn: c, machine: m.name, br: bufio.NewReader(c), lastUse: time.Now()}, nil
 }
 
 // request is what a client sends.
@@ -54,11 +56,12 @@
 const chunkBytes = 32 << 10
 
 // do sends a request and reads the answer. It reports whether the connection can be used again, and else closes it.
-func (c *conn) do(machine string, r request) (*call, bool) {
-	k := &call{id: r.id, path: r.path, key: r.key, machine: machine, sent: time.Now(), use: c.uses, size: r.body}
+func (c *conn) do(r request) (*call, bool) {
+	k := &call{id: r.id, path: r.path, key: r.key, machine: c.machine, sent: time.Now(), use: c.uses, size: r.body}
 	c.uses++
 	keep, err := c.exchange(k, r)
 	k.ended, k.err = time.Now(), err
+	c.lastUse = k.ended
 	if !keep {
 		_ = c.Close()
 	}
--- a/review/lab/host.go
+++ b/review/lab/host.go
@@ -8,6 +8,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -20,6 +21,8 @@
 	store    *entrance
 	log      *os.File
 
+	inRotation atomic.Bool // the platform's balancer sends new connections here
+
 	mu    sync.Mutex
 	cmd   *exec.Cmd     // guarded by mu; the last process
 	ended chan struct{} // guarded by mu; closed when cmd has exited
@@ -72,6 +75,7 @@
 	m.mu.Lock()
 	m.cmd, m.ended = cmd, ended
 	m.mu.Unlock()
+	m.inRotation.Store(true)
 	go func() {
 		_ = cmd.Wait() // the error of a killed process is expected
 		close(ended)
@@ -89,6 +93,9 @@
 	select {
 	case <-m.ended:
 	default:
+		if sig == syscall.SIGTERM {
+			m.inRotation.Store(false)
+		}
 		_ = m.cmd.Process.Signal(sig)
 	}
 }
--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -12,6 +12,7 @@
 	"sort"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -47,6 +48,8 @@
 	machines []*machine
 	targets  []*target
 
+	loads atomic.Int64 // calls of load
+
 	mu    sync.Mutex
 	calls []*call
 }
@@ -166,32 +169,46 @@
 	return startTarget(t)
 }
 
-// load sends requests at a rate (a second) until end, on connections that clients keep.
-func (w *world) load(end time.Time, perSecond float64, next func() request) {
+// maxReuse is how long clients leave a connection idle and use it again: four fifths of limits.idle_timeout_ms.
+const maxReuse = 12 * time.Second
+
+// load sends requests at a rate (a second) until end, on connections that clients keep. The platform's balancer sends no new
+// connection to a machine that stops. If opened is set, clients have connections from the beginning.
+func (w *world) load(end time.Time, perSecond float64, opened bool, next func() request) {
 	const clients = 54 // of the site
+	load := w.loads.Add(1)
 	var all sync.WaitGroup
 	for c := range clients {
 		all.Go(func() {
-			m := w.machines[c%len(w.machines)]
 			var cn *conn
+			open := func() (err error) {
+				for i := range w.machines {
+					if m := w.machines[(c+i)%len(w.machines)]; m.inRotation.Load() {
+						cn, err = dial(m)
+						return err
+					}
+				}
+				return errors.New("no machine in rotation")
+			}
+			if opened && open() != nil {
+				cn = nil
+			}
 			for n := 0; ; n++ {
 				time.Sleep(time.Duration(rand.ExpFloat64() * clients / perSecond * float64(time.Second)))
 				if time.Now().After(end) {
 					break
 				}
-				if cn == nil || rand.IntN(20) == 0 {
-					if cn != nil {
-						_ = cn.Close()
-					}
-					var err error
-					if cn, err = dial(m.addrs[0]); err != nil {
-						cn = nil
-						continue
-					}
+				if cn != nil && (rand.IntN(20) == 0 || time.Since(cn.lastUse) > maxReuse) {
+					_ = cn.Close()
+					cn = nil
+				}
+				if cn == nil && open() != nil {
+					cn = nil
+					continue
 				}
 				q := next()
-				q.id = fmt.Sprintf("c%dn%d", c, n)
-				k, keep := cn.do(m.name, q)
+				q.id = fmt.Sprintf("l%dc%dn%d", load, c, n)
+				k, keep := cn.do(q)
 				w.record(k)
 				if !keep {
 					cn = nil
--- a/review/lab/settings.go
+++ b/review/lab/settings.go
@@ -40,7 +40,7 @@
 	}
 	var all sync.WaitGroup
 	all.Go(func() {
-		w.load(time.Now().Add(beforeSignal+oldAddrServes+afterOldAddr+afterChange), 24, func() request {
+		w.load(time.Now().Add(beforeSignal+oldAddrServes+afterOldAddr+afterChange), 24, false, func() request {
 			return request{method: "GET", path: "/r/", key: fmt.Sprint("key-", 1+rand.IntN(2)), deadline: 2500 * time.Millisecond}
 		})
 	})
--- a/review/lab/stampless.go
+++ b/review/lab/stampless.go
@@ -66,7 +66,7 @@
 		}()
 	}
 	// The site's siren-order (15.5 a second) and strike-lookup (8 a second).
-	w.load(time.Now().Add(garbleTimes*(garbleLasts+garblePause)), 24, func() request {
+	w.load(time.Now().Add(garbleTimes*(garbleLasts+garblePause)), 24, false, func() request {
 		if rand.Float64() < 0.66 {
 			return request{method: "POST", path: "/b/", key: "key-1", body: 600, deadline: 2500 * time.Millisecond}
 		}
--- a/review/lab/streamend.go
+++ b/review/lab/streamend.go
@@ -61,7 +61,7 @@
 		}()
 	}
 	// The site's port-brief (3.73 a second).
-	w.load(time.Now().Add(lostTimes*(lostLasts+lostPause)), 3.73, func() request {
+	w.load(time.Now().Add(lostTimes*(lostLasts+lostPause)), 3.73, false, func() request {
 		return request{method: "POST", path: "/n/", key: "key-1", body: 18000, deadline: 8 * time.Second, model: "m1"}
 	})
 	lost := 0
--- a/review/lab/target.go
+++ b/review/lab/target.go
@@ -99,7 +99,10 @@
 	beat   int64
 }
 
-func startTarget(t *target) error {
+func startTarget(t *target) error { return startServer(t, t.serve) }
+
+// startServer serves connections to a server and keeps its entry in the store.
+func startServer(t *target, serve func(net.Conn)) error {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return err
@@ -112,7 +115,7 @@
 			if err != nil {
 				return
 			}
-			go t.serve(conn)
+			go serve(conn)
 		}
 	}()
 	go func() {
--- a/review/lab/uploads.go
+++ b/review/lab/uploads.go
@@ -140,14 +140,14 @@
 		q := request{id: fmt.Sprintf("c%dn%d", c, n), method: "POST", path: "/b/", key: "key-1", deadline: 2500 * time.Millisecond, body: 600}
 		if cn == nil {
 			var err error
-			if cn, err = dial(m.addrs[0]); err != nil {
+			if cn, err = dial(m); err != nil {
 				cn = nil
 				time.Sleep(500 * time.Millisecond)
 				continue
 			}
 			q.body, q.chunked = maxBody, c/2%2 == 0
 		}
-		k, keep := cn.do(m.name, q)
+		k, keep := cn.do(q)
 		w.record(k)
 		if !keep {
 			cn = nil
