--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -46,7 +46,6 @@
 	store    *store
 	ledger   *ledger
 	machines []*machine
-	targets  []*target
 
 	loads atomic.Int64 // calls of load
 
@@ -165,7 +164,6 @@
 
 func (w *world) addTarget(t *target) error {
 	t.ledger, t.store, t.zone = w.ledger, w.store, "z"
-	w.targets = append(w.targets, t)
 	return startTarget(t)
 }
 
