A success that no target gave is not passed on

Cause: forward took every head that parses for an answer. passthrough.Answer.Processed was read from the header and used nowhere. An answer without an id passes on a connection that has carried none yet, so that nothing else noticed.

Ruled out: a head that ends early. fasthttp reports it, and callers got 502 before this change too (cases "head cut" of the test).

Change: an answer that states neither that the target processed the request nor that it did not run it is none. The outcome is unknown: repeatable requests go to another target, the others get 502.

TestBytesThatAreNoAnswerAreNotPassedOn failed before in 8 of 13 cases on both routes, and passes.

--- a/lib/filter/relay/harness_test.go
+++ b/lib/filter/relay/harness_test.go
@@ -64,7 +64,7 @@
 	rate, _ := strconv.ParseFloat(string(h.Peek("Limit")), 64)
 	pause, _ := time.ParseDuration(string(h.Peek("Pause")))
 	return passthrough.Answer{
-		ID: string(h.Peek("Id")), NotRun: len(h.Peek("Not-Run")) > 0,
+		ID: string(h.Peek("Id")), NotRun: len(h.Peek("Not-Run")) > 0, Processed: len(h.Peek("Stampless")) == 0,
 		Instance: string(h.Peek("Instance")), RateLimit: rate, Leaving: len(h.Peek("Leaving")) > 0, Pause: pause,
 	}
 }
--- a/lib/forward/forward.go
+++ b/lib/forward/forward.go
@@ -42,6 +42,7 @@
 	ErrForeignAnswer = errors.New("forward: the answer belongs to another request")
 	ErrIncomplete    = errors.New("forward: the answer's body was not read completely")
 	ErrTooLarge      = errors.New("forward: the answer's body exceeds the size limit")
+	ErrNoAnswer      = errors.New("forward: the bytes received do not state that a target processed or rejected the request")
 )
 
 const (
@@ -182,6 +183,10 @@
 		conn.Release(false)
 		return nil, Unknown, err
 	}
+	if !a.Stated.NotRun && !a.Stated.Processed {
+		conn.Release(false)
+		return nil, Unknown, fmt.Errorf("%w: status %d", ErrNoAnswer, a.Header.StatusCode())
+	}
 	conn.Answered(keepAlive(&a.Header))
 	if a.Stated.NotRun {
 		return a, NotRun, nil
--- a/lib/forward/forward_test.go
+++ b/lib/forward/forward_test.go
@@ -23,7 +23,7 @@
 type protocol struct{ passthrough.Protocol }
 
 func (protocol) ReadAnswer(h *fasthttp.ResponseHeader) passthrough.Answer {
-	return passthrough.Answer{ID: string(h.Peek("Id"))}
+	return passthrough.Answer{ID: string(h.Peek("Id")), Processed: true}
 }
 
 // dialTook is the time that a connection to the target takes.
--- a/lib/passthrough/passthrough.go
+++ b/lib/passthrough/passthrough.go
@@ -60,7 +60,7 @@
 type Answer struct {
 	ID        string // id of the answered request; empty if not stated
 	NotRun    bool   // the target did not run the request
-	Processed bool   // the target has processed the request
+	Processed bool   // the target has processed the request; an answer that states neither this nor NotRun is none
 	Instance  string // id of the target that answered; empty if not stated
 	// RateLimit is the number of requests a second that the target takes from all hosts together; zero: not limited. It is
 	// negative if what is stated cannot be read.
