One schedule for the stop of a host: admission, waits, attempts, answers, exit

Cause: the time limits of a stop didn't know of each other. - Admission went on after the listener was closed. fasthttp counts a connection that has never been used as idle only 5 s after it was opened, so that requests on connections opened ahead were taken up to 5.8 s after SIGTERM. - An attempt at a target ended with the caller's deadline, and targets were told that deadline. What waited in a target's queue was cut by the exit of the process, without an answer. - stop_limit (7.5 s) ignored the grace that the platform states.

Change: lib/stopping divides the grace (new setting, bounds.grace_s; stop_limit is gone) into the end of admission, the deadline that targets are told, the time at which what is open is answered with 504 or cut, and the exit. A stopping host refuses at once, with 503 "not run" and no Retry-After, what it can't expect to complete: it learns a high quantile of each route's durations. Connections that were never used are closed with the idle ones. Admission ends after 2.5 s in place of 3 s: two checks of a balancer, one a second.

--- a/lib/entryhost/entryhost.go
+++ b/lib/entryhost/entryhost.go
@@ -34,6 +34,7 @@
 	"cuminhook.org/cuminhook/lib/placer"
 	"cuminhook.org/cuminhook/lib/registry"
 	"cuminhook.org/cuminhook/lib/retry"
+	"cuminhook.org/cuminhook/lib/stopping"
 	"cuminhook.org/cuminhook/lib/storewatch"
 	"cuminhook.org/cuminhook/lib/targetrate"
 	"cuminhook.org/cuminhook/lib/workload"
@@ -58,8 +59,8 @@
 	maxBodyBytes = 5 << 20
 	// maxBufferedBytes bounds the bodies of all requests in memory.
 	maxBufferedBytes = 64 << 20
-	// backgroundStopTimeout bounds the wait for background work to end after the last request.
-	backgroundStopTimeout = 300 * time.Millisecond
+	// minBackgroundStop is the time that background work has to end, also if requests took all of the grace.
+	minBackgroundStop = 50 * time.Millisecond
 	// readTimeout bounds the arrival of a request. It is the write timeout too.
 	readTimeout = 10 * time.Second
 	// idleTimeout is above every idle timeout that operators set for callers, since callers reuse connections up to theirs.
@@ -109,7 +110,7 @@
 	catchingUp   atomic.Bool // a configuration is being read from a peer
 	targetsRead  atomic.Bool // a list of targets has been read
 	stopping     atomic.Bool
-	stopBy       atomic.Pointer[time.Time] // when open requests are cut; nil while the host is not stopping
+	stop         *stopping.Stop
 }
 
 // New returns a Host. It opens no connections before Run.
@@ -120,7 +121,7 @@
 	}
 	conns, rates := newConnections(&cfg), targetrate.New(time.Now(), newRandom())
 	h := &Host{
-		cfg: cfg, log: cfg.Log, connections: conns, rates: rates,
+		cfg: cfg, log: cfg.Log, connections: conns, rates: rates, stop: stopping.New(),
 		balancer: balance.New(s.Zone, conns, rates, newRandom()),
 		limiter:  orglimit.New(time.Now()), meter: workload.New(), retries: retry.NewBudget(s.RetryRatio, s.RetrySlack),
 	}
@@ -164,7 +165,7 @@
 func (h *Host) filters() pipeline.Handler {
 	handler := relay.New(relay.Config{
 		Protocol: h.cfg.Protocol, Client: h.connections.client, Balancer: h.balancer, Retries: h.retries,
-		Placement: h.role, Demand: h.meter, Rates: h.rates, Statements: h.statements, Quarantine: h.quarantine.detector, StopBy: h.stopTime, Log: h.cfg.RequestLog, Metrics: h.cfg.Metrics,
+		Placement: h.role, Demand: h.meter, Rates: h.rates, Statements: h.statements, Quarantine: h.quarantine.detector, Stop: h.stop, Log: h.cfg.RequestLog, Metrics: h.cfg.Metrics,
 	})
 	handler = orgrate.New(handler, orgrate.Config{Limiter: h.limiter, Log: h.cfg.RequestLog})
 	handler = classify.New(handler, classify.Config{Protocol: h.cfg.Protocol, Catalog: h.catalog.Load})
@@ -337,7 +338,7 @@
 	return h.catalog.Load() != nil && h.targetsRead.Load() && !h.stopping.Load()
 }
 
-// Run serves until ctx ends, and then lets open requests finish within Settings.StopLimit.
+// Run serves until ctx ends, and then lets open requests finish within Settings.Grace.
 func (h *Host) Run(ctx context.Context) error {
 	s := h.cfg.Settings
 	callers, err := net.Listen("tcp", s.Listen)
@@ -371,9 +372,10 @@
 	case <-groupCtx.Done():
 	}
 	unregister()
-	err = h.stop(background)
+	schedule := h.beginStop()
+	err = h.finishRequests(background, schedule)
 	cancel()
-	err = errors.Join(err, h.waitFor(group, backgroundStopTimeout))
+	err = errors.Join(err, h.waitFor(group, max(minBackgroundStop, time.Until(schedule.Exit))))
 	h.log.Info("stopped", "error", fmt.Sprint(err))
 	return err
 }
@@ -392,24 +394,22 @@
 	}
 }
 
-// stopTime returns when open requests are cut, or zero while the host is not stopping.
-func (h *Host) stopTime() (by time.Time) {
-	if p := h.stopBy.Load(); p != nil {
-		by = *p
-	}
-	return by
-}
-
-// stop reports the host as not ready, waits StopDelay until load balancers send no new connections, and lets open
-// requests finish.
-func (h *Host) stop(ctx context.Context) error {
-	h.log.Info("stopping", "signal", "term")
-	by := time.Now().Add(h.cfg.Settings.StopLimit)
-	h.stopBy.Store(&by)
+// beginStop reports the host as not ready and sets the times by which everything ends.
+func (h *Host) beginStop() stopping.Schedule {
+	s := &h.cfg.Settings
+	schedule := stopping.NewSchedule(time.Now(), s.stopDelay(), s.Grace)
+	h.log.Info("stopping", "signal", "term", "grace", s.Grace.String())
+	h.stop.Begin(schedule)
 	h.stopping.Store(true)
 	h.server.BeginStop()
-	time.Sleep(h.cfg.Settings.StopDelay)
-	limit, cancel := context.WithTimeout(ctx, h.cfg.Settings.StopLimit-h.cfg.Settings.StopDelay)
+	return schedule
+}
+
+// finishRequests serves until admission ends, when load balancers send no new connections any more, and then lets open requests
+// finish.
+func (h *Host) finishRequests(ctx context.Context, schedule stopping.Schedule) error {
+	time.Sleep(time.Until(schedule.Admission))
+	limit, cancel := context.WithDeadline(ctx, schedule.Exit)
 	defer cancel()
 	return h.server.Stop(limit)
 }
--- a/lib/entryhost/settings.go
+++ b/lib/entryhost/settings.go
@@ -29,8 +29,10 @@
 
 	Placement PlacementSettings `yaml:"placement"`
 
-	StopDelay time.Duration `yaml:"stop_delay"` // from the signal until the host takes no new connections
-	StopLimit time.Duration `yaml:"stop_limit"` // from the signal until open requests are cut
+	Grace time.Duration `yaml:"grace"` // from the signal to stop until the platform kills the process
+	// StopDelay is the time from the signal until the host takes no more requests; zero: defaultStopDelay, or less if the
+	// grace is short.
+	StopDelay time.Duration `yaml:"stop_delay"`
 }
 
 // PlacementSettings are the settings of placement.
@@ -44,12 +46,25 @@
 	return Settings{
 		DrainWithin: 2 * time.Second, ConfigWithin: 2 * time.Second, LinkMbps: 100, RetryRatio: 0.1, RetrySlack: 10,
 		Placement: PlacementSettings{Lease: 3 * time.Second, LoadsOvershoot: 1},
-		// Enough for a load balancer that checks once a second and stops sending after two failed checks.
-		StopDelay: 3 * time.Second,
-		StopLimit: 7500 * time.Millisecond,
+		Grace:     8 * time.Second,
 	}
 }
 
+const (
+	// defaultStopDelay is enough for a load balancer that checks once a second and stops sending after two failed checks.
+	defaultStopDelay = 2500 * time.Millisecond
+	// minServingGrace is the part of the grace that is left for requests when admission ends by default.
+	minServingGrace = 0.625
+)
+
+// stopDelay returns StopDelay or its default.
+func (s *Settings) stopDelay() time.Duration {
+	if s.StopDelay > 0 {
+		return s.StopDelay
+	}
+	return min(defaultStopDelay, time.Duration((1-minServingGrace)*float64(s.Grace)))
+}
+
 // Validate implements settings.Validator.
 func (s *Settings) Validate() error {
 	if s.Host == "" || s.Zone == "" {
@@ -74,8 +89,9 @@
 	if s.Placement.Lease < time.Second || s.Placement.LoadsOvershoot < 1 {
 		return fmt.Errorf("placement: lease must be 1s or longer, loads_overshoot 1 or more")
 	}
-	if s.StopDelay < 0 || s.StopLimit <= s.StopDelay {
-		return fmt.Errorf("stop_limit (%s) must be above stop_delay (%s)", s.StopLimit, s.StopDelay)
+	if s.Grace <= 0 || s.StopDelay < 0 || s.StopDelay >= s.Grace {
+		return fmt.Errorf("grace (%s) must be above 0 and above stop_delay (%s); set it to the time after which the platform kills a process that it stops",
+			s.Grace, s.StopDelay)
 	}
 	return nil
 }
--- a/lib/entryhost/settings_test.go
+++ b/lib/entryhost/settings_test.go
@@ -56,7 +56,7 @@
 		if settings.Parse("entry.yaml", []byte(text), &s) != nil {
 			return
 		}
-		if s.Host == "" || s.StopLimit <= s.StopDelay || s.Placement.Lease <= 0 || s.RetryRatio < 0 || s.Listen == "" {
+		if s.Host == "" || s.Grace <= s.StopDelay || s.Placement.Lease <= 0 || s.RetryRatio < 0 || s.Listen == "" {
 			t.Errorf("accepted %+v", s)
 		}
 	})
--- a/lib/filter/relay/harness_test.go
+++ b/lib/filter/relay/harness_test.go
@@ -31,6 +31,7 @@
 	"cuminhook.org/cuminhook/lib/quarantine"
 	"cuminhook.org/cuminhook/lib/registry"
 	"cuminhook.org/cuminhook/lib/retry"
+	"cuminhook.org/cuminhook/lib/stopping"
 	"cuminhook.org/cuminhook/lib/targetrate"
 	"cuminhook.org/cuminhook/lib/workload"
 	"cuminhook.org/cuminhook/test/httpmain"
@@ -87,7 +88,7 @@
 	balancer *balance.Balancer
 	detector *quarantine.Detector
 	retries  *retry.Budget
-	stopBy   atomic.Pointer[time.Time] // when the host cuts open requests
+	stop     *stopping.Stop
 
 	mu       sync.Mutex
 	scripts  map[string]script // by address
@@ -113,7 +114,7 @@
 	r := &harness{
 		t: t, ln: fasthttputil.NewInmemoryListener(), scripts: scripts,
 		balancer: balance.New("z", nil, rates, rand.New(rand.NewPCG(1, 1))), detector: quarantine.New(),
-		retries: retry.NewBudget(0.2, 50),
+		retries: retry.NewBudget(0.2, 50), stop: stopping.New(),
 	}
 	route := func(prefix string, kind catalog.Kind, resumable bool) *catalog.Route {
 		return &catalog.Route{
@@ -138,12 +139,7 @@
 		Protocol: testProtocol{}, Client: forward.NewClient(forward.Config{Protocol: testProtocol{}, Dial: r.dial}), Balancer: r.balancer,
 		Retries: r.retries, Placement: placement, Quarantine: r.detector, Rates: rates, Statements: r,
 		Demand: workload.New(), Log: log, Metrics: metrics.NewSet(), Random: func() float64 { return 0.5 },
-		StopBy: func() (by time.Time) {
-			if p := r.stopBy.Load(); p != nil {
-				by = *p
-			}
-			return by
-		},
+		Stop: r.stop,
 	})
 	h = classify.New(h, classify.Config{Protocol: testProtocol{}, Catalog: func() *catalog.Catalog { return c }})
 	s := pipeline.NewServer(pipeline.ServerConfig{
--- a/lib/filter/relay/pick.go
+++ b/lib/filter/relay/pick.go
@@ -81,12 +81,8 @@
 	return wait{began: now, latest: end.Add(-time.Duration(servingReserve * float64(end.Sub(now))))}
 }
 
-// endBefore has the wait end in time for the request to be served before this host cuts open requests. The time is zero while the host
-// is not stopping.
+// endBefore has the wait end in time for the request to be served before this host stops.
 func (w *wait) endBefore(stopBy time.Time) {
-	if stopBy.IsZero() {
-		return
-	}
 	if latest := stopBy.Add(-time.Duration(servingReserve * float64(stopBy.Sub(w.began)))); latest.Before(w.latest) {
 		w.latest = latest
 	}
@@ -97,7 +93,9 @@
 func (r *request) pause(w *wait, err error) time.Duration {
 	const refuse = -1
 	now := time.Now()
-	w.endBefore(r.cfg.StopBy())
+	if schedule, stops := r.cfg.Stop.Schedule(); stops {
+		w.endBefore(schedule.Targets)
+	}
 	if paced := (*balance.PacedError)(nil); errors.As(err, &paced) && !r.joinPacedQueue(w, paced) {
 		return refuse
 	}
--- a/lib/filter/relay/pick_test.go
+++ b/lib/filter/relay/pick_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"cuminhook.org/cuminhook/lib/registry"
+	"cuminhook.org/cuminhook/lib/stopping"
 )
 
 // fakePlacement is a controller that has a model or an adapter loaded at the target "a" at a set time.
@@ -119,8 +120,7 @@
 			p.began = time.Now()
 			time.AfterFunc(ready, func() { p.load() })
 			time.AfterFunc(time.Second, func() {
-				by := p.began.Add(4 * time.Second)
-				p.harness.stopBy.Store(&by)
+				p.harness.stop.Begin(stopping.NewSchedule(time.Now(), time.Second, 3200*time.Millisecond)) // cuts requests after 3 s
 			})
 			if a := p.harness.callWith("POST", "/unsafe/x", "1", "Model: m\r\n"); a.status != want || a.took >= 4*time.Second {
 				t.Errorf("model ready after %v: %d after %v, want %d before the host stops after 4 s", ready, a.status, a.took, want)
--- a/lib/filter/relay/relay.go
+++ b/lib/filter/relay/relay.go
@@ -25,6 +25,7 @@
 	"cuminhook.org/cuminhook/lib/refusal"
 	"cuminhook.org/cuminhook/lib/registry"
 	"cuminhook.org/cuminhook/lib/retry"
+	"cuminhook.org/cuminhook/lib/stopping"
 	"cuminhook.org/cuminhook/lib/targetrate"
 	"cuminhook.org/cuminhook/lib/workload"
 )
@@ -74,8 +75,8 @@
 	Statements Statements
 	// Quarantine learns which prompt segments crash targets; nil: a detector of its own.
 	Quarantine *quarantine.Detector
-	// StopBy returns when this host cuts open requests, or zero while it is not stopping; nil: never.
-	StopBy  func() time.Time
+	// Stop is the stop of this host; nil: it never stops.
+	Stop    *stopping.Stop
 	Log     *slog.Logger
 	Metrics *metrics.Set
 	Random  func() float64 // uniform in [0, 1); nil: the default source
@@ -85,6 +86,7 @@
 	cfg              Config
 	crashes          *crashWatch
 	paced            pacedQueues
+	durations        durations
 	retryCounter     func(reason string) *metrics.Counter
 	firstByteSeconds *metrics.Histogram
 }
@@ -94,8 +96,8 @@
 	if cfg.Random == nil {
 		cfg.Random = rand.Float64
 	}
-	if cfg.StopBy == nil {
-		cfg.StopBy = func() time.Time { return time.Time{} }
+	if cfg.Stop == nil {
+		cfg.Stop = stopping.New()
 	}
 	if cfg.Quarantine == nil {
 		cfg.Quarantine = quarantine.New()
@@ -111,7 +113,12 @@
 
 // Serve implements pipeline.Handler.
 func (f *filter) Serve(ctx context.Context, ex *pipeline.Exchange) error {
-	ctx, cancel := context.WithDeadline(ctx, ex.AnswerBy)
+	ctx, release := f.cfg.Stop.Bound(ctx)
+	ctx, cancelDeadline := context.WithDeadline(ctx, ex.AnswerBy)
+	cancel := func() {
+		cancelDeadline()
+		release()
+	}
 	r := &request{
 		filter: f, ex: ex, ctx: ctx, route: ex.Matched, call: ex.Call,
 		service: ex.Matched.PickService(f.cfg.Random()),
@@ -230,6 +237,9 @@
 			choice.Abandoned()
 			return err
 		}
+		if r.tooLateToSend(choice, time.Now()) {
+			return r.refuseStopping(choice)
+		}
 		t := r.attempt(choice)
 		r.logAttempt(t)
 		if t.outcome == forward.Answered && !r.retryable(t) {
@@ -298,8 +308,9 @@
 	if r.failedAnswer != nil {
 		return r.deliver(r.failedAnswer)
 	}
-	timedOut := errors.Is(r.ctx.Err(), context.DeadlineExceeded)
-	if errors.Is(context.Cause(r.ctx), pipeline.ErrCallerGone) {
+	cause := context.Cause(r.ctx)
+	timedOut := errors.Is(cause, context.DeadlineExceeded) || errors.Is(cause, stopping.ErrCut)
+	if errors.Is(cause, pipeline.ErrCallerGone) {
 		reason = refusal.CallerGone
 	}
 	return r.state.Refusal(reason, timedOut, after)
@@ -317,7 +328,7 @@
 	}
 	h := &r.ex.HTTP.Request.Header
 	head := r.cfg.Protocol.AppendHead(nil, h, passthrough.Attempt{
-		Instance: choice.Target.ID, TimeLeft: time.Until(r.ex.AnswerBy), Organisation: r.ex.Organisation,
+		Instance: choice.Target.ID, TimeLeft: time.Until(r.targetDeadline()), Organisation: r.ex.Organisation,
 		Priority: r.enginePriority(), LastEvent: r.lastEventID,
 	})
 	t.answer, t.outcome, t.err = r.cfg.Client.Do(ctx, &forward.Request{
@@ -502,6 +513,7 @@
 	}
 	if !t.stream {
 		resp.SetBodyRaw(t.body)
+		r.durations.observe(r.route.Name, time.Since(r.ex.Start))
 		r.ex.Finish(pipeline.Outcome{
 			Status: resp.StatusCode(), Complete: true, Ran: true, PromptTokens: -1, OutputTokens: -1, Body: t.body,
 		})
--- a/lib/filter/relay/stream.go
+++ b/lib/filter/relay/stream.go
@@ -16,6 +16,7 @@
 	"cuminhook.org/cuminhook/lib/forward"
 	"cuminhook.org/cuminhook/lib/pipeline"
 	"cuminhook.org/cuminhook/lib/refusal"
+	"cuminhook.org/cuminhook/lib/stopping"
 )
 
 const (
@@ -316,6 +317,9 @@
 			choice.Abandoned()
 			return errors.Join(errStreamBroken, err)
 		}
+		if r.tooLateToSend(choice, time.Now()) {
+			return errors.Join(errStreamBroken, r.refuseStopping(choice))
+		}
 		t := r.attempt(choice)
 		r.logAttempt(t)
 		if t.stream {
@@ -365,12 +369,16 @@
 	case complete:
 	case errors.Is(context.Cause(s.req.ctx), pipeline.ErrCallerGone) || s.readErr == nil:
 		out.Reason, out.Run, out.Status = refusal.CallerGone, refusal.RunUnknown, statusCallerGone
-	case errors.Is(s.req.ctx.Err(), context.DeadlineExceeded):
+	case errors.Is(context.Cause(s.req.ctx), context.DeadlineExceeded):
 		out.Reason, out.Run = refusal.TargetTimeout, refusal.RunUnknown
+	case errors.Is(context.Cause(s.req.ctx), stopping.ErrCut):
+		out.Reason, out.Run = refusal.Stopping, refusal.RunUnknown
 	default:
 		out.Reason, out.Run = refusal.StreamBroken, refusal.RunUnknown
 	}
-	if !complete {
+	if complete {
+		s.req.durations.observe(s.req.route.Name, time.Since(ex.Start))
+	} else {
 		s.logCut(out.Reason, err)
 	}
 	ex.Finish(out)
--- a/lib/pipeline/conn.go
+++ b/lib/pipeline/conn.go
@@ -17,6 +17,7 @@
 	ip           string
 	closed       sync.Once
 	requestBytes atomic.Int64 // bytes read for the requests in flight on this connection
+	used         bool         // a read has returned; only Read accesses it
 
 	mu           sync.Mutex
 	watching     bool
@@ -99,6 +100,7 @@
 func (c *watchedConn) Close() error {
 	c.closed.Do(func() {
 		c.server.conns.remove(c.ip)
+		c.server.unused.use(c)
 		c.releaseBuffered()
 	})
 	return c.Conn.Close()
@@ -134,6 +136,12 @@
 		return 0, err
 	}
 	n, err := c.Conn.Read(p)
+	if !c.used {
+		if !c.server.unused.use(c) {
+			return 0, net.ErrClosed
+		}
+		c.used = true
+	}
 	if full := c.countBuffered(n); full != nil {
 		return 0, full
 	}
--- a/lib/pipeline/conn_test.go
+++ b/lib/pipeline/conn_test.go
@@ -3,7 +3,10 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
+	"io"
+	"net"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -52,3 +55,34 @@
 		time.Sleep(11 * time.Second) // longer than the check period of fasthttp's worker pool
 	})
 }
+
+// Guards against a request that is accepted after the listener was closed, on a connection that its caller had opened ahead, and
+// against a stop that waits for such a connection.
+func TestStopClosesConnectionsThatWereNeverUsed(t *testing.T) {
+	s := NewServer(ServerConfig{
+		First: HandlerFunc(func(context.Context, *Exchange) error { return nil }), MaxBodyBytes: 1 << 20, MaxHeaderBytes: 4096,
+		ReadTimeout: 10 * time.Second, WriteTimeout: 10 * time.Second, IdleTimeout: time.Minute, MaxConns: 10,
+	})
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	served := make(chan error, 1)
+	go func() { served <- s.Serve(ln) }()
+	conn, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	for s.http.GetOpenConnectionsCount() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	stopped := make(chan error, 1)
+	go func() { stopped <- s.Stop(context.Background()) }()
+	if n, err := conn.Read(make([]byte, 1)); n != 0 || !errors.Is(err, io.EOF) {
+		t.Errorf("read %d bytes, %v from an unused connection of a stopped server", n, err)
+	}
+	if err := errors.Join(<-stopped, <-served); err != nil {
+		t.Error(err)
+	}
+}
--- a/lib/pipeline/listener.go
+++ b/lib/pipeline/listener.go
@@ -48,7 +48,9 @@
 		if err := tcpopt.Set(conn, callerTCPOptions); err != nil {
 			l.server.cfg.Log.Warn("TCP options not set", "error", err)
 		}
-		return &watchedConn{Conn: conn, server: l.server, ip: ip}, nil
+		w := &watchedConn{Conn: conn, server: l.server, ip: ip}
+		l.server.unused.add(w)
+		return w, nil
 	}
 }
 
@@ -83,6 +85,44 @@
 	_, _ = io.CopyN(io.Discard, conn, maxRejectReadBytes)
 }
 
+// unusedConns holds the connections on which no byte has arrived. fasthttp doesn't count these as idle for 5 s after they were opened,
+// and serves what arrives on them meanwhile.
+type unusedConns struct {
+	mu     sync.Mutex
+	conns  map[*watchedConn]bool // guarded by mu
+	closed bool                  // guarded by mu
+}
+
+func (u *unusedConns) add(c *watchedConn) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.conns == nil {
+		u.conns = map[*watchedConn]bool{}
+	}
+	u.conns[c] = true
+}
+
+// use removes a connection. It returns false if close has closed it.
+func (u *unusedConns) use(c *watchedConn) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.conns[c] && u.closed {
+		return false
+	}
+	delete(u.conns, c)
+	return true
+}
+
+// close closes all connections that are unused.
+func (u *unusedConns) close() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.closed = true
+	for c := range u.conns {
+		_ = c.Conn.Close()
+	}
+}
+
 // connCount counts open connections, in total and per caller IP.
 type connCount struct {
 	mu    sync.Mutex
--- a/lib/pipeline/server.go
+++ b/lib/pipeline/server.go
@@ -47,6 +47,7 @@
 	rejecting     atomic.Int64
 	bufferedBytes atomic.Int64 // bytes read for all requests in flight
 	stopping      atomic.Bool
+	unused        unusedConns
 }
 
 // NewServer returns a server with the settings of cfg.
@@ -91,12 +92,13 @@
 // New connections are still accepted.
 func (s *Server) BeginStop() { s.stopping.Store(true) }
 
-// Stop closes the listeners and idle connections and waits for open requests and streams to end. It returns an error if
+// Stop closes the listeners and the connections without a request and waits for open requests and streams to end. It returns an error if
 // ctx ends first; requests that are still open are then cut when the process exits.
 func (s *Server) Stop(ctx context.Context) error {
 	s.BeginStop()
+	s.unused.close()
 	if err := s.http.ShutdownWithContext(ctx); err != nil {
-		return fmt.Errorf("pipeline: requests were still open when the time to stop ended: %w; raise stop_limit", err)
+		return fmt.Errorf("pipeline: callers' connections were still open when the time to stop ended: %w; raise the time that stops are given", err)
 	}
 	return nil
 }
--- a/lib/refusal/refusal.go
+++ b/lib/refusal/refusal.go
@@ -31,6 +31,7 @@
 	TargetTimeout          Reason = "target_timeout"
 	StreamBroken           Reason = "stream_broken"
 	PromptQuarantined      Reason = "prompt_quarantined"
+	Stopping               Reason = "stopping"
 	InProgress             Reason = "in_progress"
 	OutcomeUnknown         Reason = "outcome_unknown"
 	IdempotencyKeyReused   Reason = "idempotency_key_reused"
