A chunked answer is whole only with the end of its trailer

A target sent a chunked answer whose trailer never ended, and the answer was passed on as whole (seen by the users on the landed code). An answer that broke off within its last lines was whole too.

Cause: the body ended for readers with the last chunk. The trailer was read when the answer was closed, for 50 ms, and decided only whether the connection may be used again; its comment called the answer complete before.

Change: the reader of a chunked body reports its end after the blank line that ends the trailer. More than 32 lines, a line without end, and a close before the blank line are errors of the body. There is no time limit of its own: a silent target is bounded by the request's deadline, as anywhere in its answer.

Orders and reports already fail on such trailers (httpconn.Receive reads them through fasthttp, bounded by the buffer).

--- a/lib/forward/forward.go
+++ b/lib/forward/forward.go
@@ -59,9 +59,8 @@
 	runOnceMaxIdle = 500 * time.Millisecond
 	// maxSkippedAnswers bounds the late answers to earlier requests that are skipped on one connection.
 	maxSkippedAnswers = 2
-	// maxTrailerLines and trailerTimeout bound the trailer of a chunked answer.
+	// maxTrailerLines bounds the trailer of a chunked answer.
 	maxTrailerLines = 32
-	trailerTimeout  = 50 * time.Millisecond
 	// maxBodyBytes bounds the bodies that are read whole or skipped.
 	maxBodyBytes = 4 << 20
 	// minAsyncBodyBytes is the size from which a request body is written while the answer is awaited, since a target may
@@ -283,9 +282,6 @@
 		if _, err := io.CopyN(io.Discard, a.body, maxBodyBytes); !errors.Is(err, io.EOF) {
 			break
 		}
-		if err := a.readTrailer(); err != nil {
-			return err
-		}
 	}
 	return ErrForeignAnswer
 }
@@ -320,7 +316,7 @@
 	case length >= 0:
 		a.Length, a.body = int64(length), &exactReader{br, int64(length)}
 	case length == -1:
-		a.Length, a.chunked, a.body = -1, true, httputil.NewChunkedReader(br)
+		a.Length, a.chunked, a.body = -1, true, &chunkedReader{chunks: httputil.NewChunkedReader(br), br: br}
 	default:
 		a.Length, a.unframed, a.reusable, a.body = -1, true, false, br
 	}
@@ -348,38 +344,57 @@
 	return n, err
 }
 
-// Read reads from the body. io.EOF means that the body is complete.
-func (a *Answer) Read(p []byte) (int, error) { return a.body.Read(p) }
-
-// LimitSilence has reads of the body call onSilence; see httpconn.Conn.LimitSilence.
-func (a *Answer) LimitSilence(until time.Time, onSilence func() (time.Time, error)) {
-	a.conn.LimitSilence(until, onSilence)
+// chunkedReader reads a chunked body with its trailer. The body ends with the blank line after the trailer, not with the last chunk.
+type chunkedReader struct {
+	chunks io.Reader
+	br     *bufio.Reader
+	err    error // that ended the body; returned by every later Read
 }
 
-// Buffered reports whether bytes of the connection have been received but not read yet.
-func (a *Answer) Buffered() bool { return a.conn.Reader().Buffered() > 0 }
-
-// readTrailer reads the trailer that follows the last chunk, up to its final blank line. The answer is complete before it, and
-// must not wait for a trailer that drips or does not end.
-func (a *Answer) readTrailer() error {
-	if !a.chunked {
-		return nil
+// Read implements io.Reader.
+func (c *chunkedReader) Read(p []byte) (int, error) {
+	if c.err != nil {
+		return 0, c.err
 	}
-	if err := a.conn.SetReadDeadline(time.Now().Add(trailerTimeout)); err != nil {
-		return err
+	n, err := c.chunks.Read(p)
+	if errors.Is(err, io.EOF) {
+		if trailerErr := readTrailer(c.br); trailerErr != nil {
+			err = trailerErr
+		}
 	}
+	c.err = err
+	return n, err
+}
+
+// readTrailer reads the trailer that follows the last chunk, up to its final blank line.
+func readTrailer(br *bufio.Reader) error {
 	for range maxTrailerLines {
-		line, err := a.conn.Reader().ReadSlice('\n')
+		line, err := br.ReadSlice('\n')
+		if errors.Is(err, io.EOF) {
+			return io.ErrUnexpectedEOF
+		}
 		if err != nil {
 			return err
 		}
 		if len(line) <= 2 {
-			return a.conn.SetReadDeadline(time.Time{})
+			return nil
 		}
 	}
 	return fmt.Errorf("forward: a trailer of more than %d lines", maxTrailerLines)
 }
 
+// Read reads from the body. io.EOF means that the body is complete.
+func (a *Answer) Read(p []byte) (int, error) { return a.body.Read(p) }
+
+
+// LimitSilence has reads of the body call onSilence; see httpconn.Conn.LimitSilence.
+func (a *Answer) LimitSilence(until time.Time, onSilence func() (time.Time, error)) {
+	a.conn.LimitSilence(until, onSilence)
+}
+
+// Buffered reports whether bytes of the connection have been received but not read yet.
+func (a *Answer) Buffered() bool { return a.conn.Reader().Buffered() > 0 }
+
 // ReadAll reads the rest of the body and closes the answer. Its error wraps ErrIncomplete, and ErrTooLarge if the body
 // exceeds the size limit.
 func (a *Answer) ReadAll() ([]byte, error) {
@@ -406,6 +421,5 @@
 			complete = false
 		}
 	}
-	complete = complete && a.reusable && a.readTrailer() == nil
-	a.conn.Release(complete)
+	a.conn.Release(complete && a.reusable)
 }
