The end of a resumed stream without further events is passed on

Cause: eventReader.ended took every continuation without an event for one that adds nothing, since an empty body was once an error that completed a stream too early.

Change: a continuation that consists of an end is believed if the target states that it has processed the request, answers with a stream of events, and marks the end itself, by a last chunk with its trailer. A body of length 0, a connection that ends, an answer that is no stream, and text that is no event stay failures; the cases of TestOnlyEventsOfAResumedStreamReachTheCaller are unchanged.

--- a/lib/filter/relay/resume_test.go
+++ b/lib/filter/relay/resume_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 )
 
@@ -102,3 +103,37 @@
 		}
 	})
 }
+
+// Guards against cutting a stream of which the caller has all events: its target lost only the end, which another target sends.
+// An answer that isn't ended by the target, or has no room for events, is no such end.
+func TestEndOfAResumedStreamIsPassedOn(t *testing.T) {
+	const events = "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Type: text/event-stream\r\n"
+	for name, c := range map[string]struct {
+		second   string
+		complete bool
+	}{
+		"ended":               {events + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n", true},
+		"ended after a note":  {events + "Transfer-Encoding: chunked\r\n\r\n8\r\n: ping\n\n\r\n0\r\n\r\n", true},
+		"no length, no end":   {events + "\r\n", false},
+		"cut before the end":  {events + "Transfer-Encoding: chunked\r\n\r\n", false},
+		"cut within the end":  {events + "Transfer-Encoding: chunked\r\n\r\n0\r\n", false},
+		"not processed":       {events + "Stampless: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", false},
+		"end inside an event": {events + "Transfer-Encoding: chunked\r\n\r\n5\r\nid: 3\r\n0\r\n\r\n", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			withTargets(t, map[string]script{"near": func(r *receivedRequest) bool {
+				startStream(r)
+				chunk(r.conn, event(1)+event(2))
+				return false
+			}, "far": func(r *receivedRequest) bool {
+				fmt.Fprint(r.conn, c.second)
+				return false
+			}}, func(t *testing.T, r *harness) {
+				a := r.call("POST", "/resumable/x", "1")
+				if (a.err == nil) != c.complete || !strings.HasPrefix(a.body, event(1)+event(2)) {
+					t.Errorf("%q, %v, want complete %v", a.body, a.err, c.complete)
+				}
+			})
+		})
+	}
+}
--- a/lib/filter/relay/stream.go
+++ b/lib/filter/relay/stream.go
@@ -203,7 +203,7 @@
 			s.req.answerBegan(s.current)
 		}
 		if errors.Is(err, io.EOF) && len(s.ready) == 0 {
-			if err = s.events.ended(); err == nil {
+			if err = s.events.ended(s.current.answer.Chunked()); err == nil {
 				s.ended = true
 				return io.EOF
 			}
--- a/lib/forward/forward.go
+++ b/lib/forward/forward.go
@@ -386,6 +386,8 @@
 // Read reads from the body. io.EOF means that the body is complete.
 func (a *Answer) Read(p []byte) (int, error) { return a.body.Read(p) }
 
+// Chunked reports whether the target marks the end of the body by itself, whatever its length.
+func (a *Answer) Chunked() bool { return a.chunked }
 
 // LimitSilence has reads of the body call onSilence; see httpconn.Conn.LimitSilence.
 func (a *Answer) LimitSilence(until time.Time, onSilence func() (time.Time, error)) {
