Idle connections no longer keep the buffers of large requests

MaxBufferedBytes counts a request's bytes until it has ended.

Cause: fasthttp keeps the body buffer of a connection's request for the next one.

Change: when a request has ended, the buffer of a body above 64 KiB is given up. ReduceMemoryUsage of fasthttp would do so too, but it gives up the read and write buffers of all idle connections as well, and costs every request a read of one byte.

--- a/lib/pipeline/conn_test.go
+++ b/lib/pipeline/conn_test.go
@@ -86,3 +86,44 @@
 		t.Error(err)
 	}
 }
+
+// Guards against memory that idle connections keep for the largest request that they have carried.
+func TestBodyOfALargeRequestIsNotKeptByItsConnection(t *testing.T) {
+	const large = 1 << 20
+	kept := make(chan int, 10)
+	s := NewServer(ServerConfig{
+		First: HandlerFunc(func(_ context.Context, ex *Exchange) error {
+			ex.OnFinish(func(Outcome) { kept <- cap(ex.HTTP.Request.Body()) })
+			return nil
+		}), MaxBodyBytes: 2 * large, MaxBufferedBytes: 2 * large, MaxHeaderBytes: 4096, ReadTimeout: time.Minute, WriteTimeout: time.Minute,
+		IdleTimeout: time.Minute,
+	})
+	ln := fasthttputil.NewInmemoryListener()
+	go func() { _ = s.Serve(ln) }()
+	defer func() { _ = s.Stop(context.Background()) }()
+	conn, err := ln.Dial()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	br := bufio.NewReader(conn)
+	body := strings.Repeat("x", large)
+	for name, request := range map[string]string{
+		"length": fmt.Sprintf("Content-Length: %d\r\n\r\n%s", large, body),
+		"chunks": fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", large, body),
+	} {
+		for _, rest := range []string{request, "Content-Length: 2\r\n\r\nhi"} {
+			if _, err := fmt.Fprint(conn, "POST / HTTP/1.1\r\nHost: h\r\n"+rest); err != nil {
+				t.Fatal(err)
+			}
+			var resp fasthttp.Response
+			if err := resp.Read(br); err != nil || resp.StatusCode() != 200 {
+				t.Fatalf("%s: %d, %v", name, resp.StatusCode(), err)
+			}
+		}
+		<-kept
+		if n := <-kept; n > smallRequestBytes {
+			t.Errorf("%s: the connection keeps %d bytes", name, n)
+		}
+	}
+}
--- a/lib/pipeline/server.go
+++ b/lib/pipeline/server.go
@@ -112,6 +112,7 @@
 		conn.Watch(func() { cancel(ErrCallerGone) })
 		ex.OnFinish(func(Outcome) { conn.releaseBuffered() })
 	}
+	ex.OnFinish(func(Outcome) { releaseBody(h) })
 	ex.OnFinish(func(Outcome) { cancel(nil) })
 	err := s.serve(ctx, ex)
 	if s.stopping.Load() {
@@ -127,6 +128,13 @@
 	}
 }
 
+// releaseBody gives up the buffer of a large body. fasthttp would keep it for the next request on the connection.
+func releaseBody(h *fasthttp.RequestCtx) {
+	if cap(h.Request.Body()) > smallRequestBytes {
+		h.Request.SwapBody(nil)
+	}
+}
+
 // serve calls the first filter. It turns a panic into a refusal, since fasthttp would let it end the process.
 func (s *Server) serve(ctx context.Context, ex *Exchange) (err error) {
 	defer func() {
