A changed address of the store is taken over by running hosts

Cause: SIGHUP only checked the file and logged that changes take effect at the next start; a change without a signal wasn't seen.

Change: settings.Watch checks the file every second and on SIGHUP. Host.Reload takes over store, grace and stop_delay, and names the keys that take effect at the next start. An invalid file changes nothing.

TestWatchSeesChangesOfTheFile guards the watch.

--- a/cmd/cuminhook-entry/main.go
+++ b/cmd/cuminhook-entry/main.go
@@ -9,6 +9,7 @@
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/spf13/cobra"
@@ -19,6 +20,9 @@
 	"cuminhook.org/cuminhook/platform"
 )
 
+// settingsInterval is the time between two checks of the settings file, which may change without a signal.
+const settingsInterval = time.Second
+
 // gcPercent is below the default of 100: entry hosts are short of CPU and memory, and peak memory costs more than CPU time.
 const gcPercent = 60
 
@@ -55,33 +59,26 @@
 	set.NewGauge("cuminhook_log_lines_dropped", sink.Dropped)
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
-	go checkSettingsOnSIGHUP(ctx, cfg, path, log)
-	return entryhost.New(entryhost.Config{
+	host := entryhost.New(entryhost.Config{
 		Settings: cfg, Store: platform.NewStore(cfg.Store), Codec: platform.Codec{}, Protocol: platform.Protocol{},
 		Engines: platform.NewTargetClient(), Log: log, RequestLog: requests, Metrics: set,
-	}).Run(ctx)
-}
-
-// checkSettingsOnSIGHUP loads the settings file on each SIGHUP and logs whether it is valid and has changed. Changes take
-// effect at the next start.
-func checkSettingsOnSIGHUP(ctx context.Context, old entryhost.Settings, path string, log *slog.Logger) {
+	})
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-hup:
-		}
-		cfg := entryhost.DefaultSettings()
-		err := settings.Load(path, &cfg)
-		switch {
-		case err != nil:
-			log.Error("settings not reloaded", "error", err.Error())
-		case cfg != old:
-			log.Warn("settings changed; they take effect at the next start")
-		default:
-			log.Info("settings reloaded, nothing changed")
-		}
+	go settings.Watch(ctx, path, hup, settingsInterval, func() { reload(host, path, log) })
+	return host.Run(ctx)
+}
+
+// reload has the host take over the settings file. The host keeps its settings if the file is invalid.
+func reload(host *entryhost.Host, path string, log *slog.Logger) {
+	cfg := entryhost.DefaultSettings()
+	if err := settings.Load(path, &cfg); err != nil {
+		log.Error("settings not reloaded", "error", err.Error())
+		return
+	}
+	applied, later := host.Reload(cfg)
+	log.Info("settings reloaded", "applied", applied)
+	if len(later) > 0 {
+		log.Warn("settings changed that take effect at the next start", "keys", later)
 	}
 }
--- a/lib/entryhost/entryhost.go
+++ b/lib/entryhost/entryhost.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"net"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -111,6 +112,8 @@
 	targetsRead  atomic.Bool // a list of targets has been read
 	stopping     atomic.Bool
 	stop         *stopping.Stop
+	settingsMu   sync.Mutex
+	current      Settings // guarded by settingsMu; Config.Settings with what was reloaded since
 }
 
 // New returns a Host. It opens no connections before Run.
@@ -121,7 +124,7 @@
 	}
 	conns, rates := newConnections(&cfg), targetrate.New(time.Now(), newRandom())
 	h := &Host{
-		cfg: cfg, log: cfg.Log, connections: conns, rates: rates, stop: stopping.New(),
+		cfg: cfg, log: cfg.Log, connections: conns, rates: rates, stop: stopping.New(), current: s,
 		balancer: balance.New(s.Zone, conns, rates, newRandom()),
 		limiter:  orglimit.New(time.Now()), meter: workload.New(), retries: retry.NewBudget(s.RetryRatio, s.RetrySlack),
 	}
@@ -396,7 +399,9 @@
 
 // beginStop reports the host as not ready and sets the times by which everything ends.
 func (h *Host) beginStop() stopping.Schedule {
-	s := &h.cfg.Settings
+	h.settingsMu.Lock()
+	s := h.current
+	h.settingsMu.Unlock()
 	schedule := stopping.NewSchedule(time.Now(), s.stopDelay(), s.Grace)
 	h.log.Info("stopping", "signal", "term", "grace", s.Grace.String())
 	h.stop.Begin(schedule)
--- a/lib/settings/settings_test.go
+++ b/lib/settings/settings_test.go
@@ -1,8 +1,12 @@
 package settings
 
 import (
+	"errors"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 )
 
 // Guards against a misspelt key being ignored. The error must name the file, the line and the key.
@@ -22,3 +26,27 @@
 		t.Fatalf("got %v", err)
 	}
 }
+
+// Guards against a settings file that changes without a signal, and against a change that is missed while the file can't be read.
+func TestWatchSeesChangesOfTheFile(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "settings.yaml")
+	write := func(text string) {
+		err := os.WriteFile(path+".new", []byte(text), 0o600)
+		if err = errors.Join(err, os.Rename(path+".new", path)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write("a: 1")
+	signals, seen := make(chan os.Signal), make(chan struct{}, 10)
+	go Watch(t.Context(), path, signals, time.Millisecond, func() { seen <- struct{}{} })
+	signals <- os.Interrupt
+	<-seen
+	write("a: 2")
+	<-seen
+	if err := os.Remove(path); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(10 * time.Millisecond)
+	write("a: 3")
+	<-seen
+}
