An aggregator that was started again passes on what changed meanwhile

Cause: the two hosts were the leaves of one aggregator, which was started again 10 ms before the target's entry was removed, and had been away for 46 ms. A leaf learns of targets from its aggregator only; it polls the store by itself once a minute, or when the aggregator is silent for 1.5 s. The aggregator had the removal from the mesh before its first full read of the store. That read cleared all changes that were to be announced, also received ones, and kept them as seen, so that the repetitions of the mesh were ignored. The leaves heard of the removal 19 s later, by their own poll; all other hosts within 0.1 s. A change found in the first read was kept as seen too, and the mesh's announcement after it not passed on.

Ruled out: late datagrams and pollers (87 hosts knew of the removal within 0.1 s), a leaf that chose another aggregator (none did).

Change: the first read drops only the changes that it finds itself, and forgets that it has seen them. What other hosts announce, before or after, goes to the leaves.

TestChangesAroundTheFirstReadReachLeaves fails before in "announced before" and in "draining, announced after".

--- a/lib/storewatch/storewatch_test.go
+++ b/lib/storewatch/storewatch_test.go
@@ -621,3 +621,30 @@
 		}
 	})
 }
+
+// Guards against leaves that miss a change because their aggregator was started again meanwhile: it had the change from another host
+// before its first full read, or found it in that read before another host announced it.
+func TestChangesAroundTheFirstReadReachLeaves(t *testing.T) {
+	gone := TargetChanges{Departures: []registry.Departure{{ID: "gone", Removed: true, Revision: 9}}}
+	draining := TargetChanges{Departures: []registry.Departure{{ID: "leaving"}}}
+	for name, c := range map[string]struct{ before, after TargetChanges }{
+		"removed, announced before":  {before: gone},
+		"removed, announced after":   {after: gone},
+		"draining, announced before": {before: draining},
+		"draining, announced after":  {after: draining},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			feed := newFakeFeed()
+			feed.put("targets/leaving", "draining")
+			w, _ := startWatcherWith(t, feed, func(w *Watcher) { w.ApplyChanges(c.before, false) })
+			synctest.Wait() // for the first full read
+			w.ApplyChanges(c.after, false)
+			want := append(c.before.Departures, c.after.Departures...)[0].ID
+			for _, changes := range []TargetChanges{w.NewTargetChanges(ToLeaves), w.TargetChanges()} {
+				if n := len(changes.Departures); n != 1 || changes.Departures[0].ID != want {
+					t.Errorf("%s: %d departures for the leaves, want that of %s", name, n, want)
+				}
+			}
+		})
+	}
+}
--- a/lib/storewatch/targets.go
+++ b/lib/storewatch/targets.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"strings"
 	"time"
 
@@ -49,11 +50,13 @@
 	return changed
 }
 
-// replaceTargets installs the targets of a full read. Changes found by the first one are not announced.
+// replaceTargets installs the targets of a full read. Changes found by the first one are not announced; those that other hosts
+// announced before or announce after it are passed on to leaves, which have no other source.
 func (w *Watcher) replaceTargets(entries []kv.Entry, revision kv.Version) {
 	w.mu.Lock()
 	first := !w.snapshotRead
 	w.snapshotRead = true
+	received := maps.Clone(w.changes)
 	var all []registry.Update
 	for _, e := range entries {
 		all = append(all, w.decodeTarget(e.Key, e.Value, e.Version))
@@ -70,7 +73,12 @@
 		w.applyTargetUpdate(u, restored)
 	}
 	if first {
-		clear(w.changes)
+		for key := range w.changes {
+			if received[key] == nil {
+				delete(w.changes, key)
+				delete(w.seen, key)
+			}
+		}
 	}
 	pending := len(w.changes) > 0
 	w.mu.Unlock()
