A stopping host hands over no stream without time for it

Between the deadline that targets are told (7/8 of the grace) and the cut (15/16), a stalled stream could be handed over to another target with a negative time left. Found by reading; no run showed it. The check for the time left covers the handing over too now, and asks of a stream that is continued only for its next event, not for the duration of a whole request.

TestStoppingHostHandsOverNoStreamTooLate failed before ("near 1, far 1, want near 1").

--- a/lib/filter/relay/stopping.go
+++ b/lib/filter/relay/stopping.go
@@ -50,18 +50,22 @@
 	return took, known
 }
 
-// tooLateToSend reports whether this host stops before a target is expected to complete the request. A route without an estimate
-// is expected to meet its objective.
+// tooLateToSend reports whether this host stops before a target is expected to complete the request, or to continue its stream. A
+// route without an estimate is expected to meet its objective.
 func (r *request) tooLateToSend(choice *balance.Choice, now time.Time) bool {
 	schedule, stops := r.cfg.Stop.Schedule()
 	if !stops {
 		return false
 	}
-	took, known := r.durations.expected(r.route.Name)
-	if !known {
-		took = r.route.Objective
+	took := choice.ExpectedFirstEvent
+	if !r.streaming {
+		whole, known := r.durations.expected(r.route.Name)
+		if !known {
+			whole = r.route.Objective
+		}
+		took = max(took, whole)
 	}
-	return now.Add(max(took, choice.ExpectedFirstEvent)).After(schedule.Targets) || r.ex.Start.After(schedule.Admission)
+	return now.Add(took).After(schedule.Targets) || r.ex.Start.After(schedule.Admission)
 }
 
 // refuseStopping refuses a request that this host can't complete before it stops. Another host can take it at once.
--- a/lib/filter/relay/stopping_test.go
+++ b/lib/filter/relay/stopping_test.go
@@ -76,3 +76,29 @@
 		})
 	}
 }
+
+// Guards against a stalled stream that a stopping host hands over to another target without time for it.
+func TestStoppingHostHandsOverNoStreamTooLate(t *testing.T) {
+	for name, c := range map[string]struct {
+		grace    time.Duration
+		requests string
+	}{
+		"late": {1130 * time.Millisecond, "near 1"}, "in time": {6 * time.Second, "near 1, far 1"},
+	} {
+		withTargets(t, map[string]script{"near": func(r *receivedRequest) bool {
+			startStream(r)
+			chunk(r.conn, event(1))
+			return blockUntilClosed(r)
+		}, "far": func(r *receivedRequest) bool {
+			startStream(r)
+			chunk(r.conn, event(2))
+			fmt.Fprint(r.conn, "0\r\n\r\n")
+			return true
+		}}, func(t *testing.T, r *harness) {
+			r.stopWithin(c.grace)
+			if r.call("POST", "/resumable/x", "1"); r.requests() != c.requests {
+				t.Errorf("%s: %s, want %s", name, r.requests(), c.requests)
+			}
+		})
+	}
+}
--- a/lib/filter/relay/stream.go
+++ b/lib/filter/relay/stream.go
@@ -286,7 +286,7 @@
 	if err != nil {
 		return nil
 	}
-	if !r.cfg.Retries.Allow(r.service) {
+	if r.tooLateToSend(choice, time.Now()) || !r.cfg.Retries.Allow(r.service) {
 		choice.Unsent()
 		choice.Abandoned()
 		return nil
