A stream that a stopping host can't continue doesn't end as an earlier failure

Found by reading: the refusal of a stopping host could deliver an earlier answer 5xx into a stream that had begun. A connection that is accepted while the server stops is closed like the other unused ones.

--- a/lib/filter/relay/stream.go
+++ b/lib/filter/relay/stream.go
@@ -318,7 +318,9 @@
 			return errors.Join(errStreamBroken, err)
 		}
 		if r.tooLateToSend(choice, time.Now()) {
-			return errors.Join(errStreamBroken, r.refuseStopping(choice))
+			choice.Unsent()
+			choice.Abandoned()
+			return errors.Join(errStreamBroken, stopping.ErrCut)
 		}
 		t := r.attempt(choice)
 		r.logAttempt(t)
--- a/lib/pipeline/listener.go
+++ b/lib/pipeline/listener.go
@@ -100,6 +100,9 @@
 		u.conns = map[*watchedConn]bool{}
 	}
 	u.conns[c] = true
+	if u.closed {
+		_ = c.Conn.Close()
+	}
 }
 
 // use removes a connection. It returns false if close has closed it.
