--- a/cmd/cuminhook-replay/main.go
+++ b/cmd/cuminhook-replay/main.go
@@ -30,7 +30,7 @@
 	var seed uint64
 	cmd := &cobra.Command{
 		Use: "cuminhook-replay", Short: "Replay a trace and print one line of JSON", Args: cobra.NoArgs, SilenceUsage: true,
-		Example: "  cuminhook-replay --deployment examples/trinacria/deployment.yaml --trace trace.jsonl --policy cuminhook",
+		Example: "  cuminhook-replay --deployment deployment.yaml --trace trace.jsonl --policy cuminhook",
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			d, err := loadDeployment(deployment)
 			if err != nil {
--- a/lib/entryhost/settings.go
+++ b/lib/entryhost/settings.go
@@ -53,7 +53,7 @@
 const (
 	// defaultStopDelay is enough for a load balancer that checks once a second and stops sending after two failed checks.
 	defaultStopDelay = 2500 * time.Millisecond
-	// minServingGrace is the part of the grace that is left for requests when admission ends by default.
+	// minServingGrace is the smallest fraction of the grace that the default leaves to requests after admission has ended.
 	minServingGrace = 0.625
 )
 
--- a/lib/filter/relay/events.go
+++ b/lib/filter/relay/events.go
@@ -32,7 +32,7 @@
 	errNotAnEvent   = errors.New("relay: the target sent text that is not an event")
 	errOutOfOrder   = errors.New("relay: the ids of the target's events do not increase")
 	errStartedAnew  = errors.New("relay: the target started the stream anew instead of resuming it")
-	errNothingAdded = errors.New("relay: the target's answer to a resumed stream has no event, and no end of a stream")
+	errNothingAdded = errors.New("relay: the target answered a resumed stream without an event or a last chunk")
 )
 
 // feed adds the bytes b to the stream and appends the events that are now complete to dst. An error ends the target's part of
@@ -93,7 +93,7 @@
 }
 
 // ended returns an error if the end of the target's part cannot be the end of the stream, although the target ended it properly. explicit
-// tells that the target sent an end after the events: a stream that lacks nothing else is continued by that end alone.
+// means that a last chunk ended it; a continuation without events may consist of that alone.
 func (r *eventReader) ended(explicit bool) error {
 	switch {
 	case len(bytes.Trim(r.pending, "\r\n")) > 0:
--- a/lib/filter/relay/relay_test.go
+++ b/lib/filter/relay/relay_test.go
@@ -48,7 +48,7 @@
 		"broken off": closeWithoutAnswer, "failed": reply(500, "", ""), "cut short": func(r *receivedRequest) bool {
 			fmt.Fprintf(r.conn, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 10\r\n\r\nhalf", r.id)
 			return false
-		}, "not HTTP": func(r *receivedRequest) bool { fmt.Fprint(r.conn, "garbage\r\n\r\n"); return false },
+		}, "not processed": reply(200, "Stampless: 1\r\n", "bad"), "not HTTP": func(r *receivedRequest) bool { fmt.Fprint(r.conn, "garbage\r\n\r\n"); return false },
 		"unresponsive": blockUntilClosed,
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/lib/filter/relay/resume_test.go
+++ b/lib/filter/relay/resume_test.go
@@ -6,6 +6,21 @@
 	"testing"
 )
 
+// breakAfterTwoEvents is a script that closes the connection in the middle of a stream.
+func breakAfterTwoEvents(r *receivedRequest) bool {
+	startStream(r)
+	chunk(r.conn, event(1)+event(2))
+	return false
+}
+
+// sendAndClose returns a script that writes the text as its answer.
+func sendAndClose(text string) script {
+	return func(r *receivedRequest) bool {
+		fmt.Fprint(r.conn, text)
+		return false
+	}
+}
+
 // Guards against an error of the target at which a stream is resumed, or bytes that are no events of that stream, in the
 // middle of the caller's stream, and against such a stream that ends as if it were complete.
 func TestOnlyEventsOfAResumedStreamReachTheCaller(t *testing.T) {
@@ -31,14 +46,7 @@
 		"sends the first event only": events + "\r\n" + event(1),
 	} {
 		t.Run(name, func(t *testing.T) {
-			withTargets(t, map[string]script{"near": func(r *receivedRequest) bool {
-				startStream(r)
-				chunk(r.conn, event(1)+event(2))
-				return false
-			}, "far": func(r *receivedRequest) bool {
-				fmt.Fprint(r.conn, second)
-				return false
-			}}, func(t *testing.T, r *harness) {
+			withTargets(t, map[string]script{"near": breakAfterTwoEvents, "far": sendAndClose(second)}, func(t *testing.T, r *harness) {
 				a := r.call("POST", "/resumable/x", "1")
 				if a.err == nil || a.body != event(1)+event(2) && a.body != event(1)+event(2)+event(3) {
 					t.Errorf("%q, %v", a.body, a.err)
@@ -105,30 +113,23 @@
 }
 
 // Guards against cutting a stream of which the caller has all events: its target lost only the end, which another target sends.
-// An answer that isn't ended by the target, or has no room for events, is no such end.
+// An answer that the target has not ended with a last chunk and its trailer, or not processed, is no such end.
 func TestEndOfAResumedStreamIsPassedOn(t *testing.T) {
 	const events = "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Type: text/event-stream\r\n"
 	for name, c := range map[string]struct {
 		second   string
 		complete bool
 	}{
-		"ended":               {events + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n", true},
-		"ended after a note":  {events + "Transfer-Encoding: chunked\r\n\r\n8\r\n: ping\n\n\r\n0\r\n\r\n", true},
-		"no length, no end":   {events + "\r\n", false},
-		"cut before the end":  {events + "Transfer-Encoding: chunked\r\n\r\n", false},
-		"cut within the end":  {events + "Transfer-Encoding: chunked\r\n\r\n0\r\n", false},
-		"not processed":       {events + "Stampless: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", false},
-		"end inside an event": {events + "Transfer-Encoding: chunked\r\n\r\n5\r\nid: 3\r\n0\r\n\r\n", false},
+		"ended":                 {events + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n", true},
+		"ended after a comment": {events + "Transfer-Encoding: chunked\r\n\r\n8\r\n: ping\n\n\r\n0\r\n\r\n", true},
+		"no length, no end":     {events + "\r\n", false},
+		"cut before the end":    {events + "Transfer-Encoding: chunked\r\n\r\n", false},
+		"cut within the end":    {events + "Transfer-Encoding: chunked\r\n\r\n0\r\n", false},
+		"not processed":         {events + "Stampless: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", false},
+		"end inside an event":   {events + "Transfer-Encoding: chunked\r\n\r\n5\r\nid: 3\r\n0\r\n\r\n", false},
 	} {
 		t.Run(name, func(t *testing.T) {
-			withTargets(t, map[string]script{"near": func(r *receivedRequest) bool {
-				startStream(r)
-				chunk(r.conn, event(1)+event(2))
-				return false
-			}, "far": func(r *receivedRequest) bool {
-				fmt.Fprint(r.conn, c.second)
-				return false
-			}}, func(t *testing.T, r *harness) {
+			withTargets(t, map[string]script{"near": breakAfterTwoEvents, "far": sendAndClose(c.second)}, func(t *testing.T, r *harness) {
 				a := r.call("POST", "/resumable/x", "1")
 				if (a.err == nil) != c.complete || !strings.HasPrefix(a.body, event(1)+event(2)) {
 					t.Errorf("%q, %v, want complete %v", a.body, a.err, c.complete)
--- a/lib/forward/forward.go
+++ b/lib/forward/forward.go
@@ -386,7 +386,7 @@
 // Read reads from the body. io.EOF means that the body is complete.
 func (a *Answer) Read(p []byte) (int, error) { return a.body.Read(p) }
 
-// Chunked reports whether the target marks the end of the body by itself, whatever its length.
+// Chunked reports whether the body is chunked, so that its end is explicit.
 func (a *Answer) Chunked() bool { return a.chunked }
 
 // LimitSilence has reads of the body call onSilence; see httpconn.Conn.LimitSilence.
--- a/lib/pipeline/server.go
+++ b/lib/pipeline/server.go
@@ -92,13 +92,13 @@
 // New connections are still accepted.
 func (s *Server) BeginStop() { s.stopping.Store(true) }
 
-// Stop closes the listeners and the connections without a request and waits for open requests and streams to end. It returns an error if
-// ctx ends first; requests that are still open are then cut when the process exits.
+// Stop closes the listeners and the connections without a request and waits for open requests and streams to end. It returns an error
+// if ctx ends first; requests that are still open are then cut when the process exits.
 func (s *Server) Stop(ctx context.Context) error {
 	s.BeginStop()
 	s.unused.close()
 	if err := s.http.ShutdownWithContext(ctx); err != nil {
-		return fmt.Errorf("pipeline: callers' connections were still open when the time to stop ended: %w; raise the time that stops are given", err)
+		return fmt.Errorf("pipeline: callers' connections were still open when the time to stop ended: %w; raise stop_limit of a gateway, or grace of an entry host", err)
 	}
 	return nil
 }
@@ -128,7 +128,7 @@
 	}
 }
 
-// releaseBody gives up the buffer of a large body. fasthttp would keep it for the next request on the connection.
+// releaseBody frees the buffer of a large body, which fasthttp would keep for the next request on the connection.
 func releaseBody(h *fasthttp.RequestCtx) {
 	if cap(h.Request.Body()) > smallRequestBytes {
 		h.Request.SwapBody(nil)
