Even load from old information, behind even_load

Cause: all hosts choose the target of least cost by reports of the same age, so that one target gets what all of them send until the next reports. The preferred target of a shared prefix gets all of its requests, as far as costs allow.

Change: with even_load, each host draws a target at random. The weights are those by which the work that comes to the targets within twice the time of the news raises all of them to one level (water filling from the reported sums). A shared prefix has as many homes, in the order of the rendezvous hash, as its measured load needs; requests leave them for the next two targets of that order, or for any, only as far as the difference of the costs is above the longer prefill. Plain services do the same by requests in flight.

Pick costs a tenth to a third more for now.

--- a/lib/balance/balance.go
+++ b/lib/balance/balance.go
@@ -13,6 +13,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"cuminhook.org/cuminhook/lib/catalog"
 	"cuminhook.org/cuminhook/lib/passthrough"
 	"cuminhook.org/cuminhook/lib/registry"
@@ -135,6 +137,10 @@
 	random        *rand.Rand
 	hosts         int                    // guarded by mu; including this one
 	absent        map[string]absentPause // guarded by mu; pauses of targets that are not in the list, by target
+	even          bool                   // guarded by mu; choose by pickEven
+	newsDelay     time.Duration          // guarded by mu; in which a report reaches all hosts
+	prefixLoads   map[uint64]*prefixLoad // guarded by mu; by hash of the prefix
+	options       []option               // guarded by mu; scratch space of pickEven
 }
 
 // target is a target with its load, what its KV cache probably holds, and its health.
@@ -142,6 +148,8 @@
 	prefillMS      float64   // prefill time in ms of this host's requests: an exponentially decaying sum as of prefillUpdated
 	prefillUpdated time.Time // last change of prefillMS
 	info           *registry.Target
+	hash           uint64               // of the id
+	seen           time.Time            // when the target appeared after others were known; zero: from the start
 	local          Load                 // of this host's requests, without PrefillMSPerSecond
 	peers          Load                 // of all other hosts' requests
 	missing        map[string]time.Time // by model or model/adapter: until when it counts as not loaded
@@ -155,7 +163,7 @@
 func New(zone string, connections Connections, rates Rates, random *rand.Rand) *Balancer {
 	return &Balancer{
 		zone: zone, connections: connections, rates: rates, targets: map[string]*target{}, peers: map[string]map[string]Load{}, latencyRatios: map[string]float64{},
-		random: random,
+		random: random, prefixLoads: map[uint64]*prefixLoad{},
 	}
 }
 
@@ -175,7 +183,7 @@
 		seen[info.ID] = true
 		t := b.targets[info.ID]
 		if t == nil || t.info.Started != info.Started {
-			t = &target{missing: map[string]time.Time{}}
+			t = &target{missing: map[string]time.Time{}, hash: xxhash.Sum64String(info.ID)}
 			b.targets[info.ID] = t
 			if a, ok := b.absent[info.ID]; ok && a.started == info.Started {
 				t.pause = a.pause
@@ -336,8 +344,14 @@
 		}
 	}
 	if engine == nil || q.Call.Model == "" {
+		if b.even {
+			return b.pickPlainEven(candidates, now), nil
+		}
 		return b.pickPlain(candidates, now), nil
 	}
+	if b.even {
+		return b.pickEven(candidates, engine, q.Call, now), nil
+	}
 	return b.pickEngine(candidates, engine, q.Call, now), nil
 }
 
--- a/lib/entryhost/entryhost.go
+++ b/lib/entryhost/entryhost.go
@@ -128,6 +128,7 @@
 		balancer: balance.New(s.Zone, conns, rates, newRandom()),
 		limiter:  orglimit.New(time.Now()), meter: workload.New(), retries: retry.NewBudget(s.RetryRatio, s.RetrySlack),
 	}
+	h.balancer.SetEvenLoad(s.EvenLoad)
 	h.role = newPlacementRole(h)
 	h.quarantine = newQuarantineRole(s.Host, cfg.Store, func() { h.peers.Relay() }, cfg.Log, cfg.Metrics)
 	h.placer = placer.New(placer.Config{
@@ -212,6 +213,7 @@
 	h.limiter.SetHosts(len(f.Known)+1, f.Spread)
 	h.rates.SetHosts(len(f.Known)+1, f.Spread)
 	h.balancer.SetHosts(len(f.Known) + 1)
+	h.balancer.SetNewsDelay(f.Spread)
 	h.retries.SetHosts(len(f.Known) + 1)
 	h.connections.SetHosts(f.Known)
 	h.storeWatcher.SetPolling(h.polling(f))
--- a/lib/entryhost/settings.go
+++ b/lib/entryhost/settings.go
@@ -27,6 +27,10 @@
 	RetryRatio float64 `yaml:"retry_ratio"` // retries allowed per request of a service, over all hosts
 	RetrySlack float64 `yaml:"retry_slack"` // retries allowed in addition, over all hosts
 
+	// EvenLoad has requests spread over targets by what other hosts have probably sent since their reports, instead of to the target
+	// that looked least loaded.
+	EvenLoad bool `yaml:"even_load"`
+
 	Placement PlacementSettings `yaml:"placement"`
 
 	Grace time.Duration `yaml:"grace"` // from the signal to stop until the platform kills the process
