Even load: learned speeds of targets, from the reported sums

Cause: targets differ in speed by up to 2.2, and a host sees too few of the answers of one target to learn that from them.

Change: by Little's law the tokens that wait at a target over those that come in a second are the time until a first event; a target where that is longer than at others gets less, and is the home of fewer prefixes. Loads of prompts count in engine time, not in tokens, as models on one target differ in speed too. A target that comes back empty becomes a home of its prefixes one after the other.

--- a/lib/balance/balance.go
+++ b/lib/balance/balance.go
@@ -148,8 +148,14 @@
 	prefillMS      float64   // prefill time in ms of this host's requests: an exponentially decaying sum as of prefillUpdated
 	prefillUpdated time.Time // last change of prefillMS
 	info           *registry.Target
-	hash           uint64               // of the id
-	seen           time.Time            // when the target appeared after others were known; zero: from the start
+	hash           uint64    // of the id
+	isNew          bool      // appeared after others were known
+	seenAt         time.Time // first choice of which the target was a candidate
+	logSpeed       float64   // see learnSpeeds
+	meanBacklog    float64   // averaged backlog of prompts in milliseconds, as of averagedAt
+	meanPrefill    float64   // averaged prefill load in milliseconds a second
+	averagedAt     time.Time
+	speedDue       time.Duration        // since the last step of logSpeed
 	local          Load                 // of this host's requests, without PrefillMSPerSecond
 	peers          Load                 // of all other hosts' requests
 	missing        map[string]time.Time // by model or model/adapter: until when it counts as not loaded
@@ -178,12 +184,12 @@
 func (b *Balancer) SetTargets(all []*registry.Target) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	seen := make(map[string]bool, len(all))
+	seen, first := make(map[string]bool, len(all)), len(b.targets) == 0
 	for _, info := range all {
 		seen[info.ID] = true
 		t := b.targets[info.ID]
 		if t == nil || t.info.Started != info.Started {
-			t = &target{missing: map[string]time.Time{}, hash: xxhash.Sum64String(info.ID)}
+			t = &target{missing: map[string]time.Time{}, hash: xxhash.Sum64String(info.ID), isNew: !first}
 			b.targets[info.ID] = t
 			if a, ok := b.absent[info.ID]; ok && a.started == info.Started {
 				t.pause = a.pause
--- a/lib/balance/even.go
+++ b/lib/balance/even.go
@@ -62,8 +62,9 @@
 type option struct {
 	target   *target
 	estimate estimate
+	prefill  float64 // engine time in milliseconds a second that comes to the target from all hosts
 	weight   float64 // zero: not used
-	order    uint64  // in the rendezvous hash of the prefix
+	order    float64 // by the rendezvous hash of the prefix
 }
 
 // prefixLoad is the load of the requests with a shared prefix, as measured at this host.
@@ -78,15 +79,15 @@
 func (b *Balancer) pickEven(candidates []*target, engine *catalog.Engine, call *passthrough.Call, now time.Time) *Choice {
 	p := prompt{tokens: call.PromptTokens, cacheTokens: requiredCacheTokens(call), latencyRatio: b.latencyRatio(call.Model)}
 	p.segmentKeys, p.segmentTokens = promptSegments(call)
-	options := slices.Grow(b.options[:0], len(candidates))
-	b.options = options
-	work, minFailure := 0.0, 1.0
-	for _, t := range candidates {
-		minFailure = min(minFailure, t.health.recentFailureFraction(now))
-		work += t.localPrefillLoad(now) + float64(t.peers.PrefillMSPerSecond)
-		options = append(options, option{target: t})
+	options := b.newOptions(candidates, now)
+	work := 0.0
+	for i := range options {
+		o := &options[i]
+		o.prefill = o.target.localPrefillLoad(now) + float64(o.target.peers.PrefillMSPerSecond)
+		work += o.prefill
 	}
-	work *= b.windowMS() / 1000 / float64(len(candidates)) // engine time that comes to each target in the window
+	b.learnSpeeds(options, now)
+	work *= b.windowMS() / 1000 / float64(len(options)) // engine time that comes to a target in the window
 	shared := p.sharedSegments()
 	homes := 0
 	if shared > 0 {
@@ -97,9 +98,7 @@
 		if i < homes {
 			p.preferred = options[i].target
 		}
-		o := &options[i]
-		o.estimate = b.estimateEven(o.target, engine, &p, now)
-		o.weight = 1 - (o.target.health.recentFailureFraction(now)-minFailure)/failureExclusion
+		b.estimateEven(&options[i], engine, &p)
 	}
 	used := options
 	if homes > 0 {
@@ -108,7 +107,7 @@
 	setWeights(used, work*float64(len(used)))
 	chosen := b.draw(used)
 	t, e := chosen.target, chosen.estimate
-	t.addPrefill(float64(e.prefillTokens)/prefillTokensPerMS*p.latencyRatio, now)
+	t.addPrefill(float64(e.prefillTokens)/prefillTokensPerMS, now)
 	t.prefixCache.limitTokens = int64(prefixCacheFraction * float64(engine.CacheTokens))
 	t.prefixCache.add(p.segmentKeys, p.segmentTokens, now)
 	c := b.assign(t, Load{Running: 1, PrefillTokens: e.prefillTokens, CacheTokens: p.cacheTokens}, call.Model, now)
@@ -116,42 +115,118 @@
 	return c
 }
 
-// pickPlainEven chooses a target of a service without engines.
-func (b *Balancer) pickPlainEven(candidates []*target, now time.Time) *Choice {
+// newOptions returns the candidates as options with their capacities as weights.
+func (b *Balancer) newOptions(candidates []*target, now time.Time) []option {
 	options := slices.Grow(b.options[:0], len(candidates))
-	b.options = options
-	running, minFailure := 0.0, 1.0
+	minFailure := 1.0
 	for _, t := range candidates {
-		minFailure = min(minFailure, t.health.recentFailureFraction(now))
-		running += float64(t.local.Running + t.peers.Running)
-		options = append(options, option{target: t})
+		if t.seenAt.IsZero() {
+			t.seenAt = now
+		}
+		failure := 0.0
+		if t.health.failureFraction > 0 {
+			failure = t.health.recentFailureFraction(now)
+		}
+		minFailure = min(minFailure, failure)
+		options = append(options, option{target: t, weight: failure})
 	}
-	work := 0.0
+	for i := range options {
+		options[i].weight = max(0, 1-(options[i].weight-minFailure)/failureExclusion) * options[i].target.learnedSpeed()
+	}
+	b.options = options
+	return options
+}
+
+// learnedSpeed returns the learned speed of the target relative to others, 1 if nothing has been learned.
+func (t *target) learnedSpeed() float64 { return math.Exp(t.logSpeed) }
+
+const (
+	// speedInterval is the time between two steps of the learned speed of a target.
+	speedInterval = 250 * time.Millisecond
+	// backlogTimeConstant is the time constant of the averages of which the learned speed follows.
+	backlogTimeConstant = 3 * time.Second
+	// speedRate is the change of the logarithm of a target's learned speed in a second while its requests wait twice, or half, as long
+	// as at others.
+	speedRate = 0.06
+	// maxLogSpeed bounds the logarithm of the learned speed: 2.5 times slower or faster than usual.
+	maxLogSpeed = 0.9
+)
+
+// learnSpeeds learns how fast the targets are. The time that a prompt waits at a target until its first event is, on average, the
+// prompt tokens that wait there divided by those that come in a second; this needs nothing but the reported sums, and all hosts come to
+// about the same. A target at which prompts wait longer than at others gets less.
+func (b *Balancer) learnSpeeds(options []option, now time.Time) {
+	backlog, prefill := 0.0, 0.0
+	for i := range options {
+		o := &options[i]
+		t := o.target
+		dt := now.Sub(t.averagedAt)
+		if dt >= speedInterval {
+			w := 1 - math.Exp(-float64(dt)/float64(backlogTimeConstant))
+			if t.averagedAt.IsZero() {
+				w = 1
+			}
+			t.meanBacklog += w * (float64(t.local.PrefillTokens+t.peers.PrefillTokens)/prefillTokensPerMS - t.meanBacklog)
+			t.meanPrefill += w * (o.prefill - t.meanPrefill)
+			t.averagedAt = now
+			t.speedDue = min(t.speedDue+dt, time.Second)
+		}
+		backlog += t.meanBacklog
+		prefill += t.meanPrefill
+	}
+	if prefill < minLearningLoad*float64(len(options)) {
+		return
+	}
+	mean := backlog / prefill
+	for i := range options {
+		t := options[i].target
+		if t.speedDue == 0 {
+			continue
+		}
+		if t.meanPrefill > minLearningLoad && mean > 0 {
+			d := max(-1, min(1, math.Log2((t.meanBacklog/t.meanPrefill+mean/8)/(mean*9/8))))
+			t.logSpeed = max(-maxLogSpeed, min(maxLogSpeed, t.logSpeed-speedRate*d*t.speedDue.Seconds()))
+		}
+		t.speedDue = 0
+	}
+}
+
+// minLearningLoad is the engine time in milliseconds a second below which nothing is learned from a target.
+const minLearningLoad = 50
+
+// pickPlainEven chooses a target of a service without engines.
+func (b *Balancer) pickPlainEven(candidates []*target, now time.Time) *Choice {
+	options := b.newOptions(candidates, now)
+	running, slots := 0.0, 0.0
 	for i := range options {
 		o := &options[i]
-		slots := float64(max(1, o.target.info.Slots))
-		o.estimate.costMS = plainRequestCostMS*float64(o.target.local.Running+o.target.peers.Running)/slots + b.pathCost(o.target)
-		o.weight = 1 - (o.target.health.recentFailureFraction(now)-minFailure)/failureExclusion
-		// Requests come at the rate of those in flight divided by the time that one takes.
-		work += b.windowMS() * running / float64(len(options)) / slots
+		n, of := float64(o.target.local.Running+o.target.peers.Running), float64(max(1, o.target.info.Slots))
+		running += n
+		slots += of
+		o.weight *= of
+		o.estimate.costMS = plainRequestCostMS*n/of + b.pathCost(o.target)
 	}
-	setWeights(options, work)
+	// Requests come at the rate of those in flight divided by the time that one takes.
+	setWeights(options, b.windowMS()*running)
 	return b.assign(b.draw(options).target, Load{Running: 1}, "", now)
 }
 
-// estimateEven returns the expected cost of the request at t, without its failures and a tie-breaker.
-func (b *Balancer) estimateEven(t *target, engine *catalog.Engine, p *prompt, now time.Time) estimate {
+// estimateEven sets the expected cost of the request at a target, without its failures and a tie-breaker.
+func (b *Balancer) estimateEven(o *option, engine *catalog.Engine, p *prompt) {
+	t := o.target
 	overflow := overflowFraction(t, engine, p.cacheTokens)
 	cachedTokens, repeatedTokens, waitMS := p.cachedTokens(t), int64(0), 0.0
 	if overflow > 0 {
 		cachedTokens, repeatedTokens, waitMS = 0, p.tokens, overflowBaseMS+overflow*overflowCostMS
 	}
-	e := estimate{prefillTokens: max(1, p.tokens-cachedTokens)}
-	e.firstEventMS = float64(t.local.PrefillTokens+t.peers.PrefillTokens+e.prefillTokens)/prefillTokensPerMS*p.latencyRatio +
-		runningRequestCostMS*float64(t.local.Running+t.peers.Running) + waitMS
-	e.costMS = e.firstEventMS + b.pathCost(t) +
-		t.interferenceCost(e.prefillTokens+repeatedTokens, p.cacheTokens-p.tokens, p.latencyRatio, now)
-	return e
+	e := &o.estimate
+	e.prefillTokens = max(1, int64(float64(p.tokens-cachedTokens)*p.latencyRatio))
+	running := float64(t.local.Running + t.peers.Running)
+	e.firstEventMS = float64(t.local.PrefillTokens+t.peers.PrefillTokens+e.prefillTokens)/prefillTokensPerMS/t.learnedSpeed() +
+		runningRequestCostMS*running + waitMS
+	delayedMS := running * float64(e.prefillTokens+repeatedTokens) / prefillTokensPerMS
+	lostMS := float64(p.cacheTokens-p.tokens) * min(1, o.prefill/1000) * prefillStepDelayMS
+	e.costMS = e.firstEventMS + b.pathCost(t) + interferenceWeight*(delayedMS+lostMS)
 }
 
 // sortByPrefix moves the targets that hold the shared prefix to the front of the options, followed by those for its overflow, and
@@ -160,10 +235,15 @@
 	key := xxhash.Sum64String(p.segmentKeys[shared-1])
 	for i := range options {
 		t := options[i].target
-		options[i].order = mix(key ^ t.hash)
-		if age := now.Sub(t.seen); !t.seen.IsZero() && age < warmUpTime &&
-			float64(mix(options[i].order)>>11)/(1<<53) > float64(age)/float64(warmUpTime) {
-			options[i].order = 0 // last
+		// Weighted rendezvous hashing: a target comes first in proportion to its speed.
+		h := mix(key ^ t.hash)
+		options[i].order = math.Log(uniform(h)) / t.learnedSpeed()
+		if t.isNew {
+			age := now.Sub(t.seenAt)
+			t.isNew = age < warmUpTime
+			if uniform(mix(h)) > float64(age)/float64(warmUpTime) {
+				options[i].order = math.Inf(-1)
+			}
 		}
 	}
 	cachedMS := float64(max(1, p.tokens-int64(preferredCachedFraction*float64(sum(p.segmentTokens[:shared]))))) /
@@ -181,6 +261,9 @@
 	return homes
 }
 
+// uniform returns a number above 0 and up to 1 from a hash.
+func uniform(hash uint64) float64 { return float64(hash>>11+1) / (1 << 53) }
+
 // mix is a bijection that spreads its argument over all bits.
 func mix(x uint64) uint64 {
 	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
--- a/lib/balance/herd_test.go
+++ b/lib/balance/herd_test.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -20,6 +21,7 @@
 	prefixes int           // shared prompt prefixes, by Zipf popularity; zero: prompts share nothing
 	load     float64       // fraction of the engine time that the requests take if all shared segments are cached
 	returns  int           // 1 + index of a target that is away for a while and returns empty; zero: none
+	models   int           // zero: one model that all targets have; else each target has two
 	plain    bool
 	even     bool
 	seed     uint64
@@ -60,11 +62,19 @@
 	if len(tokens) > 0 {
 		shared = max(0, sum(tokens[:len(tokens)-1])-cached)
 	}
-	ms := float64(c.PromptTokens-cached) / (30 * t.speed) * (1 + float64(t.running)/64)
+	ms := float64(c.PromptTokens-cached) / (30 * t.speed) * modelPace(c.Model) * (1 + float64(t.running)/64)
 	t.free = max(t.free, at) + time.Duration((5+ms)*1e6)
 	return t.free, shared
 }
 
+// modelPace returns the engine time of a token of the model, relative to model m.
+func modelPace(model string) float64 {
+	if model == "m" {
+		return 1
+	}
+	return []float64{0.5, 1, 0.7, 1.3}[int(model[1]-'0')%4]
+}
+
 // serve runs a plain request in the first free slot and returns its end.
 func (t *simTarget) serve(at time.Duration, ms float64) time.Duration {
 	i := 0
@@ -109,7 +119,10 @@
 	targets   []*simTarget
 	infos     []*registry.Target
 	zipf      *rand.Zipf
-	counts    [][]float64 // by window and target
+	total     map[string]Load
+	summedAt  time.Duration
+	reports   []map[string]Load // by host
+	counts    [][]float64       // by window and target
 	first     []time.Duration
 	all       float64 // prompt tokens
 	shared    float64 // shared tokens that were prefilled
@@ -133,6 +146,12 @@
 			ID: fmt.Sprintf("t%02d", i), Service: "llm", Zone: string(rune('a' + i%4)), Slots: 64,
 			Models: []registry.ResidentModel{{Model: "m"}}, Beat: 1, Started: 1,
 		}
+		if c.models > 0 {
+			info.Models = nil
+			for _, m := range []int{i % c.models, (i/c.models + i + 1) % c.models} {
+				info.Models = append(info.Models, registry.ResidentModel{Model: fmt.Sprint("m", m)})
+			}
+		}
 		if c.plain {
 			info.Service, info.Models, info.Slots = "plain", nil, 6
 		}
@@ -169,17 +188,22 @@
 	b.SetNewsDelay(spread)
 }
 
-// exchange has one host learn, after the delay, what the others' loads are now.
+// exchange has one host learn, after the delay, what the others' loads are now. All sums within 50 ms are the same.
 func (f *fleet) exchange(host int, interval time.Duration) {
-	total := map[string]Load{}
-	for i, b := range f.balancers {
-		if i != host {
-			for id, l := range b.LocalLoads(f.now()) {
-				total[id] = total[id].Plus(l, 1)
+	if f.total == nil || f.at-f.summedAt >= 50*time.Millisecond {
+		f.total, f.summedAt, f.reports = map[string]Load{}, f.at, make([]map[string]Load, f.hosts)
+		for i, b := range f.balancers {
+			f.reports[i] = b.LocalLoads(f.now())
+			for id, l := range f.reports[i] {
+				f.total[id] = f.total[id].Plus(l, 1)
 			}
 		}
 	}
-	f.after(f.delay, func() { f.balancers[host].SetPeerLoads("others", total) })
+	others := maps.Clone(f.total)
+	for id, l := range f.reports[host] {
+		others[id] = others[id].Plus(l, -1)
+	}
+	f.after(f.delay, func() { f.balancers[host].SetPeerLoads("others", others) })
 	f.after(interval, func() { f.exchange(host, interval) })
 }
 
@@ -202,6 +226,13 @@
 // call returns a random request, and its mean engine time in milliseconds with all shared segments cached.
 func (f *fleet) call() *passthrough.Call {
 	c := &passthrough.Call{Model: "m", MaxOutput: 20 + int64(60*f.random.ExpFloat64())}
+	if f.models > 0 {
+		m := f.random.IntN(f.models)
+		if f.random.Float64() < 0.06 { // a burst moves from model to model
+			m = int(f.at/(7*time.Second)) % f.models
+		}
+		c.Model = fmt.Sprint("m", m)
+	}
 	own := 200 + int64(1300*f.random.ExpFloat64())
 	if f.prefixes > 0 {
 		c.Prefix = []passthrough.Segment{
@@ -235,7 +266,7 @@
 	}
 	i := slices.IndexFunc(f.infos, func(t *registry.Target) bool { return t.ID == choice.Target.ID })
 	t, began := f.targets[i], f.at
-	f.count(i)
+	f.count(i, c.Model)
 	measured := began >= fleetWarmup
 	if f.plain {
 		end := t.serve(f.at, 20+10*f.random.ExpFloat64())
@@ -262,7 +293,10 @@
 	})
 }
 
-func (f *fleet) count(target int) {
+func (f *fleet) count(target int, model string) {
+	if f.models > 0 && model != "m0" {
+		return
+	}
 	if since := f.at - awayUntil; f.returns > 0 && since >= 0 && since < 2*time.Second {
 		f.returned[target]++
 	}
@@ -282,6 +316,14 @@
 	for _, s := range f.speeds {
 		capacity += s
 	}
+	if f.models > 0 { // copies of model m0
+		capacity = 0
+		for i, info := range f.infos {
+			if slices.ContainsFunc(info.Models, func(m registry.ResidentModel) bool { return m.Model == "m0" }) {
+				capacity += f.speeds[i]
+			}
+		}
+	}
 	busiest := func(counts []float64) float64 {
 		all, most := 0.0, 0.0
 		for _, n := range counts {
@@ -352,6 +394,7 @@
 	c.prefixes, c.load = 40, 0.7
 	out["prefixes, one returns"] = c
 	c.prefixes, c.returns = 2, 0
+	out["eight models"] = fleetCase{hosts: hosts, delay: delay, speeds: equalSpeeds(24), load: 0.7, seed: 1, models: 8, prefixes: 20}
 	out["plain"] = fleetCase{hosts: hosts, delay: delay, speeds: equalSpeeds(4), load: 0.7, seed: 1, plain: true}
 	out["plain, one returns"] = fleetCase{hosts: hosts, delay: delay, speeds: equalSpeeds(4), load: 0.6, seed: 1, plain: true, returns: 2}
 	out["two prefixes"] = c
@@ -363,13 +406,7 @@
 	for _, hosts := range []int{7, 80, 200} {
 		for _, delay := range []time.Duration{100 * time.Millisecond, time.Second, 3 * time.Second} {
 			cases := fleetCases(hosts, delay)
-			for _, name := range slices.Sorted(func(yield func(string) bool) {
-				for k := range cases {
-					if !yield(k) {
-						return
-					}
-				}
-			}) {
+			for _, name := range slices.Sorted(maps.Keys(cases)) {
 				for _, even := range []bool{false, true} {
 					b.Run(fmt.Sprintf("%d/%v/%s/%v", hosts, delay, name, even), func(b *testing.B) {
 						c := cases[name]
