--- a/lib/balance/engine.go
+++ b/lib/balance/engine.go
@@ -15,6 +15,7 @@
 	tokens        int64    // of the whole prompt
 	segmentKeys   []string // see promptSegments
 	segmentTokens []int64  // by segment
+	sharedTokens  int64    // of the shared segments; set by pickEven only
 	preferred     *target  // preferred target of the shared segments; nil if there are none
 	cacheTokens   int64    // KV cache in tokens that the request takes when it is complete
 	latencyRatio  float64  // of the model
--- a/lib/balance/even.go
+++ b/lib/balance/even.go
@@ -18,9 +18,13 @@
 	// than there is before they see the effect, and targets fill up in turns.
 	windowFactor = 2.0
 	// homeLoad is the engine time, as a fraction, that one copy of a shared prefix takes before another target holds it too.
-	homeLoad = 0.3
+	homeLoad = 0.5
 	// homeHysteresis is the fraction of homeLoad by which the load has to fall further before a target holds a prefix no longer.
 	homeHysteresis = 0.5
+	// cachedAtHome is the fraction of a shared prompt prefix that counts as cached at a target that holds it.
+	cachedAtHome = 0.8
+	// repeatWeight times the time of a repeated prefill is what it costs the other requests at the target.
+	repeatWeight = 0.5
 	// spillTargets is how many further targets, in the order of the hash, requests go to when those that hold their prefix are loaded.
 	spillTargets = 2
 	// prefixTimeConstant is the time constant of the measured load of a prefix. A host of 80 gets a request for a popular one in
@@ -89,20 +93,17 @@
 	b.learnSpeeds(options, now)
 	work *= b.windowMS() / 1000 / float64(len(options)) // engine time that comes to a target in the window
 	shared := p.sharedSegments()
+	p.sharedTokens = sum(p.segmentTokens[:shared])
 	homes := 0
 	if shared > 0 {
 		homes = b.sortByPrefix(options, &p, shared, now)
 	}
 	for i := range options {
-		p.preferred = nil
-		if i < homes {
-			p.preferred = options[i].target
-		}
-		b.estimateEven(&options[i], engine, &p)
+		b.estimateEven(&options[i], engine, &p, i < homes)
 	}
 	used := options
 	if homes > 0 {
-		used = b.homesOrSpill(options, homes, work)
+		used = b.homesOrSpill(options, homes, work, float64(p.sharedTokens)/prefillTokensPerMS*p.latencyRatio)
 	}
 	setWeights(used, work*float64(len(used)))
 	chosen := b.draw(used)
@@ -147,7 +148,7 @@
 	backlogTimeConstant = 3 * time.Second
 	// speedRate is the change of the logarithm of a target's learned speed in a second while its requests wait twice, or half, as long
 	// as at others.
-	speedRate = 0.06
+	speedRate = 0.04
 	// maxLogSpeed bounds the logarithm of the learned speed: 2.5 times slower or faster than usual.
 	maxLogSpeed = 0.9
 )
@@ -212,10 +213,13 @@
 }
 
 // estimateEven sets the expected cost of the request at a target, without its failures and a tie-breaker.
-func (b *Balancer) estimateEven(o *option, engine *catalog.Engine, p *prompt) {
+func (b *Balancer) estimateEven(o *option, engine *catalog.Engine, p *prompt, home bool) {
 	t := o.target
 	overflow := overflowFraction(t, engine, p.cacheTokens)
-	cachedTokens, repeatedTokens, waitMS := p.cachedTokens(t), int64(0), 0.0
+	cachedTokens, repeatedTokens, waitMS := t.prefixCache.prefixTokens(p.segmentKeys, p.segmentTokens), int64(0), 0.0
+	if home {
+		cachedTokens = max(cachedTokens, int64(cachedAtHome*float64(p.sharedTokens)))
+	}
 	if overflow > 0 {
 		cachedTokens, repeatedTokens, waitMS = 0, p.tokens, overflowBaseMS+overflow*overflowCostMS
 	}
@@ -246,7 +250,7 @@
 			}
 		}
 	}
-	cachedMS := float64(max(1, p.tokens-int64(preferredCachedFraction*float64(sum(p.segmentTokens[:shared]))))) /
+	cachedMS := float64(max(1, p.tokens-int64(cachedAtHome*float64(p.sharedTokens)))) /
 		prefillTokensPerMS * p.latencyRatio
 	homes := min(len(options), b.addPrefixLoad(key, cachedMS, now))
 	for i := range min(len(options), homes+spillTargets) {
@@ -307,7 +311,7 @@
 
 // homesOrSpill returns the options that a request with a shared prefix is spread over: the targets that hold the prefix or, as far
 // as the wait there is above the wait and the longer prefill at others, these.
-func (b *Balancer) homesOrSpill(options []option, homes int, work float64) []option {
+func (b *Balancer) homesOrSpill(options []option, homes int, work, repeatedMS float64) []option {
 	spill := min(len(options), homes+spillTargets)
 	home, next, rest := options[:homes], options[homes:spill], options[spill:]
 	homeMS, nextMS, restMS := lowestCost(home), lowestCost(next), meanCost(rest)
@@ -315,6 +319,7 @@
 	if restMS < nextMS {
 		other, otherMS = rest, restMS
 	}
+	otherMS += repeatWeight * repeatedMS
 	if len(other) == 0 || homeMS <= otherMS || b.random.Float64()*work > homeMS-otherMS {
 		return home
 	}
