--- a/lib/balance/balance.go
+++ b/lib/balance/balance.go
@@ -8,6 +8,7 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -130,6 +131,7 @@
 
 	mu            sync.Mutex
 	targets       map[string]*target            // guarded by mu; by id
+	list          []*target                     // guarded by mu; the targets in no particular order
 	peers         map[string]map[string]Load    // guarded by mu; by host and target
 	residency     map[string]registry.Residency // guarded by mu; by target, from the controller; precedes store entries
 	latencyRatios map[string]float64            // guarded by mu; by model: observed over expected time to the first event
@@ -151,7 +153,8 @@
 	hash           uint64    // of the id
 	isNew          bool      // appeared after others were known
 	seenAt         time.Time // first choice of which the target was a candidate
-	logSpeed       float64   // see learnSpeeds
+	speed          float64   // learned, relative to other targets; see learnSpeeds
+	logSpeed       float64   // its logarithm
 	meanBacklog    float64   // averaged backlog of prompts in milliseconds, as of averagedAt
 	meanPrefill    float64   // averaged prefill load in milliseconds a second
 	averagedAt     time.Time
@@ -189,7 +192,7 @@
 		seen[info.ID] = true
 		t := b.targets[info.ID]
 		if t == nil || t.info.Started != info.Started {
-			t = &target{missing: map[string]time.Time{}, hash: xxhash.Sum64String(info.ID), isNew: !first}
+			t = &target{missing: map[string]time.Time{}, hash: xxhash.Sum64String(info.ID), isNew: !first, speed: 1}
 			b.targets[info.ID] = t
 			if a, ok := b.absent[info.ID]; ok && a.started == info.Started {
 				t.pause = a.pause
@@ -207,6 +210,7 @@
 			delete(b.targets, id)
 		}
 	}
+	b.list = slices.Collect(maps.Values(b.targets))
 	b.sumPeerLoads()
 }
 
@@ -379,7 +383,7 @@
 	var byRank [ranks][]*target
 	var pausedUntil time.Time // the earliest
 	err, pacedRate := ErrNoTarget, 0.0
-	for _, t := range b.targets {
+	for _, t := range b.list {
 		if t.info.Service != q.Service || t.info.State != registry.Ready {
 			continue
 		}
--- a/lib/balance/even.go
+++ b/lib/balance/even.go
@@ -87,7 +87,10 @@
 	work := 0.0
 	for i := range options {
 		o := &options[i]
-		o.prefill = o.target.localPrefillLoad(now) + float64(o.target.peers.PrefillMSPerSecond)
+		o.prefill = float64(o.target.peers.PrefillMSPerSecond)
+		if o.target.prefillMS > 0 {
+			o.prefill += o.target.localPrefillLoad(now)
+		}
 		work += o.prefill
 	}
 	b.learnSpeeds(options, now)
@@ -132,15 +135,12 @@
 		options = append(options, option{target: t, weight: failure})
 	}
 	for i := range options {
-		options[i].weight = max(0, 1-(options[i].weight-minFailure)/failureExclusion) * options[i].target.learnedSpeed()
+		options[i].weight = max(0, 1-(options[i].weight-minFailure)/failureExclusion) * options[i].target.speed
 	}
 	b.options = options
 	return options
 }
 
-// learnedSpeed returns the learned speed of the target relative to others, 1 if nothing has been learned.
-func (t *target) learnedSpeed() float64 { return math.Exp(t.logSpeed) }
-
 const (
 	// speedInterval is the time between two steps of the learned speed of a target.
 	speedInterval = 250 * time.Millisecond
@@ -187,6 +187,7 @@
 		if t.meanPrefill > minLearningLoad && mean > 0 {
 			d := max(-1, min(1, math.Log2((t.meanBacklog/t.meanPrefill+mean/8)/(mean*9/8))))
 			t.logSpeed = max(-maxLogSpeed, min(maxLogSpeed, t.logSpeed-speedRate*d*t.speedDue.Seconds()))
+			t.speed = math.Exp(t.logSpeed)
 		}
 		t.speedDue = 0
 	}
@@ -226,7 +227,7 @@
 	e := &o.estimate
 	e.prefillTokens = max(1, int64(float64(p.tokens-cachedTokens)*p.latencyRatio))
 	running := float64(t.local.Running + t.peers.Running)
-	e.firstEventMS = float64(t.local.PrefillTokens+t.peers.PrefillTokens+e.prefillTokens)/prefillTokensPerMS/t.learnedSpeed() +
+	e.firstEventMS = float64(t.local.PrefillTokens+t.peers.PrefillTokens+e.prefillTokens)/prefillTokensPerMS/t.speed +
 		runningRequestCostMS*running + waitMS
 	delayedMS := running * float64(e.prefillTokens+repeatedTokens) / prefillTokensPerMS
 	lostMS := float64(p.cacheTokens-p.tokens) * min(1, o.prefill/1000) * prefillStepDelayMS
@@ -241,7 +242,7 @@
 		t := options[i].target
 		// Weighted rendezvous hashing: a target comes first in proportion to its speed.
 		h := mix(key ^ t.hash)
-		options[i].order = math.Log(uniform(h)) / t.learnedSpeed()
+		options[i].order = math.Log(uniform(h)) / t.speed
 		if t.isNew {
 			age := now.Sub(t.seenAt)
 			t.isNew = age < warmUpTime
