Even load: metrics of evenness; decisions tested with and without even_load

cuminhook_copies_busiest_over_mean{service,model}, cuminhook_target_learned_speed{target}, cuminhook_prefix_requests_total and cuminhook_prefix_spills_total, set when the page is read. Five tests of lib/balance run in both modes.

--- a/lib/balance/balance.go
+++ b/lib/balance/balance.go
@@ -129,20 +129,22 @@
 	connections Connections // nil: not limited
 	rates       Rates       // nil: not limited
 
-	mu            sync.Mutex
-	targets       map[string]*target            // guarded by mu; by id
-	list          []*target                     // guarded by mu; the targets in no particular order
-	peers         map[string]map[string]Load    // guarded by mu; by host and target
-	residency     map[string]registry.Residency // guarded by mu; by target, from the controller; precedes store entries
-	latencyRatios map[string]float64            // guarded by mu; by model: observed over expected time to the first event
-	catalog       *catalog.Catalog
-	random        *rand.Rand
-	hosts         int                    // guarded by mu; including this one
-	absent        map[string]absentPause // guarded by mu; pauses of targets that are not in the list, by target
-	even          bool                   // guarded by mu; choose by pickEven
-	newsDelay     time.Duration          // guarded by mu; in which a report reaches all hosts
-	prefixLoads   map[uint64]*prefixLoad // guarded by mu; by hash of the prefix
-	options       []option               // guarded by mu; scratch space of pickEven
+	mu             sync.Mutex
+	targets        map[string]*target            // guarded by mu; by id
+	list           []*target                     // guarded by mu; the targets in no particular order
+	peers          map[string]map[string]Load    // guarded by mu; by host and target
+	residency      map[string]registry.Residency // guarded by mu; by target, from the controller; precedes store entries
+	latencyRatios  map[string]float64            // guarded by mu; by model: observed over expected time to the first event
+	catalog        *catalog.Catalog
+	random         *rand.Rand
+	hosts          int                    // guarded by mu; including this one
+	absent         map[string]absentPause // guarded by mu; pauses of targets that are not in the list, by target
+	even           bool                   // guarded by mu; choose by pickEven
+	newsDelay      time.Duration          // guarded by mu; in which a report reaches all hosts
+	prefixLoads    map[uint64]*prefixLoad // guarded by mu; by hash of the prefix
+	prefixRequests uint64                 // guarded by mu; requests with a shared prefix
+	prefixSpills   uint64                 // guarded by mu; those of them that were sent to other targets than hold the prefix
+	options        []option               // guarded by mu; scratch space of pickEven
 }
 
 // target is a target with its load, what its KV cache probably holds, and its health.
@@ -322,10 +324,7 @@
 	if now.Before(t.missing[model]) {
 		return false, false
 	}
-	list := t.info.Models
-	if h, ok := b.residency[t.info.ID]; ok && h.Started == t.info.Started {
-		list = h.Models
-	}
+	list := b.models(t)
 	for i := range list {
 		if list[i].Model == model {
 			hasModel = true
@@ -338,6 +337,14 @@
 	return hasModel, hasModel && hasAdapter && !now.Before(t.missing[model+"/"+adapter])
 }
 
+// models returns the models that t has loaded; the caller holds mu.
+func (b *Balancer) models(t *target) []registry.ResidentModel {
+	if h, ok := b.residency[t.info.ID]; ok && h.Started == t.info.Started {
+		return h.Models
+	}
+	return t.info.Models
+}
+
 // Pick chooses the target of least cost and adds the request to its load. Errors: ErrNoTarget, ErrNoModel,
 // ErrNoAdapter, ErrBusy, ErrPaced, ErrPaused.
 func (b *Balancer) Pick(q Query, now time.Time) (*Choice, error) {
--- a/lib/balance/balance_test.go
+++ b/lib/balance/balance_test.go
@@ -96,35 +96,45 @@
 
 // Guards against hosts that all choose the target without local load: the load that peers report must count at once.
 func TestPeerLoadIsCounted(t *testing.T) {
-	b := newBalancer("a")
-	b.SetTargets(engines(4, registry.ResidentModel{Model: "m"}))
-	b.SetPeerLoads("other", map[string]Load{
-		"t00": {Running: 30, PrefillTokens: 90_000},
-		"t01": {Running: 30, PrefillTokens: 90_000},
-	})
-	for range 20 {
-		c := pick(t, b, Query{Service: "llm", Call: &passthrough.Call{Model: "m", PromptTokens: 600, MaxOutput: 200}})
-		if id := c.Target.ID; id == "t00" || id == "t01" {
-			t.Fatalf("%s was chosen, which has 90,000 tokens to prefill", id)
-		}
-		c.Answered(false, now)
-	}
-	b.SetPeerLoads("other", nil)
-	if got := b.targets["t00"].peers; got != (Load{}) {
-		t.Errorf("the load of a removed host still counts: %+v", got)
+	for _, even := range []bool{false, true} {
+		t.Run(fmt.Sprint("even=", even), func(t *testing.T) {
+			b := newBalancer("a")
+			b.SetEvenLoad(even)
+			b.SetTargets(engines(4, registry.ResidentModel{Model: "m"}))
+			b.SetPeerLoads("other", map[string]Load{
+				"t00": {Running: 30, PrefillTokens: 90_000},
+				"t01": {Running: 30, PrefillTokens: 90_000},
+			})
+			for range 20 {
+				c := pick(t, b, Query{Service: "llm", Call: &passthrough.Call{Model: "m", PromptTokens: 600, MaxOutput: 200}})
+				if id := c.Target.ID; id == "t00" || id == "t01" {
+					t.Fatalf("%s was chosen, which has 90,000 tokens to prefill", id)
+				}
+				c.Answered(false, now)
+			}
+			b.SetPeerLoads("other", nil)
+			if got := b.targets["t00"].peers; got != (Load{}) {
+				t.Errorf("the load of a removed host still counts: %+v", got)
+			}
+		})
 	}
 }
 
 // Guards against filling a target beyond its KV cache while another has free cache.
 func TestFullCacheIsAvoided(t *testing.T) {
-	b := newBalancer("a")
-	b.SetTargets(engines(2, registry.ResidentModel{Model: "m"}))
-	b.SetPeerLoads("other", map[string]Load{
-		"t00": {Running: 24, CacheTokens: cacheTokens},
-		"t01": {Running: 30, CacheTokens: 100_000, PrefillTokens: 5000},
-	})
-	if c := pick(t, b, Query{Service: "llm", Call: sharedPrefixCall("x")}); c.Target.ID != "t01" {
-		t.Errorf("%s was chosen, whose cache is full", c.Target.ID)
+	for _, even := range []bool{false, true} {
+		t.Run(fmt.Sprint("even=", even), func(t *testing.T) {
+			b := newBalancer("a")
+			b.SetEvenLoad(even)
+			b.SetTargets(engines(2, registry.ResidentModel{Model: "m"}))
+			b.SetPeerLoads("other", map[string]Load{
+				"t00": {Running: 24, CacheTokens: cacheTokens},
+				"t01": {Running: 30, CacheTokens: 100_000, PrefillTokens: 5000},
+			})
+			if c := pick(t, b, Query{Service: "llm", Call: sharedPrefixCall("x")}); c.Target.ID != "t01" {
+				t.Errorf("%s was chosen, whose cache is full", c.Target.ID)
+			}
+		})
 	}
 }
 
@@ -184,35 +194,40 @@
 // Guards against sending requests to an unresponsive target, and against avoiding it for ever: after its suspension, one
 // request at a time probes it.
 func TestUnresponsiveTargetIsSuspendedThenProbed(t *testing.T) {
-	b := newBalancer("a")
-	plain := []*registry.Target{{ID: "x", Service: "plain", Zone: "a", Slots: 6}, {ID: "y", Service: "plain", Zone: "b", Slots: 6}}
-	b.SetTargets(plain)
-	q := Query{Service: "plain", Call: &passthrough.Call{}}
-	for range 2 {
-		c := pick(t, b, Query{Service: "plain", Call: &passthrough.Call{}, Tried: []string{"y"}})
-		c.Unresponsive(now)
-	}
-	if s := b.Suspects(); len(s) != 1 || s[0] != "x" {
-		t.Errorf("suspects %v", s)
-	}
-	for range 10 {
-		if c := pick(t, b, q); c.Target.ID != "y" {
-			t.Fatal("a suspended target was chosen")
-		}
-	}
-	later := now.Add(5 * maxSuspension)
-	tries := 0
-	for range 30 {
-		c, err := b.Pick(q, later)
-		if err != nil {
-			t.Fatal(err)
-		}
-		if c.Target.ID == "x" {
-			tries++
-		}
-	}
-	if tries != 1 {
-		t.Errorf("%d requests at once probed an unresponsive target, want 1", tries)
+	for _, even := range []bool{false, true} {
+		t.Run(fmt.Sprint("even=", even), func(t *testing.T) {
+			b := newBalancer("a")
+			b.SetEvenLoad(even)
+			plain := []*registry.Target{{ID: "x", Service: "plain", Zone: "a", Slots: 6}, {ID: "y", Service: "plain", Zone: "b", Slots: 6}}
+			b.SetTargets(plain)
+			q := Query{Service: "plain", Call: &passthrough.Call{}}
+			for range 2 {
+				c := pick(t, b, Query{Service: "plain", Call: &passthrough.Call{}, Tried: []string{"y"}})
+				c.Unresponsive(now)
+			}
+			if s := b.Suspects(); len(s) != 1 || s[0] != "x" {
+				t.Errorf("suspects %v", s)
+			}
+			for range 10 {
+				if c := pick(t, b, q); c.Target.ID != "y" {
+					t.Fatal("a suspended target was chosen")
+				}
+			}
+			later := now.Add(5 * maxSuspension)
+			tries := 0
+			for range 30 {
+				c, err := b.Pick(q, later)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if c.Target.ID == "x" {
+					tries++
+				}
+			}
+			if tries != 1 {
+				t.Errorf("%d requests at once probed an unresponsive target, want 1", tries)
+			}
+		})
 	}
 }
 
@@ -230,20 +245,25 @@
 
 // Guards against outcomes that leave a request in the load of its target, or remove it twice.
 func TestEveryOutcomeReleasesLoad(t *testing.T) {
-	b := newBalancer("a")
-	b.SetTargets(engines(1, registry.ResidentModel{Model: "m"}))
-	ends := []func(*Choice){
-		func(c *Choice) { c.Answered(false, now) }, func(c *Choice) { c.FirstEvent(now); c.Answered(true, now) },
-		func(c *Choice) { c.Rejected(now) },
-		func(c *Choice) { c.ModelMissing("other", "", now) }, func(c *Choice) { c.Unresponsive(now) },
-		func(c *Choice) { c.ConnectionBroken(now) },
-		func(c *Choice) { c.FirstEvent(now); c.Abandoned() },
-	}
-	for _, end := range ends {
-		end(pick(t, b, Query{Service: "llm", Call: sharedPrefixCall("p")}))
-	}
-	if got := b.targets["t00"].local; got != (Load{}) {
-		t.Errorf("load after all requests ended: %+v", got)
+	for _, even := range []bool{false, true} {
+		t.Run(fmt.Sprint("even=", even), func(t *testing.T) {
+			b := newBalancer("a")
+			b.SetEvenLoad(even)
+			b.SetTargets(engines(1, registry.ResidentModel{Model: "m"}))
+			ends := []func(*Choice){
+				func(c *Choice) { c.Answered(false, now) }, func(c *Choice) { c.FirstEvent(now); c.Answered(true, now) },
+				func(c *Choice) { c.Rejected(now) },
+				func(c *Choice) { c.ModelMissing("other", "", now) }, func(c *Choice) { c.Unresponsive(now) },
+				func(c *Choice) { c.ConnectionBroken(now) },
+				func(c *Choice) { c.FirstEvent(now); c.Abandoned() },
+			}
+			for _, end := range ends {
+				end(pick(t, b, Query{Service: "llm", Call: sharedPrefixCall("p")}))
+			}
+			if got := b.targets["t00"].local; got != (Load{}) {
+				t.Errorf("load after all requests ended: %+v", got)
+			}
+		})
 	}
 }
 
@@ -302,15 +322,20 @@
 // Guards against a target that breaks every connection and keeps getting requests because the others fail some of theirs,
 // and against one that does not get requests again after its recovery.
 func TestTargetThatBreaksConnectionsGetsFewRequests(t *testing.T) {
-	b := newBalancer("a")
-	b.SetTargets(plainTargets(3))
-	counts := callPlain(t, b, now, 500, map[string]bool{"t01": true})
-	if n := counts["t01"]; n > 500/20 {
-		t.Errorf("the broken target got %d of 500 requests", n)
-	}
-	counts = callPlain(t, b, now.Add(20*time.Second), 500, nil)
-	if n := counts["t01"]; n < 100 {
-		t.Errorf("the target got %d of 500 requests after its recovery", n)
+	for _, even := range []bool{false, true} {
+		t.Run(fmt.Sprint("even=", even), func(t *testing.T) {
+			b := newBalancer("a")
+			b.SetEvenLoad(even)
+			b.SetTargets(plainTargets(3))
+			counts := callPlain(t, b, now, 500, map[string]bool{"t01": true})
+			if n := counts["t01"]; n > 500/20 {
+				t.Errorf("the broken target got %d of 500 requests", n)
+			}
+			counts = callPlain(t, b, now.Add(20*time.Second), 500, nil)
+			if n := counts["t01"]; n < 100 {
+				t.Errorf("the target got %d of 500 requests after its recovery", n)
+			}
+		})
 	}
 }
 
--- a/lib/balance/even.go
+++ b/lib/balance/even.go
@@ -106,6 +106,7 @@
 	}
 	used := options
 	if homes > 0 {
+		b.prefixRequests++
 		used = b.homesOrSpill(options, homes, work, float64(p.sharedTokens)/prefillTokensPerMS*p.latencyRatio)
 	}
 	setWeights(used, work*float64(len(used)))
@@ -324,6 +325,7 @@
 	if len(other) == 0 || homeMS <= otherMS || b.random.Float64()*work > homeMS-otherMS {
 		return home
 	}
+	b.prefixSpills++
 	return other
 }
 
--- a/lib/balance/even_test.go
+++ b/lib/balance/even_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"cuminhook.org/cuminhook/lib/registry"
 )
 
 // Guards against the herd: hosts that all take the target which looked empty in the same old reports, or the one target that they
@@ -23,3 +25,13 @@
 		t.Errorf("the herd is not there without even load, so that this test shows nothing: %v", r)
 	}
 }
+
+// Guards against a metric that hides a target which has much more than the other copies.
+func TestEvennessShowsTheBusiestCopy(t *testing.T) {
+	b := newBalancer("a")
+	b.SetTargets(engines(4, registry.ResidentModel{Model: "m"}))
+	b.SetPeerLoads("other", map[string]Load{"t00": {PrefillMSPerSecond: 900}, "t01": {PrefillMSPerSecond: 300}})
+	if r := b.Evenness(now).BusiestOverMean[Copies{"llm", "m"}]; r != 3 {
+		t.Errorf("busiest over mean %v, want 3", r)
+	}
+}
--- a/lib/entryhost/status.go
+++ b/lib/entryhost/status.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"net"
+	"strings"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/valyala/fasthttp"
@@ -21,11 +23,35 @@
 // metricsHandler serves the metrics in the Prometheus text format.
 func (h *Host) metricsHandler() fasthttp.RequestHandler {
 	return func(ctx *fasthttp.RequestCtx) {
+		h.updateEvenness()
 		h.cfg.Metrics.WritePrometheus(ctx)
 		metrics.WriteProcessMetrics(ctx)
 	}
 }
 
+// updateEvenness sets the metrics that show how evenly targets are loaded.
+func (h *Host) updateEvenness() {
+	e := h.balancer.Evenness(time.Now())
+	for _, name := range h.cfg.Metrics.ListMetricNames() {
+		if strings.HasPrefix(name, busiestMetric+"{") || strings.HasPrefix(name, speedMetric+"{") {
+			h.cfg.Metrics.UnregisterMetric(name) // the model or target may have gone
+		}
+	}
+	for copies, ratio := range e.BusiestOverMean {
+		h.cfg.Metrics.GetOrCreateGauge(fmt.Sprintf("%s{service=%q,model=%q}", busiestMetric, copies.Service, copies.Model), nil).Set(ratio)
+	}
+	for target, speed := range e.Speeds {
+		h.cfg.Metrics.GetOrCreateGauge(fmt.Sprintf("%s{target=%q}", speedMetric, target), nil).Set(speed)
+	}
+	h.cfg.Metrics.GetOrCreateCounter("cuminhook_prefix_requests_total").Set(e.PrefixRequests)
+	h.cfg.Metrics.GetOrCreateCounter("cuminhook_prefix_spills_total").Set(e.PrefixSpills)
+}
+
+const (
+	busiestMetric = "cuminhook_copies_busiest_over_mean"
+	speedMetric   = "cuminhook_target_learned_speed"
+)
+
 // serveStatus serves a handler at addr (IP:port) until ctx ends.
 func serveStatus(ctx context.Context, addr string, h fasthttp.RequestHandler) error {
 	ln, err := net.Listen("tcp", addr)
