--- a/lib/balance/balance.go
+++ b/lib/balance/balance.go
@@ -361,14 +361,8 @@
 		}
 	}
 	if engine == nil || q.Call.Model == "" {
-		if b.even {
-			return b.pickPlainEven(candidates, now), nil
-		}
 		return b.pickPlain(candidates, now), nil
 	}
-	if b.even {
-		return b.pickEven(candidates, engine, q.Call, now), nil
-	}
 	return b.pickEngine(candidates, engine, q.Call, now), nil
 }
 
@@ -486,6 +480,9 @@
 
 // pickPlain chooses a target of a service without engines, by requests in flight for each slot.
 func (b *Balancer) pickPlain(candidates []*target, now time.Time) *Choice {
+	if b.even {
+		return b.pickPlainEven(candidates, now)
+	}
 	best, lowest := candidates[0], 0.0
 	for i, t := range candidates {
 		running := float64(t.local.Running + t.peers.Running)
--- a/lib/balance/engine.go
+++ b/lib/balance/engine.go
@@ -12,10 +12,11 @@
 
 // prompt describes a request for the comparison of targets.
 type prompt struct {
+	model         string   // set by pickEven only, like sharedTokens
 	tokens        int64    // of the whole prompt
 	segmentKeys   []string // see promptSegments
 	segmentTokens []int64  // by segment
-	sharedTokens  int64    // of the shared segments; set by pickEven only
+	sharedTokens  int64    // of the shared segments
 	preferred     *target  // preferred target of the shared segments; nil if there are none
 	cacheTokens   int64    // KV cache in tokens that the request takes when it is complete
 	latencyRatio  float64  // of the model
@@ -30,6 +31,9 @@
 
 // pickEngine chooses the target of least estimated cost for a request to an engine.
 func (b *Balancer) pickEngine(candidates []*target, engine *catalog.Engine, call *passthrough.Call, now time.Time) *Choice {
+	if b.even {
+		return b.pickEven(candidates, engine, call, now)
+	}
 	p := prompt{tokens: call.PromptTokens, cacheTokens: requiredCacheTokens(call), latencyRatio: b.latencyRatio(call.Model)}
 	p.segmentKeys, p.segmentTokens = promptSegments(call)
 	p.preferred = preferredTarget(candidates, p.segmentKeys[:p.sharedSegments()])
--- a/lib/balance/even.go
+++ b/lib/balance/even.go
@@ -81,7 +81,7 @@
 // pickEven chooses a target for a request to an engine such that the targets end up with even loads although all hosts choose by the
 // same old reports.
 func (b *Balancer) pickEven(candidates []*target, engine *catalog.Engine, call *passthrough.Call, now time.Time) *Choice {
-	p := prompt{tokens: call.PromptTokens, cacheTokens: requiredCacheTokens(call), latencyRatio: b.latencyRatio(call.Model)}
+	p := prompt{model: call.Model, tokens: call.PromptTokens, cacheTokens: requiredCacheTokens(call), latencyRatio: b.latencyRatio(call.Model)}
 	p.segmentKeys, p.segmentTokens = promptSegments(call)
 	options := b.newOptions(candidates, now)
 	work := 0.0
@@ -128,10 +128,7 @@
 		if t.seenAt.IsZero() {
 			t.seenAt = now
 		}
-		failure := 0.0
-		if t.health.failureFraction > 0 {
-			failure = t.health.recentFailureFraction(now)
-		}
+		failure := t.health.recentFailureFraction(now)
 		minFailure = min(minFailure, failure)
 		options = append(options, option{target: t, weight: failure})
 	}
@@ -228,13 +225,22 @@
 	e := &o.estimate
 	e.prefillTokens = max(1, int64(float64(p.tokens-cachedTokens)*p.latencyRatio))
 	running := float64(t.local.Running + t.peers.Running)
-	e.firstEventMS = float64(t.local.PrefillTokens+t.peers.PrefillTokens+e.prefillTokens)/prefillTokensPerMS/t.speed +
+	e.firstEventMS = b.backlogMS(t.local.PrefillTokens+t.peers.PrefillTokens+e.prefillTokens, p.model)/t.speed +
 		runningRequestCostMS*running + waitMS
 	delayedMS := running * float64(e.prefillTokens+repeatedTokens) / prefillTokensPerMS
 	lostMS := float64(p.cacheTokens-p.tokens) * min(1, o.prefill/1000) * prefillStepDelayMS
 	e.costMS = e.firstEventMS + b.pathCost(t) + interferenceWeight*(delayedMS+lostMS)
 }
 
+// backlogMS returns the engine time in milliseconds of the prompt tokens in loads, for a request for the model. With even load, tokens
+// count in proportion to the speed of their own model.
+func (b *Balancer) backlogMS(tokens int64, model string) float64 {
+	if b.even {
+		return float64(tokens) / prefillTokensPerMS
+	}
+	return float64(tokens) / prefillTokensPerMS * b.latencyRatio(model)
+}
+
 // sortByPrefix moves the targets that hold the shared prefix to the front of the options, followed by those for its overflow, and
 // returns the number of the former. All hosts put the targets in the same order.
 func (b *Balancer) sortByPrefix(options []option, p *prompt, shared int, now time.Time) int {
