Even load: prefixes with many homes sort the targets instead of selecting them one after the other

The benchmark lets 50 ms pass between two choices, so that loads decay as they do in use; before, its one prefix had all targets as homes.

--- a/lib/balance/balance_test.go
+++ b/lib/balance/balance_test.go
@@ -277,7 +277,9 @@
 			balancer := newBalancer("a")
 			balancer.SetEvenLoad(even)
 			balancer.SetTargets(engines(n, registry.ResidentModel{Model: "m"}))
+			now := now
 			for b.Loop() {
+				now = now.Add(50 * time.Millisecond)
 				c, err := balancer.Pick(Query{Service: "llm", Call: sharedPrefixCall("p")}, now)
 				if err != nil {
 					b.Fatal(err)
--- a/lib/balance/even.go
+++ b/lib/balance/even.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -261,7 +262,15 @@
 	cachedMS := float64(max(1, p.tokens-int64(cachedAtHome*float64(p.sharedTokens)))) /
 		prefillTokensPerMS * p.latencyRatio
 	homes := min(len(options), b.addPrefixLoad(key, cachedMS, now))
-	for i := range min(len(options), homes+spillTargets) {
+	first := homes + spillTargets
+	if homes == len(options) {
+		return homes
+	}
+	if first > maxSelected {
+		slices.SortFunc(options, func(x, y option) int { return cmp.Compare(y.order, x.order) })
+		return homes
+	}
+	for i := range min(len(options), first) {
 		best := i
 		for j := i + 1; j < len(options); j++ {
 			if options[j].order > options[best].order {
@@ -273,6 +282,9 @@
 	return homes
 }
 
+// maxSelected is the number of targets up to which the first ones are selected one after the other, instead of sorting all.
+const maxSelected = 8
+
 // uniform returns a number above 0 and up to 1 from a hash.
 func uniform(hash uint64) float64 { return float64(hash>>11+1) / (1 << 53) }
 
