--- a/lib/balance/balance.go
+++ b/lib/balance/balance.go
@@ -6,6 +6,7 @@
 package balance
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"maps"
@@ -131,7 +132,7 @@
 
 	mu             sync.Mutex
 	targets        map[string]*target            // guarded by mu; by id
-	list           []*target                     // guarded by mu; the targets in no particular order
+	list           []*target                     // guarded by mu; the targets by id
 	peers          map[string]map[string]Load    // guarded by mu; by host and target
 	residency      map[string]registry.Residency // guarded by mu; by target, from the controller; precedes store entries
 	latencyRatios  map[string]float64            // guarded by mu; by model: observed over expected time to the first event
@@ -212,7 +213,7 @@
 			delete(b.targets, id)
 		}
 	}
-	b.list = slices.Collect(maps.Values(b.targets))
+	b.list = slices.SortedFunc(maps.Values(b.targets), func(x, y *target) int { return cmp.Compare(x.info.ID, y.info.ID) })
 	b.sumPeerLoads()
 }
 
