--- a/lib/balance/herd_test.go
+++ b/lib/balance/herd_test.go
@@ -1,11 +1,11 @@
 package balance
 
 import (
-	"container/heap"
 	"fmt"
 	"maps"
 	"math/rand/v2"
 	"slices"
+	"sort"
 	"testing"
 	"time"
 
@@ -88,31 +88,15 @@
 }
 
 type simEvent struct {
-	at  time.Duration
-	seq int
-	do  func()
-}
-
-type simQueue []simEvent
-
-func (q simQueue) Len() int { return len(q) }
-func (q simQueue) Less(i, j int) bool {
-	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
-}
-func (q simQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *simQueue) Push(x any)   { *q = append(*q, x.(simEvent)) }
-func (q *simQueue) Pop() any {
-	old := *q
-	e := old[len(old)-1]
-	*q = old[:len(old)-1]
-	return e
+	at time.Duration
+	do func()
 }
 
 // fleet is a run of a case.
 type fleet struct {
 	fleetCase
 	random    *rand.Rand
-	events    simQueue
+	events    []simEvent // by time
 	seq       int
 	at        time.Duration
 	balancers []*Balancer
@@ -131,7 +115,8 @@
 
 func (f *fleet) after(d time.Duration, do func()) {
 	f.seq++
-	heap.Push(&f.events, simEvent{f.at + d, f.seq, do})
+	i := sort.Search(len(f.events), func(i int) bool { return f.events[i].at > f.at+d })
+	f.events = slices.Insert(f.events, i, simEvent{f.at + d, do})
 }
 
 func (f *fleet) now() time.Time { return now.Add(f.at) }
@@ -165,7 +150,8 @@
 		b := newBalancer(string(rune('a' + i%4)))
 		b.random = rand.New(rand.NewPCG(c.seed, uint64(100+i)))
 		b.SetHosts(c.hosts)
-		f.configure(b, c.delay+interval)
+		b.SetEvenLoad(c.even)
+		b.SetNewsDelay(c.delay + interval)
 		b.SetTargets(f.infos)
 		f.balancers = append(f.balancers, b)
 		f.after(time.Duration(f.random.Float64()*float64(interval)), func() { f.exchange(i, interval) })
@@ -176,18 +162,14 @@
 	}
 	f.after(0, f.arrive)
 	for f.at < fleetTime {
-		e := heap.Pop(&f.events).(simEvent)
+		e := f.events[0]
+		f.events = f.events[1:]
 		f.at = e.at
 		e.do()
 	}
 	return f.result()
 }
 
-func (f *fleet) configure(b *Balancer, spread time.Duration) {
-	b.SetEvenLoad(f.even)
-	b.SetNewsDelay(spread)
-}
-
 // exchange has one host learn, after the delay, what the others' loads are now. All sums within 50 ms are the same.
 func (f *fleet) exchange(host int, interval time.Duration) {
 	if f.total == nil || f.at-f.summedAt >= 50*time.Millisecond {
@@ -247,11 +229,15 @@
 // meanWorkMS is the engine time of a request with all shared segments cached, at speed 1 and a third of the slots in use.
 const meanWorkMS = (5 + 1500/30*1.3)
 
-func (f *fleet) arrive() {
-	capacity := 0.0
+func (f *fleet) capacity() (c float64) {
 	for _, s := range f.speeds {
-		capacity += s
+		c += s
 	}
+	return c
+}
+
+func (f *fleet) arrive() {
+	capacity := f.capacity()
 	work, c := meanWorkMS, &passthrough.Call{}
 	if f.plain {
 		work = 30.0 / 6
@@ -316,16 +302,11 @@
 }
 
 func (f *fleet) result() (r fleetResult) {
-	capacity := 0.0
-	for _, s := range f.speeds {
-		capacity += s
-	}
+	capacity := f.capacity()
 	busiest := func(counts []float64) float64 {
 		all, most := 0.0, 0.0
-		for _, n := range counts {
-			all += n
-		}
 		for i, n := range counts {
+			all += n
 			most = max(most, n/f.speeds[i])
 		}
 		return most * capacity / all
