Cold targets get no more requests from all hosts together than they take

Change: a service states cold_start_s and cold_per_s, a target cold_left_ms in its entry and Cuminhook-Cold-Ms in answers. Such a target has a limit of lib/targetrate with an end. Its bound in any second is divided among the hosts in an order by hash: each has a part that it keeps by itself, so that nothing depends on news; the shared bucket keeps the average. Without news the strict case is assumed for cold_start_s. Hosts tell each other in their states, at once if a target turns cold. New settings cold_overshoot and cold_slack.

The tests of the packages touched pass with -race -cpu 1, but for platform (not run).

--- a/lib/aggregate/targetrates_test.go
+++ b/lib/aggregate/targetrates_test.go
@@ -43,6 +43,7 @@
 	}
 	to.ApplyUsage(name, 1, c.Hosts, c.TargetDemand, f.now)
 	to.Merge(from.Statements(f.now), f.now)
+	to.MergeCold(from.ColdStatements(f.now), "peer", f.now)
 }
 
 // exchange sends the states that are due.
--- a/lib/catalog/catalog.go
+++ b/lib/catalog/catalog.go
@@ -82,6 +82,10 @@
 	Name     string
 	MaxConns int     // connections that each target accepts from all hosts together; zero: not limited
 	Engine   *Engine // nil for a plain service
+	// ColdStart is how long a target is cold after its start, and ColdPerSecond the requests a second that a cold target takes from all
+	// hosts together. If either is zero no target is cold.
+	ColdStart     time.Duration
+	ColdPerSecond float64
 }
 
 // Organisation is a customer with its keys and limits.
--- a/lib/entryhost/entryhost.go
+++ b/lib/entryhost/entryhost.go
@@ -97,6 +97,7 @@
 	balancer     *balance.Balancer
 	limiter      *orglimit.Limiter
 	rates        *targetrate.Limits
+	cold         *coldRole
 	retries      *retry.Budget
 	connections  *connections
 	peers        *peers.Exchanger
@@ -128,6 +129,7 @@
 		balancer: balance.New(s.Zone, conns, rates, newRandom()),
 		limiter:  orglimit.New(time.Now()), meter: workload.New(), retries: retry.NewBudget(s.RetryRatio, s.RetrySlack),
 	}
+	h.cold = newColdRole(h)
 	h.role = newPlacementRole(h)
 	h.quarantine = newQuarantineRole(s.Host, cfg.Store, func() { h.peers.Relay() }, cfg.Log, cfg.Metrics)
 	h.placer = placer.New(placer.Config{
@@ -152,7 +154,7 @@
 		OnCatalog: h.setCatalog, OnTargets: h.setTargets, OnHosts: h.peers.SetEntries, OnQuarantine: h.quarantine.restore,
 		OnRestored: h.quarantine.forgetAllStored, Announce: h.peers.Announce,
 	}, cfg.Log)
-	h.statements = &statements{h.storeWatcher, h.balancer, cfg.Log, cfg.Metrics}
+	h.statements = &statements{h.storeWatcher, h.balancer, h.cold, cfg.Log, cfg.Metrics}
 	if source, ok := cfg.Engines.(orders.StatedSource); ok {
 		source.OnStated(h.statements.ofOrders)
 	}
@@ -178,6 +180,7 @@
 // setCatalog applies a new configuration.
 func (h *Host) setCatalog(c *catalog.Catalog) {
 	h.connections.SetCatalog(c)
+	h.rates.SetCatalog(c)
 	h.balancer.SetCatalog(c)
 	h.placer.SetCatalog(c)
 	h.catalog.Store(c)
@@ -190,7 +193,7 @@
 		return t.Addr == s.Listen || t.Addr == s.Ready || t.Addr == s.Peers || t.Addr == s.Metrics
 	})
 	h.connections.SetTargets(list)
-	h.retainRates(list)
+	h.rates.SetTargets(list, time.Now())
 	h.balancer.SetTargets(list)
 	h.placer.SetTargets(list)
 	h.targetsRead.Store(true)
@@ -198,19 +201,11 @@
 
 func newRandom() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 
-// retainRates forgets the rates of targets that are not in the list.
-func (h *Host) retainRates(list []*registry.Target) {
-	known := make(map[string]bool, len(list))
-	for _, t := range list {
-		known[t.ID] = true
-	}
-	h.rates.Retain(func(target string) bool { return known[target] })
-}
-
 // setFleet applies what is newly known of the fleet.
 func (h *Host) setFleet(f peers.Fleet) {
 	h.limiter.SetHosts(len(f.Known)+1, f.Spread)
 	h.rates.SetHosts(len(f.Known)+1, f.Spread)
+	h.rates.SetMembers(h.cfg.Settings.Host, f.Known, time.Now())
 	h.balancer.SetHosts(len(f.Known) + 1)
 	h.retries.SetHosts(len(f.Known) + 1)
 	h.connections.SetHosts(f.Known)
@@ -257,19 +252,22 @@
 	}
 	h.connections.updateDemand(h.balancer, now)
 	s.TargetRates = h.rates.Statements(now)
+	h.cold.fill(s, now)
 	s.Quarantine = h.quarantine.report(now, h.peers.Fleet().Spread)
 	s.Holder, s.PlacementVersion = h.role.holder(now)
 	s.StoreLost = h.storeWatcher.StoreLost()
+	h.cold.checkContact(!s.StoreLost, now)
 }
 
 // fillPartialState fills in a partial state and reports whether it carries changes that the audience may not know.
 func (h *Host) fillPartialState(s *peers.State, to storewatch.Audience) bool {
 	s.Changes = h.storeWatcher.NewTargetChanges(to)
 	s.Quarantine = h.quarantine.news(to, time.Now())
+	cold := h.cold.fillNews(s, to, time.Now())
 	if c := h.catalog.Load(); c != nil {
 		s.ConfigVersion = c.Version
 	}
-	return !s.Changes.Empty() || len(s.Quarantine.Quarantined)+len(s.Quarantine.Suspects) > 0
+	return !s.Changes.Empty() || cold || len(s.Quarantine.Quarantined)+len(s.Quarantine.Suspects) > 0
 }
 
 // handleState applies a state received from another host.
@@ -283,6 +281,7 @@
 		h.role.handleState(s, now)
 	}
 	h.rates.Merge(s.TargetRates, now)
+	h.cold.merge(s, now)
 	h.quarantine.merge(s, now)
 	relay := h.storeWatcher.ApplyChanges(s.Changes, s.Kind == peers.Up)
 	if h.role.applyPlacement(s.Placement, now) || relay {
--- a/lib/entryhost/settings.go
+++ b/lib/entryhost/settings.go
@@ -27,6 +27,11 @@
 	RetryRatio float64 `yaml:"retry_ratio"` // retries allowed per request of a service, over all hosts
 	RetrySlack float64 `yaml:"retry_slack"` // retries allowed in addition, over all hosts
 
+	// ColdOvershoot and ColdSlack bound the requests that reach a cold target in any second: its service's rate for cold targets times
+	// ColdOvershoot, plus ColdSlack.
+	ColdOvershoot float64 `yaml:"cold_overshoot"`
+	ColdSlack     float64 `yaml:"cold_slack"`
+
 	Placement PlacementSettings `yaml:"placement"`
 
 	Grace time.Duration `yaml:"grace"` // from the signal to stop until the platform kills the process
@@ -46,7 +51,7 @@
 	return Settings{
 		DrainWithin: 2 * time.Second, ConfigWithin: 2 * time.Second, LinkMbps: 100, RetryRatio: 0.1, RetrySlack: 10,
 		Placement: PlacementSettings{Lease: 3 * time.Second, LoadsOvershoot: 1},
-		Grace:     8 * time.Second,
+		Grace:     8 * time.Second, ColdOvershoot: 1,
 	}
 }
 
@@ -86,6 +91,10 @@
 	if s.RetryRatio < 0 || s.RetrySlack < 0 {
 		return fmt.Errorf("retry_ratio and retry_slack cannot be negative; zero forbids repeats")
 	}
+	if !(s.ColdOvershoot >= 1) || !(s.ColdSlack >= 0) {
+		return fmt.Errorf("cold_overshoot (%v) must be 1 or more, cold_slack (%v) 0 or more; they bound the requests to targets that have just started",
+			s.ColdOvershoot, s.ColdSlack)
+	}
 	if s.Placement.Lease < time.Second || s.Placement.LoadsOvershoot < 1 {
 		return fmt.Errorf("placement: lease must be 1s or longer, loads_overshoot 1 or more")
 	}
--- a/lib/entryhost/settings_test.go
+++ b/lib/entryhost/settings_test.go
@@ -36,6 +36,8 @@
 		{"3000ms", "10ms", "lease"},
 		{"3000ms", "soon", "[11:10] placement.lease"},
 		{"retry_slack", "retry_slak", "retry_slak"},
+		{"retry_slack: 54", "cold_overshoot: 0.5", "cold_overshoot"},
+		{"retry_slack: 54", "cold_slack: -1", "cold_slack"},
 		{"loads_overshoot: 1.1", "loads_overshoot: 0.5", "loads_overshoot"},
 	} {
 		s := DefaultSettings()
--- a/lib/entryhost/statements.go
+++ b/lib/entryhost/statements.go
@@ -16,6 +16,7 @@
 type statements struct {
 	watcher  *storewatch.Watcher
 	balancer *balance.Balancer
+	cold     *coldRole
 	log      *slog.Logger
 	metrics  *metrics.Set
 }
@@ -42,6 +43,9 @@
 	}
 }
 
+// Cold implements relay.Statements.
+func (s *statements) Cold(t *registry.Target, left time.Duration) { s.cold.stated(t, left) }
+
 // ofOrders records what a target states in answers to orders.
 func (s *statements) ofOrders(t *registry.Target, stated orders.Stated) {
 	if stated.Leaving {
@@ -50,6 +54,9 @@
 	if stated.Pause != 0 {
 		s.Pause(t, stated.Pause, "")
 	}
+	if stated.Cold > 0 {
+		s.Cold(t, stated.Cold)
+	}
 }
 
 func (s *statements) count(kind string) {
--- a/lib/filter/relay/harness_test.go
+++ b/lib/filter/relay/harness_test.go
@@ -174,6 +174,9 @@
 	r.balancer.SetTargets(r.targets)
 }
 
+// Cold implements Statements.
+func (r *harness) Cold(*registry.Target, time.Duration) {}
+
 // Pause implements Statements.
 func (r *harness) Pause(t *registry.Target, d time.Duration, _ string) {
 	r.balancer.Pause(t.ID, t.Started, d, time.Now())
--- a/lib/filter/relay/relay.go
+++ b/lib/filter/relay/relay.go
@@ -60,6 +60,8 @@
 	Leaving(t *registry.Target, requestID string)
 	// Pause records that the target wants no request from this host for a time, or a negative time if that cannot be read.
 	Pause(t *registry.Target, d time.Duration, requestID string)
+	// Cold records how much longer the target is cold.
+	Cold(t *registry.Target, left time.Duration)
 }
 
 // Config are the settings of the filter.
@@ -364,6 +366,9 @@
 	if stated.Pause != 0 {
 		r.cfg.Statements.Pause(t.choice.Target, stated.Pause, r.ex.ID)
 	}
+	if stated.Cold > 0 {
+		r.cfg.Statements.Cold(t.choice.Target, stated.Cold)
+	}
 }
 
 // recordRateLimit records what the answer states of the target's rate.
--- a/lib/orders/orders.go
+++ b/lib/orders/orders.go
@@ -53,6 +53,7 @@
 type Stated struct {
 	Leaving bool
 	Pause   time.Duration // how long the target wants no request from this host; negative if that cannot be read
+	Cold    time.Duration // how much longer the target is cold; zero: not stated, or not cold
 }
 
 // StatedSource is implemented by clients that pass on what targets state of themselves.
--- a/lib/orglimit/orglimit.go
+++ b/lib/orglimit/orglimit.go
@@ -216,6 +216,25 @@
 	return b.sharedTokens > est.unreportedTokens || l.mayUseShare(b, est, now)
 }
 
+// HasCredit reports whether there are tokens in the shared bucket, as far as this host knows what others have charged. A host without
+// contact counts its equal share only.
+func (l *Limiter) HasCredit(o *catalog.Organisation, now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	b, _ := l.refill(o, now)
+	return b.sharedTokens > 0
+}
+
+// Count charges the organisation the tokens, whether it is above its rate or not.
+func (l *Limiter) Count(o *catalog.Organisation, tokens int64, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	b, _ := l.refill(o, now)
+	b.coarse.drawn = false
+	b.sharedTokens -= float64(tokens)
+	b.usage.Charged += float64(tokens)
+}
+
 // Share returns the tokens a second that this host may spend when the shared bucket is empty.
 func (l *Limiter) Share(o *catalog.Organisation, now time.Time) float64 {
 	l.mu.Lock()
--- a/lib/passthrough/passthrough.go
+++ b/lib/passthrough/passthrough.go
@@ -69,6 +69,7 @@
 	// Pause is how long the target wants no request from this host; zero: not stated. It is negative if what is stated cannot be
 	// read.
 	Pause time.Duration
+	Cold  time.Duration // how much longer the target is cold; zero: not stated, or not cold
 }
 
 // Protocol is a request protocol: the headers of one kind of request that passes through.
--- a/lib/peers/state.go
+++ b/lib/peers/state.go
@@ -58,10 +58,11 @@
 	StoreLost     bool   `json:"y,omitempty"` // the sender cannot read the store
 	ConfigVersion int64  `json:"c"`           // version of the configuration in force at the sender
 	aggregate.Contribution
-	Quarantine       quarantine.Report               `json:"z,omitzero"`  // prompt segments that crash targets
-	TargetRates      map[string]targetrate.Statement `json:"r,omitempty"` // rates that targets stated, by target
-	Changes          storewatch.TargetChanges        `json:"v,omitzero"`  // recent changes of targets
-	Holder           Holder                          `json:"t,omitzero"`
-	PlacementVersion PlacementVersion                `json:"q,omitzero"`  // newest placement that the sender knows
-	Placement        *Placement                      `json:"p,omitempty"` // for receivers that lack it
+	Quarantine       quarantine.Report                   `json:"z,omitzero"`  // prompt segments that crash targets
+	TargetRates      map[string]targetrate.Statement     `json:"r,omitempty"` // rates that targets stated, by target
+	Cold             map[string]targetrate.ColdStatement `json:"j,omitempty"` // cold times that targets stated, by target
+	Changes          storewatch.TargetChanges            `json:"v,omitzero"`  // recent changes of targets
+	Holder           Holder                              `json:"t,omitzero"`
+	PlacementVersion PlacementVersion                    `json:"q,omitzero"`  // newest placement that the sender knows
+	Placement        *Placement                          `json:"p,omitempty"` // for receivers that lack it
 }
--- a/lib/registry/registry.go
+++ b/lib/registry/registry.go
@@ -49,6 +49,10 @@
 	Started int64
 	Beat    int64           // increases with each entry that this incarnation writes
 	Models  []ResidentModel // loaded when the entry was written
+	// Cold is how much longer the target was cold when the entry was written: it takes few requests after a start. StatesCold reports
+	// whether the entry states that; zero then means that the target was not cold.
+	Cold       time.Duration
+	StatesCold bool
 
 	Revision int64 // store revision at which the entry was written
 }
--- a/lib/targetrate/targetrate.go
+++ b/lib/targetrate/targetrate.go
@@ -2,6 +2,10 @@
 // together and may be below one request a second for each host, so that equal parts would not do: the hosts share it as they
 // share the rates of organisations, by what they report to each other.
 //
+// A cold target, one that has started recently, has such a rate too, for a time: it is stated in its entry and its answers, or assumed.
+// A span of a second is shorter than the time that reports take, so each host has a part of the bound that it keeps by itself; see
+// coldPart.
+//
 // It answers targets that are overloaded or restart slowly while the service as a whole has capacity: what a target does not take
 // goes to the others. The package does no I/O, and takes the time as an argument.
 package targetrate
@@ -33,6 +37,7 @@
 
 	mu     sync.Mutex
 	stated map[string]statement // guarded by mu; by target
+	cold   coldTargets          // guarded by mu
 }
 
 // statement is the latest that a target stated.
@@ -52,6 +57,7 @@
 func New(now time.Time, random *rand.Rand) *Limits {
 	return &Limits{
 		limiter: orglimit.NewCoarse(now, orglimit.Coarse{ChargeTokens: tokensPerRequest, Random: random.Float64}), stated: map[string]statement{},
+		cold: coldTargets{targets: map[string]*cold{}, members: map[string]time.Time{}},
 	}
 }
 
@@ -74,10 +80,7 @@
 	}
 	s := statement{rate: rate, at: at}
 	if rate > 0 {
-		rate := max(rate, minRate)
-		s.limit = &catalog.Organisation{
-			Name: target, Rate: rate * tokensPerRequest, Burst: max(1, rate*burstTime.Seconds()) * tokensPerRequest,
-		}
+		s.limit = newLimit(target, max(rate, minRate))
 	}
 	l.stated[target] = s
 	if s.limit != nil {
@@ -86,17 +89,22 @@
 	return rate != old.rate
 }
 
-// limit returns the limit of a target, or nil.
-func (l *Limits) limit(target string) *catalog.Organisation {
+// newLimit returns the limit of a target that takes a number of requests a second.
+func newLimit(target string, rate float64) *catalog.Organisation {
+	return &catalog.Organisation{Name: target, Rate: rate * tokensPerRequest, Burst: max(1, rate*burstTime.Seconds()) * tokensPerRequest}
+}
+
+// limits returns the limit that a target states and that of a cold target; either may be nil.
+func (l *Limits) limits(target string, now time.Time) (stated, cold *catalog.Organisation) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.stated[target].limit
+	return l.stated[target].limit, l.coldLimit(target, now)
 }
 
 // Want records that a request of this host could be sent to the target, whether that is available now or not, and reports whether
 // the target states a rate. usualRate is what this host usually wants of such requests a second, wherever it sends them.
 func (l *Limits) Want(target string, usualRate float64, now time.Time) bool {
-	limit := l.limit(target)
+	limit, _ := l.limits(target, now)
 	if limit != nil {
 		l.limiter.Want(limit, usualRate*tokensPerRequest, now)
 	}
@@ -105,26 +113,70 @@
 
 // Available reports whether this host may send the target a request now.
 func (l *Limits) Available(target string, now time.Time) bool {
-	limit := l.limit(target)
-	return limit == nil || l.limiter.Admits(limit, now)
+	stated, cold := l.limits(target, now)
+	if cold != nil && !l.coldAvailable(target, lower(stated, cold), now) {
+		return false
+	}
+	return stated == nil || l.limiter.Admits(stated, now)
+}
+
+// coldAvailable reports whether this host may send a cold target a request: within this host's part of the bound, and while all
+// hosts together are within the rate as far as that is known.
+func (l *Limits) coldAvailable(target string, limit *catalog.Organisation, now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.withinPart(target, l.cold.targets[target], now) && l.limiter.HasCredit(limit, now)
+}
+
+// lower returns the lower one of two limits, of which the first may be nil.
+func lower(a, b *catalog.Organisation) *catalog.Organisation {
+	if a != nil && a.Rate < b.Rate {
+		return a
+	}
+	return b
 }
 
 // HostRate returns the requests a second that this host may send to a target with a limit, or zero if it has none.
 func (l *Limits) HostRate(target string, now time.Time) float64 {
-	limit := l.limit(target)
-	if limit == nil {
-		return 0
+	stated, cold := l.limits(target, now)
+	rate := 0.0
+	if stated != nil {
+		rate = l.limiter.Share(stated, now) / tokensPerRequest
+	}
+	if cold != nil {
+		l.mu.Lock()
+		part := float64(l.coldPart(target, l.cold.targets[target])) / (boundWindow + arrivalSpread).Seconds()
+		l.mu.Unlock()
+		if part = min(part, cold.Rate/tokensPerRequest); stated == nil || part < rate {
+			rate = part
+		}
 	}
-	return l.limiter.Share(limit, now) / tokensPerRequest
+	return rate
 }
 
 // Take counts a request that is sent to the target, and Return one that was not sent after all.
 func (l *Limits) Take(target string, now time.Time) {
-	l.limiter.Charge(l.limit(target), tokensPerRequest, now)
+	stated, cold := l.limits(target, now)
+	l.mu.Lock()
+	l.noteSent(target, cold != nil, now)
+	l.mu.Unlock()
+	if cold != nil {
+		l.limiter.Count(lower(stated, cold), tokensPerRequest, now)
+		return
+	}
+	l.limiter.Charge(stated, tokensPerRequest, now)
 }
 
 // Return takes back a request that was counted by Take and did not reach the target.
-func (l *Limits) Return(target string) { l.limiter.Refund(l.limit(target), tokensPerRequest) }
+func (l *Limits) Return(target string) {
+	l.mu.Lock()
+	limit := l.stated[target].limit
+	if cold := l.noteUnsent(target); limit == nil {
+		limit = cold
+	}
+	l.mu.Unlock()
+	l.limiter.Refund(limit, tokensPerRequest)
+}
 
 // Retain forgets all targets but those for which keep returns true.
 func (l *Limits) Retain(keep func(target string) bool) {
