--- a/lib/filter/relay/relay.go
+++ b/lib/filter/relay/relay.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -340,6 +341,9 @@
 	})
 	if t.outcome == forward.NotSent {
 		choice.Unsent()
+		if errors.Is(t.err, syscall.ECONNREFUSED) && r.cfg.Rates != nil {
+			r.cfg.Rates.Down(choice.Target.ID, time.Now())
+		}
 	}
 	if t.answer != nil {
 		r.answers = append(r.answers, t.answer)
--- a/lib/targetrate/cold.go
+++ b/lib/targetrate/cold.go
@@ -16,8 +16,9 @@
 	// the times that two requests take to reach a target.
 	boundWindow   = time.Second
 	arrivalSpread = 250 * time.Millisecond
-	// usableFraction is the fraction of the bound that hosts use. The rest covers hosts that differ in the members that they know.
-	usableFraction = 0.9
+	// usableFraction is the fraction of the bound that hosts use. The rest covers requests of hosts that have not heard of a restart under
+	// the same id yet, and hosts that differ in the members that they know.
+	usableFraction = 0.75
 	// memberTTL is how long a host that is no longer known counts as a member. It may be cut off and use its part still.
 	memberTTL = 10 * time.Minute
 	// absentTTL is how long a target without an entry is remembered, so that its entry is known to have come back.
@@ -238,6 +239,15 @@
 	return s != nil && left > 0 && l.begin(target, s, now.Add(min(left, maxColdTime)+endMargin), "answer", now)
 }
 
+// Down records that a target refused a connection: its process has ended, and it will be cold when it is back.
+func (l *Limits) Down(target string, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if s := l.cold.targets[target]; s != nil {
+		l.assume(target, s, "connection refused", now)
+	}
+}
+
 // Traffic records that requests are being sent, here or at another host: targets that start from now on may be cold.
 func (l *Limits) Traffic() {
 	l.mu.Lock()
