Evacuated zones and allowed regions

Cause: operators evacuate a zone with the key op/evacuate/ZONE, and routes and organisations state the regions that their requests may go to. Hosts knew neither.

Change: storewatch reads the keys, orders changes of a zone by the version of the store with its era, and hosts repeat evacuated zones in every state, and ended evacuations for 90 s, so that leaves know without a read of the store. A key that a restored store has lost counts for 30 s more. lib/balance/eligible.go leaves out targets by zone and region; requests without another target are refused at once with zones_evacuated or region_not_allowed. The placer sends no load orders into evacuated zones and plans as if their copies were gone. The targets of a zone that returns count as cold. Settings evacuate_within and zones. Settings with a map are compared on a reload.

--- a/lib/balance/balance.go
+++ b/lib/balance/balance.go
@@ -93,6 +93,7 @@
 	Wanted map[string]bool
 	// UsualRate is the requests a second for the model at this host, averaged over a longer time.
 	UsualRate float64
+	Regions   []string // in which a target must be; nil: any
 }
 
 // Connections states how many connections a host may have to a target.
@@ -135,6 +136,7 @@
 	random        *rand.Rand
 	hosts         int                    // guarded by mu; including this one
 	absent        map[string]absentPause // guarded by mu; pauses of targets that are not in the list, by target
+	eligibility   eligibility            // guarded by mu
 }
 
 // target is a target with its load, what its KV cache probably holds, and its health.
@@ -321,7 +323,7 @@
 }
 
 // Pick chooses the target of least cost and adds the request to its load. Errors: ErrNoTarget, ErrNoModel,
-// ErrNoAdapter, ErrBusy, ErrPaced, ErrPaused.
+// ErrNoAdapter, ErrBusy, ErrPaced, ErrPaused, ErrEvacuated, ErrRegion.
 func (b *Balancer) Pick(q Query, now time.Time) (*Choice, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -354,15 +356,20 @@
 
 // candidates returns the targets of the first rank that is not empty. A target in a pause, or to which this host may open no
 // further connection, or send no request within the target's rate, is left out. Errors: ErrNoTarget, ErrNoModel, ErrNoAdapter,
-// ErrBusy, ErrPaced, ErrPaused.
+// ErrBusy, ErrPaced, ErrPaused, ErrEvacuated, ErrRegion.
 func (b *Balancer) candidates(q Query, now time.Time) ([]*target, error) {
 	var byRank [ranks][]*target
 	var pausedUntil time.Time // the earliest
+	var ineligible error
 	err, pacedRate := ErrNoTarget, 0.0
 	for _, t := range b.targets {
 		if t.info.Service != q.Service || t.info.State != registry.Ready {
 			continue
 		}
+		if barred := b.eligibility.check(t, &q); barred != nil {
+			ineligible = mergeIneligible(ineligible, barred)
+			continue
+		}
 		if t.pause.active(now) {
 			if !b.couldServe(t, q, now) {
 				if err == ErrNoTarget {
@@ -409,6 +416,8 @@
 		return nil, &PacedError{pacedRate}
 	case (err == ErrNoTarget || err == ErrNoModel) && !pausedUntil.IsZero():
 		return nil, &PausedError{pausedUntil}
+	case err == ErrNoTarget && ineligible != nil:
+		return nil, ineligible
 	}
 	return nil, err
 }
--- /dev/null
+++ b/lib/balance/eligible_test.go
@@ -0,0 +1,58 @@
+package balance
+
+import (
+	"errors"
+	"testing"
+
+	"cuminhook.org/cuminhook/lib/passthrough"
+	"cuminhook.org/cuminhook/lib/registry"
+)
+
+// Guards against targets that are chosen although their zone is evacuated or their region is not allowed, and against a reason that
+// sends callers away although waiting helps.
+func TestIneligibleTargetsAreNotChosen(t *testing.T) {
+	for name, c := range map[string]struct {
+		evacuated []string
+		regions   []string
+		want      string // zones that are chosen
+		err       error
+	}{
+		"any":                          {nil, nil, "abcd", nil},
+		"one zone evacuated":           {[]string{"a"}, nil, "bcd", nil},
+		"all zones evacuated":          {[]string{"a", "b", "c", "d"}, nil, "", ErrEvacuated},
+		"one region":                   {nil, []string{"north"}, "ab", nil},
+		"zone without a region":        {nil, []string{"c"}, "c", nil},
+		"no target in the region":      {nil, []string{"west"}, "", ErrRegion},
+		"evacuated part of a region":   {[]string{"a"}, []string{"north"}, "b", nil},
+		"evacuated region":             {[]string{"a", "b"}, []string{"north"}, "", ErrEvacuated},
+		"name of a zone with a region": {nil, []string{"a"}, "", ErrRegion},
+	} {
+		b := newBalancer("a")
+		b.SetTargets(engines(8, registry.ResidentModel{Model: "m"}))
+		b.SetRegions(map[string]string{"a": "north", "b": "north"})
+		zones := map[string]bool{}
+		for _, zone := range c.evacuated {
+			zones[zone] = true
+		}
+		b.SetEvacuated(zones)
+		chosen := map[string]bool{}
+		for range 300 {
+			choice, err := b.Pick(Query{Service: "llm", Call: &passthrough.Call{Model: "m", PromptTokens: 3000}, Regions: c.regions}, now)
+			if !errors.Is(err, c.err) {
+				t.Fatalf("%s: %v", name, err)
+			}
+			if err == nil {
+				chosen[choice.Target.Zone] = true
+			}
+		}
+		got := ""
+		for _, zone := range "abcd" {
+			if chosen[string(zone)] {
+				got += string(zone)
+			}
+		}
+		if got != c.want {
+			t.Errorf("%s: zones %q, want %q", name, got, c.want)
+		}
+	}
+}
--- a/lib/catalog/catalog.go
+++ b/lib/catalog/catalog.go
@@ -50,6 +50,8 @@
 	MaxAttempts int           // number of targets that may run one request
 	Public      bool          // callers need no key
 	Resumable   bool          // a stream may resume at another target
+	// AllowedRegions are the regions whose targets may get the requests; empty: all.
+	AllowedRegions []string
 }
 
 // Repeatable reports whether a request may run on more than one target.
@@ -97,6 +99,24 @@
 	Rate        float64 // tokens per second over all hosts; zero: unlimited
 	Burst       float64 // capacity of the token bucket, in tokens
 	PlainTokens int64   // tokens charged for a request that states no token counts
+	// AllowedRegions are the regions whose targets may get the organisation's requests; empty: all.
+	AllowedRegions []string
+}
+
+// AllowedRegions returns the regions that both the route and the organisation, which may be nil, allow; nil: all. ok is false if they
+// have none in common.
+func AllowedRegions(r *Route, o *Organisation) (regions []string, ok bool) {
+	if len(r.AllowedRegions) > 0 {
+		regions = r.AllowedRegions
+	}
+	if o == nil || len(o.AllowedRegions) == 0 {
+		return regions, true
+	}
+	if regions == nil {
+		return o.AllowedRegions, true
+	}
+	regions = slices.DeleteFunc(slices.Clone(regions), func(region string) bool { return !slices.Contains(o.AllowedRegions, region) })
+	return regions, len(regions) > 0
 }
 
 // Content is the content of a catalog.
--- a/lib/entryhost/entryhost.go
+++ b/lib/entryhost/entryhost.go
@@ -112,6 +112,7 @@
 	catchingUp   atomic.Bool // a configuration is being read from a peer
 	targetsRead  atomic.Bool // a list of targets has been read
 	stopping     atomic.Bool
+	evacuated    atomic.Int64 // number of evacuated zones
 	stop         *stopping.Stop
 	settingsMu   sync.Mutex
 	current      Settings // guarded by settingsMu; Config.Settings with what was reloaded since
@@ -129,6 +130,8 @@
 		balancer: balance.New(s.Zone, conns, rates, newRandom()),
 		limiter:  orglimit.New(time.Now()), meter: workload.New(), retries: retry.NewBudget(s.RetryRatio, s.RetrySlack),
 	}
+	h.balancer.SetRegions(s.Zones)
+	cfg.Metrics.NewGauge("cuminhook_evacuated_zones", func() float64 { return float64(h.evacuated.Load()) })
 	h.cold = newColdRole(h)
 	h.role = newPlacementRole(h)
 	h.quarantine = newQuarantineRole(s.Host, cfg.Store, func() { h.peers.Relay() }, cfg.Log, cfg.Metrics)
@@ -151,7 +154,7 @@
 		},
 	}, cfg.Log)
 	h.storeWatcher = storewatch.New(cfg.Store, cfg.Codec, storewatch.Handlers{
-		OnCatalog: h.setCatalog, OnTargets: h.setTargets, OnHosts: h.peers.SetEntries, OnQuarantine: h.quarantine.restore,
+		OnCatalog: h.setCatalog, OnTargets: h.setTargets, OnHosts: h.peers.SetEntries, OnZones: h.setEvacuations, OnQuarantine: h.quarantine.restore,
 		OnRestored: h.quarantine.forgetAllStored, Announce: h.peers.Announce,
 	}, cfg.Log)
 	h.statements = &statements{h.storeWatcher, h.balancer, h.cold, cfg.Log, cfg.Metrics}
@@ -199,6 +202,14 @@
 	h.targetsRead.Store(true)
 }
 
+// setEvacuations applies a change of the zones that are evacuated. The targets of a zone that returns are limited before they are used.
+func (h *Host) setEvacuations(e storewatch.Evacuations) {
+	h.rates.ZonesReturned(e.Returned, time.Now())
+	h.balancer.SetEvacuated(e.Zones)
+	h.placer.SetEvacuated(e.Zones)
+	h.evacuated.Store(int64(len(e.Zones)))
+}
+
 func newRandom() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 
 // setFleet applies what is newly known of the fleet.
@@ -225,7 +236,7 @@
 
 // polling returns this host's part in polling the store.
 func (h *Host) polling(f peers.Fleet) storewatch.Polling {
-	within := min(h.cfg.Settings.DrainWithin, h.cfg.Settings.ConfigWithin)
+	within := min(h.cfg.Settings.DrainWithin, h.cfg.Settings.ConfigWithin, h.cfg.Settings.EvacuateWithin)
 	p := storewatch.Polling{
 		Poller: f.Poller, Pollers: f.Pollers, Window: within - announceTime - 2*(f.Spread-f.Interval)/3, Interval: meshPollInterval,
 	}
--- a/lib/entryhost/reload.go
+++ b/lib/entryhost/reload.go
@@ -38,7 +38,7 @@
 func changedKeys(a, b Settings) (keys []string) {
 	va, vb := reflect.ValueOf(a), reflect.ValueOf(b)
 	for i := range va.NumField() {
-		if va.Field(i).Interface() != vb.Field(i).Interface() {
+		if !reflect.DeepEqual(va.Field(i).Interface(), vb.Field(i).Interface()) {
 			keys = append(keys, va.Type().Field(i).Tag.Get("yaml"))
 		}
 	}
--- a/lib/entryhost/settings.go
+++ b/lib/entryhost/settings.go
@@ -22,6 +22,12 @@
 	DrainWithin  time.Duration `yaml:"drain_within"`
 	ConfigWithin time.Duration `yaml:"config_within"`
 
+	// EvacuateWithin is the time after the store's acknowledgement of an operator's request to evacuate a zone within which no target
+	// of the zone gets a request any more, on every host.
+	EvacuateWithin time.Duration `yaml:"evacuate_within"`
+	// Zones holds the region of each zone. A zone that is missing is a region of its own name.
+	Zones map[string]string `yaml:"zones"`
+
 	LinkMbps float64 `yaml:"link_mbps"` // rate of this host's network link in Mbit/s
 
 	RetryRatio float64 `yaml:"retry_ratio"` // retries allowed per request of a service, over all hosts
@@ -49,13 +55,15 @@
 // DefaultSettings returns the settings that apply where the file sets none.
 func DefaultSettings() Settings {
 	return Settings{
-		DrainWithin: 2 * time.Second, ConfigWithin: 2 * time.Second, LinkMbps: 100, RetryRatio: 0.1, RetrySlack: 10,
+		DrainWithin: 2 * time.Second, ConfigWithin: 2 * time.Second, EvacuateWithin: 5 * time.Second, LinkMbps: 100, RetryRatio: 0.1, RetrySlack: 10,
 		Placement: PlacementSettings{Lease: 3 * time.Second, LoadsOvershoot: 1},
 		Grace:     8 * time.Second, ColdOvershoot: 1,
 	}
 }
 
 const (
+	// minEvacuateWithin is announceTime and as much for a poll of the store.
+	minEvacuateWithin = 1600 * time.Millisecond
 	// defaultStopDelay is enough for a load balancer that checks once a second and stops sending after two failed checks.
 	defaultStopDelay = 2500 * time.Millisecond
 	// minServingGrace is the smallest fraction of the grace that the default leaves to requests after admission has ended.
@@ -85,6 +93,14 @@
 	if s.DrainWithin <= 0 || s.ConfigWithin <= 0 {
 		return fmt.Errorf("drain_within (%s) and config_within (%s) must be above 0", s.DrainWithin, s.ConfigWithin)
 	}
+	if s.EvacuateWithin < minEvacuateWithin {
+		return fmt.Errorf("evacuate_within (%s) must be %s or more, the time in which all hosts learn of a change", s.EvacuateWithin, minEvacuateWithin)
+	}
+	for zone, region := range s.Zones {
+		if zone == "" || region == "" {
+			return fmt.Errorf("zones: %q: %q must name a zone and its region; leave out zones that are regions of their own", zone, region)
+		}
+	}
 	if !(s.LinkMbps > 0) {
 		return fmt.Errorf("link_mbps (%v) must be above 0; set it to the rate of this host's link in Mbit/s", s.LinkMbps)
 	}
--- a/lib/entryhost/settings_test.go
+++ b/lib/entryhost/settings_test.go
@@ -1,6 +1,7 @@
 package entryhost
 
 import (
+	"maps"
 	"strings"
 	"testing"
 
@@ -38,6 +39,8 @@
 		{"retry_slack", "retry_slak", "retry_slak"},
 		{"retry_slack: 54", "cold_overshoot: 0.5", "cold_overshoot"},
 		{"retry_slack: 54", "cold_slack: -1", "cold_slack"},
+		{"retry_slack: 54", "evacuate_within: 1s", "evacuate_within"},
+		{"retry_slack: 54", "zones:\n  z1: \"\"", "zones"},
 		{"loads_overshoot: 1.1", "loads_overshoot: 0.5", "loads_overshoot"},
 	} {
 		s := DefaultSettings()
@@ -48,6 +51,18 @@
 	}
 }
 
+// Guards against a settings file that is refused because the platform states no zones, or whose zones are not read.
+func TestZonesOfTheSettings(t *testing.T) {
+	for text, want := range map[string]map[string]string{
+		"zones:\n\n": nil, "zones:\n  a: north\n  b: south\n\n": {"a": "north", "b": "south"},
+	} {
+		s := DefaultSettings()
+		if err := settings.Parse("entry.yaml", []byte(valid+text), &s); err != nil || !maps.Equal(s.Zones, want) {
+			t.Errorf("%q: %v, %v", text, s.Zones, err)
+		}
+	}
+}
+
 // Guards against settings that are accepted and then break a host.
 func FuzzSettings(f *testing.F) {
 	f.Add(valid)
--- a/lib/filter/relay/harness_test.go
+++ b/lib/filter/relay/harness_test.go
@@ -125,7 +125,10 @@
 	c := catalog.New(catalog.Content{Version: 1, Services: []*catalog.Service{{Name: "s"}}, Routes: []*catalog.Route{
 		route("/safe/", catalog.Idempotent, false), route("/unsafe/", catalog.NonIdempotent, false),
 		route("/stream/", catalog.Stream, false), route("/resumable/", catalog.Stream, true),
+		inRegion(route("/north/", catalog.Idempotent, false), "north"), inRegion(route("/northstream/", catalog.Stream, true), "north"),
+		inRegion(route("/nowhere/", catalog.Idempotent, false), "west"),
 	}})
+	r.balancer.SetRegions(map[string]string{"z": "north"})
 	r.balancer.SetCatalog(c)
 	var targets []*registry.Target
 	for addr := range scripts {
@@ -182,6 +185,12 @@
 	r.balancer.Pause(t.ID, t.Started, d, time.Now())
 }
 
+// inRegion returns the route with an allowed region.
+func inRegion(r *catalog.Route, region string) *catalog.Route {
+	r.AllowedRegions = []string{region}
+	return r
+}
+
 func zoneOf(addr string) string {
 	if strings.HasPrefix(addr, "far") {
 		return "other"
--- a/lib/filter/relay/relay.go
+++ b/lib/filter/relay/relay.go
@@ -39,6 +39,8 @@
 	minResponseTimeout = 300 * time.Millisecond
 	// busyRetryAfter is the Retry-After when targets exist but none took the request.
 	busyRetryAfter = 500 * time.Millisecond
+	// evacuatedRetryAfter is the Retry-After while the zones of all targets are evacuated, which lasts until the operator ends it.
+	evacuatedRetryAfter = 2 * time.Second
 	// retryAfterDivisor divides the caller's remaining time and so bounds Retry-After: a caller that waits longer would
 	// have too little time left for the retry.
 	retryAfterDivisor = 3
@@ -127,6 +129,10 @@
 		service: ex.Matched.PickService(f.cfg.Random()),
 		state:   attempt.State{Repeatable: ex.Matched.Repeatable(), MaxRuns: ex.Matched.MaxAttempts},
 	}
+	if err := r.findRegions(); err != nil {
+		cancel()
+		return err
+	}
 	f.cfg.Retries.RecordRequest(r.service)
 	if err := r.checkQuarantine(); err != nil {
 		cancel()
@@ -153,6 +159,7 @@
 	failedAnswer *try              // latest 5xx answer; passed on unless a later attempt succeeds
 	lastEventID  string            // id of the last event passed on
 	onSend       func()            // called before an attempt is sent; nil: none
+	regions      []string          // in which a target must be; nil: any
 	streaming    bool              // the answer is passed on as a stream: a further attempt has to continue it
 }
 
@@ -278,8 +285,13 @@
 // refuseNoTarget ends a request for which pick found no target.
 func (r *request) refuseNoTarget(err error) error {
 	reason, after := refusal.NoTarget, busyRetryAfter
-	if errors.Is(err, balance.ErrNoModel) {
+	switch {
+	case errors.Is(err, balance.ErrNoModel):
 		after = r.modelRetryAfter()
+	case errors.Is(err, balance.ErrEvacuated):
+		reason, after = refusal.ZonesEvacuated, evacuatedRetryAfter
+	case errors.Is(err, balance.ErrRegion):
+		reason, after = refusal.RegionNotAllowed, 0
 	}
 	if paced := (*balance.PacedError)(nil); errors.As(err, &paced) {
 		after = max(after, r.paced.drainTime(r.pacedQueue(), paced.PerSecond))
@@ -287,8 +299,9 @@
 	if r.state.MayHaveRun() {
 		reason = refusal.TargetFailed
 	}
+	r.countIneligible(reason)
 	r.cfg.Log.Info("no target", "request_id", r.ex.ID, "service", r.service, "model", r.call.Model,
-		"adapter", r.call.Adapter, "tried", len(r.tried), "reason", err.Error())
+		"adapter", r.call.Adapter, "tried", len(r.tried), "regions", r.regions, "reason", err.Error())
 	if paused := (*balance.PausedError)(nil); errors.As(err, &paused) {
 		return r.end(reason, r.pauseRetryAfter(paused))
 	}
--- a/lib/filter/relay/stream.go
+++ b/lib/filter/relay/stream.go
@@ -276,7 +276,7 @@
 	}
 	q := balance.Query{
 		Service: r.service, Call: r.call, Tried: r.tried, Wanted: map[string]bool{},
-		UsualRate: r.cfg.Demand.UsualRate(r.call.Model, time.Now()),
+		UsualRate: r.cfg.Demand.UsualRate(r.call.Model, time.Now()), Regions: r.regions,
 	}
 	choice, err := r.cfg.Balancer.Pick(q, time.Now())
 	if err != nil && again {
--- a/lib/placer/adapters.go
+++ b/lib/placer/adapters.go
@@ -80,7 +80,7 @@
 // targetWithAdapter returns the id of a target that has the adapter loaded, or "". The caller holds mu.
 func (p *Placer) targetWithAdapter(service, model, adapter string) string {
 	for id, t := range p.targets {
-		if t.synced && !t.suspect && t.info.State == registry.Ready && t.info.Service == service && t.serves(model, adapter) {
+		if t.synced && !t.suspect && !p.evacuated[t.info.Zone] && t.info.State == registry.Ready && t.info.Service == service && t.serves(model, adapter) {
 			return id
 		}
 	}
@@ -138,7 +138,7 @@
 	var victim adapterName
 	lowest, demand := 0.0, p.demand.Adapters
 	for _, t := range p.targets {
-		if !t.isOrderable(s) || !t.synced || t.busy || t.adapterOrderPending || !t.serves(model, "") || slices.Contains(tried, t) ||
+		if !t.isOrderable(s) || p.evacuated[t.info.Zone] || !t.synced || t.busy || t.adapterOrderPending || !t.serves(model, "") || slices.Contains(tried, t) ||
 			p.cfg.Paused(t.info.ID) {
 			continue
 		}
@@ -223,7 +223,7 @@
 	if !held {
 		return false, ErrInactive
 	}
-	if p.cfg.Paused(info.ID) {
+	if p.cfg.Paused(info.ID) || o.Op == orders.Load && !p.mayLoad(info) {
 		return false, orders.ErrPaused
 	}
 	o.Fence = epoch
--- a/lib/placer/models.go
+++ b/lib/placer/models.go
@@ -118,7 +118,7 @@
 		if !held {
 			return false, context.Canceled
 		}
-		if p.cfg.Paused(info.ID) {
+		if p.cfg.Paused(info.ID) || o.Op == orders.Load && !p.mayLoad(info) {
 			if retries == 0 {
 				return false, orders.ErrPaused
 			}
--- a/lib/placer/placer.go
+++ b/lib/placer/placer.go
@@ -77,6 +77,7 @@
 	demand       Demand                        // guarded by mu; as of the latest plan; not changed
 	adapterLoads map[string]chan struct{}      // guarded by mu; closed when a load ends; by service/model/adapter
 	publishing   bool                          // guarded by mu; publishSoon will publish
+	evacuated    map[string]bool               // guarded by mu; zones whose targets get no load orders, and count for no plan
 }
 
 // New returns a placer that does nothing until Run is called.
@@ -116,6 +117,20 @@
 	}
 }
 
+// SetEvacuated sets the zones whose targets get no load orders. Plans do not count the models that they have loaded.
+func (p *Placer) SetEvacuated(zones map[string]bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.evacuated = zones
+}
+
+// mayLoad reports whether the target may get load orders as far as its zone is concerned.
+func (p *Placer) mayLoad(t *registry.Target) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !p.evacuated[t.Zone]
+}
+
 // Residents returns the controller's epoch and what it knows to be resident, by target. ok is false on hosts that do not
 // hold the lease.
 func (p *Placer) Residents() (epoch int64, residents map[string]registry.Residency, ok bool) {
@@ -144,6 +159,9 @@
 	}
 	expected = map[string]time.Time{}
 	for _, t := range p.targets {
+		if p.evacuated[t.info.Zone] {
+			continue
+		}
 		for name, m := range t.models {
 			key := t.info.Service + "/" + name
 			if at, known := expected[key]; !m.readyBy.IsZero() && (!known || m.readyBy.Before(at)) {
@@ -167,7 +185,7 @@
 	}
 	for _, t := range p.targets {
 		for name, m := range t.models {
-			if m.ready && !m.unloading {
+			if m.ready && !m.unloading && !p.evacuated[t.info.Zone] {
 				delete(expected, t.info.Service+"/"+name)
 			}
 		}
@@ -322,7 +340,7 @@
 func (p *Placer) orderableTargets(s *catalog.Service) []*target {
 	var out []*target
 	for _, t := range p.targets {
-		if t.isOrderable(s) {
+		if t.isOrderable(s) && !p.evacuated[t.info.Zone] {
 			out = append(out, t)
 		}
 	}
--- a/lib/refusal/refusal.go
+++ b/lib/refusal/refusal.go
@@ -27,6 +27,8 @@
 	DeadlineUnreachable    Reason = "deadline_unreachable"
 	QueueFull              Reason = "queue_full"
 	NoTarget               Reason = "no_target"
+	ZonesEvacuated         Reason = "zones_evacuated"
+	RegionNotAllowed       Reason = "region_not_allowed"
 	TargetFailed           Reason = "target_failed"
 	TargetTimeout          Reason = "target_timeout"
 	StreamBroken           Reason = "stream_broken"
--- a/lib/storewatch/changes.go
+++ b/lib/storewatch/changes.go
@@ -16,10 +16,11 @@
 type TargetChanges struct {
 	Departures []registry.Departure `json:"d,omitempty"`
 	Arrivals   []*registry.Target   `json:"a,omitempty"`
+	Zones      []ZoneChange         `json:"z,omitempty"`
 }
 
 // Empty reports whether there are no changes.
-func (c TargetChanges) Empty() bool { return len(c.Departures)+len(c.Arrivals) == 0 }
+func (c TargetChanges) Empty() bool { return len(c.Departures)+len(c.Arrivals)+len(c.Zones) == 0 }
 
 // changeKey identifies one change of one incarnation of a target.
 type changeKey struct {
@@ -103,11 +104,13 @@
 	}
 }
 
-// TargetChanges returns the changes of the last changeTTL.
+// TargetChanges returns the changes of the last changeTTL, and the evacuated zones.
 func (w *Watcher) TargetChanges() TargetChanges {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.recentChanges(func(*recentChange) bool { return true })
+	out := w.recentChanges(func(*recentChange) bool { return true })
+	out.Zones = w.zoneChanges(func(*zone) bool { return true })
+	return out
 }
 
 // NewTargetChanges returns the changes of the last changeTTL that were not announced to the audience yet, and marks them as
@@ -115,11 +118,17 @@
 func (w *Watcher) NewTargetChanges(to Audience) TargetChanges {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.recentChanges(func(c *recentChange) bool {
+	out := w.recentChanges(func(c *recentChange) bool {
 		announced := c.announced[to]
 		c.announced[to] = true
 		return !announced
 	})
+	out.Zones = w.zoneChanges(func(z *zone) bool {
+		announced := z.announced[to]
+		z.announced[to] = true
+		return !announced
+	})
+	return out
 }
 
 // recentChanges returns the changes of the last changeTTL for which include returns true. The caller holds mu.
@@ -148,6 +157,8 @@
 	now := time.Now()
 	w.mu.Lock()
 	changed := false
+	zones := w.applyZoneChanges(c.Zones, fromLeaf)
+	announce = zones
 	for _, d := range c.Departures {
 		changed = w.targets.ApplyDeparture(d, now) || changed
 		kind := targetDraining
@@ -169,6 +180,9 @@
 		announce = w.recordReceived(changeKey{t.ID, t.Started, targetAdded}, recentChange{arrival: t}, fromLeaf) || announce
 	}
 	w.mu.Unlock()
+	if zones {
+		w.publishZones()
+	}
 	if changed {
 		w.publishTargets()
 	}
--- a/lib/storewatch/storewatch.go
+++ b/lib/storewatch/storewatch.go
@@ -61,6 +61,8 @@
 	ConfigKey() string
 	// TargetPrefix returns the key prefix of the targets' entries.
 	TargetPrefix() string
+	// EvacuationPrefix returns the key prefix of the operator's requests to evacuate a zone. The rest of the key is the zone.
+	EvacuationPrefix() string
 	// Config decodes the configuration.
 	Config(value []byte) (*catalog.Catalog, error)
 	// Target decodes the entry of a target. The id is its key without TargetPrefix.
@@ -81,6 +83,8 @@
 	OnCatalog func(*catalog.Catalog)   // a newer configuration was installed
 	OnTargets func([]*registry.Target) // the list of targets after a change
 	OnHosts   func(map[string][]byte)  // values of the hosts' entries, by host
+	// OnZones is called with the evacuated zones after a change, and before the first list of targets if there are any; may be nil.
+	OnZones func(Evacuations)
 	// OnQuarantine is called with segments that are in quarantine, those of a full read or one that was added; may be nil.
 	OnQuarantine func(segments []string)
 	// OnRestored is called when the store was restored from an older copy, before its entries are passed on; may be nil.
@@ -111,6 +115,9 @@
 	configValue    []byte                      // guarded by mu; configuration in force as it was read
 	configVersion  int64                       // guarded by mu; version of the configuration in force, -1 before the first
 	targets        *registry.Table             // guarded by mu
+	zones          map[string]*zone            // guarded by mu; whose evacuation was asked for or has ended
+	returnedZones  []string                    // guarded by mu; zones whose evacuation has ended since they were last published
+	publishedZones map[string]bool             // guarded by mu; evacuated zones as last published
 	hosts          map[string][]byte           // guarded by mu; values of the hosts' entries, by host
 	lastAnswer     time.Time                   // guarded by mu; when the store answered last
 	lastFailure    time.Time                   // guarded by mu; when a call failed last
@@ -126,7 +133,7 @@
 	return &Watcher{
 		feed: feed, codec: codec, handlers: handlers, log: log, configVersion: -1, targets: registry.NewTable(),
 		hosts: map[string][]byte{}, pollNow: make(chan struct{}, 1), started: time.Now(), pollPhase: rand.Float64(),
-		polling: Polling{Poller: true, Pollers: 1},
+		polling: Polling{Poller: true, Pollers: 1}, zones: map[string]*zone{},
 		changes: map[changeKey]*recentChange{}, seen: map[changeKey]time.Duration{}, invalidEntries: map[string]kv.Version{},
 		loggedStates: map[string]registry.State{},
 	}
@@ -204,7 +211,7 @@
 	}
 	w.recordAnswer()
 	w.reportRestored(snap.Revision.Era())
-	var targets, hosts []kv.Entry
+	var targets, hosts, zones []kv.Entry
 	var segments []string
 	for _, e := range snap.Entries {
 		switch {
@@ -212,6 +219,8 @@
 			w.installStoreConfig(e)
 		case strings.HasPrefix(e.Key, w.codec.TargetPrefix()):
 			targets = append(targets, e)
+		case strings.HasPrefix(e.Key, w.codec.EvacuationPrefix()):
+			zones = append(zones, e)
 		case strings.HasPrefix(e.Key, HostPrefix):
 			hosts = append(hosts, e)
 		case strings.HasPrefix(e.Key, QuarantinePrefix):
@@ -219,6 +228,7 @@
 		}
 	}
 	w.publishQuarantine(segments)
+	w.replaceZones(zones, snap.Revision)
 	w.replaceTargets(targets, snap.Revision)
 	w.replaceHosts(hosts)
 	return snap.Revision, nil
@@ -369,7 +379,7 @@
 
 // applyStoreChanges applies changes read from the store and calls the handlers.
 func (w *Watcher) applyStoreChanges(changes []kv.Change) {
-	var targets, hosts bool
+	var targets, hosts, zones bool
 	for _, c := range changes {
 		switch {
 		case c.Key == w.codec.ConfigKey():
@@ -378,6 +388,8 @@
 			}
 		case strings.HasPrefix(c.Key, w.codec.TargetPrefix()):
 			targets = w.applyTargetChange(c) || targets
+		case strings.HasPrefix(c.Key, w.codec.EvacuationPrefix()):
+			zones = w.applyZoneEntry(c) || zones
 		case strings.HasPrefix(c.Key, HostPrefix):
 			w.applyHostChange(c)
 			hosts = true
@@ -385,8 +397,13 @@
 			w.publishQuarantine([]string{strings.TrimPrefix(c.Key, QuarantinePrefix)})
 		}
 	}
+	if zones {
+		w.publishZones()
+	}
 	if targets {
 		w.publishTargets()
+	}
+	if zones || targets {
 		w.announceChanges()
 	}
 	if hosts {
--- a/lib/storewatch/storewatch_test.go
+++ b/lib/storewatch/storewatch_test.go
@@ -24,6 +24,8 @@
 func (textCodec) ConfigKey() string    { return "op/config" }
 func (textCodec) TargetPrefix() string { return "targets/" }
 
+func (textCodec) EvacuationPrefix() string { return "op/evacuate/" }
+
 func (textCodec) Config(value []byte) (*catalog.Catalog, error) {
 	version, err := strconv.ParseInt(string(value), 10, 64)
 	return catalog.New(catalog.Content{Version: version}), err
@@ -167,6 +169,9 @@
 	mu      sync.Mutex
 	version int64
 	targets map[string]registry.State
+
+	zones    map[string]bool
+	returned []string
 }
 
 // startPeers starts n watchers that exchange their changes in every period, as hosts do with their states, and returns
--- a/lib/storewatch/targets.go
+++ b/lib/storewatch/targets.go
@@ -121,6 +121,7 @@
 // expireTargets drops targets whose missing entries did not return in time. During an outage none is dropped.
 func (w *Watcher) expireTargets(ctx context.Context) {
 	for sleep.For(ctx, expireInterval) {
+		w.expireZones()
 		w.mu.Lock()
 		changed := !w.storeLost && w.targets.Expire(time.Now())
 		w.mu.Unlock()
--- a/lib/targetrate/cold.go
+++ b/lib/targetrate/cold.go
@@ -32,7 +32,7 @@
 	// maxColdTime bounds the time that a target states.
 	maxColdTime = 10 * time.Minute
 	// maxSilence is the time without a call of Contact after which the process was suspended.
-	maxSilence = 2 * time.Second
+	maxSilence = 3 * time.Second
 )
 
 // ColdBound is the bound on the requests that reach a cold target in any second: the service's rate times Overshoot, plus Slack.
@@ -40,7 +40,7 @@
 
 // cold is what is known of a target that may be cold.
 type cold struct {
-	service        string
+	service, zone  string
 	started, beat  int64 // of the latest entry
 	absentSince    time.Time
 	until          time.Time // end of the cold time that was stated
@@ -158,7 +158,7 @@
 	restarted := !isNew && s.started != t.Started
 	returned := !isNew && !restarted && !s.absentSince.IsZero()
 	newer := isNew || restarted || t.Beat > s.beat
-	s.service, s.started, s.beat, s.absentSince = t.Service, t.Started, t.Beat, time.Time{}
+	s.service, s.zone, s.started, s.beat, s.absentSince = t.Service, t.Zone, t.Started, t.Beat, time.Time{}
 	if !newer && !returned {
 		return
 	}
@@ -239,6 +239,17 @@
 	return s != nil && left > 0 && l.begin(target, s, now.Add(min(left, maxColdTime)+endMargin), "answer", now)
 }
 
+// ZonesReturned records that evacuations have ended. The targets of the zones count as cold, as they have had no requests.
+func (l *Limits) ZonesReturned(zones []string, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for id, s := range l.cold.targets {
+		if slices.Contains(zones, s.zone) {
+			l.assume(id, s, "zone returned", now)
+		}
+	}
+}
+
 // Down records that a target refused a connection: its process has ended, and it will be cold when it is back.
 func (l *Limits) Down(target string, now time.Time) {
 	l.mu.Lock()
