Cold times read from entries are announced at once; tests that notice each gate

Cause: a cold time that a poller read in the entry of a known incarnation reached the other hosts with the next states only. Trials that removed one gate each showed three that no test noticed: the regions of a stalled stream's next target, orders under way to an evacuated zone, and the average of a cold target whose bound is far above its rate.

Change: SetTargets reports such news, and the host announces it. Tests for the three.

--- a/lib/aggregate/coldtargets_test.go
+++ b/lib/aggregate/coldtargets_test.go
@@ -117,7 +117,15 @@
 			}
 		}
 	}
-	f := newColdFleet(20, 10, 0, 1) // no target of the service is cold
+	f := newColdFleet(20, 10, coldPerSecond, 1) // a bound far above the rate
+	for _, l := range f.hosts {
+		l.SetColdBound(targetrate.ColdBound{Slack: 50}, nil)
+		l.SetTargets(entry(1, 1, 5*coldTime), f.now)
+	}
+	if f.send(5*coldTime, 5); float64(len(f.arrivals)) > 1.7*coldPerSecond*5*coldTime.Seconds() {
+		t.Errorf("%d requests in %s", len(f.arrivals), 5*coldTime)
+	}
+	f = newColdFleet(20, 10, 0, 1) // no target of the service is cold
 	for _, l := range f.hosts {
 		l.SetTargets(entry(1, 1, coldTime), f.now)
 	}
--- a/lib/entryhost/cold.go
+++ b/lib/entryhost/cold.go
@@ -30,12 +30,17 @@
 // stated records how much longer the target is cold, as an answer of it states.
 func (r *coldRole) stated(t *registry.Target, left time.Duration) {
 	if r.host.rates.Cold(t.ID, left, time.Now()) {
-		r.news[storewatch.ToMesh].Store(true)
-		r.news[storewatch.ToLeaves].Store(true)
-		r.host.peers.Announce()
+		r.announce()
 	}
 }
 
+// announce has the cold times that targets stated sent to the other hosts at once.
+func (r *coldRole) announce() {
+	r.news[storewatch.ToMesh].Store(true)
+	r.news[storewatch.ToLeaves].Store(true)
+	r.host.peers.Announce()
+}
+
 // fill fills in what a full state tells of cold targets.
 func (r *coldRole) fill(s *peers.State, now time.Time) { s.Cold = r.host.rates.ColdStatements(now) }
 
--- a/lib/entryhost/entryhost.go
+++ b/lib/entryhost/entryhost.go
@@ -196,7 +196,9 @@
 		return t.Addr == s.Listen || t.Addr == s.Ready || t.Addr == s.Peers || t.Addr == s.Metrics
 	})
 	h.connections.SetTargets(list)
-	h.rates.SetTargets(list, time.Now())
+	if h.rates.SetTargets(list, time.Now()) {
+		h.cold.announce()
+	}
 	h.balancer.SetTargets(list)
 	h.placer.SetTargets(list)
 	h.targetsRead.Store(true)
--- a/lib/filter/relay/regions_test.go
+++ b/lib/filter/relay/regions_test.go
@@ -22,6 +22,12 @@
 		if a := r.call("POST", "/northstream/x", "stream"); a.err == nil || strings.Contains(r.requests(), "far") {
 			t.Errorf("%+v, requests %q", a, r.requests())
 		}
+		r.mu.Lock()
+		r.scripts["near"] = stallsInAChunk(event(1), event(2))
+		r.mu.Unlock()
+		if a := r.call("POST", "/northstream/x", "stalled"); a.err == nil || strings.Contains(r.requests(), "far") {
+			t.Errorf("%+v, requests %q", a, r.requests())
+		}
 		if a := r.call("GET", "/nowhere/x", "none"); a.status != 503 || strings.Contains(r.requests(), "none") || a.took > 50*time.Millisecond ||
 			!strings.Contains(a.body, "region_not_allowed") || !strings.Contains(a.body, "not_run") {
 			t.Errorf("no target in the region: %+v, requests %q", a, r.requests())
--- a/lib/placer/evacuation_test.go
+++ b/lib/placer/evacuation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -28,6 +29,12 @@
 	return c.fakeClient.Send(ctx, t, o)
 }
 
+func (c *loadCountingClient) setLate(fraction float64) {
+	c.fakeClient.mu.Lock()
+	defer c.fakeClient.mu.Unlock()
+	c.lateFraction = fraction
+}
+
 func (c *loadCountingClient) taken(id string) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -36,6 +43,16 @@
 	return n
 }
 
+// loaded reports whether the target has the models loaded, as far as the controller knows.
+func (h *candidate) loaded(id string, models ...string) bool {
+	_, residents, _ := h.Residents()
+	var have []string
+	for _, m := range residents[id].Models {
+		have = append(have, m.Model)
+	}
+	return !slices.ContainsFunc(models, func(model string) bool { return !slices.Contains(have, model) })
+}
+
 // Guards against models and adapters that are loaded in an evacuated zone, also by orders that got no answer before, and against models
 // whose copies are there only and that nobody loads elsewhere.
 func TestEvacuatedZoneGetsNoLoadOrders(t *testing.T) {
@@ -56,11 +73,26 @@
 		if a, b := client.taken("a"), client.taken("b"); a == 0 || b > 0 {
 			t.Errorf("%d load orders, %d in the evacuated zone", a, b)
 		}
-		h.SetEvacuated(map[string]bool{"zone-a": true}) // with orders under way, of which some got no answer
+		if got := h.loaded("a", "m0", "m1"); !got {
+			t.Error("a model in demand has no copy outside of the evacuated zone")
+		}
+		client.setLate(1)
+		h.setDemand(map[string]float64{"m0": 60, "m1": 60, "m2": 60, "m3": 60}, map[string]float64{"m0/a1": 5, "m0/a2": 5, "m0/a3": 5})
+		for i := 0; client.taken("a") == 0; i++ {
+			if time.Sleep(10 * time.Millisecond); i > 1000 {
+				t.Fatal("no load order")
+			}
+		}
+		h.SetEvacuated(map[string]bool{"zone-a": true}) // with an order under way that got no answer
+		time.Sleep(time.Second)
+		client.setLate(0)
 		time.Sleep(20 * time.Second)
 		if a, b := client.taken("a"), client.taken("b"); a > 0 || b == 0 {
 			t.Errorf("%d load orders in the evacuated zone, %d elsewhere", a, b)
 		}
+		if got := h.loaded("b", "m0", "m1"); !got {
+			t.Error("a model in demand has no copy outside of the evacuated zone")
+		}
 		h.SetEvacuated(nil)
 		time.Sleep(4 * time.Second)
 		h.cancel()
--- a/lib/targetrate/cold.go
+++ b/lib/targetrate/cold.go
@@ -122,13 +122,14 @@
 	}
 }
 
-// SetTargets installs the list of targets. Statements of targets that are not in it are dropped.
-func (l *Limits) SetTargets(list []*registry.Target, now time.Time) {
+// SetTargets installs the list of targets, and reports whether an entry states a cold time that is news for other hosts. Statements of
+// targets that are not in the list are dropped.
+func (l *Limits) SetTargets(list []*registry.Target, now time.Time) (changed bool) {
 	known := make(map[string]bool, len(list))
 	l.mu.Lock()
 	for _, t := range list {
 		known[t.ID] = true
-		l.setTarget(t, now)
+		changed = l.setTarget(t, now) || changed
 	}
 	for id, s := range l.cold.targets {
 		switch {
@@ -145,10 +146,11 @@
 	}
 	l.mu.Unlock()
 	l.Retain(func(id string) bool { return known[id] })
+	return changed
 }
 
-// setTarget applies the entry of a target. The caller holds mu.
-func (l *Limits) setTarget(t *registry.Target, now time.Time) {
+// setTarget applies the entry of a target, and reports whether it states a cold time that is news. The caller holds mu.
+func (l *Limits) setTarget(t *registry.Target, now time.Time) (changed bool) {
 	s := l.cold.targets[t.ID]
 	isNew := s == nil || s.started == 0 && s.service == ""
 	if s == nil {
@@ -160,11 +162,11 @@
 	newer := isNew || restarted || t.Beat > s.beat
 	s.service, s.zone, s.started, s.beat, s.absentSince = t.Service, t.Zone, t.Started, t.Beat, time.Time{}
 	if !newer && !returned {
-		return
+		return false
 	}
 	switch {
 	case t.Cold > 0:
-		l.begin(t.ID, s, now.Add(min(t.Cold, maxColdTime)+endMargin), "entry", now)
+		return l.begin(t.ID, s, now.Add(min(t.Cold, maxColdTime)+endMargin), "entry", now)
 	case returned:
 		l.assume(t.ID, s, "entry came back", now)
 	case (isNew && l.cold.listed || restarted) && !t.StatesCold:
@@ -172,6 +174,7 @@
 	case t.StatesCold && (restarted || t.Beat > s.assumedAtBeat):
 		s.assumedUntil = time.Time{}
 	}
+	return false
 }
 
 // terms returns the time for which targets of the service are cold after their start, and the rate that a cold one takes; zero: none
