--- a/lib/targetrate/cold.go
+++ b/lib/targetrate/cold.go
@@ -43,11 +43,9 @@
 	service, zone  string
 	started, beat  int64 // of the latest entry
 	absentSince    time.Time
-	until          time.Time // end of the cold time that was stated
-	assumedUntil   time.Time // end of the cold time that is assumed without news
-	assumedAtBeat  int64     // a later entry that states no cold time ends the assumption
-	since          time.Time
-	source         string
+	until          time.Time             // end of the cold time that was stated
+	assumedUntil   time.Time             // end of the cold time that is assumed without news
+	assumedAtBeat  int64                 // a later entry that states no cold time ends the assumption
 	limit          *catalog.Organisation // of the service, as last used; nil: none yet
 	sent           []sentRequest         // of the last boundWindow+arrivalSpread
 	part           int                   // requests that this host may send in that time
@@ -220,12 +218,11 @@
 	}
 }
 
-// report notes since when a target is cold, and who said so. The caller holds mu.
+// report reports that a target turns cold, and who said so. The caller holds mu.
 func (l *Limits) report(id string, s *cold, until time.Time, source string, now time.Time) {
 	if s.active(now) {
 		return
 	}
-	s.since, s.source = now, source
 	if coldTime, _ := l.terms(s.service); coldTime > 0 && l.cold.onChange != nil {
 		l.cold.onChange(ColdChange{Target: id, Source: source, Left: until.Sub(now)})
 	}
