Targets that refuse connections are expected to come back cold, on the evidence of two zones by all hosts

Cause: a target that restarts under its id is in the lists of hosts as ready until they have read its new entry, 0.2 to 2 s later. Their requests come on top of those that hosts with the news may send: in a trial in virtual time with 200 hosts that send 16 a second together, 15 reached the target in a second.

Change: hosts report refused connections for 2 s, by zone, and assume the strict case once hosts of two zones found one. The next entry of a known incarnation does not end that, as it may have been written before.

Measured: go test -count=1 ./lib/aggregate -run 'Cold|Restarts', three times, passes; TestTargetThatRestartsUnderItsIDGetsTheRequestsThatItTakes fails without the evidence of others (15 in a second), and with that of one zone alone. go test -race of targetrate, relay and entryhost passes, and go test ./platform -run 'HostFollowsEvac|Leaving|Pause'.

--- a/lib/aggregate/coldtargets_test.go
+++ b/lib/aggregate/coldtargets_test.go
@@ -26,6 +26,7 @@
 	hosts    []*targetrate.Limits
 	apart    map[*targetrate.Limits]bool // hosts that are cut off
 	arrivals []time.Duration             // of requests at the target, since the start
+	down     bool                        // the target refuses connections
 }
 
 func newColdFleet(groups, size int, perSecond float64, seed uint64) *coldFleet {
@@ -41,6 +42,7 @@
 		for i, l := range group {
 			self := fmt.Sprint(g, "-", i)
 			l.SetColdBound(targetrate.ColdBound{Overshoot: 1.5, Slack: 5}, nil)
+			l.SetZone(fmt.Sprint(g % 4))
 			l.SetCatalog(config)
 			l.SetMembers(self, slices.DeleteFunc(slices.Clone(names), func(name string) bool { return name == self }), f.now)
 			l.SetTargets(nil, f.now)
@@ -68,6 +70,11 @@
 				continue
 			}
 			l.Take("t", f.now)
+			if f.down {
+				l.Return("t")
+				l.Down("t", f.now)
+				continue
+			}
 			if f.apart[l] {
 				apart++
 			}
@@ -188,3 +195,41 @@
 		}
 	}
 }
+
+// Guards against a target that restarts under its id and gets the requests of hosts that have not heard of it yet, beside those of the
+// hosts that have, and against hosts that limit a target because one zone cannot reach it.
+func TestTargetThatRestartsUnderItsIDGetsTheRequestsThatItTakes(t *testing.T) {
+	for _, fleet := range []struct{ groups, size int }{{7, 1}, {16, 5}, {20, 10}} {
+		for seed := range uint64(5) {
+			f := newColdFleet(fleet.groups, fleet.size, coldPerSecond, seed)
+			perHost := 16 / float64(len(f.hosts))
+			for _, l := range f.hosts {
+				l.SetTargets(entry(1, 9, 0), f.now)
+			}
+			f.send(2*time.Second, perHost)
+			f.arrivals, f.down = nil, true
+			f.send(1500*time.Millisecond, perHost)
+			f.down = false
+			for _, host := range f.random.Perm(len(f.hosts)) { // they read the entry or are told within two seconds
+				f.send(2*time.Second/time.Duration(len(f.hosts))/step*step, perHost)
+				f.hosts[host].SetTargets(entry(2, 1, coldTime), f.now)
+			}
+			if f.send(coldTime-2*time.Second, perHost); float64(f.most()) > coldBound {
+				t.Errorf("%+v, seed %d: %d requests in a second", fleet, seed, f.most())
+			}
+		}
+	}
+	f := newColdFleet(16, 5, coldPerSecond, 1)
+	for i, l := range f.hosts {
+		l.SetTargets(entry(1, 9, 0), f.now)
+		if i < 5 { // the hosts of one group, and so of one zone
+			l.Down("t", f.now)
+		}
+	}
+	f.send(time.Second, 0)
+	for i, l := range f.hosts {
+		if i >= 5 && l.ColdTargets(f.now) > 0 {
+			t.Fatalf("host %d limits a target that hosts of another zone cannot reach", i)
+		}
+	}
+}
--- a/lib/entryhost/cold.go
+++ b/lib/entryhost/cold.go
@@ -19,6 +19,7 @@
 func newColdRole(h *Host) *coldRole {
 	r := &coldRole{host: h}
 	s := h.cfg.Settings
+	h.rates.SetZone(s.Zone)
 	h.rates.SetColdBound(targetrate.ColdBound{Overshoot: s.ColdOvershoot, Slack: s.ColdSlack}, func(c targetrate.ColdChange) {
 		h.cfg.Metrics.GetOrCreateCounter("cuminhook_cold_targets_total").Inc()
 		h.log.Info("target cold", "target", c.Target, "source", c.Source, "left_s", c.Left.Seconds())
@@ -34,6 +35,13 @@
 	}
 }
 
+// down records that a target refused a connection.
+func (r *coldRole) down(t *registry.Target) {
+	if r.host.rates.Down(t.ID, time.Now()) {
+		r.announce()
+	}
+}
+
 // announce has the cold times that targets stated sent to the other hosts at once.
 func (r *coldRole) announce() {
 	r.news[storewatch.ToMesh].Store(true)
--- a/lib/entryhost/statements.go
+++ b/lib/entryhost/statements.go
@@ -46,6 +46,9 @@
 // Cold implements relay.Statements.
 func (s *statements) Cold(t *registry.Target, left time.Duration) { s.cold.stated(t, left) }
 
+// Down implements relay.Statements.
+func (s *statements) Down(t *registry.Target) { s.cold.down(t) }
+
 // ofOrders records what a target states in answers to orders.
 func (s *statements) ofOrders(t *registry.Target, stated orders.Stated) {
 	if stated.Leaving {
--- a/lib/filter/relay/harness_test.go
+++ b/lib/filter/relay/harness_test.go
@@ -180,6 +180,9 @@
 // Cold implements Statements.
 func (r *harness) Cold(*registry.Target, time.Duration) {}
 
+// Down implements Statements.
+func (r *harness) Down(*registry.Target) {}
+
 // Pause implements Statements.
 func (r *harness) Pause(t *registry.Target, d time.Duration, _ string) {
 	r.balancer.Pause(t.ID, t.Started, d, time.Now())
--- a/lib/filter/relay/relay.go
+++ b/lib/filter/relay/relay.go
@@ -65,6 +65,8 @@
 	Pause(t *registry.Target, d time.Duration, requestID string)
 	// Cold records how much longer the target is cold.
 	Cold(t *registry.Target, left time.Duration)
+	// Down records that the target refused a connection: no process listens at its address.
+	Down(t *registry.Target)
 }
 
 // Config are the settings of the filter.
@@ -354,8 +356,8 @@
 	})
 	if t.outcome == forward.NotSent {
 		choice.Unsent()
-		if errors.Is(t.err, syscall.ECONNREFUSED) && r.cfg.Rates != nil {
-			r.cfg.Rates.Down(choice.Target.ID, time.Now())
+		if errors.Is(t.err, syscall.ECONNREFUSED) && r.cfg.Statements != nil {
+			r.cfg.Statements.Down(choice.Target)
 		}
 	}
 	if t.answer != nil {
--- a/lib/targetrate/cold.go
+++ b/lib/targetrate/cold.go
@@ -29,6 +29,10 @@
 	// endMargin is added to the end of a cold time, so that requests of the last moments do not reach the target in the second of those
 	// that all hosts send when it has ended.
 	endMargin = 250 * time.Millisecond
+	// refusalTTL is how long hosts report that a target refused a connection, and minRefusalZones the number of zones whose hosts have to
+	// find that before the others assume that its process has ended: a zone may be cut off from targets that are well.
+	refusalTTL      = 2 * time.Second
+	minRefusalZones = 2
 	// maxColdTime bounds the time that a target states.
 	maxColdTime = 10 * time.Minute
 	// maxSilence is the time without a call of Contact after which the process was suspended.
@@ -46,6 +50,7 @@
 	until          time.Time             // end of the cold time that was stated
 	assumedUntil   time.Time             // end of the cold time that is assumed without news
 	assumedAtBeat  int64                 // a later entry that states no cold time ends the assumption
+	refused        map[string]time.Time  // when the target last refused a connection to a host, by the zone of the host
 	limit          *catalog.Organisation // of the service, as last used; nil: none yet
 	sent           []sentRequest         // of the last boundWindow+arrivalSpread
 	part           int                   // requests that this host may send in that time
@@ -67,7 +72,7 @@
 	targets    map[string]*cold
 	listed     bool // a list of targets was installed
 	traffic    bool // requests have been sent, here or at another host
-	self       string
+	self, zone string
 	members    map[string]time.Time // when last known; the zero time: known now
 	generation int                  // of members
 	contact    bool                 // with the store or a peer, at the latest call of Contact
@@ -84,7 +89,9 @@
 // ColdStatement is the cold time that a target stated, as hosts report it to each other.
 type ColdStatement struct {
 	Started int64 `json:"s,omitempty"` // of the incarnation
-	LeftMS  int64 `json:"l"`
+	LeftMS  int64 `json:"l,omitempty"` // zero: it stated none
+	// RefusedMS is the time since the target refused a connection to a host, by the host's zone.
+	RefusedMS map[string]int64 `json:"r,omitempty"`
 }
 
 // SetColdBound sets the bound for cold targets, and a function that is called when a target becomes cold for this host; it may be nil.
@@ -94,6 +101,13 @@
 	l.cold.bound, l.cold.onChange = bound, onChange
 }
 
+// SetZone sets the zone of this host.
+func (l *Limits) SetZone(zone string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.cold.zone = zone
+}
+
 // SetCatalog installs a new configuration.
 func (l *Limits) SetCatalog(c *catalog.Catalog) {
 	l.mu.Lock()
@@ -201,14 +215,21 @@
 
 // assume records that a target counts as cold without news. Before traffic starts none does. The caller holds mu.
 func (l *Limits) assume(id string, s *cold, source string, now time.Time) {
+	l.assumeSince(id, s, source, now, now)
+}
+
+// assumeSince is assume for news that are of an earlier time. It reports whether the target counts as cold for longer. The caller holds
+// mu.
+func (l *Limits) assumeSince(id string, s *cold, source string, at, now time.Time) (changed bool) {
 	coldTime, _ := l.terms(s.service)
-	if coldTime == 0 || !l.cold.traffic {
-		return
+	until := at.Add(coldTime)
+	if coldTime == 0 || !l.cold.traffic || !until.After(s.assumedUntil) || !until.After(now) {
+		return false
 	}
-	until := now.Add(coldTime)
 	l.report(id, s, until, source, now)
 	s.assumedUntil, s.assumedAtBeat = until, s.beat
 	l.countOthers(id, now)
+	return true
 }
 
 // countOthers has what other hosts send to a cold target count from now on. The caller holds mu.
@@ -250,13 +271,62 @@
 	}
 }
 
-// Down records that a target refused a connection: its process has ended, and it will be cold when it is back.
-func (l *Limits) Down(target string, now time.Time) {
+// Down records that a target refused a connection: its process has ended, and it will be cold when it is back. It reports whether that is
+// news for other hosts.
+func (l *Limits) Down(target string, now time.Time) (changed bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if s := l.cold.targets[target]; s != nil {
-		l.assume(target, s, "connection refused", now)
+	s := l.cold.targets[target]
+	if s == nil {
+		return false
+	}
+	if coldTime, _ := l.terms(s.service); coldTime == 0 {
+		return false
+	}
+	l.assumeDown(target, s, "connection refused", now, now)
+	return s.noteRefusal(l.cold.zone, now, now)
+}
+
+// assumeDown records that a target counts as cold because it refused a connection. The next entry may have been written before. The
+// caller holds mu.
+func (l *Limits) assumeDown(id string, s *cold, source string, at, now time.Time) {
+	if l.assumeSince(id, s, source, at, now) {
+		s.assumedAtBeat = s.beat + 1
+	}
+}
+
+// noteRefusal notes a refused connection to a host in the zone, and reports whether none was known there within refusalTTL.
+func (s *cold) noteRefusal(zone string, at, now time.Time) (changed bool) {
+	if s.refused == nil {
+		s.refused = map[string]time.Time{}
+	}
+	changed = now.Sub(s.refused[zone]) > refusalTTL
+	if at.After(s.refused[zone]) {
+		s.refused[zone] = at
+	}
+	return changed
+}
+
+// mergeRefusals applies what another host reports of refused connections, and reports whether there is news. The caller holds mu.
+func (l *Limits) mergeRefusals(id string, s *cold, refusedMS map[string]int64, now time.Time) (changed bool) {
+	for zone, ms := range refusedMS {
+		if at := now.Add(-time.Duration(ms) * time.Millisecond); now.Sub(at) <= refusalTTL {
+			changed = s.noteRefusal(zone, at, now) || changed
+		}
+	}
+	fresh, latest := 0, time.Time{}
+	for _, at := range s.refused {
+		if now.Sub(at) > refusalTTL {
+			continue
+		}
+		if fresh++; at.After(latest) {
+			latest = at
+		}
 	}
+	if fresh >= minRefusalZones {
+		l.assumeDown(id, s, "connections refused in several zones", latest, now)
+	}
+	return changed
 }
 
 // Traffic records that requests are being sent, here or at another host: targets that start from now on may be cold.
@@ -291,24 +361,33 @@
 	}
 }
 
-// ColdStatements returns the cold times that targets stated, for other hosts.
+// ColdStatements returns the cold times that targets stated, and which targets refused connections, for other hosts.
 func (l *Limits) ColdStatements(now time.Time) map[string]ColdStatement {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var out map[string]ColdStatement
 	for id, s := range l.cold.targets {
-		if !now.Before(s.until) {
+		stated := ColdStatement{Started: s.started, LeftMS: max(0, s.until.Sub(now).Milliseconds())}
+		for zone, at := range s.refused {
+			if age := now.Sub(at); age <= refusalTTL {
+				if stated.RefusedMS == nil {
+					stated.RefusedMS = map[string]int64{}
+				}
+				stated.RefusedMS[zone] = age.Milliseconds()
+			}
+		}
+		if stated.LeftMS == 0 && stated.RefusedMS == nil {
 			continue
 		}
 		if out == nil {
 			out = map[string]ColdStatement{}
 		}
-		out[id] = ColdStatement{s.started, s.until.Sub(now).Milliseconds()}
+		out[id] = stated
 	}
 	return out
 }
 
-// MergeCold applies the cold times that another host reports, and reports whether there is news.
+// MergeCold applies what another host reports of cold targets, and reports whether there is news.
 func (l *Limits) MergeCold(r map[string]ColdStatement, source string, now time.Time) (changed bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -318,7 +397,11 @@
 			s = &cold{}
 			l.cold.targets[id] = s
 		}
-		if stated.Started >= s.started {
+		if stated.Started < s.started {
+			continue
+		}
+		changed = l.mergeRefusals(id, s, stated.RefusedMS, now) || changed
+		if stated.LeftMS > 0 {
 			left := min(time.Duration(stated.LeftMS)*time.Millisecond, maxColdTime+endMargin)
 			changed = l.begin(id, s, now.Add(left), source, now) || changed
 		}
--- a/lib/targetrate/cold_test.go
+++ b/lib/targetrate/cold_test.go
@@ -39,6 +39,11 @@
 	h.SetTargets([]*registry.Target{{ID: "t", Service: "s", Started: started, Beat: beat, Cold: cold, StatesCold: states}}, h.now)
 }
 
+// refused has another host report that the target refused a connection to a host in the zone.
+func (h *coldHost) refused(target, zone string, age time.Duration) {
+	h.MergeCold(map[string]ColdStatement{target: {Started: 1, RefusedMS: map[string]int64{zone: age.Milliseconds()}}}, "x", h.now)
+}
+
 func (h *coldHost) isCold() bool { return !h.Available("t", h.now) }
 
 // after lets time pass in which the host has contact.
@@ -66,14 +71,19 @@
 			h.after(200 * time.Millisecond)
 			h.entry(1, 6, 0, true)
 		}, true},
-		"answer":                               {func(h *coldHost) { h.Cold("t", time.Second, h.now) }, true},
-		"report":                               {func(h *coldHost) { h.MergeCold(map[string]ColdStatement{"t": {1, 1000}}, "x", h.now) }, true},
-		"report of an incarnation before":      {func(h *coldHost) { h.MergeCold(map[string]ColdStatement{"t": {0, 1000}}, "x", h.now) }, false},
-		"connection refused":                   {func(h *coldHost) { h.Down("t", h.now) }, true},
-		"contact lost and regained":            {func(h *coldHost) { h.Contact(false, h.now); h.Contact(true, h.now) }, true},
-		"entries read after a loss of contact": {func(h *coldHost) { h.Contact(false, h.now); h.entry(1, 9, 0, true) }, true},
-		"suspension":                           {func(h *coldHost) { h.now = h.now.Add(maxSilence + 1) }, true},
-		"contact all the time":                 {func(h *coldHost) { h.after(testColdTime) }, false},
+		"answer":                                   {func(h *coldHost) { h.Cold("t", time.Second, h.now) }, true},
+		"report":                                   {func(h *coldHost) { h.MergeCold(map[string]ColdStatement{"t": {Started: 1, LeftMS: 1000}}, "x", h.now) }, true},
+		"report of an incarnation before":          {func(h *coldHost) { h.MergeCold(map[string]ColdStatement{"t": {LeftMS: 1000}}, "x", h.now) }, false},
+		"refused in another zone":                  {func(h *coldHost) { h.refused("t", "x", 0) }, false},
+		"refused in two zones":                     {func(h *coldHost) { h.refused("t", "x", 0); h.refused("t", "y", time.Second) }, true},
+		"refused there before":                     {func(h *coldHost) { h.refused("t", "x", 0); h.refused("t", "y", 2*refusalTTL) }, false},
+		"refused, and an entry that was under way": {func(h *coldHost) { h.Down("t", h.now); h.entry(1, 6, 0, true) }, true},
+		"refused, and later entries":               {func(h *coldHost) { h.Down("t", h.now); h.entry(1, 6, 0, true); h.entry(1, 7, 0, true) }, false},
+		"connection refused":                       {func(h *coldHost) { h.Down("t", h.now) }, true},
+		"contact lost and regained":                {func(h *coldHost) { h.Contact(false, h.now); h.Contact(true, h.now) }, true},
+		"entries read after a loss of contact":     {func(h *coldHost) { h.Contact(false, h.now); h.entry(1, 9, 0, true) }, true},
+		"suspension":                               {func(h *coldHost) { h.now = h.now.Add(maxSilence + 1) }, true},
+		"contact all the time":                     {func(h *coldHost) { h.after(testColdTime) }, false},
 	} {
 		h := newColdHost(t)
 		h.entry(1, 4, 0, false) // before traffic starts
