Cold targets: passed-on entries age, and what ended cold targets got is no longer reported

Cause: an entry that hosts pass on for 3 s stated the cold time as of its writing at each of them, and the host that heard it last put off the end for all. What each target that was ever cold got stayed in every state until the target left.

Change: registry.Target.Aged, applied where changes are sent; the buckets are dropped 5 s after the end.

--- a/lib/registry/registry.go
+++ b/lib/registry/registry.go
@@ -69,6 +69,16 @@
 	return t.Beat >= old.Beat && (old.State != Draining || t.State == Draining)
 }
 
+// Aged returns the target as its entry describes it some time after it was read: it is cold for less.
+func (t *Target) Aged(d time.Duration) *Target {
+	if t.Cold <= 0 {
+		return t
+	}
+	out := *t
+	out.Cold = max(0, t.Cold-d)
+	return &out
+}
+
 // Departure reports that an incarnation of a target drains or was removed.
 type Departure struct {
 	ID      string `json:"i"`
--- a/lib/registry/registry_test.go
+++ b/lib/registry/registry_test.go
@@ -31,6 +31,17 @@
 	}
 }
 
+// Guards against a cold time that begins anew at each host that is told of the target.
+func TestColdTimeOfAPassedOnEntryPasses(t *testing.T) {
+	entry := &Target{ID: "a", Cold: 3 * time.Second, StatesCold: true}
+	if a := entry.Aged(time.Second); a.Cold != 2*time.Second || entry.Cold != 3*time.Second {
+		t.Errorf("%s after a second, %s kept", a.Cold, entry.Cold)
+	}
+	if a := entry.Aged(4 * time.Second); a.Cold != 0 || !a.StatesCold {
+		t.Errorf("%+v after its time", a)
+	}
+}
+
 // Guards against a target that left during an outage of the store and is in use again because another host, which has read
 // less, announces its entry.
 func TestTargetThatExpiredAfterAnOutageStaysGone(t *testing.T) {
--- a/lib/storewatch/changes.go
+++ b/lib/storewatch/changes.go
@@ -140,7 +140,7 @@
 			delete(w.changes, key)
 		case !include(item):
 		case item.arrival != nil:
-			out.Arrivals = append(out.Arrivals, item.arrival)
+			out.Arrivals = append(out.Arrivals, item.arrival.Aged(now-item.observedAt))
 		default:
 			out.Departures = append(out.Departures, item.departure)
 		}
--- a/lib/targetrate/cold.go
+++ b/lib/targetrate/cold.go
@@ -21,6 +21,8 @@
 	usableFraction = 0.75
 	// memberTTL is how long a host that is no longer known counts as a member. It may be cut off and use its part still.
 	memberTTL = 10 * time.Minute
+	// reportedTTL is how long after the end of a cold time what was sent to the target is reported. It covers several states.
+	reportedTTL = 5 * time.Second
 	// absentTTL is how long a target without an entry is remembered, so that its entry is known to have come back.
 	absentTTL = time.Hour
 	// sameEnd is the difference up to which two ends are taken for that of one statement. The time of transit adds to the end at each
@@ -441,6 +443,22 @@
 	return s.limit
 }
 
+// dropEnded forgets what was sent to targets whose cold time has ended, so that hosts no longer report it.
+func (l *Limits) dropEnded(now time.Time) {
+	l.mu.Lock()
+	ended := map[string]bool{}
+	for id, s := range l.cold.targets {
+		if s.limit != nil && !s.active(now.Add(-reportedTTL)) {
+			s.limit = nil
+			ended[id] = l.stated[id].limit == nil
+		}
+	}
+	l.mu.Unlock()
+	if len(ended) > 0 {
+		l.limiter.Retain(func(id string) bool { return !ended[id] })
+	}
+}
+
 // coldPart returns how many requests this host may send to a cold target in boundWindow+arrivalSpread. All hosts divide the bound in the
 // same order, so that they need not hear of each other's requests; with more hosts than requests, most may send none. The caller
 // holds mu.
--- a/lib/targetrate/cold_test.go
+++ b/lib/targetrate/cold_test.go
@@ -120,6 +120,27 @@
 	}
 }
 
+// Guards against states that grow with each target that was cold once.
+func TestWhatColdTargetsGotIsReportedForATime(t *testing.T) {
+	h := newColdHost(t)
+	h.Traffic()
+	h.entry(1, 1, time.Second, true)
+	h.Take("t", h.now)
+	if u := h.Usage(h.now); u["t"].Charged != tokensPerRequest {
+		t.Errorf("reported %+v", u)
+	}
+	if h.after(time.Second + reportedTTL/2); len(h.Usage(h.now)) == 0 {
+		t.Error("nothing is reported right after the end")
+	}
+	if h.after(reportedTTL); len(h.Usage(h.now)) > 0 {
+		t.Errorf("still reported: %+v", h.Usage(h.now))
+	}
+	h.Return("t")
+	if h.entry(1, 2, time.Second, true); !h.isCold() {
+		t.Error("not cold again")
+	}
+}
+
 // Guards against a statement that two hosts put off for ever by passing it on to each other.
 func TestPassedOnColdTimeEnds(t *testing.T) {
 	a, b := newColdHost(t), newColdHost(t)
--- a/lib/targetrate/targetrate.go
+++ b/lib/targetrate/targetrate.go
@@ -187,7 +187,10 @@
 }
 
 // Usage returns what this host has sent to targets with a limit, for other hosts.
-func (l *Limits) Usage(now time.Time) orglimit.Report { return l.limiter.Report(now) }
+func (l *Limits) Usage(now time.Time) orglimit.Report {
+	l.dropEnded(now)
+	return l.limiter.Report(now)
+}
 
 // ApplyUsage applies the usage that a peer reports, which covers a number of hosts. The boot id distinguishes the peer's starts.
 func (l *Limits) ApplyUsage(host string, boot uint64, hosts int, r orglimit.Report, now time.Time) {
