--- a/lib/targetrate/cold.go
+++ b/lib/targetrate/cold.go
@@ -41,7 +41,8 @@
 	maxSilence = 3 * time.Second
 )
 
-// ColdBound is the bound on the requests that reach a cold target in any second: the service's rate times Overshoot, plus Slack.
+// ColdBound is the bound on the requests that reach a cold target in any second: the service's rate times Overshoot, plus Slack. An
+// Overshoot of zero stands for 1.
 type ColdBound struct{ Overshoot, Slack float64 }
 
 // cold is what is known of a target that may be cold.
@@ -465,7 +466,7 @@
 func (l *Limits) coldPart(target string, s *cold) int {
 	c := &l.cold
 	_, perSecond := l.terms(s.service)
-	bound := perSecond*max(1, c.bound.Overshoot) + max(0, c.bound.Slack)
+	bound := perSecond*cmp.Or(c.bound.Overshoot, 1) + c.bound.Slack
 	usable := max(min(int(bound), 1), int(usableFraction*bound))
 	if s.partGeneration != c.generation || s.partOf != usable {
 		hosts, before, own := 1, 0, xxhash.Sum64String(target+"/"+c.self)
