Requests wait for busy targets and leave silent ones only for a target with room

Cause: an idempotent request or resumable stream without an answer was cancelled after three times its objective, whether its target was silent or only full, and also where nothing could follow: the last attempt that the route allows, no credit for a retry, no other target. Such requests ended with 502 although they would have been answered.

Change: balance.Choice.Silent tells a silent target from a busy one. A target that has answered this host lately is alive, and so is one that is full while the load that other hosts report there falls. Suspects of peers, a miss of this host, an entry that is gone, and a wait that the load doesn't explain count against it.

--- a/lib/balance/balance.go
+++ b/lib/balance/balance.go
@@ -133,8 +133,9 @@
 	latencyRatios map[string]float64            // guarded by mu; by model: observed over expected time to the first event
 	catalog       *catalog.Catalog
 	random        *rand.Rand
-	hosts         int                    // guarded by mu; including this one
-	absent        map[string]absentPause // guarded by mu; pauses of targets that are not in the list, by target
+	hosts         int                       // guarded by mu; including this one
+	absent        map[string]absentPause    // guarded by mu; pauses of targets that are not in the list, by target
+	peerSuspects  map[string]map[string]int // guarded by mu; hosts that find a target unresponsive, by host that reports them and target
 }
 
 // target is a target with its load, what its KV cache probably holds, and its health.
@@ -148,6 +149,7 @@
 	prefixCache    segmentCache
 	health         health
 	pause          pause
+	hearing        hearing
 }
 
 // New returns a balancer for a host in the zone. random breaks ties between targets of about the same cost. Without
@@ -251,10 +253,12 @@
 // sumPeerLoads recomputes the load of all other hosts at each target; the caller holds mu.
 func (b *Balancer) sumPeerLoads() {
 	for id, t := range b.targets {
+		before := t.peers
 		t.peers = Load{}
 		for _, loads := range b.peers {
 			t.peers.add(loads[id], 1)
 		}
+		t.hearing.recordPeers(before, t.peers)
 	}
 }
 
@@ -491,5 +495,6 @@
 	}
 	return &Choice{
 		Target: t.info, balancer: b, picked: t, load: load, model: model, pickedAt: now, returnStep: t.pause.send(now),
+		progress: t.hearing.progress, progressAt: now,
 	}
 }
--- a/lib/balance/choice.go
+++ b/lib/balance/choice.go
@@ -17,8 +17,11 @@
 	load               Load
 	model              string
 	pickedAt           time.Time
-	prefillReleased    bool // the prefill tokens of the load are released
-	returnStep         int  // step of the return from a pause to which the request counts until the target serves it; zero: none
+	prefillReleased    bool      // the prefill tokens of the load are released
+	progress           uint64    // of the target's hearing at progressAt
+	progressAt         time.Time // when progress at the requests of other hosts was last seen
+	overdue            bool      // Overdue was called
+	returnStep         int       // step of the return from a pause to which the request counts until the target serves it; zero: none
 }
 
 // FirstEvent records the first event of the answer: the prompt is prefilled, and the observed time corrects the model's
@@ -28,6 +31,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	c.endReturn(true)
+	c.picked.heard(now)
 	if c.prefillReleased {
 		return
 	}
@@ -66,6 +70,7 @@
 	defer c.balancer.mu.Unlock()
 	c.endReturn(true)
 	c.releaseLoad()
+	c.picked.heard(now)
 	c.picked.health.answered(failed, now)
 }
 
@@ -74,6 +79,7 @@
 	c.balancer.mu.Lock()
 	defer c.balancer.mu.Unlock()
 	c.releaseLoad()
+	c.picked.heard(now)
 	c.picked.health.rejected(now)
 }
 
@@ -94,6 +100,7 @@
 	if adapter != "" {
 		name += "/" + adapter
 	}
+	c.picked.heard(now)
 	c.picked.missing[name] = now.Add(missingModelTTL)
 }
 
--- a/lib/entryhost/entryhost.go
+++ b/lib/entryhost/entryhost.go
@@ -279,6 +279,7 @@
 		h.limiter.ApplyReport(s.Host, s.Boot, s.Hosts, s.Demand, now)
 		h.rates.ApplyUsage(s.Host, s.Boot, s.Hosts, s.TargetDemand, now)
 		h.balancer.SetPeerLoads(s.Host, s.Loads)
+		h.balancer.SetSuspects(s.Host, s.Suspects)
 		h.quarantine.detector.SetPeerOutcomes(s.Host, &s.Outcomes)
 		h.role.handleState(s, now)
 	}
@@ -332,6 +333,7 @@
 	h.limiter.RemovePeer(host)
 	h.rates.RemovePeer(host)
 	h.balancer.SetPeerLoads(host, nil)
+	h.balancer.SetSuspects(host, nil)
 	h.quarantine.detector.SetPeerOutcomes(host, nil)
 	h.role.removeHost(host)
 }
--- a/lib/filter/relay/relay.go
+++ b/lib/filter/relay/relay.go
@@ -31,11 +31,6 @@
 )
 
 const (
-	// responseTimeoutFactor times the route's objective is the time after which an idempotent request without an answer
-	// is sent to another target.
-	responseTimeoutFactor = 3
-	// minResponseTimeout is the shortest response and stall timeout. A restarting target is unresponsive for longer.
-	minResponseTimeout = 300 * time.Millisecond
 	// busyRetryAfter is the Retry-After when targets exist but none took the request.
 	busyRetryAfter = 500 * time.Millisecond
 	// retryAfterDivisor divides the caller's remaining time and so bounds Retry-After: a caller that waits longer would
@@ -88,6 +83,7 @@
 	paced            pacedQueues
 	durations        durations
 	retryCounter     func(reason string) *metrics.Counter
+	givenUpCounter   *metrics.Counter // attempts given up at silent targets, and handed over
 	firstByteSeconds *metrics.Histogram
 }
 
@@ -107,6 +103,7 @@
 		retryCounter: func(reason string) *metrics.Counter {
 			return cfg.Metrics.GetOrCreateCounter(`cuminhook_repeats_total{reason="` + reason + `"}`)
 		},
+		givenUpCounter:   cfg.Metrics.GetOrCreateCounter("cuminhook_attempts_given_up_total"),
 		firstByteSeconds: cfg.Metrics.GetOrCreateHistogram("cuminhook_first_byte_seconds"),
 	}
 }
@@ -132,7 +129,10 @@
 	if r.call.Model != "" {
 		f.cfg.Demand.Add(r.call, ex.Start)
 	}
-	ex.OnFinish(func(pipeline.Outcome) { cancel() })
+	ex.OnFinish(func(pipeline.Outcome) {
+		cancel()
+		r.releaseReserved()
+	})
 	return r.run()
 }
 
@@ -151,6 +151,7 @@
 	lastEventID  string            // id of the last event passed on
 	onSend       func()            // called before an attempt is sent; nil: none
 	streaming    bool              // the answer is passed on as a stream: a further attempt has to continue it
+	reserved     *balance.Choice   // target of the next attempt, whose retry is charged; nil: none was reserved
 }
 
 // try is one attempt at a target.
@@ -162,7 +163,8 @@
 	outcome  forward.Outcome
 	err      error
 	cancel   context.CancelFunc
-	timedOut atomic.Bool // the response timeout passed, or the stream stalled
+	timedOut atomic.Bool // the attempt was given up: its target is silent, or another one continues the stream
+	givenUp  *metrics.Counter
 	sentAt   time.Time
 	headerAt time.Time // when the header of the answer arrived
 	began    bool      // the target has sent a whole answer or, of a stream, a whole event
@@ -228,7 +230,7 @@
 // run makes attempts until an answer can be delivered or no further attempt is allowed.
 func (r *request) run() error {
 	for {
-		choice, err := r.pick()
+		choice, err := r.nextChoice()
 		if err != nil {
 			return r.refuseNoTarget(err)
 		}
@@ -243,6 +245,7 @@
 		t := r.attempt(choice)
 		r.logAttempt(t)
 		if t.outcome == forward.Answered && !r.retryable(t) {
+			r.releaseReserved()
 			return r.deliver(t)
 		}
 		if t.outcome == forward.Answered {
@@ -264,7 +267,7 @@
 	if !r.state.MaySend() {
 		return false
 	}
-	if r.state.NextIsRetry() && !r.cfg.Retries.Allow(r.service) {
+	if r.state.NextIsRetry() && r.reserved == nil && !r.cfg.Retries.Allow(r.service) {
 		r.retryCounter("denied").Inc()
 		return false
 	}
@@ -318,14 +321,11 @@
 
 // attempt sends the request to the chosen target and reads the answer, except for the body of a stream.
 func (r *request) attempt(choice *balance.Choice) *try {
-	t := &try{choice: choice, sentAt: time.Now()}
+	t := &try{choice: choice, sentAt: time.Now(), givenUp: r.givenUpCounter}
 	r.tried = append(r.tried, choice.Target.ID)
 	ctx := r.ctx
 	ctx, t.cancel = context.WithCancel(ctx)
-	if timeout := r.responseTimeout(choice); timeout > 0 {
-		timer := time.AfterFunc(timeout, t.timeOut)
-		defer timer.Stop()
-	}
+	defer r.watchSilence(t)()
 	h := &r.ex.HTTP.Request.Header
 	head := r.cfg.Protocol.AppendHead(nil, h, passthrough.Attempt{
 		Instance: choice.Target.ID, TimeLeft: time.Until(r.targetDeadline()), Organisation: r.ex.Organisation,
@@ -342,6 +342,9 @@
 	if t.answer != nil {
 		r.answers = append(r.answers, t.answer)
 		t.headerAt = time.Now()
+		if !t.otherInstance() {
+			t.choice.Heard(t.headerAt)
+		}
 		r.recordStatements(t)
 	}
 	r.readAnswer(t)
@@ -379,21 +382,6 @@
 	}
 }
 
-// timeOut cancels an attempt at an unresponsive target.
-func (t *try) timeOut() {
-	t.timedOut.Store(true)
-	t.cancel()
-}
-
-// responseTimeout returns the time after which an attempt without an answer is cancelled in favour of another one. Zero
-// means that the attempt may last until the request's deadline.
-func (r *request) responseTimeout(choice *balance.Choice) time.Duration {
-	if !r.state.Repeatable || r.route.MaxAttempts < 2 || r.streaming && !r.state.MayFollow() {
-		return 0
-	}
-	return max(minResponseTimeout, responseTimeoutFactor*r.route.Objective, 2*choice.ExpectedFirstEvent)
-}
-
 // Priorities at the engine are 0 to 9; 0 is served first.
 const (
 	enginePriorityBase = 3
@@ -479,6 +467,9 @@
 	if t.answer != nil && t.answer.Stated.Pause != 0 {
 		attrs = append(attrs, slog.Float64("pause_s", t.answer.Stated.Pause.Seconds()))
 	}
+	if t.timedOut.Load() {
+		attrs = append(attrs, slog.Bool("given_up", true))
+	}
 	if t.err != nil {
 		attrs = append(attrs, slog.String("error", t.err.Error()))
 	}
--- a/lib/filter/relay/stream.go
+++ b/lib/filter/relay/stream.go
@@ -59,11 +59,12 @@
 	aheadErr error  // follows ahead
 
 	// Set for resumable streams of events only.
-	events *eventReader
-	ready  []byte // whole events that Read has not returned yet
-	ended  bool   // the target's stream is complete
-	stalls int    // times in a row that the current target has stalled
-	next   *try   // attempt that continues the stream in place of the stalled one
+	events  *eventReader
+	ready   []byte    // whole events that Read has not returned yet
+	ended   bool      // the target's stream is complete
+	stalls  int       // times in a row that the current target has stalled
+	eventAt time.Time // when the last event arrived
+	next    *try      // attempt that continues the stream in place of the stalled one
 }
 
 func newStream(r *request, t *try) *stream {
@@ -200,6 +201,7 @@
 			err = invalid
 		}
 		if len(s.ready) > 0 {
+			s.eventAt = time.Now()
 			s.req.answerBegan(s.current)
 		}
 		if errors.Is(err, io.EOF) && len(s.ready) == 0 {
@@ -220,7 +222,7 @@
 
 // stallTimeout returns the time without a whole event after which the target has stalled.
 func (s *stream) stallTimeout() time.Duration {
-	return max(minResponseTimeout, stallFactor*s.req.route.MaxGap)
+	return max(minSilence, stallFactor*s.req.route.MaxGap)
 }
 
 // limitStall has handOver called if the current target stalls.
@@ -235,14 +237,22 @@
 	}
 }
 
+// silent reports whether the stream is not worth a further wait at its target. A stream that has not begun waits in the target's queue.
+func (s *stream) silent(now time.Time) bool {
+	if s.eventAt.Before(s.current.sentAt) {
+		return s.current.choice.Silent(s.current.sentAt, s.req.silenceTimeout(s.current.choice), now)
+	}
+	return s.current.choice.Silent(s.eventAt, s.stallTimeout(), now)
+}
+
 // handOver is called while the target stalls. It returns errStalled if another target continues the stream or may do so. Otherwise the
-// target keeps it, since it may only pause, and handOver returns when to try again.
+// target keeps it, since it may be busy or only pause, and handOver returns when to try again.
 func (s *stream) handOver() (time.Time, error) {
 	s.stalls++
 	r, old := s.req, s.current
 	later := time.Now().Add(s.stallTimeout())
 	var choice *balance.Choice
-	if s.events.resumable() {
+	if s.events.resumable() && s.silent(time.Now()) {
 		choice = r.pickForStalled(s.stalls > 1)
 	}
 	if choice == nil {
@@ -265,6 +275,7 @@
 	if old.timedOut.Load() {
 		return time.Time{}, errStalled
 	}
+	r.releaseReserved()
 	return later, nil
 }
 
@@ -286,7 +297,7 @@
 	if err != nil {
 		return nil
 	}
-	if r.tooLateToSend(choice, time.Now()) || !r.cfg.Retries.Allow(r.service) {
+	if !choice.HasRoom(r.route.Objective) || r.tooLateToSend(choice, time.Now()) || !r.cfg.Retries.Allow(r.service) {
 		choice.Unsent()
 		choice.Abandoned()
 		return nil
@@ -305,10 +316,10 @@
 		s.events.dropPartial()
 		return nil
 	}
-	for s.events.resumable() && r.ctx.Err() == nil && r.state.MaySend() && r.cfg.Retries.Allow(r.service) {
+	for s.events.resumable() && r.ctx.Err() == nil && r.state.MaySend() && (r.reserved != nil || r.cfg.Retries.Allow(r.service)) {
 		r.retryCounter("stream_broken").Inc()
 		r.lastEventID = s.events.lastID
-		choice, err := r.pick()
+		choice, err := r.nextChoice()
 		if err != nil {
 			return errors.Join(errStreamBroken, err)
 		}
--- a/lib/retry/retry.go
+++ b/lib/retry/retry.go
@@ -69,3 +69,10 @@
 	b.credits[service] = credit - 1
 	return true
 }
+
+// Return takes back the charge of a retry that was not sent.
+func (b *Budget) Return(service string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.credits[service] = min(b.maxCredit(), b.credit(service)+1)
+}
