--- a/lib/balance/balance.go
+++ b/lib/balance/balance.go
@@ -13,6 +13,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"cuminhook.org/cuminhook/lib/catalog"
 	"cuminhook.org/cuminhook/lib/passthrough"
 	"cuminhook.org/cuminhook/lib/registry"
@@ -136,6 +138,10 @@
 	hosts         int                       // guarded by mu; including this one
 	absent        map[string]absentPause    // guarded by mu; pauses of targets that are not in the list, by target
 	peerSuspects  map[string]map[string]int // guarded by mu; hosts that find a target unresponsive, by host that reports them and target
+	even          bool                      // guarded by mu; choose by pickEven
+	newsDelay     time.Duration             // guarded by mu; in which a report reaches all hosts
+	prefixLoads   map[uint64]*prefixLoad    // guarded by mu; by hash of the prefix
+	options       []option                  // guarded by mu; scratch space of pickEven
 }
 
 // target is a target with its load, what its KV cache probably holds, and its health.
@@ -143,6 +149,14 @@
 	prefillMS      float64   // prefill time in ms of this host's requests: an exponentially decaying sum as of prefillUpdated
 	prefillUpdated time.Time // last change of prefillMS
 	info           *registry.Target
+	hash           uint64    // of the id
+	isNew          bool      // appeared after others were known
+	seenAt         time.Time // first choice of which the target was a candidate
+	logSpeed       float64   // see learnSpeeds
+	meanBacklog    float64   // averaged backlog of prompts in milliseconds, as of averagedAt
+	meanPrefill    float64   // averaged prefill load in milliseconds a second
+	averagedAt     time.Time
+	speedDue       time.Duration        // since the last step of logSpeed
 	local          Load                 // of this host's requests, without PrefillMSPerSecond
 	peers          Load                 // of all other hosts' requests
 	missing        map[string]time.Time // by model or model/adapter: until when it counts as not loaded
@@ -157,7 +171,7 @@
 func New(zone string, connections Connections, rates Rates, random *rand.Rand) *Balancer {
 	return &Balancer{
 		zone: zone, connections: connections, rates: rates, targets: map[string]*target{}, peers: map[string]map[string]Load{}, latencyRatios: map[string]float64{},
-		random: random,
+		random: random, prefixLoads: map[uint64]*prefixLoad{},
 	}
 }
 
@@ -172,12 +186,12 @@
 func (b *Balancer) SetTargets(all []*registry.Target) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	seen := make(map[string]bool, len(all))
+	seen, first := make(map[string]bool, len(all)), len(b.targets) == 0
 	for _, info := range all {
 		seen[info.ID] = true
 		t := b.targets[info.ID]
 		if t == nil || t.info.Started != info.Started {
-			t = &target{missing: map[string]time.Time{}}
+			t = &target{missing: map[string]time.Time{}, hash: xxhash.Sum64String(info.ID), isNew: !first}
 			b.targets[info.ID] = t
 			if a, ok := b.absent[info.ID]; ok && a.started == info.Started {
 				t.pause = a.pause
@@ -340,8 +354,14 @@
 		}
 	}
 	if engine == nil || q.Call.Model == "" {
+		if b.even {
+			return b.pickPlainEven(candidates, now), nil
+		}
 		return b.pickPlain(candidates, now), nil
 	}
+	if b.even {
+		return b.pickEven(candidates, engine, q.Call, now), nil
+	}
 	return b.pickEngine(candidates, engine, q.Call, now), nil
 }
 
--- a/lib/entryhost/entryhost.go
+++ b/lib/entryhost/entryhost.go
@@ -130,6 +130,7 @@
 		limiter:  orglimit.New(time.Now()), meter: workload.New(), retries: retry.NewBudget(s.RetryRatio, s.RetrySlack),
 	}
 	h.cold = newColdRole(h)
+	h.balancer.SetEvenLoad(s.EvenLoad)
 	h.role = newPlacementRole(h)
 	h.quarantine = newQuarantineRole(s.Host, cfg.Store, func() { h.peers.Relay() }, cfg.Log, cfg.Metrics)
 	h.placer = placer.New(placer.Config{
@@ -207,6 +208,7 @@
 	h.rates.SetHosts(len(f.Known)+1, f.Spread)
 	h.rates.SetMembers(h.cfg.Settings.Host, f.Known, time.Now())
 	h.balancer.SetHosts(len(f.Known) + 1)
+	h.balancer.SetNewsDelay(f.Spread)
 	h.retries.SetHosts(len(f.Known) + 1)
 	h.connections.SetHosts(f.Known)
 	h.storeWatcher.SetPolling(h.polling(f))
--- a/lib/entryhost/settings.go
+++ b/lib/entryhost/settings.go
@@ -31,6 +31,9 @@
 	// ColdOvershoot, plus ColdSlack.
 	ColdOvershoot float64 `yaml:"cold_overshoot"`
 	ColdSlack     float64 `yaml:"cold_slack"`
+	// EvenLoad has requests spread over targets by what other hosts have probably sent since their reports, instead of to the target
+	// that looked least loaded.
+	EvenLoad bool `yaml:"even_load"`
 
 	Placement PlacementSettings `yaml:"placement"`
 
