Residency: copies in waves, behind placement.waves

A burst's copies come late for three reasons: the planner sees demand as an average over 1.5 s, the token bucket lets two loads from the weight store begin at once, and orders that are answered late count as loads that the store slowed down, so that fewer run at once from then on (storePace).

With placement.waves the planner tells the demand of the last 0.8 s from its average, and starts as many loads as the window of the store has room for: loads_per_s x 5 s x overshoot + 3, counted from the plan until 5 s after the outcome of the order is known. A controller leaves a tenth of the window to its successor. The duration of a load counts from the answer to its order. A copy that waits for the store only no longer unloads another one, and a model with saturated copies takes copies of models whose others have little to do. Disk goes before store.

TestLateOrdersKeepTheWindowOfTheStore and TestWaveOfASuccessorFitsIntoTheWindowOfItsPredecessor guard the bound.

--- a/lib/entryhost/settings.go
+++ b/lib/entryhost/settings.go
@@ -39,6 +39,9 @@
 type PlacementSettings struct {
 	Lease          time.Duration `yaml:"lease"`           // time to live of the controller's lease
 	LoadsOvershoot float64       `yaml:"loads_overshoot"` // factor on the weight store's permitted rate of loads, at least 1
+	// Waves has the copies of a model that is short of them loaded at once, as far as the weight store tolerates it, in place of
+	// one after the other.
+	Waves bool `yaml:"waves"`
 }
 
 // DefaultSettings returns the settings that apply where the file sets none.
--- a/lib/placer/models.go
+++ b/lib/placer/models.go
@@ -18,6 +18,10 @@
 	orderTimeout = 400 * time.Millisecond
 	// orderRetryDelay is the delay before an unanswered order is sent again.
 	orderRetryDelay = 200 * time.Millisecond
+	// waveOrderTimeout and waveRetryDelay replace these two for the first attempt at an order while copies are planned in waves:
+	// a third of the orders may go unanswered, and a second attempt with the same number does no harm.
+	waveOrderTimeout = 200 * time.Millisecond
+	waveRetryDelay   = 60 * time.Millisecond
 	// reportPollInterval is the time between two reads of a target's report while the target executes an order.
 	reportPollInterval = 150 * time.Millisecond
 	// maxReportAge is the maximum age of the report that a target returns.
@@ -105,10 +109,19 @@
 	t.synced, t.nextSync = false, time.Now().Add(wait)
 }
 
-// sendUntilResolved sends an order again and again until its outcome is known. done reports that the target is already in
-// the state that the order asks for; otherwise the target is executing the order. Every repetition states the same number
-// of accepted orders, so that the target executes at most one of them.
-func (p *Placer) sendUntilResolved(ctx context.Context, t *target, o orders.Order) (done bool, err error) {
+// outcome is the known outcome of an order.
+type outcome uint8
+
+const (
+	notStarted     outcome = iota // the order was refused, or sending it was given up with the term
+	started                       // the target has begun to execute it just now
+	startedEarlier                // the target has begun to execute it at an unknown time
+	holds                         // the target is already in the state that the order asks for
+)
+
+// sendUntilResolved sends an order again and again until its outcome is known. Every repetition states the same number of
+// accepted orders, so that the target executes at most one of them.
+func (p *Placer) sendUntilResolved(ctx context.Context, t *target, o orders.Order) (outcome, error) {
 	p.mu.Lock()
 	o.ExpectedAccepted, o.Holder = t.accepted, p.cfg.Host
 	info := t.info
@@ -116,20 +129,21 @@
 	for retries := 0; ; retries++ {
 		epoch, held := p.cfg.Lease.Held()
 		if !held {
-			return false, context.Canceled
+			return notStarted, context.Canceled
 		}
 		if p.cfg.Paused(info.ID) {
 			if retries == 0 {
-				return false, orders.ErrPaused
+				return notStarted, orders.ErrPaused
 			}
 			if !sleep.For(ctx, orderRetryDelay) {
-				return false, ctx.Err()
+				return notStarted, ctx.Err()
 			}
 			continue
 		}
 		o.Fence = epoch
-		call, cancel := context.WithTimeout(ctx, orderTimeout)
-		done, err = p.cfg.Client.Send(call, info, o)
+		timeout, delay := p.orderTiming(retries)
+		call, cancel := context.WithTimeout(ctx, timeout)
+		done, err := p.cfg.Client.Send(call, info, o)
 		cancel()
 		p.logOrder(info, o, done, err, retries)
 		if err == nil {
@@ -138,10 +152,13 @@
 				t.accepted = max(t.accepted, o.ExpectedAccepted+1)
 			}
 			p.mu.Unlock()
-			return done, nil
+			if done {
+				return holds, nil
+			}
+			return started, nil
 		}
 		if hasNoEffect(err) || ctx.Err() != nil {
-			return false, err
+			return notStarted, err
 		}
 		// The target may have accepted the order, or may still do so. The report, or else sending it again, resolves it.
 		r, reportErr := p.fetchReport(ctx, t)
@@ -151,14 +168,22 @@
 			p.mu.Lock()
 			t.accepted = max(t.accepted, o.ExpectedAccepted+1)
 			p.mu.Unlock()
-			return false, nil
+			return startedEarlier, nil
 		}
-		if !sleep.For(ctx, orderRetryDelay) {
-			return false, ctx.Err()
+		if !sleep.For(ctx, delay) {
+			return notStarted, ctx.Err()
 		}
 	}
 }
 
+// orderTiming returns how long an attempt at an order may take, and the delay before the next one.
+func (p *Placer) orderTiming(retries int) (timeout, delay time.Duration) {
+	if p.cfg.Waves && retries == 0 {
+		return waveOrderTimeout, waveRetryDelay
+	}
+	return orderTimeout, orderRetryDelay
+}
+
 // hasNoEffect reports whether the error of an order proves that the order has no effect and never will have. After any
 // other error the outcome is unknown.
 func hasNoEffect(err error) bool {
@@ -195,18 +220,31 @@
 
 // loadModel sends the order to load a model and waits for its execution.
 func (p *Placer) loadModel(ctx context.Context, t *target, e *catalog.Engine, a residency.Action) {
-	done, err := p.sendUntilResolved(ctx, t, orders.Order{Op: orders.Load, Model: a.Model})
+	outcome, err := p.sendUntilResolved(ctx, t, orders.Order{Op: orders.Load, Model: a.Model})
+	p.recordBegin(t, a, outcome)
 	if err != nil {
 		p.requireSync(t, syncInterval)
 		return
 	}
-	if !done {
+	if outcome != holds {
 		p.awaitExecution(ctx, t, orders.Order{Op: orders.Load, Model: a.Model}, time.Duration(firstPollFraction*float64(loadDuration(e, a))))
 		return
 	}
 	p.requireSync(t, maxReportAge)
 }
 
+// recordBegin tells the planner that the outcome of the order for a load is known.
+func (p *Placer) recordBegin(t *target, a residency.Action, o outcome) {
+	if !a.FromStore {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if planner := p.planners[t.info.Service]; planner != nil {
+		planner.Began(t.info.ID, a.Model, o == started, time.Now())
+	}
+}
+
 // loadDuration returns how long the load of an action takes.
 func loadDuration(e *catalog.Engine, a residency.Action) time.Duration {
 	m := e.Models[a.Model]
@@ -225,8 +263,8 @@
 	if !sleep.For(ctx, retireStatePeriods*p.cfg.StateInterval()+stateDelay) {
 		return
 	}
-	done, err := p.sendUntilResolved(ctx, t, orders.Order{Op: orders.Unload, Model: model})
-	if err != nil || done {
+	outcome, err := p.sendUntilResolved(ctx, t, orders.Order{Op: orders.Unload, Model: model})
+	if err != nil || outcome == holds {
 		p.requireSync(t, syncInterval)
 		return
 	}
--- a/lib/placer/placer.go
+++ b/lib/placer/placer.go
@@ -33,6 +33,8 @@
 	// maxLoadBurst is the maximum number of loads from the weight store that may start at once. The platform tolerates
 	// three loads above its rate in a window.
 	maxLoadBurst = 2
+	// excessLoads is how many loads above its rate the platform tolerates in a window.
+	excessLoads = 3
 	// loadRateFraction is the fraction of the tolerated load rate that the planner uses. The remainder allows for orders
 	// that are executed late and close together.
 	loadRateFraction = 0.93
@@ -60,8 +62,12 @@
 	Paused         func(id string) bool   // whether a target wants no requests from this host now; nil: never
 	StateInterval  func() time.Duration   // time between two states that this host broadcasts
 	Publish        func()                 // called when the resident models or adapters may have changed
-	Log            *slog.Logger
-	Metrics        *metrics.Set
+	// Waves has copies planned in waves: as many loads from the weight store at once as its window has room for.
+	Waves bool
+	// DemandTimeConstant is the time constant of the exponential averages that Demand returns. It is used for waves only.
+	DemandTimeConstant time.Duration
+	Log                *slog.Logger
+	Metrics            *metrics.Set
 }
 
 // Placer campaigns for the placement lease and sends orders while it holds it. It is safe for concurrent use.
@@ -345,6 +351,12 @@
 		p.planners[s.Name] = planner
 	}
 	planner.SetRate(s.Engine.LoadsPerSecond * p.cfg.LoadRateFactor * loadRateFraction)
+	if p.cfg.Waves {
+		planner.SetWaves(residency.Waves{
+			WindowLoads:   s.Engine.LoadsPerSecond*p.cfg.LoadRateFactor*residency.LoadWindow.Seconds() + excessLoads,
+			RatePerSecond: s.Engine.LoadsPerSecond, DemandTimeConstant: p.cfg.DemandTimeConstant,
+		}, now)
+	}
 	var models []residency.Model
 	for _, m := range s.Engine.Models {
 		models = append(models, residency.Model{Name: m.Name, MB: m.WeightsMB, StoreLoadTime: m.StoreLoadTime, EngineLoad: demand.EngineLoad[m.Name]})
--- a/lib/residency/residency.go
+++ b/lib/residency/residency.go
@@ -110,7 +110,9 @@
 	pace       *storePace
 	usage      map[string]float64 // average demand by model, in milliseconds of engine time per second
 	plannedAt  time.Time
-	waiting    []string // see Waiting
+	waiting    []string   // see Waiting
+	waves      *waveState // nil: copies are not planned in waves
+	succeeds   bool       // an earlier planner may have started loads shortly before
 }
 
 // NewPlanner returns a planner that starts at most rate loads a second from the weight store, and at most burst at once.
@@ -121,7 +123,7 @@
 	if startFull {
 		b.tokens = burst
 	}
-	return &Planner{storeLoads: b, pace: newStorePace(now), usage: map[string]float64{}, plannedAt: now}
+	return &Planner{storeLoads: b, pace: newStorePace(now), usage: map[string]float64{}, plannedAt: now, succeeds: !startFull}
 }
 
 // tokenBucket limits the rate of loads; each load takes one token.
@@ -160,19 +162,22 @@
 	p.storeLoads.refill(now)
 	p.updateUsage(models, now)
 	p.pace.update(targets, now)
+	if p.waves != nil {
+		models = p.waves.prepare(models, p.pace, now)
+	}
 	s := newPlanState(models, targets, p.usage)
+	s.waves = p.waves != nil
 	s.maxUnloading = max(1, int(math.Ceil(p.storeLoads.rate*unloadHorizon.Seconds())))
 	var out []Action
 	p.waiting = nil
 	for _, c := range s.missingCopies() {
-		tokens := 1.0
-		if c.reason == ReasonUnused { // what is in use goes first, also what will be asked for next
-			tokens = p.storeLoads.burst
-		}
-		if a, ok := s.placeCopy(c, p.storeLoads.tokens >= tokens && p.pace.mayStart(c.reason == ReasonLost)); ok {
+		if a, ok := s.placeCopy(c, p.storeAllowed(c, s.copies[c.model.Name], now)); ok {
 			if a.FromStore {
 				p.storeLoads.tokens--
 				p.pace.start(a.Target, c.model, c.reason == ReasonLost, now)
+				if p.waves != nil {
+					p.waves.window.start(a.Target, a.Model, now)
+				}
 			}
 			out = append(out, a)
 		}
@@ -183,6 +188,18 @@
 	return append(out, s.freeMemory()...)
 }
 
+// storeAllowed reports whether a load from the weight store may begin for the missing copy of a model that has as many copies.
+func (p *Planner) storeAllowed(c missingCopy, have int, now time.Time) bool {
+	if p.waves != nil {
+		return p.waves.storeAllowed(c, have, p.pace, now)
+	}
+	tokens := 1.0
+	if c.reason == ReasonUnused { // what is in use goes first, also what will be asked for next
+		tokens = p.storeLoads.burst
+	}
+	return p.storeLoads.tokens >= tokens && p.pace.mayStart(c.reason == ReasonLost)
+}
+
 // Waiting returns the models in demand that had no copy in the last plan and did not get one, because they wait for memory or
 // for a load token. The most urgent comes first.
 func (p *Planner) Waiting() []string { return p.waiting }
@@ -224,13 +241,15 @@
 	anySurplus, anyRare     answer             // see any
 	busy                    map[string]bool    // by target: executes an order, or got an action
 	loadMS                  map[string]float64 // by target: demand in milliseconds of engine time per second
+	waves                   bool               // copies are planned in waves
+	promised                map[string]int     // by model: missing copies for which memory is free or being freed
 }
 
 func newPlanState(models []Model, targets []*Target, usage map[string]float64) *planState {
 	s := &planState{
 		models: models, byName: map[string]*Model{}, targets: targets, usage: usage, copies: map[string]int{},
 		inZone: map[zoneModel]int{}, ready: map[string]int{},
-		busy: map[string]bool{}, loadMS: map[string]float64{},
+		busy: map[string]bool{}, loadMS: map[string]float64{}, promised: map[string]int{},
 	}
 	for i := range models {
 		s.byName[models[i].Name] = &models[i]
@@ -265,7 +284,7 @@
 
 // neededCopies returns the number of copies that the demand needs, at least one.
 func (m *Model) neededCopies() int {
-	return max(1, int(math.Ceil(m.EngineLoad/(1000*maxBusyFraction))))
+	return copiesFor(m.EngineLoad)
 }
 
 // missingCopies lists the models that should get a copy, the most urgent first.
@@ -316,10 +335,17 @@
 		s.inZone[zoneModel{t.Zone, c.model.Name}]++
 		return Action{orders.Load, t.ID, c.model.Name, fromStore, c.reason}, true
 	}
+	if s.waves && !storeAllowed && s.reserveMemory(c.model) {
+		return Action{}, false
+	}
 	if c.reason == ReasonUnused || s.claimUnload(c.model) || s.unloading >= s.maxUnloading {
 		return Action{}, false
 	}
-	return s.evictFor(c)
+	a, ok := s.evictFor(c)
+	if ok {
+		s.promised[c.model.Name]++
+	}
+	return a, ok
 }
 
 // findTarget returns the idle target of least cost that has free memory for the model, or nil.
@@ -333,7 +359,7 @@
 		}
 		cost := s.loadMS[t.ID]
 		if !cached {
-			cost += storeLoadCostMS
+			cost += s.storeLoadCost()
 		}
 		if s.zoneHasModel(t.Zone, m.Name) {
 			cost += sameZoneCostMS
@@ -345,6 +371,14 @@
 	return best
 }
 
+// storeLoadCost returns what is added to the load of a target that would load a copy from the weight store.
+func (s *planState) storeLoadCost() float64 {
+	if s.waves {
+		return waveStoreLoadCostMS
+	}
+	return storeLoadCostMS
+}
+
 func (s *planState) zoneHasModel(zone, model string) bool {
 	return s.inZone[zoneModel{zone, model}] > 0
 }
@@ -367,6 +401,7 @@
 		return false
 	}
 	s.claimed++
+	s.promised[m.Name]++
 	return true
 }
 
@@ -401,12 +436,18 @@
 			s.claimed++
 			return s.unload(t, v, ReasonFreeMemory), true
 		}
+		if s.waves && c.reason == ReasonDemand {
+			continue
+		}
 		if later || c.reason == ReasonDemand {
 			// A busy target has done its order before a model that has to yield otherwise is loaded again, and a further copy
 			// that does not fit is no reason to take a model its last one.
 			return Action{}, false
 		}
 	}
+	if s.waves && c.reason == ReasonDemand {
+		return s.evictForBurst(m)
+	}
 	return Action{}, false
 }
 
@@ -462,7 +503,7 @@
 		}
 		cost := s.loadMS[t.ID] + costOf(v)
 		if !slices.Contains(t.Cached, m.Name) {
-			cost += storeLoadCostMS
+			cost += s.storeLoadCost()
 		}
 		if best == nil || cost < lowest {
 			best, victim, lowest = t, v, cost
--- a/lib/residency/storepace.go
+++ b/lib/residency/storepace.go
@@ -37,6 +37,8 @@
 	configured  time.Duration // at full speed
 	loadSeconds float64       // of the storePace when the load began
 	together    float64       // loads that ran when the load began, with itself
+	resolved    bool          // its order was answered, or its outcome known
+	late        bool          // it began at an unknown time
 	raisesTo    float64       // highest limit that the load shows if it runs at full speed; zero unless it took the last place
 }
 
@@ -89,6 +91,9 @@
 
 // learn applies the duration of a load that is done.
 func (s *storePace) learn(l runningLoad, now time.Time) {
+	if l.late {
+		return
+	}
 	took := now.Sub(l.beganAt).Seconds()
 	configured := l.configured.Seconds()
 	if configured <= 0 || took <= 0 {
@@ -136,3 +141,16 @@
 	}
 	s.running[key] = l
 }
+
+// began records that a load began before now: just now if its order was accepted, else at an unknown time. Time in which an
+// order is not answered is none that the store takes.
+func (s *storePace) began(target, model string, accepted bool, now time.Time) {
+	key := targetModel{target, model}
+	l, ok := s.running[key]
+	if !ok || l.resolved {
+		return
+	}
+	l.resolved, l.late = true, !accepted
+	l.beganAt, l.loadSeconds = now, s.loadSeconds+float64(len(s.running))*max(0, now.Sub(s.updatedAt).Seconds())
+	s.running[key] = l
+}
--- /dev/null
+++ b/lib/residency/waves.go
@@ -0,0 +1,172 @@
+package residency
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// demandWindow is the time over which the demand at the moment is told from its average. A shorter one would take the usual
+	// variation of a few requests for a burst; a longer one delays copies.
+	demandWindow = 800 * time.Millisecond
+	// minDemandShift is the ratio between the demand at the moment and its average from which on the former counts.
+	minDemandShift = 1.4
+	// minShiftCopies is the least difference in copies for which the demand at the moment counts.
+	minShiftCopies = 2
+	// waveStoreLoadCostMS is added to the load of a target from which a copy would read the weight store, in milliseconds of engine
+	// time a second. It exceeds the load of most targets: a load from disk takes a fifth of the time, and is not counted.
+	waveStoreLoadCostMS = 1000
+	// saturatedFraction is the fraction of a target's time that the demand for a model takes at each copy from which on others
+	// give up copies that they need, down to yieldFraction for each of those that they keep.
+	saturatedFraction = maxSharedFraction
+	yieldFraction     = 0.3
+	// defaultFullSpeedLoads is the least number of loads that a weight store is taken to run at full speed before it is known.
+	defaultFullSpeedLoads = 3
+)
+
+// Waves are the figures by which the copies of a model are planned as one wave.
+type Waves struct {
+	// WindowLoads is how many loads from the weight store may begin in any window of 5 s.
+	WindowLoads float64
+	// RatePerSecond is the permitted rate of loads.
+	RatePerSecond float64
+	// DemandTimeConstant is the time constant of the exponential average that EngineLoad is.
+	DemandTimeConstant time.Duration
+}
+
+// waveState is what a planner keeps to plan waves.
+type waveState struct {
+	Waves
+	window loadWindow
+	past   []demandSample // the oldest first
+}
+
+// demandSample is the average demand by model at a time.
+type demandSample struct {
+	at     time.Time
+	byName map[string]float64
+}
+
+// SetWaves has copies planned in waves. Began must then be called for each load from the weight store.
+func (p *Planner) SetWaves(w Waves, now time.Time) {
+	if p.waves == nil {
+		p.waves = &waveState{}
+		if p.succeeds {
+			p.waves.window.predecessor = now.Add(LoadWindow)
+		}
+	}
+	p.waves.Waves = w
+	p.waves.window.tolerated = w.WindowLoads
+}
+
+// Began records that the order of a load has been carried out before now, or never will be. accepted states that it was answered,
+// so that the load began just now.
+func (p *Planner) Began(target, model string, accepted bool, now time.Time) {
+	if p.waves == nil {
+		return
+	}
+	p.waves.window.resolve(target, model, now)
+	p.pace.began(target, model, accepted, now)
+}
+
+// prepare updates what is known of the store and returns the models with the demand to plan for.
+func (w *waveState) prepare(models []Model, pace *storePace, now time.Time) []Model {
+	w.window.update(now)
+	if math.IsInf(pace.limit, 1) {
+		pace.limit = w.assumedFullSpeedLoads(models)
+	}
+	return w.currentDemand(models, now)
+}
+
+// assumedFullSpeedLoads returns how many loads run at the same time at the permitted rate. Stores are sized for that.
+func (w *waveState) assumedFullSpeedLoads(models []Model) float64 {
+	seconds := 0.0
+	for i := range models {
+		seconds += models[i].StoreLoadTime.Seconds()
+	}
+	return max(defaultFullSpeedLoads, math.Ceil(w.RatePerSecond*seconds/float64(max(1, len(models)))))
+}
+
+// currentDemand returns the models with the demand of the last demandWindow where that differs from the average for certain. The
+// average follows a burst only after several time constants.
+func (w *waveState) currentDemand(models []Model, now time.Time) []Model {
+	sample := demandSample{at: now, byName: make(map[string]float64, len(models))}
+	for i := range models {
+		sample.byName[models[i].Name] = models[i].EngineLoad
+	}
+	var old *demandSample
+	for i := range w.past {
+		if now.Sub(w.past[i].at) >= demandWindow {
+			old = &w.past[i]
+		}
+	}
+	out := models
+	if old != nil && w.DemandTimeConstant > 0 {
+		kept := math.Exp(-now.Sub(old.at).Seconds() / w.DemandTimeConstant.Seconds())
+		out = make([]Model, len(models))
+		copy(out, models)
+		for i := range out {
+			m := &out[i]
+			average := m.EngineLoad
+			current := max(0, (average-kept*old.byName[m.Name])/(1-kept))
+			higher, lower := max(current, average), min(current, average)
+			if higher >= minDemandShift*lower && copiesFor(higher) >= copiesFor(lower)+minShiftCopies {
+				m.EngineLoad = max(current, minUsedLoadMS)
+			}
+		}
+	}
+	w.past = append(w.past, sample)
+	for len(w.past) > 1 && now.Sub(w.past[1].at) >= demandWindow {
+		w.past = w.past[1:]
+	}
+	return out
+}
+
+// storeAllowed reports whether a load for the missing copy may begin now.
+func (w *waveState) storeAllowed(c missingCopy, have int, pace *storePace, now time.Time) bool {
+	fraction := demandFraction
+	switch {
+	case c.reason == ReasonLost:
+		fraction = 1
+	case c.reason == ReasonUnused:
+		fraction = unusedFraction
+	case 2*have < c.model.neededCopies():
+		fraction = urgentFraction
+	}
+	return w.window.mayStart(fraction, now) && pace.mayStart(c.reason == ReasonLost)
+}
+
+// reserveMemory reserves free memory for a copy that waits for the weight store only, and reports whether there is any. Without it
+// a copy would be unloaded at another target in vain.
+func (s *planState) reserveMemory(m *Model) bool {
+	t := s.findTarget(m, true)
+	if t == nil {
+		return false
+	}
+	s.busy[t.ID] = true
+	s.promised[m.Name]++
+	return true
+}
+
+// evictForBurst unloads a copy that its model needs, for a model whose copies are saturated. It takes from the model whose
+// remaining copies have the least to do.
+func (s *planState) evictForBurst(m *Model) (Action, bool) {
+	perCopy := m.EngineLoad / float64(max(1, s.copies[m.Name]+s.promised[m.Name]))
+	if perCopy < 1000*saturatedFraction {
+		return Action{}, false
+	}
+	yields := func(v *Model) bool {
+		return s.copies[v.Name] > 1 && s.ready[v.Name] > 1 && s.sharedLoad(v) <= 1000*yieldFraction
+	}
+	t, v, _ := s.cheapestVictim(m, yields, s.sharedLoad)
+	if t == nil {
+		return Action{}, false
+	}
+	s.claimed++
+	return s.unload(t, v, ReasonFreeMemory), true
+}
+
+// copiesFor returns the number of copies that a demand needs, at least one.
+func copiesFor(engineLoad float64) int {
+	return max(1, int(math.Ceil(engineLoad/(1000*maxBusyFraction))))
+}
--- a/lib/workload/workload.go
+++ b/lib/workload/workload.go
@@ -27,6 +27,9 @@
 	decodeMSPerToken = 0.3
 )
 
+// AverageTimeConstant is the time constant of the averages that EngineLoad and Adapters return.
+const AverageTimeConstant = averageTimeConstant
+
 // CostMS estimates the engine time of a request in milliseconds, for a model of average speed.
 func CostMS(call *passthrough.Call) float64 {
 	outputTokens := call.MaxOutput
