Workload: engine load by the real speed of the models, with waves

The demand for a model counted the engine time of a model of average speed, so that models four times as slow as others got as many copies. With placement.waves each host weighs it by the ratio that it has learned from first events, bounded by 0.5 and 2; the sum over the models stays the same, as the time to a first event holds waits too. States carry as many bytes as before.

go test ./lib/workload; go test -v -run Waves ./lib/placer: 29 and 30 loads begin in a window that tolerates 36, with a third of the orders executed up to 12 s late and two changes of the controller.

--- a/lib/entryhost/entryhost.go
+++ b/lib/entryhost/entryhost.go
@@ -241,6 +241,15 @@
 	return p
 }
 
+// engineLoad returns the demand at this host by model, in milliseconds of engine time a second.
+func (h *Host) engineLoad(now time.Time) map[string]float64 {
+	load := h.meter.EngineLoad(now)
+	if h.cfg.Settings.Placement.Waves {
+		return workload.BySpeed(load, h.balancer.Slowness)
+	}
+	return load
+}
+
 // fillState fills in a full state of this host.
 func (h *Host) fillState(s *peers.State) {
 	now := time.Now()
@@ -253,7 +262,7 @@
 		suspects[id] = 1
 	}
 	s.Contribution = aggregate.Contribution{
-		Hosts: 1, Demand: h.limiter.Report(now), TargetDemand: h.rates.Usage(now), Loads: h.balancer.LocalLoads(now), EngineLoad: h.meter.EngineLoad(now),
+		Hosts: 1, Demand: h.limiter.Report(now), TargetDemand: h.rates.Usage(now), Loads: h.balancer.LocalLoads(now), EngineLoad: h.engineLoad(now),
 		AdapterRates: h.meter.Adapters(now), Suspects: suspects, Outcomes: h.quarantine.detector.Outcomes(now),
 	}
 	h.connections.updateDemand(h.balancer, now)
--- a/lib/entryhost/placementrole.go
+++ b/lib/entryhost/placementrole.go
@@ -64,7 +64,7 @@
 // totalDemand returns the demand of callers at all reachable hosts, this one included.
 func (r *placementRole) totalDemand() placer.Demand {
 	now := time.Now()
-	out := placer.Demand{EngineLoad: r.host.meter.EngineLoad(now), Adapters: r.host.meter.Adapters(now)}
+	out := placer.Demand{EngineLoad: r.host.engineLoad(now), Adapters: r.host.meter.Adapters(now)}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, s := range r.demandByHost {
--- a/lib/placer/placer_test.go
+++ b/lib/placer/placer_test.go
@@ -218,6 +218,10 @@
 }
 
 func startCandidate(t *testing.T, name string, store *memkv.Store, client orders.Client, models int, ids ...string) *candidate {
+	return startCandidateWith(t, name, store, client, newCatalog(models), false, ids...)
+}
+
+func startCandidateWith(t *testing.T, name string, store *memkv.Store, client orders.Client, c *catalog.Catalog, waves bool, ids ...string) *candidate {
 	h := &candidate{done: make(chan struct{})}
 	h.paused.Store("")
 	h.Placer = New(Config{
@@ -231,9 +235,10 @@
 		Suspects: func() map[string]bool { return nil }, Publish: func() { h.published.Add(1) },
 		Paused:        func(id string) bool { return h.paused.Load() == id },
 		StateInterval: func() time.Duration { return 200 * time.Millisecond },
-		Log:           slog.New(slog.DiscardHandler), Metrics: metrics.NewSet(),
+		Waves:         waves, DemandTimeConstant: 1500 * time.Millisecond,
+		Log: slog.New(slog.DiscardHandler), Metrics: metrics.NewSet(),
 	})
-	h.SetCatalog(newCatalog(models))
+	h.SetCatalog(c)
 	h.SetTargets(newTargets(ids...))
 	ctx, cancel := context.WithCancel(t.Context())
 	h.cancel = cancel
