Balance: targets that fail a part of their requests are set aside, behind set_aside

One host of many sees too few requests to each target to tell one that fails half of them from one that lost a single answer. With set_aside above zero hosts report failed and all recent requests of targets that fail some (Contribution.Failures), and each compares the targets of a service by the sums. A target with 3 failures, 10 % and three times the usual fraction is set aside for 1 to 8 s, at most set_aside of the service and half of the targets that could serve a request; it is probed twice a second by all hosts together and let back over 3 s. With set_aside 0, the default, nothing is reported and choices are as before.

--- a/lib/aggregate/aggregate.go
+++ b/lib/aggregate/aggregate.go
@@ -23,6 +23,8 @@
 	AdapterRates map[string]float64      `json:"a,omitempty"` // requests a second, by model/adapter
 	Outcomes     quarantine.Outcomes     `json:"o,omitzero"`  // of requests, until their answers began
 	Suspects     map[string]int          `json:"u,omitempty"` // hosts that find a target unresponsive, by target
+	// Failures counts recent requests by target, of targets that fail some; empty where targets are not set aside for that.
+	Failures map[string]balance.Failures `json:"of,omitempty"`
 }
 
 // member is one host, or another sum.
@@ -87,7 +89,7 @@
 func (s *Sum) Total(include func(name string) bool) Contribution {
 	out := Contribution{
 		Demand: orglimit.Report{}, TargetDemand: orglimit.Report{}, Loads: map[string]balance.Load{}, EngineLoad: map[string]float64{},
-		AdapterRates: map[string]float64{}, Suspects: map[string]int{},
+		AdapterRates: map[string]float64{}, Suspects: map[string]int{}, Failures: map[string]balance.Failures{},
 	}
 	estimating, estimatingTarget := map[string]float64{}, map[string]float64{}
 	for name, m := range s.members {
@@ -154,7 +156,7 @@
 	out.TargetDemand = subtractUsage(total.TargetDemand, m.current.TargetDemand, m.targetCharged)
 	out.Loads = maps.Clone(total.Loads)
 	out.EngineLoad, out.AdapterRates = maps.Clone(total.EngineLoad), maps.Clone(total.AdapterRates)
-	out.Suspects = maps.Clone(total.Suspects)
+	out.Suspects, out.Failures = maps.Clone(total.Suspects), maps.Clone(total.Failures)
 	out.add(&m.current, -1)
 	return out
 }
@@ -173,6 +175,13 @@
 			delete(t.Suspects, id)
 		}
 	}
+	for id, f := range c.Failures {
+		if sum := t.Failures[id].Plus(f, float64(sign)).Rounded(); sum != (balance.Failures{}) {
+			t.Failures[id] = sum
+		} else {
+			delete(t.Failures, id)
+		}
+	}
 	t.Outcomes = t.Outcomes.Plus(c.Outcomes, float64(sign))
 	addRates(t.EngineLoad, c.EngineLoad, sign)
 	addRates(t.AdapterRates, c.AdapterRates, sign)
--- a/lib/aggregate/aggregate_test.go
+++ b/lib/aggregate/aggregate_test.go
@@ -90,3 +90,23 @@
 		t.Errorf("after the removal of all: %+v", got)
 	}
 }
+
+// Guards against failures of targets that are counted twice, or go on to count, when what a member reports is left out of a sum.
+func TestFailuresAreSummed(t *testing.T) {
+	s := New()
+	for i, name := range []string{"a", "b"} {
+		s.Set(name, 1, Contribution{Hosts: 1, Failures: map[string]balance.Failures{"t": {Failed: 1.3, Total: 4}, name: {Failed: float64(i + 1), Total: 5}}})
+	}
+	total := s.Total(nil)
+	if got := total.Failures["t"]; got != (balance.Failures{Failed: 2.6, Total: 8}) {
+		t.Errorf("%+v in all", got)
+	}
+	without := s.Without(total, "a").Failures
+	if _, ok := without["a"]; ok || without["t"] != (balance.Failures{Failed: 1.3, Total: 4}) || without["b"] != total.Failures["b"] {
+		t.Errorf("%+v without a member", without)
+	}
+	s.Remove("b")
+	if got := s.Total(nil).Failures["t"]; got.Total != 4 {
+		t.Errorf("%+v after a member has gone", got)
+	}
+}
--- a/lib/balance/balance.go
+++ b/lib/balance/balance.go
@@ -135,6 +135,7 @@
 	random        *rand.Rand
 	hosts         int                    // guarded by mu; including this one
 	absent        map[string]absentPause // guarded by mu; pauses of targets that are not in the list, by target
+	outliers      outliers               // guarded by mu
 }
 
 // target is a target with its load, what its KV cache probably holds, and its health.
@@ -348,6 +349,7 @@
 const (
 	rankUsable    rank = iota
 	rankNonMember      // this host keeps no connections to the target
+	rankSetAside       // fails a part of its requests
 	rankUnusable       // suspended, or being probed
 	ranks
 )
@@ -356,6 +358,7 @@
 // further connection, or send no request within the target's rate, is left out. Errors: ErrNoTarget, ErrNoModel, ErrNoAdapter,
 // ErrBusy, ErrPaced, ErrPaused.
 func (b *Balancer) candidates(q Query, now time.Time) ([]*target, error) {
+	b.updateOutliers(now)
 	var byRank [ranks][]*target
 	var pausedUntil time.Time // the earliest
 	err, pacedRate := ErrNoTarget, 0.0
@@ -399,6 +402,7 @@
 		r := b.rankOf(t, now)
 		byRank[r] = append(byRank[r], t)
 	}
+	keepHalf(&byRank)
 	for _, list := range byRank {
 		if len(list) > 0 {
 			return list, nil
@@ -446,6 +450,8 @@
 	switch {
 	case !t.health.usable(now):
 		return rankUnusable
+	case b.leftOut(t, now):
+		return rankSetAside
 	case b.connections != nil && !b.connections.Member(t.info.Addr):
 		return rankNonMember
 	default:
@@ -483,6 +489,7 @@
 // probes whether t answers again.
 func (b *Balancer) assign(t *target, load Load, model string, now time.Time) *Choice {
 	t.local.add(load, 1)
+	t.health.sentTo(now, b.hosts)
 	if b.rates != nil {
 		b.rates.Take(t.info.ID, now)
 	}
--- a/lib/balance/health.go
+++ b/lib/balance/health.go
@@ -30,6 +30,12 @@
 	backoff         time.Duration // last suspension; zero after an answer
 	suspendedUntil  time.Time
 	probing         bool // a request is in flight that probes whether the target answers again
+	// The following are for targets that fail a part of their requests; see outliers.
+	recent   Failures // requests of this host as of recentAt
+	recentAt time.Time
+	pooled   Failures // of all hosts, as of the last comparison
+	excess   float64  // fraction of failed requests beyond what is usual in the service, of all hosts, as of the last comparison
+	aside    aside
 }
 
 // usable reports whether the target is neither suspended nor being probed.
@@ -38,14 +44,19 @@
 // suspect reports whether the target left several requests in a row unanswered and has not answered since.
 func (h *health) suspect() bool { return h.misses >= minSuspectMisses }
 
-// recentFailureFraction returns the failure fraction, decayed until now.
+// recentFailureFraction returns the failure fraction, decayed until now, or that of all hosts if it is larger.
 func (h *health) recentFailureFraction(now time.Time) float64 {
+	return max(h.excess, h.ownFailureFraction(now))
+}
+
+// ownFailureFraction returns the failure fraction as this host has seen it, decayed until now.
+func (h *health) ownFailureFraction(now time.Time) float64 {
 	return h.failureFraction * math.Exp(-float64(now.Sub(h.failureUpdated))/float64(failureTimeConstant))
 }
 
 // addOutcome moves the failure fraction towards outcome: 0 for a success, 1 for a failure.
 func (h *health) addOutcome(outcome, weight float64, now time.Time) {
-	h.failureFraction = h.recentFailureFraction(now)
+	h.failureFraction = h.ownFailureFraction(now)
 	h.failureFraction += weight * (outcome - h.failureFraction)
 	h.failureUpdated = now
 }
@@ -57,6 +68,7 @@
 		outcome = 1
 	}
 	h.addOutcome(outcome, failureWeight, now)
+	h.count(failed, now)
 	h.misses, h.backoff, h.probing = 0, 0, false
 }
 
@@ -70,6 +82,7 @@
 // broken records a request whose connection broke. The target was reachable; it may have crashed, or lost this one answer.
 func (h *health) broken(now time.Time) {
 	h.addOutcome(1, 2*failureWeight, now)
+	h.count(true, now)
 	h.probing = false
 }
 
@@ -82,6 +95,7 @@
 // unresponsive records a request for which the target was unreachable or unresponsive.
 func (h *health) unresponsive(now time.Time) {
 	h.addOutcome(1, 2*failureWeight, now)
+	h.count(true, now)
 	h.misses++
 	h.probing = false
 	if now.Before(h.suspendedUntil) {
--- a/lib/entryhost/entryhost.go
+++ b/lib/entryhost/entryhost.go
@@ -95,6 +95,7 @@
 	cfg          Config
 	log          *slog.Logger
 	balancer     *balance.Balancer
+	aside        *asideLog
 	limiter      *orglimit.Limiter
 	rates        *targetrate.Limits
 	retries      *retry.Budget
@@ -128,6 +129,8 @@
 		balancer: balance.New(s.Zone, conns, rates, newRandom()),
 		limiter:  orglimit.New(time.Now()), meter: workload.New(), retries: retry.NewBudget(s.RetryRatio, s.RetrySlack),
 	}
+	h.balancer.SetAside(s.SetAside)
+	h.aside = newAsideLog(h.balancer, cfg.Log, cfg.Metrics)
 	h.role = newPlacementRole(h)
 	h.quarantine = newQuarantineRole(s.Host, cfg.Store, func() { h.peers.Relay() }, cfg.Log, cfg.Metrics)
 	h.placer = placer.New(placer.Config{
@@ -253,6 +256,7 @@
 // fillState fills in a full state of this host.
 func (h *Host) fillState(s *peers.State) {
 	now := time.Now()
+	h.aside.update(now)
 	s.Changes = h.storeWatcher.TargetChanges()
 	if c := h.catalog.Load(); c != nil {
 		s.ConfigVersion = c.Version
@@ -263,7 +267,7 @@
 	}
 	s.Contribution = aggregate.Contribution{
 		Hosts: 1, Demand: h.limiter.Report(now), TargetDemand: h.rates.Usage(now), Loads: h.balancer.LocalLoads(now), EngineLoad: h.engineLoad(now),
-		AdapterRates: h.meter.Adapters(now), Suspects: suspects, Outcomes: h.quarantine.detector.Outcomes(now),
+		AdapterRates: h.meter.Adapters(now), Suspects: suspects, Failures: h.balancer.LocalFailures(now), Outcomes: h.quarantine.detector.Outcomes(now),
 	}
 	h.connections.updateDemand(h.balancer, now)
 	s.TargetRates = h.rates.Statements(now)
@@ -289,6 +293,7 @@
 		h.limiter.ApplyReport(s.Host, s.Boot, s.Hosts, s.Demand, now)
 		h.rates.ApplyUsage(s.Host, s.Boot, s.Hosts, s.TargetDemand, now)
 		h.balancer.SetPeerLoads(s.Host, s.Loads)
+		h.balancer.SetPeerFailures(s.Host, s.Failures)
 		h.quarantine.detector.SetPeerOutcomes(s.Host, &s.Outcomes)
 		h.role.handleState(s, now)
 	}
@@ -342,6 +347,7 @@
 	h.limiter.RemovePeer(host)
 	h.rates.RemovePeer(host)
 	h.balancer.SetPeerLoads(host, nil)
+	h.balancer.SetPeerFailures(host, nil)
 	h.quarantine.detector.SetPeerOutcomes(host, nil)
 	h.role.removeHost(host)
 }
--- a/lib/entryhost/settings.go
+++ b/lib/entryhost/settings.go
@@ -27,6 +27,10 @@
 	RetryRatio float64 `yaml:"retry_ratio"` // retries allowed per request of a service, over all hosts
 	RetrySlack float64 `yaml:"retry_slack"` // retries allowed in addition, over all hosts
 
+	// SetAside is the largest fraction of a service's targets that get hardly any requests because they fail a part of theirs; zero:
+	// none.
+	SetAside float64 `yaml:"set_aside"`
+
 	Placement PlacementSettings `yaml:"placement"`
 
 	Grace time.Duration `yaml:"grace"` // from the signal to stop until the platform kills the process
@@ -89,6 +93,9 @@
 	if s.RetryRatio < 0 || s.RetrySlack < 0 {
 		return fmt.Errorf("retry_ratio and retry_slack cannot be negative; zero forbids repeats")
 	}
+	if !(s.SetAside >= 0 && s.SetAside < 1) {
+		return fmt.Errorf("set_aside (%v) must be 0 or more and below 1; set it to the fraction of a service that the others can stand in for", s.SetAside)
+	}
 	if s.Placement.Lease < time.Second || s.Placement.LoadsOvershoot < 1 {
 		return fmt.Errorf("placement: lease must be 1s or longer, loads_overshoot 1 or more")
 	}
