--- a/lib/residency/waves.go
+++ b/lib/residency/waves.go
@@ -28,7 +28,7 @@
 	waveStoreLoadCostMS = 1000
 	// saturatedFraction is the fraction of a target's time that the demand for a model takes at each copy from which on others
 	// give up copies that they need, up to yieldFraction for each of those that they keep. In trials in virtual time (memory for
-	// three quarters of the demand) 0.5 and 0.3 served 2 to 3 % less in time, and 0.4 and 0.4 took half as many loads again.
+	// three quarters of the demand) 0.5 and 0.3 served 1.5 to 3 % less in time, and 0.4 and 0.4 took half as many loads again.
 	saturatedFraction = 0.4
 	yieldFraction     = 0.35
 	// waveFreeFraction is the fraction of the targets that should have free memory for the largest model, while there are surplus
