Residency: tests of waves after a mass crash, and of plans with and without waves

go test ./lib/residency passes; the random plans of TestPlansKeepMemoryCopyAndLoadLimits are played with waves too.

--- a/lib/residency/burst_test.go
+++ b/lib/residency/burst_test.go
@@ -377,6 +377,47 @@
 	t.Error("copies without waves come at the speed of the store too")
 }
 
+// Guards against models in use that wait after a mass crash for the copies of models that nobody asks for, or for further copies of
+// others.
+func TestModelsInUseAreReloadedFirstAfterAMassCrash(t *testing.T) {
+	f := newBurstFleet(2, store{8.5, 18, 1300 * time.Millisecond}, 60, 2, 100, true)
+	for i := range 30 {
+		f.models[i].EngineLoad = 150
+	}
+	f.models[30].EngineLoad = 3000
+	f.fill()
+	for i := range f.known {
+		f.known[i].EngineLoad = f.models[i].EngineLoad
+	}
+	const crashAt, bound = 10 * time.Second, 6 * time.Second
+	lost := 0
+	f.run(crashAt+bound, func(time.Duration, []Model) {}, func(at time.Duration) {
+		if at != crashAt {
+			return
+		}
+		for i, target := range f.targets {
+			if i%2 == 0 {
+				target.Models, target.Cached = nil, nil
+				delete(f.running, target.ID)
+			}
+		}
+		for i := range 31 {
+			if f.copies(f.models[i].Name) == 0 {
+				lost++
+			}
+		}
+	})
+	f.checkWindow(t)
+	for i := range 31 {
+		if m := f.models[i].Name; f.copies(m) == 0 {
+			t.Errorf("%s is in use and has no copy %v after the crash", m, bound)
+		}
+	}
+	if lost < 8 {
+		t.Errorf("%d models in use lost their last copy, too few to show anything", lost)
+	}
+}
+
 // loadsAtConstantDemand returns the loads and unloads of half a minute in which the demand for each model stays the same but for
 // the usual variation of requests.
 func loadsAtConstantDemand(t *testing.T, waves bool) (loads, unloads int) {
--- a/lib/residency/residency_test.go
+++ b/lib/residency/residency_test.go
@@ -101,6 +101,7 @@
 		if a.FromStore {
 			took = time.Duration(float64(storeLoadTime) * f.slowdown())
 			f.loads = append(f.loads, f.now)
+			f.planner.Began(a.Target, a.Model, true, f.now)
 		}
 		t.Models = append(t.Models, LoadedModel{Model: a.Model, MB: m.MB})
 		f.inProgress[t.ID] = order{a, f.now.Add(took)}
@@ -210,6 +211,11 @@
 	rapid.Check(t, func(rt *rapid.T) {
 		r := rand.New(rand.NewPCG(rapid.Uint64().Draw(rt, "seed"), 3))
 		f := newFleet(t, rapid.IntRange(8, 18).Draw(rt, "targets"))
+		if rapid.Bool().Draw(rt, "waves") {
+			f.planner.SetWaves(Waves{
+				WindowLoads: loadsPerSecond*1.1*LoadWindow.Seconds() + 3, RatePerSecond: loadsPerSecond, DemandTimeConstant: time.Second,
+			}, start)
+		}
 		list := newModels(rapid.IntRange(2, 24).Draw(rt, "models"))
 		for range 600 {
 			if r.IntN(30) == 0 {
