--- a/lib/balance/balance.go
+++ b/lib/balance/balance.go
@@ -142,6 +142,7 @@
 	newsDelay     time.Duration             // guarded by mu; in which a report reaches all hosts
 	prefixLoads   map[uint64]*prefixLoad    // guarded by mu; by hash of the prefix
 	options       []option                  // guarded by mu; scratch space of pickEven
+	outliers      outliers                  // guarded by mu
 }
 
 // target is a target with its load, what its KV cache probably holds, and its health.
@@ -372,6 +373,7 @@
 const (
 	rankUsable    rank = iota
 	rankNonMember      // this host keeps no connections to the target
+	rankSetAside       // fails a part of its requests
 	rankUnusable       // suspended, or being probed
 	ranks
 )
@@ -380,6 +382,7 @@
 // further connection, or send no request within the target's rate, is left out. Errors: ErrNoTarget, ErrNoModel, ErrNoAdapter,
 // ErrBusy, ErrPaced, ErrPaused.
 func (b *Balancer) candidates(q Query, now time.Time) ([]*target, error) {
+	b.updateOutliers(now)
 	var byRank [ranks][]*target
 	var pausedUntil time.Time // the earliest
 	err, pacedRate := ErrNoTarget, 0.0
@@ -423,6 +426,7 @@
 		r := b.rankOf(t, now)
 		byRank[r] = append(byRank[r], t)
 	}
+	keepHalf(&byRank)
 	for _, list := range byRank {
 		if len(list) > 0 {
 			return list, nil
@@ -470,6 +474,8 @@
 	switch {
 	case !t.health.usable(now):
 		return rankUnusable
+	case b.leftOut(t, now):
+		return rankSetAside
 	case b.connections != nil && !b.connections.Member(t.info.Addr):
 		return rankNonMember
 	default:
@@ -507,6 +513,7 @@
 // probes whether t answers again.
 func (b *Balancer) assign(t *target, load Load, model string, now time.Time) *Choice {
 	t.local.add(load, 1)
+	t.health.sentTo(now, b.hosts)
 	if b.rates != nil {
 		b.rates.Take(t.info.ID, now)
 	}
--- a/lib/entryhost/entryhost.go
+++ b/lib/entryhost/entryhost.go
@@ -95,6 +95,7 @@
 	cfg          Config
 	log          *slog.Logger
 	balancer     *balance.Balancer
+	aside        *asideLog
 	limiter      *orglimit.Limiter
 	rates        *targetrate.Limits
 	cold         *coldRole
@@ -131,6 +132,8 @@
 	}
 	h.cold = newColdRole(h)
 	h.balancer.SetEvenLoad(s.EvenLoad)
+	h.balancer.SetAside(s.SetAside)
+	h.aside = newAsideLog(h.balancer, cfg.Log, cfg.Metrics)
 	h.role = newPlacementRole(h)
 	h.quarantine = newQuarantineRole(s.Host, cfg.Store, func() { h.peers.Relay() }, cfg.Log, cfg.Metrics)
 	h.placer = placer.New(placer.Config{
@@ -238,9 +241,19 @@
 	return p
 }
 
+// engineLoad returns the demand at this host by model, in milliseconds of engine time a second.
+func (h *Host) engineLoad(now time.Time) map[string]float64 {
+	load := h.meter.EngineLoad(now)
+	if h.cfg.Settings.Placement.Waves {
+		return workload.BySpeed(load, h.balancer.Slowness)
+	}
+	return load
+}
+
 // fillState fills in a full state of this host.
 func (h *Host) fillState(s *peers.State) {
 	now := time.Now()
+	h.aside.update(now)
 	s.Changes = h.storeWatcher.TargetChanges()
 	if c := h.catalog.Load(); c != nil {
 		s.ConfigVersion = c.Version
@@ -250,8 +263,8 @@
 		suspects[id] = 1
 	}
 	s.Contribution = aggregate.Contribution{
-		Hosts: 1, Demand: h.limiter.Report(now), TargetDemand: h.rates.Usage(now), Loads: h.balancer.LocalLoads(now), EngineLoad: h.meter.EngineLoad(now),
-		AdapterRates: h.meter.Adapters(now), Suspects: suspects, Outcomes: h.quarantine.detector.Outcomes(now),
+		Hosts: 1, Demand: h.limiter.Report(now), TargetDemand: h.rates.Usage(now), Loads: h.balancer.LocalLoads(now), EngineLoad: h.engineLoad(now),
+		AdapterRates: h.meter.Adapters(now), Suspects: suspects, Failures: h.balancer.LocalFailures(now), Outcomes: h.quarantine.detector.Outcomes(now),
 	}
 	h.connections.updateDemand(h.balancer, now)
 	s.TargetRates = h.rates.Statements(now)
@@ -281,6 +294,7 @@
 		h.rates.ApplyUsage(s.Host, s.Boot, s.Hosts, s.TargetDemand, now)
 		h.balancer.SetPeerLoads(s.Host, s.Loads)
 		h.balancer.SetSuspects(s.Host, s.Suspects)
+		h.balancer.SetPeerFailures(s.Host, s.Failures)
 		h.quarantine.detector.SetPeerOutcomes(s.Host, &s.Outcomes)
 		h.role.handleState(s, now)
 	}
@@ -336,6 +350,7 @@
 	h.rates.RemovePeer(host)
 	h.balancer.SetPeerLoads(host, nil)
 	h.balancer.SetSuspects(host, nil)
+	h.balancer.SetPeerFailures(host, nil)
 	h.quarantine.detector.SetPeerOutcomes(host, nil)
 	h.role.removeHost(host)
 }
--- a/lib/entryhost/settings.go
+++ b/lib/entryhost/settings.go
@@ -34,6 +34,9 @@
 	// EvenLoad has requests spread over targets by what other hosts have probably sent since their reports, instead of to the target
 	// that looked least loaded.
 	EvenLoad bool `yaml:"even_load"`
+	// SetAside is the largest fraction of a service's targets that get hardly any requests because they fail a part of theirs; zero:
+	// none.
+	SetAside float64 `yaml:"set_aside"`
 
 	Placement PlacementSettings `yaml:"placement"`
 
@@ -101,6 +104,9 @@
 		return fmt.Errorf("cold_overshoot (%v) must be 1 or more, cold_slack (%v) 0 or more; they bound the requests to targets that have just started",
 			s.ColdOvershoot, s.ColdSlack)
 	}
+	if !(s.SetAside >= 0 && s.SetAside < 1) {
+		return fmt.Errorf("set_aside (%v) must be 0 or more and below 1; set it to the fraction of a service that the others can stand in for", s.SetAside)
+	}
 	if s.Placement.Lease < time.Second || s.Placement.LoadsOvershoot < 1 {
 		return fmt.Errorf("placement: lease must be 1s or longer, loads_overshoot 1 or more")
 	}
