--- a/lib/balance/balance.go
+++ b/lib/balance/balance.go
@@ -93,6 +93,9 @@
 	Wanted map[string]bool
 	// UsualRate is the requests a second for the model at this host, averaged over a longer time.
 	UsualRate float64
+	// StartWithin is the time within which a target has to be expected to begin the request; zero: no limit.
+	StartWithin time.Duration
+	Priority    int // 0 is the most urgent; targets serve requests in this order
 }
 
 // Connections states how many connections a host may have to a target.
@@ -135,6 +138,8 @@
 	random        *rand.Rand
 	hosts         int                       // guarded by mu; including this one
 	absent        map[string]absentPause    // guarded by mu; pauses of targets that are not in the list, by target
+	room          roomModel                 // guarded by mu
+	onRoom        func(service string)      // guarded by mu
 	peerSuspects  map[string]map[string]int // guarded by mu; hosts that find a target unresponsive, by host that reports them and target
 }
 
@@ -259,6 +264,7 @@
 			t.peers.add(loads[id], 1)
 		}
 		t.hearing.recordPeers(before, t.peers)
+		b.roomAt(t)
 	}
 }
 
@@ -339,10 +345,14 @@
 			engine = s.Engine
 		}
 	}
+	var c *Choice
 	if engine == nil || q.Call.Model == "" {
-		return b.pickPlain(candidates, now), nil
+		c = b.pickPlain(candidates, now)
+	} else {
+		c = b.pickEngine(candidates, engine, q.Call, now)
 	}
-	return b.pickEngine(candidates, engine, q.Call, now), nil
+	b.recordStart(c, &q)
+	return c, nil
 }
 
 // rank orders the targets that can serve a request; a target of a later rank is chosen only if there is none of an
@@ -403,7 +413,14 @@
 		r := b.rankOf(t, now)
 		byRank[r] = append(byRank[r], t)
 	}
-	for _, list := range byRank {
+	var full *FullError
+	for r, list := range byRank {
+		if q.StartWithin > 0 && len(list) > 0 && rank(r) != rankUnusable {
+			list, full = b.withRoom(list, &q, full, now)
+		}
+		if full != nil && rank(r) == rankUnusable {
+			return nil, full
+		}
 		if len(list) > 0 {
 			return list, nil
 		}
--- a/lib/balance/choice.go
+++ b/lib/balance/choice.go
@@ -17,11 +17,14 @@
 	load               Load
 	model              string
 	pickedAt           time.Time
-	prefillReleased    bool      // the prefill tokens of the load are released
-	progress           uint64    // of the target's hearing at progressAt
-	progressAt         time.Time // when progress at the requests of other hosts was last seen
-	overdue            bool      // Overdue was called
-	returnStep         int       // step of the return from a pause to which the request counts until the target serves it; zero: none
+	prefillReleased    bool          // the prefill tokens of the load are released
+	progress           uint64        // of the target's hearing at progressAt
+	progressAt         time.Time     // when progress at the requests of other hosts was last seen
+	overdue            bool          // Overdue was called
+	key                string        // of what is learned of the time at targets; see roomKey
+	startIn            time.Duration // expected wait at the target
+	beganAt            time.Time     // when the first event arrived
+	returnStep         int           // step of the return from a pause to which the request counts until the target serves it; zero: none
 }
 
 // FirstEvent records the first event of the answer: the prompt is prefilled, and the observed time corrects the model's
@@ -32,11 +35,13 @@
 	defer b.mu.Unlock()
 	c.endReturn(true)
 	c.picked.heard(now)
+	c.began(now)
 	if c.prefillReleased {
 		return
 	}
 	c.prefillReleased = true
 	c.picked.local.PrefillTokens -= c.load.PrefillTokens
+	c.balancer.roomAt(c.picked)
 	if c.ExpectedFirstEvent > 0 && c.load.PrefillTokens > 0 {
 		ratio := min(maxLatencyRatio, max(minLatencyRatio, float64(now.Sub(c.pickedAt))/float64(c.ExpectedFirstEvent)))
 		current := b.latencyRatio(c.model)
@@ -48,6 +53,7 @@
 // Unsent records that the request did not reach the target, so that it does not count in the target's rate. It does not end the
 // request.
 func (c *Choice) Unsent() {
+	c.returnPart()
 	if c.balancer.rates != nil {
 		c.balancer.rates.Return(c.Target.ID)
 	}
@@ -62,6 +68,7 @@
 	}
 	c.picked.local.Running -= c.load.Running
 	c.picked.local.CacheTokens -= c.load.CacheTokens
+	c.balancer.roomAt(c.picked)
 }
 
 // Answered ends the request with an answer; failed states that the answer was a failure of the target.
@@ -71,6 +78,9 @@
 	c.endReturn(true)
 	c.releaseLoad()
 	c.picked.heard(now)
+	if !failed {
+		c.served(now)
+	}
 	c.picked.health.answered(failed, now)
 }
 
--- a/lib/fairqueue/fairqueue.go
+++ b/lib/fairqueue/fairqueue.go
@@ -2,7 +2,10 @@
 // earliest deadline first within an organisation. It does no I/O, reads no clock, and is not safe for concurrent use.
 package fairqueue
 
-import "container/heap"
+import (
+	"container/heap"
+	"slices"
+)
 
 // Entry is one waiting request. The caller sets the exported fields and does not change them while the
 // entry is queued.
@@ -14,6 +17,7 @@
 	Value        any   // not used by the queue
 
 	flow          *flow
+	level         int    // in Levels
 	seq           uint64 // order of arrival, which decides between equal deadlines
 	flowIndex     int    // in flow.entries
 	deadlineIndex int    // in Queue.deadlines
@@ -69,9 +73,7 @@
 		if f == longest || backlogWithEntry >= longest.weightedBacklog() {
 			return e
 		}
-		// The last entry of a heap is a leaf, so it never has the earliest deadline of several.
-		dropped = longest.entries[len(longest.entries)-1]
-		q.Remove(dropped)
+		dropped = q.dropOne()
 	}
 	f = q.flowOf(e)
 	q.seq++
@@ -89,6 +91,15 @@
 	return dropped
 }
 
+// dropOne removes and returns an entry of the organisation with the longest backlog for its weight. The queue must not be empty.
+func (q *Queue) dropOne() *Entry {
+	// The last entry of a heap is a leaf, so it never has the earliest deadline of several.
+	longest := q.backlog[0]
+	dropped := longest.entries[len(longest.entries)-1]
+	q.Remove(dropped)
+	return dropped
+}
+
 // flowOf returns the flow that e is to be added to. It creates the flow or takes it out of the idle ones as needed.
 func (q *Queue) flowOf(e *Entry) *flow {
 	f := q.byName[e.Organisation]
@@ -112,12 +123,46 @@
 	if len(q.active) == 0 {
 		return nil
 	}
-	f := q.active[0]
+	e := q.active[0].entries[0]
+	q.take(e)
+	return e
+}
+
+// take removes an entry that is served, and charges its organisation.
+func (q *Queue) take(e *Entry) {
+	f := e.flow
 	q.virtualTime = max(q.virtualTime, f.startTag)
-	e := f.entries[0]
 	f.startTag += float64(e.Tokens) / f.weight
 	q.Remove(e)
-	return e
+}
+
+// Next returns the first entry in the order of Pop for which skip returns false, or nil. The entry stays in the queue.
+func (q *Queue) Next(skip func(*Entry) bool) *Entry {
+	flows := slices.Clone(q.active)
+	slices.SortFunc(flows, func(a, b *flow) int {
+		switch {
+		case a.startTag != b.startTag:
+			if a.startTag < b.startTag {
+				return -1
+			}
+			return 1
+		case dueBefore(a.entries[0], b.entries[0]):
+			return -1
+		}
+		return 1
+	})
+	for _, f := range flows {
+		var first *Entry
+		for _, e := range f.entries {
+			if (first == nil || dueBefore(e, first)) && !skip(e) {
+				first = e
+			}
+		}
+		if first != nil {
+			return first
+		}
+	}
+	return nil
 }
 
 // Remove takes e out of the queue and reports whether it was queued.
--- /dev/null
+++ b/lib/hostqueue/sim_test.go
@@ -0,0 +1,437 @@
+package hostqueue
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"cuminhook.org/cuminhook/lib/balance"
+	"cuminhook.org/cuminhook/lib/catalog"
+	"cuminhook.org/cuminhook/lib/passthrough"
+	"cuminhook.org/cuminhook/lib/registry"
+)
+
+// kind is a kind of requests of a simulated day.
+type kind struct {
+	name, organisation string
+	priority           int
+	objective          time.Duration
+	prompt, output     int64
+	perSecond          func(at time.Duration) float64
+}
+
+// site is a simulated deployment: hosts that decide with this package, or send everything at once, and engines that serve by priority.
+type site struct {
+	hosts, targets int
+	admission      bool
+	length         time.Duration
+	kinds          []kind
+	gone           func(target int, at time.Duration) bool // nil: all targets are there
+}
+
+const (
+	simSlots         = 16
+	simTokensPerMS   = 12
+	simStep          = 20 * time.Millisecond
+	simNewsInterval  = 300 * time.Millisecond
+	simNewsDelay     = 400 * time.Millisecond
+	simRoundTrip     = time.Millisecond
+	simPatience      = 4 // times the objective, 2 s at least
+	simDeadlineAfter = 20 * time.Second
+)
+
+// simCall is a request and what its caller gets.
+type simCall struct {
+	kind             *kind
+	at, first, ended time.Duration // since the start; zero: not yet
+	sends            int           // times that the caller has sent it
+	refusedAfter     time.Duration // longest time at a host before a refusal
+	lost             bool          // broken off after the first event
+	done             bool
+	host             int
+	req              *Request
+	choice           *balance.Choice
+	target           int
+	priority         int
+	seq              int
+	inSlot           bool
+}
+
+// patience returns the silence after which the caller gives up.
+func (k *kind) patience() time.Duration { return max(2*time.Second, simPatience*k.objective) }
+
+type simEvent struct {
+	at  time.Duration
+	seq int
+	fn  func()
+}
+
+type simEvents []simEvent
+
+func (h simEvents) Len() int { return len(h) }
+func (h simEvents) Less(i, j int) bool {
+	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].seq < h[j].seq
+}
+func (h simEvents) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *simEvents) Push(x any)   { *h = append(*h, x.(simEvent)) }
+func (h *simEvents) Pop() any {
+	e := (*h)[len(*h)-1]
+	*h = (*h)[:len(*h)-1]
+	return e
+}
+
+type simTarget struct {
+	waiting   []*simCall
+	running   int
+	prefilled time.Duration // when the prompts in the batch are prefilled
+}
+
+// spread has a balancer choose among a few targets at random, so that hosts with the same old news do not all choose the same one.
+type spread struct {
+	*balance.Balancer
+	sim *sim
+}
+
+const simChoices = 3
+
+// Pick implements Balancer.
+func (b *spread) Pick(q balance.Query, now time.Time) (*balance.Choice, error) {
+	choice, err := b.Balancer.Pick(q, now)
+	if err != nil {
+		return nil, err
+	}
+	choice.Unsent()
+	choice.Abandoned()
+	q.StartWithin = 0
+	for _, i := range b.sim.random.Perm(len(b.sim.targets))[simChoices:] {
+		q.Tried = append(q.Tried, simTargetID(i))
+	}
+	if spread, err := b.Balancer.Pick(q, now); err == nil {
+		return spread, nil
+	}
+	q.Tried = nil
+	return b.Balancer.Pick(q, now)
+}
+
+type simHost struct {
+	balancer *spread
+	queue    *Queue
+	woken    bool
+}
+
+type sim struct {
+	site
+	now     time.Duration
+	seq     int
+	events  simEvents
+	random  *rand.Rand
+	hosts   []*simHost
+	targets []*simTarget
+	calls   []*simCall
+	busy    time.Duration // sum of the time that slots were in use by requests that were answered
+}
+
+var simStart = time.Unix(1000, 0)
+
+func (s *sim) time() time.Time { return simStart.Add(s.now) }
+
+func (s *sim) after(d time.Duration, fn func()) {
+	s.seq++
+	heap.Push(&s.events, simEvent{s.now + d, s.seq, fn})
+}
+
+func simTargetID(i int) string { return fmt.Sprintf("t%03d", i) }
+
+// targetList returns the entries of the targets that are there.
+func (s *sim) targetList() (list []*registry.Target) {
+	for i := range s.targets {
+		if s.gone == nil || !s.gone(i, s.now) {
+			list = append(list, &registry.Target{
+				ID: simTargetID(i), Addr: simTargetID(i), Service: "llm", Zone: string(rune('a' + i%4)), Slots: simSlots,
+				Models: []registry.ResidentModel{{Model: "m"}}, Beat: 1,
+			})
+		}
+	}
+	return list
+}
+
+// play simulates a day and returns all requests of callers.
+func play(c site, seed uint64) *sim {
+	s := &sim{site: c, random: rand.New(rand.NewPCG(seed, 7))}
+	for range c.targets {
+		s.targets = append(s.targets, &simTarget{})
+	}
+	for i := range c.hosts {
+		h := &simHost{balancer: &spread{balance.New(string(rune('a'+i%4)), nil, nil, rand.New(rand.NewPCG(seed, uint64(i)))), s}}
+		h.balancer.SetCatalog(catalog.New(catalog.Content{Services: []*catalog.Service{
+			{Name: "llm", Engine: &catalog.Engine{Slots: simSlots, CacheTokens: 400_000}},
+		}}))
+		h.balancer.SetHosts(c.hosts)
+		h.balancer.SetTargets(s.targetList())
+		h.queue = New(h.balancer)
+		s.hosts = append(s.hosts, h)
+		h.balancer.OnRoom(func(string) { s.wake(h) })
+		s.tick(h)
+	}
+	for i := range c.kinds {
+		s.arrive(&c.kinds[i])
+	}
+	s.exchange()
+	for len(s.events) > 0 {
+		e := heap.Pop(&s.events).(simEvent)
+		s.now = e.at
+		e.fn()
+	}
+	return s
+}
+
+// arrive has the next request of a kind sent, and all that follow.
+func (s *sim) arrive(k *kind) {
+	rate := k.perSecond(s.now)
+	if rate <= 0 {
+		s.after(100*time.Millisecond, func() { s.arriveAt(k, false) })
+		return
+	}
+	s.after(time.Duration(s.random.ExpFloat64()/rate*float64(time.Second)), func() { s.arriveAt(k, true) })
+}
+
+func (s *sim) arriveAt(k *kind, send bool) {
+	if s.now > s.length {
+		return
+	}
+	if send {
+		c := &simCall{kind: k, at: s.now}
+		s.calls = append(s.calls, c)
+		s.after(k.patience(), func() { s.giveUp(c) })
+		s.send(c)
+	}
+	s.arrive(k)
+}
+
+// send has a caller send its request to some host.
+func (s *sim) send(c *simCall) {
+	c.sends++
+	c.host = s.random.IntN(len(s.hosts))
+	h, k := s.hosts[c.host], c.kind
+	// A caller that comes back has less time left than it had.
+	left := c.at + k.patience() - s.now
+	c.req = &Request{
+		Query: balance.Query{Service: "llm", Priority: k.priority, Wanted: map[string]bool{}, Call: &passthrough.Call{
+			Model: "m", PromptTokens: k.prompt, MaxOutput: 4 * k.output, OutputHint: k.output,
+		}},
+		Organisation: k.organisation, Tokens: k.prompt + k.output, Objective: k.objective, Arrived: s.time(),
+		Latest: s.time().Add(left * 7 / 10),
+	}
+	if !s.admission {
+		choice, err := h.balancer.Pick(c.req.Query, s.time())
+		c.req.Choice, c.req.Err = choice, err
+		s.decided(c, time.Time{})
+		return
+	}
+	c.req.Query.Call.ID = fmt.Sprint(len(s.calls))
+	byRequest[c.req] = c
+	s.apply(h.queue.Enter(c.req, s.time()))
+}
+
+// byRequest finds the call of a request that a queue has decided on.
+var byRequest = map[*Request]*simCall{}
+
+func (s *sim) apply(decided []*Request) {
+	for _, r := range decided {
+		c := byRequest[r]
+		delete(byRequest, r)
+		s.decided(c, r.Arrived)
+	}
+}
+
+func (s *sim) decided(c *simCall, arrived time.Time) {
+	if c.req.Choice == nil {
+		if !arrived.IsZero() {
+			c.refusedAfter = max(c.refusedAfter, s.time().Sub(arrived))
+		}
+		left := c.at + c.kind.patience() - s.now
+		retry := 500 * time.Millisecond
+		if r, ok := c.req.Err.(*RefusedError); ok {
+			dbg[r.Reason]++
+			if len(dbg) < 40 && s.random.IntN(200) == 0 {
+				fmt.Printf("%v %+v\n", s.now, *r)
+			}
+			retry = r.RetryAfter(s.random.Float64())
+		}
+		if retry = min(retry, left/3); left > 200*time.Millisecond && c.sends < 5 {
+			s.after(retry, func() {
+				if !c.done {
+					s.send(c)
+				}
+			})
+		}
+		return
+	}
+	c.choice, c.priority = c.req.Choice, c.kind.priority
+	_, _ = fmt.Sscanf(c.choice.Target.ID, "t%d", &c.target)
+	s.after(simRoundTrip, func() {
+		if c.done {
+			return
+		}
+		t := s.targets[c.target]
+		s.seq++
+		c.seq = s.seq
+		t.waiting = append(t.waiting, c)
+		s.admit(c.target)
+	})
+}
+
+// admit has a target begin what fits into its batch, by priority.
+func (s *sim) admit(target int) {
+	t := s.targets[target]
+	for t.running < simSlots && len(t.waiting) > 0 && (s.gone == nil || !s.gone(target, s.now)) {
+		best := 0
+		for i, c := range t.waiting {
+			if b := t.waiting[best]; c.priority < b.priority || c.priority == b.priority && c.seq < b.seq {
+				best = i
+			}
+		}
+		c := t.waiting[best]
+		t.waiting = slices.Delete(t.waiting, best, best+1)
+		t.running++
+		c.inSlot = true
+		t.prefilled = max(t.prefilled, s.now) + time.Duration(c.kind.prompt)*time.Millisecond/simTokensPerMS
+		s.after(t.prefilled-s.now, func() {
+			if c.done {
+				return
+			}
+			c.first = s.now
+			c.choice.FirstEvent(s.time())
+			s.after(time.Duration(c.kind.output)*simStep, func() {
+				if !c.done {
+					s.finish(c, func() { c.choice.Answered(false, s.time()) })
+					c.ended = s.now
+				}
+			})
+		})
+	}
+}
+
+// finish ends a request and frees its slot.
+func (s *sim) finish(c *simCall, end func()) {
+	c.done = true
+	t := s.targets[c.target]
+	if c.inSlot {
+		t.running--
+	} else if i := slices.Index(t.waiting, c); i >= 0 {
+		t.waiting = slices.Delete(t.waiting, i, i+1)
+	}
+	end()
+	s.admit(c.target)
+}
+
+// giveUp has the caller of a request without a first event leave.
+func (s *sim) giveUp(c *simCall) {
+	switch {
+	case c.done || c.first > 0:
+	case c.choice != nil:
+		s.finish(c, func() { c.choice.Abandoned() })
+	default:
+		c.done = true
+		if c.req != nil && s.hosts[c.host].queue.Leave(c.req) {
+			delete(byRequest, c.req)
+		}
+	}
+}
+
+// wake has a host look for room shortly.
+func (s *sim) wake(h *simHost) {
+	if !h.woken && h.queue != nil && s.admission {
+		h.woken = true
+		s.after(time.Millisecond, func() {
+			h.woken = false
+			s.apply(h.queue.Advance(s.time()))
+		})
+	}
+}
+
+// tick has a host look for what time alone decides.
+func (s *sim) tick(h *simHost) {
+	s.apply(h.queue.Advance(s.time()))
+	if s.now < s.length+10*time.Second {
+		s.after(50*time.Millisecond, func() { s.tick(h) })
+	}
+}
+
+var simHook func(*sim)
+
+// exchange has the hosts learn of each other's load and of the targets.
+func (s *sim) exchange() {
+	total, own := map[string]balance.Load{}, make([]map[string]balance.Load, len(s.hosts))
+	for i, h := range s.hosts {
+		own[i] = h.balancer.LocalLoads(s.time())
+		for id, load := range own[i] {
+			total[id] = total[id].Plus(load, 1)
+		}
+	}
+	list := s.targetList()
+	if simHook != nil {
+		simHook(s)
+	}
+	for i, h := range s.hosts {
+		others := map[string]balance.Load{}
+		for id, load := range total {
+			others[id] = load.Plus(own[i][id], -1)
+		}
+		s.after(simNewsDelay+time.Duration(s.random.Int64N(int64(simNewsInterval))), func() {
+			h.balancer.SetTargets(list)
+			h.balancer.SetPeerLoads("others", others)
+		})
+	}
+	if s.now < s.length+10*time.Second {
+		s.after(simNewsInterval, s.exchange)
+	}
+}
+
+// report is what the callers of a kind, or of all, got.
+type report struct {
+	n, answered, inTime, refusedLate int
+	worth                            float64
+	waits                            []time.Duration
+}
+
+func (s *sim) report(keep func(*simCall) bool) (r report) {
+	for _, c := range s.calls {
+		if keep != nil && !keep(c) {
+			continue
+		}
+		r.n++
+		if c.refusedAfter >= c.kind.patience()*3/4 {
+			r.refusedLate++
+		}
+		if c.first == 0 {
+			continue
+		}
+		r.answered++
+		wait := c.first - c.at
+		r.waits = append(r.waits, wait)
+		if wait <= c.kind.objective {
+			r.inTime++
+			r.worth++
+		} else {
+			r.worth += max(0, 1-float64(wait-c.kind.objective)/float64(c.kind.patience())) / 2
+		}
+	}
+	slices.Sort(r.waits)
+	return r
+}
+
+func (r *report) quantile(q float64) time.Duration {
+	if len(r.waits) == 0 {
+		return 0
+	}
+	return r.waits[min(len(r.waits)-1, int(q*float64(len(r.waits))))]
+}
+
+func (r report) String() string {
+	return fmt.Sprintf("%d requests: answered %.3f, in time %.3f, worth %.3f, first event %v %v %v, refused late %d", r.n,
+		float64(r.answered)/float64(r.n), float64(r.inTime)/float64(r.n), r.worth/float64(r.n),
+		r.quantile(0.5).Round(time.Millisecond), r.quantile(0.9).Round(time.Millisecond), r.quantile(0.99).Round(time.Millisecond), r.refusedLate)
+}
