Queue at the host, behind the setting admission: requests wait for room or are refused at once

Everything that is accepted is sent at once today, and waits in the engines' queues until its caller gives up. With the new setting admission (default false) a request is sent if it belongs to the part of the demand that the targets can begin. That part follows from the load of all targets, which all hosts know alike; ranks order the demand by priority, and fairly between organisations within one. The rest waits in lib/hostqueue (an order by lib/fairqueue) or is refused as not run.

--- a/lib/balance/balance.go
+++ b/lib/balance/balance.go
@@ -96,6 +96,8 @@
 	// StartWithin is the time within which a target has to be expected to begin the request; zero: no limit.
 	StartWithin time.Duration
 	Priority    int // 0 is the most urgent; targets serve requests in this order
+	// Rank is the place of the request in the demand, from 0 to 1, in the order in which it is sent while targets are full.
+	Rank float64
 }
 
 // Connections states how many connections a host may have to a target.
@@ -284,6 +286,7 @@
 func (b *Balancer) LocalLoads(now time.Time) map[string]Load {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.sampleGates(now)
 	out := map[string]Load{}
 	for id, t := range b.targets {
 		load := t.local
--- a/lib/balance/choice.go
+++ b/lib/balance/choice.go
@@ -53,7 +53,6 @@
 // Unsent records that the request did not reach the target, so that it does not count in the target's rate. It does not end the
 // request.
 func (c *Choice) Unsent() {
-	c.returnPart()
 	if c.balancer.rates != nil {
 		c.balancer.rates.Return(c.Target.ID)
 	}
--- a/lib/balance/room.go
+++ b/lib/balance/room.go
@@ -4,9 +4,12 @@
 	"errors"
 	"fmt"
 	"math"
+	"slices"
 	"time"
 
 	"cuminhook.org/cuminhook/lib/catalog"
+	"cuminhook.org/cuminhook/lib/passthrough"
+	"cuminhook.org/cuminhook/lib/registry"
 )
 
 // ErrFull means that every target that could take the request is expected to begin it too late.
@@ -14,9 +17,11 @@
 
 // FullError is an ErrFull.
 type FullError struct {
-	StartIn time.Duration // until the best target is expected to begin the request
-	// PerSecond is the part of this host in the requests a second that the targets in question begin.
-	PerSecond float64
+	StartIn time.Duration // until the best target is expected to begin the request if it is sent now
+	// Sent is the fraction of the demand that is sent at present, the first of it by rank; zero if no target has room for more.
+	Sent float64
+	// RoomIn is the time until the targets have room for all of the demand, if it falls as it does now; an hour if it does not fall.
+	RoomIn time.Duration
 }
 
 // Error implements error.
@@ -32,19 +37,37 @@
 	initialBusyTime = 2 * time.Second
 	// busyTimeWeight is the weight of the newest observation in a model's time in a slot.
 	busyTimeWeight = 0.05
-	// pacedFraction is the fraction of the slots of all targets in question from which on hosts send no more than their parts. Below it
-	// there is room for what other hosts send before it is known.
-	pacedFraction = 0.8
-	// newsAge is the time after which what a host sends shows in the loads that others know. It is the time in which a
-	// difference between the expected and the wanted wait at the targets is made up for.
-	newsAge = time.Second
-	// savedUp is the time in which a host saves up its part, and minSavedUp the least number of requests that it saves up: requests
-	// at one host are rare in large fleets.
-	savedUp    = 500 * time.Millisecond
-	minSavedUp = 2.0
-	// urgentOverdraft is the number of requests that a host may send beyond its part for each priority more urgent than the least urgent
-	// that it sees. Less urgent ones wait for so much longer.
-	urgentOverdraft = 1.0
+	// gateFraction is the fraction of the slots of all targets with a model from which on hosts may keep requests back.
+	gateFraction = 0.8
+	// gateTime is the time in which hosts make up for a difference between the wait at the targets and the one that is wanted. It is
+	// several times the age of what they know of each other, so that they do not overshoot.
+	gateTime = 2 * time.Second
+	// fillTime is that time where the wait is shorter than it may be: targets that idle cost more than a longer wait.
+	fillTime = 600 * time.Millisecond
+	// chanceQueue is the factor by which the wait may be longer while the demand is not above what the targets can serve, and
+	// chanceDemand the fraction of the demand above that from which on it may not.
+	chanceQueue  = 2.0
+	chanceDemand = 0.5
+	// meshNewsAge and fleetNewsAge are the mean age of what a host knows of the others' load, where all hosts send each other their
+	// states and in larger fleets, and meshHosts the number of hosts up to which they do.
+	meshNewsAge  = 250 * time.Millisecond
+	fleetNewsAge = 700 * time.Millisecond
+	meshHosts    = 16
+	// gateStep is the largest factor by which the fraction changes with a sample.
+	gateStep = 1.4
+	// minSent is the least fraction of the demand that is sent: what is sent shows whether targets begin it.
+	minSent = 0.05
+	// demandWeight is the weight of the newest sample in the estimated demand; there is one with each state that the host sends.
+	demandWeight = 0.25
+	// maxDemand bounds the estimated demand, as a multiple of what the targets can serve.
+	maxDemand = 10.0
+	// gateHistory is the time for which samples are kept, and slopeTime that over which the change of the wait is taken.
+	gateHistory = 3 * time.Second
+	slopeTime   = 900 * time.Millisecond
+	// gateTTL is the time after the last request for a model for which its gate is kept.
+	gateTTL = 30 * time.Second
+	// crowdedTargets times the wait that is wanted is the longest one at a target that is chosen while others wait less.
+	crowdedTargets = 2
 	// minAheadFraction is the least part of a target's queue that an urgent request is expected to wait for.
 	minAheadFraction = 0.1
 	// aheadWeight is the weight of the newest request in the parts of the priorities.
@@ -63,14 +86,28 @@
 	busy        map[string]time.Duration // mean time that a request keeps a slot
 	cacheFactor map[string]float64       // KV cache that targets have, as requests are counted, over what is stated
 	byPriority  map[string][]float64     // parts of the requests, by priority
-	parts       map[string]*part         // of this host
+	gates       map[string]*gate
 }
 
-// part is the number of requests that a host may send to targets that are nearly full, a token bucket that is filled with its part of
-// the requests that these begin.
-type part struct {
-	tokens  float64
-	updated time.Time
+// gate decides which fraction of the demand for a model is sent while its targets are full. All hosts see about the same load of all
+// targets together, and so send about the same fraction without telling each other. How much demand there is follows from the load too:
+// from its change, and the fraction that was sent.
+type gate struct {
+	service, model string
+	usedAt         time.Time // last request
+	wanted         time.Duration
+	demand         float64 // requests that arrive over those that the targets can begin
+	sent           float64 // fraction that is sent
+	slope          float64 // change of the wait, in seconds a second
+	samples        []gateSample
+}
+
+// gateSample is the load of the targets at a time, and the fraction that was sent from then on.
+type gateSample struct {
+	at   time.Time
+	wait float64 // seconds; negative if slots are free
+	fill float64 // fraction of the targets' work that is done
+	sent float64
 }
 
 // OnRoom has fn called when load falls at a target of a service, or a target becomes available. fn is called under the lock of the
@@ -167,63 +204,172 @@
 	return max(minAheadFraction, ahead/total)
 }
 
-// withRoom returns the candidates that are expected to begin the request within q.StartWithin, as long as this host may send its part.
-// If there are none, it returns the FullError of the best one, or of earlier, that of candidates that come first. The caller holds mu.
+// withRoom returns the candidates that are expected to begin the request within a multiple of q.StartWithin, if the request belongs to
+// the part of the demand that is sent. Otherwise it returns the FullError of the best one, or of earlier, that of candidates that come
+// first. The caller holds mu.
 func (b *Balancer) withRoom(candidates []*target, q *Query, earlier *FullError, now time.Time) ([]*target, *FullError) {
+	engine, g := b.engineOf(q), b.gateOf(q, now)
+	full := &FullError{StartIn: math.MaxInt64, Sent: g.sent, RoomIn: g.roomIn()}
 	var out []*target
-	key, engine := roomKey(q.Service, q.Call.Model), b.engineOf(q)
-	best, total := time.Duration(math.MaxInt64), time.Duration(0)
-	running, local, slots := 0.0, 0.0, 0.0
 	for _, t := range candidates {
 		startIn := b.startIn(t, t.local, engine, q)
-		if startIn <= q.StartWithin {
+		full.StartIn = min(full.StartIn, startIn)
+		if startIn <= crowdedTargets*q.StartWithin {
 			out = append(out, t)
 		}
-		best, total = min(best, startIn), total+startIn
-		local += float64(t.local.Running)
-		running += float64(t.local.Running + t.peers.Running)
-		slots += float64(max(1, t.info.Slots))
-	}
-	mean := total / time.Duration(len(candidates))
-	// One request more at each host: a host without a request at the targets has a part, too.
-	share := (local + 1) / (running + float64(max(1, b.hosts)))
-	perSecond := share * slots / b.busyTime(key).Seconds()
-	full := &FullError{StartIn: best, PerSecond: perSecond}
-	if mean > 0 || running >= pacedFraction*slots {
-		p := b.refillPart(key, perSecond*max(0, 1+(q.StartWithin-mean).Seconds()/newsAge.Seconds()), now)
-		if missing := 1 - p.tokens - b.overdraft(key, q.Priority); missing > 0 {
-			out = nil
-			full.StartIn = max(mean, q.StartWithin) + time.Duration(missing/perSecond*float64(time.Second))
-		}
 	}
-	if len(out) > 0 {
+	if len(out) > 0 && (q.Rank < g.sent || g.sent >= 1) {
 		return out, nil
 	}
+	if len(out) == 0 {
+		full.Sent = 0
+		if g.sent >= 1 { // only these targets are full
+			full.RoomIn = full.StartIn - crowdedTargets*q.StartWithin
+		}
+	}
 	if earlier != nil {
-		full.StartIn, full.PerSecond = min(full.StartIn, earlier.StartIn), full.PerSecond+earlier.PerSecond
+		full.StartIn = min(full.StartIn, earlier.StartIn)
 	}
 	return nil, full
 }
 
-// refillPart fills this host's part of a key at the rate. The caller holds mu.
-func (b *Balancer) refillPart(key string, perSecond float64, now time.Time) *part {
-	limit := max(minSavedUp, perSecond*savedUp.Seconds())
-	p := b.room.parts[key]
-	if p == nil {
-		if b.room.parts == nil {
-			b.room.parts = map[string]*part{}
+// gateOf returns the gate of a request. The caller holds mu.
+func (b *Balancer) gateOf(q *Query, now time.Time) *gate {
+	key := roomKey(q.Service, q.Call.Model)
+	g := b.room.gates[key]
+	if g == nil {
+		if b.room.gates == nil {
+			b.room.gates = map[string]*gate{}
 		}
-		p = &part{limit, now}
-		b.room.parts[key] = p
+		g = &gate{service: q.Service, model: q.Call.Model, sent: 1}
+		b.room.gates[key] = g
 	}
-	p.tokens = min(limit, p.tokens+max(0, now.Sub(p.updated).Seconds())*perSecond)
-	p.updated = now
-	return p
+	g.usedAt, g.wanted = now, q.StartWithin
+	return g
 }
 
-// overdraft returns the requests that the host may send beyond its part for a request of the priority. The caller holds mu.
-func (b *Balancer) overdraft(key string, priority int) float64 {
-	return urgentOverdraft * float64(max(0, len(b.room.byPriority[key])-1-max(0, priority)))
+// sampleGates updates the fractions that are sent from the present load. The caller holds mu.
+func (b *Balancer) sampleGates(now time.Time) {
+	age := fleetNewsAge
+	if b.hosts <= meshHosts {
+		age = meshNewsAge
+	}
+	for key, g := range b.room.gates {
+		if now.Sub(g.usedAt) > gateTTL {
+			delete(b.room.gates, key)
+			continue
+		}
+		wait, fill, ok := b.loadOfAll(g, now)
+		if !ok {
+			continue
+		}
+		before := g.sent
+		g.update(wait, fill, age, now)
+		if g.sent > before && b.onRoom != nil {
+			b.onRoom(g.service)
+		}
+	}
+}
+
+// loadOfAll returns the wait at all targets of a gate, and the fraction of their work that is done; ok is false if there are none. The
+// caller holds mu.
+func (b *Balancer) loadOfAll(g *gate, now time.Time) (wait, fill float64, ok bool) {
+	key := roomKey(g.service, g.model)
+	q := &Query{Service: g.service, Call: &passthrough.Call{Model: g.model}, Priority: math.MaxInt}
+	engine, busy := b.engineOf(q), b.busyTime(key).Seconds()
+	running, slots, others, n := 0.0, 0.0, 0.0, 0.0
+	for _, t := range b.targets {
+		if t.info.Service != g.service || t.info.State != registry.Ready || !b.couldServe(t, *q, now) || !t.health.usable(now) || t.pause.active(now) {
+			continue
+		}
+		load := t.local.Plus(t.peers, 1)
+		running, slots, n = running+float64(load.Running), slots+float64(max(1, t.info.Slots)), n+1
+		others += b.otherWait(load, engine, q, key).Seconds()
+	}
+	if slots == 0 {
+		return 0, 0, false
+	}
+	wait = (running/slots - 1) * busy
+	fill = min(1, running/slots)
+	// Prompts that are prefilled are no sign of a full target, unless they wait for each other.
+	if others /= n; others > max(wait, g.wanted.Seconds()/2) {
+		wait, fill = others, 1
+	}
+	return wait, fill, true
+}
+
+// update adds a sample, and sets the fraction that is sent so that the wait becomes the one that is wanted. age is that of the load.
+func (g *gate) update(wait, fill float64, age time.Duration, now time.Time) {
+	g.samples = slices.DeleteFunc(g.samples, func(s gateSample) bool { return now.Sub(s.at) > gateHistory })
+	// The load that is known now follows from what was sent until the age of the news ago.
+	sentBefore, sentSince := g.meanSent(now.Add(-age-slopeTime), now.Add(-age)), g.meanSent(now.Add(-age), now)
+	if old := g.sampleAt(now.Add(-slopeTime)); old != nil {
+		g.slope = (wait - old.wait) / now.Sub(old.at).Seconds()
+		demand := min(maxDemand, max(0, (g.slope+(fill+old.fill)/2)/sentBefore))
+		g.demand += demandWeight * (demand - g.demand)
+	}
+	// A queue that is due to chance becomes shorter by itself.
+	wanted := g.wanted.Seconds() * min(chanceQueue, max(1, chanceQueue-(g.demand-1)/chanceDemand))
+	if fill < gateFraction || g.demand <= 0 {
+		g.sent = 1
+	} else {
+		expected := wait + age.Seconds()*(g.demand*sentSince-fill)
+		within := gateTime
+		if expected < wanted {
+			within = fillTime
+		}
+		sent := (1 + (wanted-expected)/within.Seconds()) / g.demand
+		g.sent = min(1, max(minSent, g.sent/gateStep, min(g.sent*gateStep, sent)))
+	}
+	g.samples = append(g.samples, gateSample{now, wait, fill, g.sent})
+}
+
+// sampleAt returns the latest sample that is not after the time, or else the first one before the newest; nil if there is none.
+func (g *gate) sampleAt(at time.Time) (found *gateSample) {
+	for i := range g.samples {
+		if found == nil || !g.samples[i].at.After(at) {
+			found = &g.samples[i]
+		}
+	}
+	return found
+}
+
+// meanSent returns the mean of the fraction that was sent between two times.
+func (g *gate) meanSent(from, to time.Time) float64 {
+	sent, sum, total := 1.0, 0.0, 0.0
+	for i, s := range g.samples {
+		end := to
+		if i+1 < len(g.samples) && g.samples[i+1].at.Before(to) {
+			end = g.samples[i+1].at
+		}
+		begin := s.at
+		if begin.Before(from) {
+			begin = from
+		}
+		if d := end.Sub(begin).Seconds(); d > 0 {
+			sum, total = sum+d*s.sent, total+d
+		}
+		sent = s.sent
+	}
+	if total <= 0 {
+		return sent
+	}
+	return max(minSent, sum/total)
+}
+
+// roomIn returns the time until the wait is the one that is wanted, if it falls as it does now.
+func (g *gate) roomIn() time.Duration {
+	if len(g.samples) == 0 {
+		return 0
+	}
+	above := g.samples[len(g.samples)-1].wait - g.wanted.Seconds()
+	switch {
+	case above <= 0 && g.sent >= 1:
+		return 0
+	case g.demand < 1:
+		return time.Duration(min(time.Hour.Seconds(), max(0, above)/(1-g.demand)) * float64(time.Second))
+	}
+	return time.Hour
 }
 
 // engineOf returns the engine of the request's service, or nil for plain requests; the caller holds mu.
@@ -241,25 +387,30 @@
 // ahead of it are prefilled. local is the load of this host there, without the request. The caller holds mu.
 func (b *Balancer) startIn(t *target, local Load, engine *catalog.Engine, q *Query) time.Duration {
 	key := roomKey(q.Service, q.Call.Model)
-	load, busy := local.Plus(t.peers, 1), float64(b.busyTime(key))
+	load := local.Plus(t.peers, 1)
 	slots := float64(max(1, t.info.Slots))
-	wait := max(0, float64(load.Running+1)-slots) / slots * busy
+	wait := max(0, float64(load.Running+1)-slots) / slots * float64(b.busyTime(key))
 	if engine != nil {
-		size := float64(max(1, engine.CacheTokens))
-		cache := max(0, float64(load.CacheTokens+requiredCacheTokens(q.Call))/(size*b.cacheFactor(key))-1) * busy
-		prefill := float64(load.PrefillTokens) / prefillTokensPerMS * b.latencyRatio(q.Call.Model) * float64(time.Millisecond)
-		wait = max(wait, cache, prefill) * b.aheadFraction(key, q.Priority)
+		wait = max(wait, float64(b.otherWait(load, engine, q, key))) * b.aheadFraction(key, q.Priority)
 	}
 	return time.Duration(wait)
 }
 
+// otherWait returns the time until KV cache is free at a target with the load, and the prompts ahead are prefilled. The caller holds mu.
+func (b *Balancer) otherWait(load Load, engine *catalog.Engine, q *Query, key string) time.Duration {
+	if engine == nil {
+		return 0
+	}
+	size := float64(max(1, engine.CacheTokens)) * b.cacheFactor(key)
+	cache := max(0, float64(load.CacheTokens+requiredCacheTokens(q.Call))/size-1) * float64(b.busyTime(key))
+	prefill := float64(load.PrefillTokens) / prefillTokensPerMS * b.latencyRatio(q.Call.Model) * float64(time.Millisecond)
+	return time.Duration(max(cache, prefill))
+}
+
 // recordStart completes a choice with what is needed to learn from its course; the caller holds mu.
 func (b *Balancer) recordStart(c *Choice, q *Query) {
 	c.key, c.startIn = roomKey(q.Service, q.Call.Model), b.startIn(c.picked, c.picked.local.Plus(c.load, -1), b.engineOf(q), q)
 	b.countPriority(c.key, max(0, q.Priority))
-	if p := b.room.parts[c.key]; p != nil {
-		p.tokens--
-	}
 }
 
 // began records the first event of the answer: the wait at the target was the time before it without the request's own prefill. The
@@ -287,12 +438,3 @@
 	}
 	c.balancer.observeBusy(c.key, max(0, busy))
 }
-
-// returnPart takes back that the request was counted in this host's part.
-func (c *Choice) returnPart() {
-	c.balancer.mu.Lock()
-	defer c.balancer.mu.Unlock()
-	if p := c.balancer.room.parts[c.key]; p != nil {
-		p.tokens++
-	}
-}
--- a/lib/entryhost/entryhost.go
+++ b/lib/entryhost/entryhost.go
@@ -168,7 +168,8 @@
 func (h *Host) filters() pipeline.Handler {
 	handler := relay.New(relay.Config{
 		Protocol: h.cfg.Protocol, Client: h.connections.client, Balancer: h.balancer, Retries: h.retries,
-		Placement: h.role, Demand: h.meter, Rates: h.rates, Statements: h.statements, Quarantine: h.quarantine.detector, Stop: h.stop, Log: h.cfg.RequestLog, Metrics: h.cfg.Metrics,
+		Placement: h.role, Demand: h.meter, Rates: h.rates, Statements: h.statements, Quarantine: h.quarantine.detector, Admission: h.cfg.Settings.Admission,
+		Stop: h.stop, Log: h.cfg.RequestLog, Metrics: h.cfg.Metrics,
 	})
 	handler = orgrate.New(handler, orgrate.Config{Limiter: h.limiter, Log: h.cfg.RequestLog})
 	handler = classify.New(handler, classify.Config{Protocol: h.cfg.Protocol, Catalog: h.catalog.Load})
--- a/lib/entryhost/settings.go
+++ b/lib/entryhost/settings.go
@@ -27,6 +27,9 @@
 	RetryRatio float64 `yaml:"retry_ratio"` // retries allowed per request of a service, over all hosts
 	RetrySlack float64 `yaml:"retry_slack"` // retries allowed in addition, over all hosts
 
+	// Admission has requests wait at the host for room at the targets, and refuses at once those that cannot be served.
+	Admission bool `yaml:"admission"`
+
 	Placement PlacementSettings `yaml:"placement"`
 
 	Grace time.Duration `yaml:"grace"` // from the signal to stop until the platform kills the process
--- a/lib/filter/relay/harness_test.go
+++ b/lib/filter/relay/harness_test.go
@@ -110,6 +110,11 @@
 
 // newHarnessWith is newHarness with a placement. The targets have no model loaded.
 func newHarnessWith(t *testing.T, scripts map[string]script, placement Placement) *harness {
+	return newHarnessOf(t, scripts, placement, false)
+}
+
+// newHarnessOf is newHarnessWith with the setting admission.
+func newHarnessOf(t *testing.T, scripts map[string]script, placement Placement, admission bool) *harness {
 	rates := targetrate.New(time.Now(), rand.New(rand.NewPCG(2, 2)))
 	r := &harness{
 		t: t, ln: fasthttputil.NewInmemoryListener(), scripts: scripts,
@@ -139,7 +144,7 @@
 		Protocol: testProtocol{}, Client: forward.NewClient(forward.Config{Protocol: testProtocol{}, Dial: r.dial}), Balancer: r.balancer,
 		Retries: r.retries, Placement: placement, Quarantine: r.detector, Rates: rates, Statements: r,
 		Demand: workload.New(), Log: log, Metrics: metrics.NewSet(), Random: func() float64 { return 0.5 },
-		Stop: r.stop,
+		Stop: r.stop, Admission: admission,
 	})
 	h = classify.New(h, classify.Config{Protocol: testProtocol{}, Catalog: func() *catalog.Catalog { return c }})
 	s := pipeline.NewServer(pipeline.ServerConfig{
--- a/lib/filter/relay/pick.go
+++ b/lib/filter/relay/pick.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"cuminhook.org/cuminhook/lib/balance"
+	"cuminhook.org/cuminhook/lib/hostqueue"
 )
 
 const (
@@ -38,6 +39,7 @@
 	nextAdapter          time.Time     // when to ask for the adapter again
 	adapterRetryInterval time.Duration // between the last try to have the adapter loaded and the next
 	paced                bool          // the request is in the queue for targets with limits
+	queued               *queued       // the request's place in the queue of the host; nil: none yet
 }
 
 // pick chooses a target. If there is none, the request waits: for a target to appear, or for its model or adapter to be
@@ -50,7 +52,7 @@
 	}
 	for {
 		q.Tried = r.tried
-		choice, err := r.cfg.Balancer.Pick(q, time.Now())
+		choice, err := r.pickOrWait(&w, q)
 		if err == nil {
 			return choice, nil
 		}
@@ -100,7 +102,7 @@
 		return refuse
 	}
 	switch {
-	case errors.Is(err, balance.ErrPaused):
+	case errors.Is(err, balance.ErrPaused), errors.Is(err, hostqueue.ErrRefused), errors.Is(err, errDrained):
 		return refuse
 	case now.Sub(w.began) < r.route.Objective/pickWaitDivisor && !errors.Is(err, balance.ErrNoAdapter):
 		return pickInterval
--- a/lib/filter/relay/relay.go
+++ b/lib/filter/relay/relay.go
@@ -18,6 +18,7 @@
 	"cuminhook.org/cuminhook/lib/balance"
 	"cuminhook.org/cuminhook/lib/catalog"
 	"cuminhook.org/cuminhook/lib/forward"
+	"cuminhook.org/cuminhook/lib/hostqueue"
 	"cuminhook.org/cuminhook/lib/httpconn"
 	"cuminhook.org/cuminhook/lib/passthrough"
 	"cuminhook.org/cuminhook/lib/pipeline"
@@ -70,6 +71,9 @@
 	Statements Statements
 	// Quarantine learns which prompt segments crash targets; nil: a detector of its own.
 	Quarantine *quarantine.Detector
+	// Admission has requests wait at this host for room at the targets, and refuses at once what cannot be served; false: all are sent
+	// at once.
+	Admission bool
 	// Stop is the stop of this host; nil: it never stops.
 	Stop    *stopping.Stop
 	Log     *slog.Logger
@@ -81,6 +85,7 @@
 	cfg              Config
 	crashes          *crashWatch
 	paced            pacedQueues
+	admission        *admission // nil: requests are sent at once
 	durations        durations
 	retryCounter     func(reason string) *metrics.Counter
 	givenUpCounter   *metrics.Counter // attempts given up at silent targets, and handed over
@@ -98,7 +103,7 @@
 	if cfg.Quarantine == nil {
 		cfg.Quarantine = quarantine.New()
 	}
-	return &filter{
+	f := &filter{
 		cfg: cfg, crashes: newCrashWatch(cfg.Client, cfg.Quarantine, cfg.Log),
 		retryCounter: func(reason string) *metrics.Counter {
 			return cfg.Metrics.GetOrCreateCounter(`cuminhook_repeats_total{reason="` + reason + `"}`)
@@ -106,6 +111,10 @@
 		givenUpCounter:   cfg.Metrics.GetOrCreateCounter("cuminhook_attempts_given_up_total"),
 		firstByteSeconds: cfg.Metrics.GetOrCreateHistogram("cuminhook_first_byte_seconds"),
 	}
+	if cfg.Admission {
+		f.admission = newAdmission(&f.cfg)
+	}
+	return f
 }
 
 // Serve implements pipeline.Handler.
@@ -287,6 +296,12 @@
 	if r.state.MayHaveRun() {
 		reason = refusal.TargetFailed
 	}
+	if refused := (*hostqueue.RefusedError)(nil); errors.As(err, &refused) {
+		return r.refuseFull(refused)
+	}
+	if errors.Is(err, errDrained) {
+		return r.refuseStop()
+	}
 	r.cfg.Log.Info("no target", "request_id", r.ex.ID, "service", r.service, "model", r.call.Model,
 		"adapter", r.call.Adapter, "tried", len(r.tried), "reason", err.Error())
 	if paused := (*balance.PausedError)(nil); errors.As(err, &paused) {
--- a/lib/filter/relay/stopping.go
+++ b/lib/filter/relay/stopping.go
@@ -72,6 +72,11 @@
 func (r *request) refuseStopping(choice *balance.Choice) error {
 	choice.Unsent()
 	choice.Abandoned()
+	return r.refuseStop()
+}
+
+// refuseStop refuses a request because of the stop of this host.
+func (r *request) refuseStop() error {
 	r.cfg.Log.Info("refused before the stop", "request_id", r.ex.ID, "route", r.route.Name, "tried", len(r.tried))
 	if r.state.MayHaveRun() {
 		return r.end(refusal.TargetFailed, 0)
--- a/lib/hostqueue/hostqueue.go
+++ b/lib/hostqueue/hostqueue.go
@@ -8,11 +8,9 @@
 package hostqueue
 
 import (
-	"cmp"
 	"errors"
 	"fmt"
 	"math"
-	"slices"
 	"sync"
 	"time"
 
@@ -38,8 +36,14 @@
 	// maxHeldFraction is the fraction of a request's time that it waits at the host at most. Then it is sent if a target can begin it
 	// in the rest, as a refusal after so long a wait leaves its caller too little time.
 	maxHeldFraction = 0.5
-	// arrivalTimeConstant is the time constant of the rates of requests that arrive.
-	arrivalTimeConstant = 2 * time.Second
+	// arrivalTimeConstant is the time constant of the rates of tokens that arrive, by priority and organisation. A host of a large fleet
+	// sees a few requests a second.
+	arrivalTimeConstant = 10 * time.Second
+	// minArrival is the rate in tokens a second below which an organisation is forgotten.
+	minArrival = 0.01
+	// hopelessMargin is the distance of a request's rank from the fraction that is sent, from which on it is refused at once: that
+	// fraction changes by less while a request can wait.
+	hopelessMargin = 0.2
 )
 
 // Balancer picks targets; see balance.Balancer.
@@ -54,7 +58,9 @@
 	Tokens       int64
 	Objective    time.Duration
 	Arrived      time.Time
-	Latest       time.Time // a later begin is of no use to the request
+	Elapsed      time.Duration // between the time when its caller first sent it, as far as known, and Arrived
+	Latest       time.Time     // a later begin is of no use to the request
+	Rank         float64       // place in the demand; set by Enter
 
 	// Choice is the target that the request is to be sent to, and Err why there is none; both are nil while it waits. Err is a
 	// *RefusedError, or an error of Pick other than ErrFull.
@@ -62,6 +68,7 @@
 	Err    error
 
 	key   string
+	draw  float64
 	due   time.Time
 	entry fairqueue.Entry
 }
@@ -69,20 +76,26 @@
 // Decided reports whether the request is to be sent or not.
 func (r *Request) Decided() bool { return r.Choice != nil || r.Err != nil }
 
-// Late reports whether the request is sent too late to begin in time.
-func (r *Request) Late(now time.Time) bool { return now.After(r.due) }
-
 // ErrRefused means that the targets are not expected to have room for a request before it is too late.
 var ErrRefused = errors.New("hostqueue: no target is expected to begin the request in time; send it again after the time stated")
 
+// Reasons of a RefusedError.
+const (
+	ReasonFull  = "full"  // on arrival, or soon after: no room before the request is too late
+	ReasonLate  = "late"  // the request has become late, and requests in time are served first
+	ReasonHeld  = "held"  // the request has waited for as long as it may
+	ReasonQueue = "queue" // too many wait
+)
+
 // RefusedError is an ErrRefused, with the figures that decided.
 type RefusedError struct {
-	Reason     string        // what was exceeded: "full", "late", "held" or "queue"
-	Ahead      int           // requests of this host that are served before it
-	StartIn    time.Duration // until the best target begins another request
-	PerSecond  float64       // requests a second that the targets begin for this host
-	ExpectedIn time.Duration // until the request would have been begun
-	Left       time.Duration // until Latest
+	Reason  string        // ReasonFull, ReasonLate, ReasonHeld or ReasonQueue
+	Waiting int           // requests that wait at this host
+	StartIn time.Duration // until the best target begins another request
+	Rank    float64       // place of the request in the demand
+	Sent    float64       // fraction of the demand that is sent
+	RoomIn  time.Duration // until there is room for all of the demand
+	Left    time.Duration // until Latest
 }
 
 // Error implements error.
@@ -91,14 +104,52 @@
 // Is reports whether target is ErrRefused.
 func (e *RefusedError) Is(target error) bool { return target == ErrRefused }
 
-// arrivals is a moving average of the requests a second that arrive for one model.
+// arrivals is the demand for one model by priority and organisation, in tokens a second.
 type arrivals struct {
-	rate    float64
 	updated time.Time
+	rates   [maxPriority + 1]map[string]float64
+}
+
+// add counts a request.
+func (a *arrivals) add(priority int, organisation string, tokens float64, now time.Time) {
+	decay := math.Exp(-float64(now.Sub(a.updated)) / float64(arrivalTimeConstant))
+	for _, rates := range a.rates {
+		for name, rate := range rates {
+			if rate *= decay; rate < minArrival {
+				delete(rates, name)
+			} else {
+				rates[name] = rate
+			}
+		}
+	}
+	a.updated = now
+	if a.rates[priority] == nil {
+		a.rates[priority] = map[string]float64{}
+	}
+	a.rates[priority][organisation] += tokens / arrivalTimeConstant.Seconds()
 }
 
-func (a *arrivals) at(now time.Time) float64 {
-	return a.rate * math.Exp(-float64(now.Sub(a.updated))/float64(arrivalTimeConstant))
+// rank returns the place of a request in the demand, from 0 to 1: more urgent requests come first, and of those of one priority the ones
+// that each organisation would send if all were limited to the same rate. draw, in [0, 1), is the place of the request in the demand of its
+// organisation. A late request comes after all others of its priority.
+func (a *arrivals) rank(priority int, organisation string, draw float64, late bool) float64 {
+	before, total := 0.0, 0.0
+	level := draw * a.rates[priority][organisation]
+	for p, rates := range a.rates {
+		for _, rate := range rates {
+			total += rate
+			switch {
+			case p < priority, p == priority && late:
+				before += rate
+			case p == priority:
+				before += min(rate, level)
+			}
+		}
+	}
+	if total <= 0 {
+		return 0
+	}
+	return before / total
 }
 
 // Queue is the queue of one host. It is safe for concurrent use.
@@ -108,11 +159,12 @@
 	mu       sync.Mutex
 	levels   fairqueue.Levels     // guarded by mu
 	arrivals map[string]*arrivals // guarded by mu; by key
+	random   func() float64
 }
 
-// New returns an empty queue.
-func New(balancer Balancer) *Queue {
-	return &Queue{balancer: balancer, levels: fairqueue.Levels{Limit: maxWaiting}, arrivals: map[string]*arrivals{}}
+// New returns an empty queue. random is uniform in [0, 1).
+func New(balancer Balancer, random func() float64) *Queue {
+	return &Queue{balancer: balancer, random: random, levels: fairqueue.Levels{Limit: maxWaiting}, arrivals: map[string]*arrivals{}}
 }
 
 // Len returns the number of requests that wait.
@@ -122,20 +174,24 @@
 	return q.levels.Len()
 }
 
-// Enter adds a request, and returns the requests that are decided on by now; r may be one of them.
+// Enter adds a request, and returns the requests that are decided on by now; r may be one of them. A request may enter again after a
+// decision.
 func (q *Queue) Enter(r *Request, now time.Time) []*Request {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	again := r.key != ""
 	r.Choice, r.Err = nil, nil
 	r.key = r.Query.Service + "/" + r.Query.Call.Model
-	r.due = r.Arrived.Add(time.Duration(dueFraction * float64(r.Objective)))
+	r.due = r.Arrived.Add(time.Duration(dueFraction*float64(r.Objective)) - r.Elapsed)
 	r.Query.StartWithin = min(maxTargetQueue, max(minTargetQueue, time.Duration(targetQueueFraction*float64(r.Objective))))
-	q.countArrival(r, now)
+	if !again {
+		q.countArrival(r, now)
+	}
 	r.entry = fairqueue.Entry{Organisation: r.Organisation, Tokens: max(1, r.Tokens), Deadline: r.due.UnixNano(), Value: r}
 	var decided []*Request
 	if dropped := q.levels.Push(r.level(now), &r.entry); dropped != nil {
 		d := dropped.Value.(*Request)
-		d.Err = &RefusedError{Reason: "queue", Ahead: q.levels.Len(), Left: d.Latest.Sub(now)}
+		d.Err = &RefusedError{Reason: ReasonQueue, Waiting: q.levels.Len(), Left: d.Latest.Sub(now)}
 		decided = append(decided, d)
 	}
 	return append(decided, q.decide(now)...)
@@ -151,6 +207,21 @@
 	return q.decide(now)
 }
 
+// Drain returns all requests that wait, refused with the error.
+func (q *Queue) Drain(err error) (refused []*Request) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.levels.All(func(e *fairqueue.Entry) bool {
+		refused = append(refused, e.Value.(*Request))
+		return true
+	})
+	for _, r := range refused {
+		q.levels.Remove(&r.entry)
+		r.Err = err
+	}
+	return refused
+}
+
 // Leave removes a request that no longer waits, and reports whether it was not decided on yet.
 func (q *Queue) Leave(r *Request) bool {
 	q.mu.Lock()
@@ -158,23 +229,31 @@
 	return q.levels.Remove(&r.entry)
 }
 
+func (r *Request) priority() int { return min(maxPriority, max(0, r.Query.Priority)) }
+
 // level returns the level of the request: by priority, late ones after those in time.
 func (r *Request) level(now time.Time) int {
-	level := 2 * min(maxPriority, max(0, r.Query.Priority))
+	level := 2 * r.priority()
 	if now.After(r.due) {
 		level++
 	}
 	return level
 }
 
-// countArrival counts a request of a key. The caller holds mu.
+// countArrival counts a request, and draws its rank. The caller holds mu.
 func (q *Queue) countArrival(r *Request, now time.Time) {
 	a := q.arrivals[r.key]
 	if a == nil {
-		a = &arrivals{}
+		a = &arrivals{updated: now}
 		q.arrivals[r.key] = a
 	}
-	a.rate, a.updated = a.at(now)+1/arrivalTimeConstant.Seconds(), now
+	a.add(r.priority(), r.Organisation, float64(max(1, r.Tokens)), now)
+	r.draw = q.random()
+}
+
+// rank returns the present place of a request in the demand. The caller holds mu.
+func (q *Queue) rank(r *Request, now time.Time) float64 {
+	return q.arrivals[r.key].rank(r.priority(), r.Organisation, r.draw, now.After(r.due))
 }
 
 // decide sends what there is room for, in the order of the queue, and refuses what cannot be begun in time. The caller holds mu.
@@ -182,13 +261,21 @@
 	q.demoteLate(now)
 	full := map[string]*balance.FullError{}
 	for {
-		e := q.levels.Next(func(e *fairqueue.Entry) bool { return full[e.Value.(*Request).key] != nil })
+		e := q.levels.Next(func(e *fairqueue.Entry) bool {
+			r := e.Value.(*Request)
+			r.Rank = q.rank(r, now)
+			return full[r.key] != nil && r.Rank >= full[r.key].Sent
+		})
 		if e == nil {
 			break
 		}
 		r := e.Value.(*Request)
+		r.Query.Rank = r.Rank
 		choice, err := q.balancer.Pick(r.Query, now)
 		if f := (*balance.FullError)(nil); errors.As(err, &f) {
+			if f.Sent > r.Rank { // the balancer's own view has changed
+				f.Sent = r.Rank
+			}
 			full[r.key] = f
 			continue
 		}
@@ -225,19 +312,14 @@
 		waiting = append(waiting, e.Value.(*Request))
 		return true
 	})
-	slices.SortStableFunc(waiting, func(a, b *Request) int {
-		return cmp.Or(cmp.Compare(a.entry.Level(), b.entry.Level()), a.due.Compare(b.due))
-	})
-	ahead := map[string]int{}
 	for _, r := range waiting {
-		refused := q.judge(r, full[r.key], ahead[r.key], now)
+		refused := q.judge(r, full[r.key], now)
 		if refused == nil {
-			ahead[r.key]++
 			continue
 		}
 		q.levels.Remove(&r.entry)
 		r.Err = refused
-		if refused.Reason == reasonHeld && refused.StartIn <= refused.Left {
+		if refused.Reason == ReasonHeld && refused.StartIn <= refused.Left {
 			query := r.Query
 			query.StartWithin = 0
 			r.Choice, r.Err = q.balancer.Pick(query, now)
@@ -247,46 +329,25 @@
 	return decided
 }
 
-const (
-	reasonFull = "full" // no room before the request is too late
-	reasonLate = "late" // the request has become late, and others are served first
-	reasonHeld = "held" // the request has waited for as long as it may
-)
-
-// judge returns why a request does not wait any longer, or nil. ahead is the number of requests before it. The caller holds mu.
-func (q *Queue) judge(r *Request, full *balance.FullError, ahead int, now time.Time) *RefusedError {
-	arriving := 0.0
-	if a := q.arrivals[r.key]; a != nil {
-		arriving = a.at(now)
-	}
-	e := &RefusedError{Ahead: ahead, StartIn: full.StartIn, PerSecond: full.PerSecond, Left: r.Latest.Sub(now)}
-	untilRoom := max(0, full.StartIn-r.Query.StartWithin)
-	inTime := untilRoom + seconds(float64(ahead)/full.PerSecond)
-	e.ExpectedIn = inTime
-	if now.Sub(r.Arrived) >= time.Duration(maxHeldFraction*float64(r.Latest.Sub(r.Arrived))) {
-		e.Reason = reasonHeld
-		return e
-	}
-	if !now.Add(inTime).After(r.due) {
-		return nil
+// judge returns why a request does not wait any longer, or nil. The caller holds mu.
+func (q *Queue) judge(r *Request, full *balance.FullError, now time.Time) *RefusedError {
+	e := &RefusedError{
+		Waiting: q.levels.Len(), StartIn: full.StartIn, Rank: r.Rank, Sent: full.Sent, RoomIn: full.RoomIn, Left: r.Latest.Sub(now),
 	}
-	// Others that arrive until then are served before a late request.
-	e.ExpectedIn = untilRoom + seconds(float64(ahead+1)/max(0, full.PerSecond-arriving))
-	if time.Duration(estimateMargin*float64(e.ExpectedIn)) <= e.Left {
+	inTime := time.Duration(estimateMargin*float64(e.RoomIn)) <= e.Left
+	switch {
+	case now.Sub(r.Arrived) >= time.Duration(maxHeldFraction*float64(r.Latest.Sub(r.Arrived))):
+		e.Reason = ReasonHeld
+	case now.After(r.due) && !inTime:
+		e.Reason = ReasonLate
+	case !now.After(r.due) && !inTime && r.Rank > full.Sent+hopelessMargin:
+		e.Reason = ReasonFull
+	default:
 		return nil
 	}
-	e.Reason = reasonFull
-	if now.After(r.due) {
-		e.Reason = reasonLate
-	}
 	return e
 }
 
-// seconds converts seconds to a duration of an hour at most.
-func seconds(s float64) time.Duration {
-	return time.Duration(min(s, time.Hour.Seconds()) * float64(time.Second))
-}
-
 const (
 	// minRetryAfter is the shortest time after which a refused caller is asked to come back. A new state of the other hosts has arrived
 	// by then.
@@ -299,6 +360,6 @@
 
 // RetryAfter returns the time after which a refused caller is asked to come back. random, in [0, 1), spreads the callers.
 func (e *RefusedError) RetryAfter(random float64) time.Duration {
-	room := min(maxRetryAfter, max(minRetryAfter, e.ExpectedIn))
+	room := min(maxRetryAfter, max(minRetryAfter, e.RoomIn))
 	return time.Duration((1 - retrySpread/2 + retrySpread*random) * float64(room))
 }
--- a/lib/hostqueue/sim_test.go
+++ b/lib/hostqueue/sim_test.go
@@ -28,27 +28,28 @@
 	admission      bool
 	length         time.Duration
 	kinds          []kind
-	gone           func(target int, at time.Duration) bool // nil: all targets are there
+	// gone targets crash at goneFrom and are back at goneTo; they are the first ones.
+	gone             int
+	goneFrom, goneTo time.Duration
 }
 
 const (
-	simSlots         = 16
-	simTokensPerMS   = 12
-	simStep          = 20 * time.Millisecond
-	simNewsInterval  = 300 * time.Millisecond
-	simNewsDelay     = 400 * time.Millisecond
-	simRoundTrip     = time.Millisecond
-	simPatience      = 4 // times the objective, 2 s at least
-	simDeadlineAfter = 20 * time.Second
+	simSlots        = 16
+	simTokensPerMS  = 12
+	simStep         = 20 * time.Millisecond
+	simNewsInterval = 300 * time.Millisecond
+	simNewsDelay    = 400 * time.Millisecond
+	simRoundTrip    = time.Millisecond
+	simPatience     = 4 // times the objective, 2 s at least
 )
 
 // simCall is a request and what its caller gets.
 type simCall struct {
 	kind             *kind
 	at, first, ended time.Duration // since the start; zero: not yet
+	sentAt           time.Duration // when the caller has sent it last
 	sends            int           // times that the caller has sent it
 	refusedAfter     time.Duration // longest time at a host before a refusal
-	lost             bool          // broken off after the first event
 	done             bool
 	host             int
 	req              *Request
@@ -127,10 +128,10 @@
 	seq     int
 	events  simEvents
 	random  *rand.Rand
+	callers *rand.Rand // of arrivals, which are the same in each variant
 	hosts   []*simHost
 	targets []*simTarget
 	calls   []*simCall
-	busy    time.Duration // sum of the time that slots were in use by requests that were answered
 }
 
 var simStart = time.Unix(1000, 0)
@@ -144,10 +145,29 @@
 
 func simTargetID(i int) string { return fmt.Sprintf("t%03d", i) }
 
+func (s *sim) isGone(target int) bool {
+	return target < s.gone && s.now >= s.goneFrom && s.now < s.goneTo
+}
+
+// crash ends all requests at the targets that are gone. Callers send those again that had not begun.
+func (s *sim) crash() {
+	for _, c := range s.calls {
+		if c.choice == nil || c.done || c.target >= s.gone {
+			continue
+		}
+		choice := c.choice
+		s.finish(c, func() { choice.ConnectionBroken(s.time()) })
+		if c.first == 0 {
+			c.done, c.choice, c.inSlot = false, nil, false
+			s.send(c)
+		}
+	}
+}
+
 // targetList returns the entries of the targets that are there.
 func (s *sim) targetList() (list []*registry.Target) {
 	for i := range s.targets {
-		if s.gone == nil || !s.gone(i, s.now) {
+		if !s.isGone(i) {
 			list = append(list, &registry.Target{
 				ID: simTargetID(i), Addr: simTargetID(i), Service: "llm", Zone: string(rune('a' + i%4)), Slots: simSlots,
 				Models: []registry.ResidentModel{{Model: "m"}}, Beat: 1,
@@ -159,7 +179,7 @@
 
 // play simulates a day and returns all requests of callers.
 func play(c site, seed uint64) *sim {
-	s := &sim{site: c, random: rand.New(rand.NewPCG(seed, 7))}
+	s := &sim{site: c, random: rand.New(rand.NewPCG(seed, 7)), callers: rand.New(rand.NewPCG(seed, 8))}
 	for range c.targets {
 		s.targets = append(s.targets, &simTarget{})
 	}
@@ -170,7 +190,7 @@
 		}}))
 		h.balancer.SetHosts(c.hosts)
 		h.balancer.SetTargets(s.targetList())
-		h.queue = New(h.balancer)
+		h.queue = New(h.balancer, s.random.Float64)
 		s.hosts = append(s.hosts, h)
 		h.balancer.OnRoom(func(string) { s.wake(h) })
 		s.tick(h)
@@ -179,6 +199,9 @@
 		s.arrive(&c.kinds[i])
 	}
 	s.exchange()
+	if c.gone > 0 {
+		s.after(c.goneFrom, s.crash)
+	}
 	for len(s.events) > 0 {
 		e := heap.Pop(&s.events).(simEvent)
 		s.now = e.at
@@ -194,7 +217,7 @@
 		s.after(100*time.Millisecond, func() { s.arriveAt(k, false) })
 		return
 	}
-	s.after(time.Duration(s.random.ExpFloat64()/rate*float64(time.Second)), func() { s.arriveAt(k, true) })
+	s.after(time.Duration(s.callers.ExpFloat64()/rate*float64(time.Second)), func() { s.arriveAt(k, true) })
 }
 
 func (s *sim) arriveAt(k *kind, send bool) {
@@ -213,6 +236,7 @@
 // send has a caller send its request to some host.
 func (s *sim) send(c *simCall) {
 	c.sends++
+	c.sentAt = s.now
 	c.host = s.random.IntN(len(s.hosts))
 	h, k := s.hosts[c.host], c.kind
 	// A caller that comes back has less time left than it had.
@@ -221,7 +245,7 @@
 		Query: balance.Query{Service: "llm", Priority: k.priority, Wanted: map[string]bool{}, Call: &passthrough.Call{
 			Model: "m", PromptTokens: k.prompt, MaxOutput: 4 * k.output, OutputHint: k.output,
 		}},
-		Organisation: k.organisation, Tokens: k.prompt + k.output, Objective: k.objective, Arrived: s.time(),
+		Organisation: k.organisation, Tokens: k.prompt + k.output, Objective: k.objective, Arrived: s.time(), Elapsed: s.now - c.at,
 		Latest: s.time().Add(left * 7 / 10),
 	}
 	if !s.admission {
@@ -254,10 +278,6 @@
 		left := c.at + c.kind.patience() - s.now
 		retry := 500 * time.Millisecond
 		if r, ok := c.req.Err.(*RefusedError); ok {
-			dbg[r.Reason]++
-			if len(dbg) < 40 && s.random.IntN(200) == 0 {
-				fmt.Printf("%v %+v\n", s.now, *r)
-			}
 			retry = r.RetryAfter(s.random.Float64())
 		}
 		if retry = min(retry, left/3); left > 200*time.Millisecond && c.sends < 5 {
@@ -275,6 +295,13 @@
 		if c.done {
 			return
 		}
+		if s.isGone(c.target) {
+			c.choice.Unsent()
+			c.choice.Unresponsive(s.time())
+			c.choice = nil
+			s.send(c)
+			return
+		}
 		t := s.targets[c.target]
 		s.seq++
 		c.seq = s.seq
@@ -286,7 +313,7 @@
 // admit has a target begin what fits into its batch, by priority.
 func (s *sim) admit(target int) {
 	t := s.targets[target]
-	for t.running < simSlots && len(t.waiting) > 0 && (s.gone == nil || !s.gone(target, s.now)) {
+	for t.running < simSlots && len(t.waiting) > 0 && !s.isGone(target) {
 		best := 0
 		for i, c := range t.waiting {
 			if b := t.waiting[best]; c.priority < b.priority || c.priority == b.priority && c.seq < b.seq {
@@ -360,8 +387,6 @@
 	}
 }
 
-var simHook func(*sim)
-
 // exchange has the hosts learn of each other's load and of the targets.
 func (s *sim) exchange() {
 	total, own := map[string]balance.Load{}, make([]map[string]balance.Load, len(s.hosts))
@@ -372,9 +397,6 @@
 		}
 	}
 	list := s.targetList()
-	if simHook != nil {
-		simHook(s)
-	}
 	for i, h := range s.hosts {
 		others := map[string]balance.Load{}
 		for id, load := range total {
@@ -394,7 +416,7 @@
 type report struct {
 	n, answered, inTime, refusedLate int
 	worth                            float64
-	waits                            []time.Duration
+	waits, lastWaits                 []time.Duration // from the first and from the last time that the request was sent
 }
 
 func (s *sim) report(keep func(*simCall) bool) (r report) {
@@ -411,7 +433,7 @@
 		}
 		r.answered++
 		wait := c.first - c.at
-		r.waits = append(r.waits, wait)
+		r.waits, r.lastWaits = append(r.waits, wait), append(r.lastWaits, c.first-c.sentAt)
 		if wait <= c.kind.objective {
 			r.inTime++
 			r.worth++
@@ -420,18 +442,23 @@
 		}
 	}
 	slices.Sort(r.waits)
+	slices.Sort(r.lastWaits)
 	return r
 }
 
-func (r *report) quantile(q float64) time.Duration {
-	if len(r.waits) == 0 {
+func quantile(sorted []time.Duration, q float64) time.Duration {
+	if len(sorted) == 0 {
 		return 0
 	}
-	return r.waits[min(len(r.waits)-1, int(q*float64(len(r.waits))))]
+	return sorted[min(len(sorted)-1, int(q*float64(len(sorted))))].Round(time.Millisecond)
 }
 
+// part returns a number as a fraction of all requests.
+func (r report) part(n int) float64 { return float64(n) / float64(max(1, r.n)) }
+
 func (r report) String() string {
-	return fmt.Sprintf("%d requests: answered %.3f, in time %.3f, worth %.3f, first event %v %v %v, refused late %d", r.n,
-		float64(r.answered)/float64(r.n), float64(r.inTime)/float64(r.n), r.worth/float64(r.n),
-		r.quantile(0.5).Round(time.Millisecond), r.quantile(0.9).Round(time.Millisecond), r.quantile(0.99).Round(time.Millisecond), r.refusedLate)
+	return fmt.Sprintf("%d requests: answered %.3f, in time %.3f, worth %.3f, first event at 50, 90, 99 %%: %v %v %v, since last sent: %v %v %v, refused late %d",
+		r.n, r.part(r.answered), r.part(r.inTime), r.worth/float64(r.n),
+		quantile(r.waits, 0.5), quantile(r.waits, 0.9), quantile(r.waits, 0.99),
+		quantile(r.lastWaits, 0.5), quantile(r.lastWaits, 0.9), quantile(r.lastWaits, 0.99), r.refusedLate)
 }
