--- a/lib/balance/balance.go
+++ b/lib/balance/balance.go
@@ -95,6 +95,11 @@
 	Wanted map[string]bool
 	// UsualRate is the requests a second for the model at this host, averaged over a longer time.
 	UsualRate float64
+	// StartWithin is the time within which a target has to be expected to begin the request; zero: no limit.
+	StartWithin time.Duration
+	Priority    int // 0 is the most urgent; targets serve requests in this order
+	// Rank is the place of the request in the demand, from 0 to 1, in the order in which it is sent while targets are full.
+	Rank float64
 }
 
 // Connections states how many connections a host may have to a target.
@@ -137,6 +142,8 @@
 	random        *rand.Rand
 	hosts         int                       // guarded by mu; including this one
 	absent        map[string]absentPause    // guarded by mu; pauses of targets that are not in the list, by target
+	room          roomModel                 // guarded by mu
+	onRoom        func(service string)      // guarded by mu
 	peerSuspects  map[string]map[string]int // guarded by mu; hosts that find a target unresponsive, by host that reports them and target
 	even          bool                      // guarded by mu; choose by pickEven
 	newsDelay     time.Duration             // guarded by mu; in which a report reaches all hosts
@@ -274,6 +281,7 @@
 			t.peers.add(loads[id], 1)
 		}
 		t.hearing.recordPeers(before, t.peers)
+		b.roomAt(t)
 	}
 }
 
@@ -293,6 +301,7 @@
 func (b *Balancer) LocalLoads(now time.Time) map[string]Load {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.sampleGates(now)
 	out := map[string]Load{}
 	for id, t := range b.targets {
 		load := t.local
@@ -354,16 +363,20 @@
 			engine = s.Engine
 		}
 	}
+	var c *Choice
 	if engine == nil || q.Call.Model == "" {
 		if b.even {
-			return b.pickPlainEven(candidates, now), nil
+			c = b.pickPlainEven(candidates, now)
+		} else {
+			c = b.pickPlain(candidates, now)
 		}
-		return b.pickPlain(candidates, now), nil
-	}
-	if b.even {
-		return b.pickEven(candidates, engine, q.Call, now), nil
+	} else if b.even {
+		c = b.pickEven(candidates, engine, q.Call, now)
+	} else {
+		c = b.pickEngine(candidates, engine, q.Call, now)
 	}
-	return b.pickEngine(candidates, engine, q.Call, now), nil
+	b.recordStart(c, &q)
+	return c, nil
 }
 
 // rank orders the targets that can serve a request; a target of a later rank is chosen only if there is none of an
@@ -427,7 +440,14 @@
 		byRank[r] = append(byRank[r], t)
 	}
 	keepHalf(&byRank)
-	for _, list := range byRank {
+	var full *FullError
+	for r, list := range byRank {
+		if q.StartWithin > 0 && len(list) > 0 && rank(r) != rankUnusable {
+			list, full = b.withRoom(list, &q, full, now)
+		}
+		if full != nil && rank(r) == rankUnusable {
+			return nil, full
+		}
 		if len(list) > 0 {
 			return list, nil
 		}
--- a/lib/entryhost/settings.go
+++ b/lib/entryhost/settings.go
@@ -37,6 +37,8 @@
 	// SetAside is the largest fraction of a service's targets that get hardly any requests because they fail a part of theirs; zero:
 	// none.
 	SetAside float64 `yaml:"set_aside"`
+	// Admission has requests wait at the host for room at the targets, and refuses at once those that cannot be served.
+	Admission bool `yaml:"admission"`
 
 	Placement PlacementSettings `yaml:"placement"`
 
