--- a/lib/balance/even.go
+++ b/lib/balance/even.go
@@ -18,9 +18,13 @@
 	// than there is before they see the effect, and targets fill up in turns.
 	windowFactor = 2.0
 	// homeLoad is the engine time, as a fraction, that one copy of a shared prefix takes before another target holds it too.
-	homeLoad = 0.3
+	homeLoad = 0.5
 	// homeHysteresis is the fraction of homeLoad by which the load has to fall further before a target holds a prefix no longer.
 	homeHysteresis = 0.5
+	// cachedAtHome is the fraction of a shared prompt prefix that counts as cached at a target that holds it.
+	cachedAtHome = 0.8
+	// repeatWeight times the time of a repeated prefill is what it costs the other requests at the target.
+	repeatWeight = 0.5
 	// spillTargets is how many further targets, in the order of the hash, requests go to when those that hold their prefix are loaded.
 	spillTargets = 2
 	// prefixTimeConstant is the time constant of the measured load of a prefix. A host of 80 gets a request for a popular one in
@@ -83,26 +87,26 @@
 	work := 0.0
 	for i := range options {
 		o := &options[i]
-		o.prefill = o.target.localPrefillLoad(now) + float64(o.target.peers.PrefillMSPerSecond)
+		o.prefill = float64(o.target.peers.PrefillMSPerSecond)
+		if o.target.prefillMS > 0 {
+			o.prefill += o.target.localPrefillLoad(now)
+		}
 		work += o.prefill
 	}
 	b.learnSpeeds(options, now)
 	work *= b.windowMS() / 1000 / float64(len(options)) // engine time that comes to a target in the window
 	shared := p.sharedSegments()
+	p.sharedTokens = sum(p.segmentTokens[:shared])
 	homes := 0
 	if shared > 0 {
 		homes = b.sortByPrefix(options, &p, shared, now)
 	}
 	for i := range options {
-		p.preferred = nil
-		if i < homes {
-			p.preferred = options[i].target
-		}
-		b.estimateEven(&options[i], engine, &p)
+		b.estimateEven(&options[i], engine, &p, i < homes)
 	}
 	used := options
 	if homes > 0 {
-		used = b.homesOrSpill(options, homes, work)
+		used = b.homesOrSpill(options, homes, work, float64(p.sharedTokens)/prefillTokensPerMS*p.latencyRatio)
 	}
 	setWeights(used, work*float64(len(used)))
 	chosen := b.draw(used)
@@ -131,15 +135,12 @@
 		options = append(options, option{target: t, weight: failure})
 	}
 	for i := range options {
-		options[i].weight = max(0, 1-(options[i].weight-minFailure)/failureExclusion) * options[i].target.learnedSpeed()
+		options[i].weight = max(0, 1-(options[i].weight-minFailure)/failureExclusion) * options[i].target.speed
 	}
 	b.options = options
 	return options
 }
 
-// learnedSpeed returns the learned speed of the target relative to others, 1 if nothing has been learned.
-func (t *target) learnedSpeed() float64 { return math.Exp(t.logSpeed) }
-
 const (
 	// speedInterval is the time between two steps of the learned speed of a target.
 	speedInterval = 250 * time.Millisecond
@@ -147,7 +148,7 @@
 	backlogTimeConstant = 3 * time.Second
 	// speedRate is the change of the logarithm of a target's learned speed in a second while its requests wait twice, or half, as long
 	// as at others.
-	speedRate = 0.06
+	speedRate = 0.04
 	// maxLogSpeed bounds the logarithm of the learned speed: 2.5 times slower or faster than usual.
 	maxLogSpeed = 0.9
 )
@@ -186,6 +187,7 @@
 		if t.meanPrefill > minLearningLoad && mean > 0 {
 			d := max(-1, min(1, math.Log2((t.meanBacklog/t.meanPrefill+mean/8)/(mean*9/8))))
 			t.logSpeed = max(-maxLogSpeed, min(maxLogSpeed, t.logSpeed-speedRate*d*t.speedDue.Seconds()))
+			t.speed = math.Exp(t.logSpeed)
 		}
 		t.speedDue = 0
 	}
@@ -212,17 +214,20 @@
 }
 
 // estimateEven sets the expected cost of the request at a target, without its failures and a tie-breaker.
-func (b *Balancer) estimateEven(o *option, engine *catalog.Engine, p *prompt) {
+func (b *Balancer) estimateEven(o *option, engine *catalog.Engine, p *prompt, home bool) {
 	t := o.target
 	overflow := overflowFraction(t, engine, p.cacheTokens)
-	cachedTokens, repeatedTokens, waitMS := p.cachedTokens(t), int64(0), 0.0
+	cachedTokens, repeatedTokens, waitMS := t.prefixCache.prefixTokens(p.segmentKeys, p.segmentTokens), int64(0), 0.0
+	if home {
+		cachedTokens = max(cachedTokens, int64(cachedAtHome*float64(p.sharedTokens)))
+	}
 	if overflow > 0 {
 		cachedTokens, repeatedTokens, waitMS = 0, p.tokens, overflowBaseMS+overflow*overflowCostMS
 	}
 	e := &o.estimate
 	e.prefillTokens = max(1, int64(float64(p.tokens-cachedTokens)*p.latencyRatio))
 	running := float64(t.local.Running + t.peers.Running)
-	e.firstEventMS = float64(t.local.PrefillTokens+t.peers.PrefillTokens+e.prefillTokens)/prefillTokensPerMS/t.learnedSpeed() +
+	e.firstEventMS = float64(t.local.PrefillTokens+t.peers.PrefillTokens+e.prefillTokens)/prefillTokensPerMS/t.speed +
 		runningRequestCostMS*running + waitMS
 	delayedMS := running * float64(e.prefillTokens+repeatedTokens) / prefillTokensPerMS
 	lostMS := float64(p.cacheTokens-p.tokens) * min(1, o.prefill/1000) * prefillStepDelayMS
@@ -237,7 +242,7 @@
 		t := options[i].target
 		// Weighted rendezvous hashing: a target comes first in proportion to its speed.
 		h := mix(key ^ t.hash)
-		options[i].order = math.Log(uniform(h)) / t.learnedSpeed()
+		options[i].order = math.Log(uniform(h)) / t.speed
 		if t.isNew {
 			age := now.Sub(t.seenAt)
 			t.isNew = age < warmUpTime
@@ -246,7 +251,7 @@
 			}
 		}
 	}
-	cachedMS := float64(max(1, p.tokens-int64(preferredCachedFraction*float64(sum(p.segmentTokens[:shared]))))) /
+	cachedMS := float64(max(1, p.tokens-int64(cachedAtHome*float64(p.sharedTokens)))) /
 		prefillTokensPerMS * p.latencyRatio
 	homes := min(len(options), b.addPrefixLoad(key, cachedMS, now))
 	for i := range min(len(options), homes+spillTargets) {
@@ -307,7 +312,7 @@
 
 // homesOrSpill returns the options that a request with a shared prefix is spread over: the targets that hold the prefix or, as far
 // as the wait there is above the wait and the longer prefill at others, these.
-func (b *Balancer) homesOrSpill(options []option, homes int, work float64) []option {
+func (b *Balancer) homesOrSpill(options []option, homes int, work, repeatedMS float64) []option {
 	spill := min(len(options), homes+spillTargets)
 	home, next, rest := options[:homes], options[homes:spill], options[spill:]
 	homeMS, nextMS, restMS := lowestCost(home), lowestCost(next), meanCost(rest)
@@ -315,6 +320,7 @@
 	if restMS < nextMS {
 		other, otherMS = rest, restMS
 	}
+	otherMS += repeatWeight * repeatedMS
 	if len(other) == 0 || homeMS <= otherMS || b.random.Float64()*work > homeMS-otherMS {
 		return home
 	}
