Peers: hosts report to other zones less often, in whole digits

Change: setting far_interval: in fleets with leaves a host sends its full state to hosts of other zones in each n-th interval only. Changes are announced as before. A host of another zone counts as unreachable after as many of the longer intervals. Rates and estimates in sums are rounded.

--- a/lib/aggregate/aggregate.go
+++ b/lib/aggregate/aggregate.go
@@ -7,6 +7,7 @@
 
 import (
 	"maps"
+	"math"
 
 	"cuminhook.org/cuminhook/lib/balance"
 	"cuminhook.org/cuminhook/lib/orglimit"
@@ -187,6 +188,21 @@
 	addRates(t.AdapterRates, c.AdapterRates, sign)
 }
 
+// Round rounds the rates and estimates of a sum to what receivers can tell apart: sums of fractions have digits that do not
+// compress. It changes the maps of c. Charges stay exact, as receivers add up their increases.
+func (c *Contribution) Round() {
+	for name, u := range c.Demand {
+		u.Demand, u.SharedTokens = math.Round(u.Demand), math.Round(u.SharedTokens)
+		c.Demand[name] = u
+	}
+	for model, ms := range c.EngineLoad {
+		c.EngineLoad[model] = math.Round(ms*10) / 10
+	}
+	for name, perSecond := range c.AdapterRates {
+		c.AdapterRates[name] = math.Round(perSecond*1000) / 1000
+	}
+}
+
 // minRate is the rate below which a difference is taken for a rounding error.
 const minRate = 1e-6
 
--- a/lib/entryhost/entryhost.go
+++ b/lib/entryhost/entryhost.go
@@ -146,7 +146,7 @@
 			lease.Options{Wait: leaseWait, Clock: bootclock.Now, History: cfg.Store.History}),
 		Log: cfg.Log, Metrics: cfg.Metrics,
 	})
-	h.peers = peers.New(peers.Config{Host: s.Host, Zone: s.Zone, Addr: s.Peers, LinkMbps: s.LinkMbps}, peers.Handlers{
+	h.peers = peers.New(peers.Config{Host: s.Host, Zone: s.Zone, Addr: s.Peers, LinkMbps: s.LinkMbps, FarInterval: s.FarInterval}, peers.Handlers{
 		FillState: h.fillState, FillPartialState: h.fillPartialState, Placement: h.role.latestPlacement,
 		OnState: h.handleState, OnUnreachable: h.removeHost, OnFleet: h.setFleet,
 		OnAggregatorSilent: func() { h.storeWatcher.PollNow() },
--- a/lib/entryhost/settings.go
+++ b/lib/entryhost/settings.go
@@ -24,6 +24,10 @@
 
 	LinkMbps float64 `yaml:"link_mbps"` // rate of this host's network link in Mbit/s
 
+	// FarInterval is how many times as long as to hosts of their own zone hosts wait between two states to hosts of other zones, in
+	// fleets whose hosts report through others; zero counts as one. Bytes between zones fall, and what hosts know of others is older.
+	FarInterval int `yaml:"far_interval"`
+
 	RetryRatio float64 `yaml:"retry_ratio"` // retries allowed per request of a service, over all hosts
 	RetrySlack float64 `yaml:"retry_slack"` // retries allowed in addition, over all hosts
 
@@ -69,6 +73,8 @@
 const (
 	// defaultStopDelay is enough for a load balancer that checks once a second and stops sending after two failed checks.
 	defaultStopDelay = 2500 * time.Millisecond
+	// maxFarInterval keeps a host that reports to other zones reachable for them: they take it for lost after four intervals.
+	maxFarInterval = 4
 	// minServingGrace is the smallest fraction of the grace that the default leaves to requests after admission has ended.
 	minServingGrace = 0.625
 )
@@ -99,6 +105,9 @@
 	if !(s.LinkMbps > 0) {
 		return fmt.Errorf("link_mbps (%v) must be above 0; set it to the rate of this host's link in Mbit/s", s.LinkMbps)
 	}
+	if s.FarInterval < 0 || s.FarInterval > maxFarInterval {
+		return fmt.Errorf("far_interval (%d) must be from 0 to %d; 0 and 1 report to all zones alike", s.FarInterval, maxFarInterval)
+	}
 	if s.RetryRatio < 0 || s.RetrySlack < 0 {
 		return fmt.Errorf("retry_ratio and retry_slack cannot be negative; zero forbids repeats")
 	}
--- a/lib/peers/peers.go
+++ b/lib/peers/peers.go
@@ -106,6 +106,7 @@
 	updateMu sync.Mutex
 
 	bytesPerSecond float64 // at which states are sent
+	farIntervals   int     // Config.FarInterval, at least one
 
 	mu               sync.Mutex
 	peers            map[string]*peer     // guarded by mu; by host
@@ -117,6 +118,7 @@
 	avoid            map[string]time.Time // guarded by mu; aggregators that were silent: until when they are left out
 	fleet            Fleet                // guarded by mu; as last reported
 	lastNumber       uint64               // guarded by mu; number of the latest state
+	rounds           int                  // guarded by mu; rounds of full states sent
 	storeLost        bool                 // guarded by mu; this host cannot read the store
 
 	announceRequested chan time.Duration // the longest delay before the announcement
@@ -157,14 +159,17 @@
 	Zone     string
 	Addr     string  // IP:port at which Run listens, in UDP and TCP
 	LinkMbps float64 // rate of the host's link in Mbit/s
+	// FarInterval is the number of intervals between two states to a host of the mesh in another zone, in a fleet with leaves. Zero
+	// counts as one.
+	FarInterval int
 }
 
 // New returns an exchanger that knows no other host.
 func New(cfg Config, handlers Handlers, log *slog.Logger) *Exchanger {
 	host, zone, addr := cfg.Host, cfg.Zone, cfg.Addr
 	return &Exchanger{
-		bytesPerSecond: linkFraction * cfg.LinkMbps * 1e6 / 8,
-		host:           host, zone: zone, addr: addr, handlers: handlers, log: log, boot: rand.Uint64(), peers: map[string]*peer{},
+		bytesPerSecond: linkFraction * cfg.LinkMbps * 1e6 / 8, farIntervals: max(1, cfg.FarInterval),
+		host: host, zone: zone, addr: addr, handlers: handlers, log: log, boot: rand.Uint64(), peers: map[string]*peer{},
 		topology: newTopology(map[string]string{host: zone}), sum: aggregate.New(), avoid: map[string]time.Time{},
 		announceRequested: make(chan time.Duration, 1),
 	}
--- a/lib/peers/peers_test.go
+++ b/lib/peers/peers_test.go
@@ -61,7 +61,7 @@
 // newExchanger returns an exchanger that knows one other host, and records the numbers of received states and the
 // number of hosts.
 func newExchanger(received *[]uint64, hosts *int) *Exchanger {
-	x := New(Config{"self", "z", "127.0.0.1:1", 1000}, Handlers{
+	x := New(Config{Host: "self", Zone: "z", Addr: "127.0.0.1:1", LinkMbps: 1000}, Handlers{
 		FillState: func(*State) {}, OnState: func(s *State) { *received = append(*received, s.Number) },
 		OnUnreachable: func(string) {},
 		OnFleet:       func(f Fleet) { *hosts = len(f.Known) + 1 },
@@ -180,6 +180,7 @@
 	lose    func() bool    // whether the next datagram is lost; nil: none is
 	sent    map[string]int // datagrams by sender since the last call of resetCounts
 	bytes   map[string]int // bytes received by receiver
+	far     int            // bytes sent to other zones since the last call of resetCounts
 	entries map[string][]byte
 }
 
@@ -202,13 +203,16 @@
 	return sum
 }
 
-func newTestFleet(t *testing.T, n, zones int) *testFleet {
+func newTestFleet(t *testing.T, n, zones int) *testFleet { return newTestFleetFar(t, n, zones, 1) }
+
+// newTestFleetFar returns a fleet whose hosts report to other zones in each farInterval intervals.
+func newTestFleetFar(t *testing.T, n, zones, farInterval int) *testFleet {
 	f := &testFleet{t: t, hosts: map[string]*testHost{}, down: map[string]bool{}, entries: map[string][]byte{}}
 	f.resetCounts()
 	for i := range n {
 		h := &testHost{loads: map[string]int{}, charged: 10}
 		name, zone, addr := fmt.Sprintf("host-%03d", i), fmt.Sprint("zone-", i%zones), fmt.Sprintf("10.0.%d.%d:1", i/250, i%250)
-		h.Exchanger = New(Config{name, zone, addr, 1000}, Handlers{
+		h.Exchanger = New(Config{Host: name, Zone: zone, Addr: addr, LinkMbps: 1000, FarInterval: farInterval}, Handlers{
 			FillState: func(s *State) {
 				s.Contribution = aggregate.Contribution{
 					Hosts: 1, Loads: map[string]balance.Load{"t": {Running: 1}}, Demand: orglimit.Report{"o": {Charged: h.charged}},
@@ -246,7 +250,7 @@
 	return f
 }
 
-func (f *testFleet) resetCounts() { f.sent, f.bytes = map[string]int{}, map[string]int{} }
+func (f *testFleet) resetCounts() { f.sent, f.bytes, f.far = map[string]int{}, map[string]int{}, 0 }
 
 // deliver passes messages of a host on to their receivers.
 func (f *testFleet) deliver(from string, messages []message) {
@@ -265,6 +269,9 @@
 		for _, addr := range m.receivers {
 			to := byAddr[addr.String()]
 			f.sent[from]++
+			if to.zone != f.hosts[from].zone {
+				f.far += len(data)
+			}
 			if f.down[to.host] || f.lose != nil && f.lose() {
 				continue
 			}
@@ -444,6 +451,31 @@
 	}
 }
 
+// Guards against states to other zones that are as frequent as those within a zone, and against hosts that are taken for lost
+// because they report to other zones less often.
+func TestHostsReportToOtherZonesLessOften(t *testing.T) {
+	far := map[int]int{}
+	for _, farInterval := range []int{1, 2, maxTestedFarInterval} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newTestFleetFar(t, 40, 4, farInterval)
+			f.run(6 * time.Second)
+			f.resetCounts()
+			random := rand.New(rand.NewPCG(1, 1))
+			f.lose = func() bool { return random.Float64() < 0.03 }
+			for range 10 {
+				f.run(2 * time.Second)
+				f.checkSums(fmt.Sprint("far interval ", farInterval))
+			}
+			far[farInterval] = f.far
+		})
+	}
+	if far[2] > far[1]*6/10 || far[maxTestedFarInterval] > far[1]*4/10 {
+		t.Errorf("bytes to other zones by interval: %v", far)
+	}
+}
+
+const maxTestedFarInterval = 4
+
 // Guards against zones without a host of the mesh, a mesh that grows with the fleet, leaves that all choose the same host,
 // and a mesh that changes much when a host joins.
 func TestTopologySpreadsLeaves(t *testing.T) {
--- a/lib/peers/receive.go
+++ b/lib/peers/receive.go
@@ -155,8 +155,11 @@
 	timeout := max(minUnreachableTimeout, unreachableIntervals*x.interval())
 	for host, p := range x.peers {
 		limit := timeout
-		if p.link == aggregatorLink {
+		switch {
+		case p.link == aggregatorLink:
 			limit = aggregatorForgetTimeout
+		case p.link == meshLink && p.zone != x.zone:
+			limit = max(timeout, unreachableIntervals*x.interval()*time.Duration(x.farInterval()))
 		}
 		if p.link != noLink && now.Sub(p.receivedAt) > limit {
 			x.log.Warn("host unreachable", "peer", host, "link", p.link.String())
@@ -246,7 +249,7 @@
 	f.Reachable = min(f.Reachable, len(f.Known)+1)
 	f.Spread = f.Interval
 	if x.hasLeaves() {
-		f.Spread *= 3
+		f.Spread *= time.Duration(2 + x.farInterval())
 	}
 	old := x.fleet
 	changed := len(f.Known) != len(old.Known) || f.Reachable != old.Reachable || f.Mesh != old.Mesh || f.Leaf != old.Leaf ||
@@ -281,6 +284,14 @@
 // hasLeaves reports whether the fleet has leaves. The caller holds mu.
 func (x *Exchanger) hasLeaves() bool { return len(x.topology.mesh) < len(x.topology.zones) }
 
+// farInterval returns the number of intervals between two states to a host of the mesh in another zone. The caller holds mu.
+func (x *Exchanger) farInterval() int {
+	if x.hasLeaves() {
+		return x.farIntervals
+	}
+	return 1
+}
+
 // interval returns the time between two states of a host. The caller holds mu.
 func (x *Exchanger) interval() time.Duration {
 	if x.hasLeaves() {
--- a/lib/peers/send.go
+++ b/lib/peers/send.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"time"
 
 	"cuminhook.org/cuminhook/lib/aggregate"
@@ -52,7 +53,8 @@
 	x.sum.Set(self, x.boot, own.Contribution)
 	mesh := *own
 	mesh.Contribution = x.sum.Total(func(name string) bool { return name == self || isLeafMember(name) })
-	out := x.withPlacement(&mesh, x.receivers(storewatch.ToMesh), placement, storewatch.ToMesh)
+	mesh.Contribution.Round()
+	out := x.withPlacement(&mesh, x.meshReceivers(), placement, storewatch.ToMesh)
 	var total aggregate.Contribution
 	for host, p := range x.peers {
 		if p.link != leafLink {
@@ -64,6 +66,7 @@
 		down := *own
 		down.Kind = Down
 		down.Contribution = x.sum.Without(total, memberName(host, leafLink))
+		down.Contribution.Round()
 		if own.Holder.Host != host { // only the controller needs these
 			down.EngineLoad, down.AdapterRates, down.Suspects = nil, nil, nil
 		}
@@ -72,6 +75,17 @@
 	return out
 }
 
+// meshReceivers returns the hosts of the mesh that get the next full state. Hosts of other zones get one in farInterval only:
+// sums for them are most of the bytes between zones. Changes are announced to them at once all the same. The caller holds mu.
+func (x *Exchanger) meshReceivers() []*peer {
+	receivers := x.receivers(storewatch.ToMesh)
+	x.rounds++
+	if x.rounds%x.farInterval() == 0 {
+		return receivers
+	}
+	return slices.DeleteFunc(receivers, func(p *peer) bool { return p.zone != x.zone })
+}
+
 // receivers returns the hosts of an audience. The caller holds mu.
 func (x *Exchanger) receivers(to storewatch.Audience) (out []*peer) {
 	if to == storewatch.ToMesh && !x.topology.inMesh[x.host] {
