--- a/cmd/cuminhookctl/main.go
+++ b/cmd/cuminhookctl/main.go
@@ -41,7 +41,9 @@
   6  service unavailable; the ticket was not accepted, send it again later
   7  accepted, but not in force on every host when --timeout ended
   8  no such object or ticket
-  9  operator token missing or wrong`
+  9  operator token missing or wrong
+
+'config check' has exit codes of its own; see its help.`
 
 // errNotInForce is returned when --wait times out before every host has the ticket in force.
 var errNotInForce = errors.New(
@@ -71,7 +73,7 @@
 	root := a.root()
 	root.SetArgs(args)
 	err := root.Execute()
-	if err != nil {
+	if code := (codeError{}); err != nil && !(errors.As(err, &code) && code.error == nil) {
 		fmt.Fprintln(a.errOut, err)
 	}
 	return exitCode(err)
@@ -100,7 +102,7 @@
 	flags.StringVar(&a.tokenFile, "token-file", "", "file with the operator token (otherwise CUMINHOOK_TOKEN)")
 	flags.StringVarP(&a.format, "output", "o", "table", "table, json or yaml")
 	root.AddCommand(a.applyCommand(), a.validateCommand(), a.diffCommand(), a.getCommand(), a.ticketsCommand(),
-		a.membersCommand(), a.keysCommand(), a.traceCommand(), a.explainCommand())
+		a.membersCommand(), a.keysCommand(), a.traceCommand(), a.explainCommand(), a.configCommand())
 	return root
 }
 
@@ -150,10 +152,13 @@
 
 func exitCode(err error) int {
 	var usage usageError
+	var code codeError
 	r, refused := refusal.As(err)
 	switch {
 	case err == nil:
 		return 0
+	case errors.As(err, &code):
+		return code.code
 	case errors.As(err, &usage):
 		return exitUsage
 	case errors.Is(err, errNotInForce):
--- a/lib/catalog/catalog.go
+++ b/lib/catalog/catalog.go
@@ -168,3 +168,15 @@
 	}
 	return r.Split[len(r.Split)-1].Service
 }
+
+// ModelMemoryMB returns the memory in MB that a target has for models: its memory less that of its adapter slots, each as large
+// as the largest configured adapter.
+func (e *Engine) ModelMemoryMB() float64 {
+	largest := 0.0
+	for _, m := range e.Models {
+		if len(m.Adapters) > 0 {
+			largest = max(largest, m.AdapterMB)
+		}
+	}
+	return e.MemoryMB - float64(e.AdapterSlots)*largest
+}
--- a/lib/placer/target.go
+++ b/lib/placer/target.go
@@ -70,7 +70,7 @@
 // plannerTarget returns the target in the form that the planner takes.
 func (t *target) plannerTarget(e *catalog.Engine) *residency.Target {
 	out := &residency.Target{
-		ID: t.info.ID, Zone: t.info.Zone, MemoryMB: modelMemoryMB(e), Busy: t.busy,
+		ID: t.info.ID, Zone: t.info.Zone, MemoryMB: e.ModelMemoryMB(), Busy: t.busy,
 		Cached: t.cachedModels,
 	}
 	for name, h := range t.models {
@@ -89,18 +89,6 @@
 	return out
 }
 
-// modelMemoryMB returns the memory in MB that a target has for models: its memory less that of its adapter slots, each
-// as large as the largest configured adapter.
-func modelMemoryMB(e *catalog.Engine) float64 {
-	largest := 0.0
-	for _, m := range e.Models {
-		if len(m.Adapters) > 0 {
-			largest = max(largest, m.AdapterMB)
-		}
-	}
-	return e.MemoryMB - float64(e.AdapterSlots)*largest
-}
-
 // adapterCount returns the number of adapter slots in use.
 func (t *target) adapterCount() int {
 	n := 0
