Placer: a successor tells from reports what its predecessor has loaded

With waves a controller may use most of the store's window at once, so that its successor could start a tenth of it only for 5 s: one load in deployments with 2.1 a second. It now counts the models in the targets' first reports that were not loaded in the newest placement which the host has known for 5 s, and starts what that leaves. No message carries more.

--- a/lib/entryhost/entryhost.go
+++ b/lib/entryhost/entryhost.go
@@ -135,7 +135,7 @@
 	h.quarantine = newQuarantineRole(s.Host, cfg.Store, func() { h.peers.Relay() }, cfg.Log, cfg.Metrics)
 	h.placer = placer.New(placer.Config{
 		Host: s.Host, Client: cfg.Engines, ShouldCampaign: h.role.shouldCampaign, LoadRateFactor: s.Placement.LoadsOvershoot,
-		Waves: s.Placement.Waves, DemandTimeConstant: workload.AverageTimeConstant,
+		Waves: s.Placement.Waves, DemandTimeConstant: workload.AverageTimeConstant, LoadedBefore: h.role.loadedBefore,
 		Demand: h.role.totalDemand, Suspects: h.role.agreedSuspects,
 		Paused:        func(id string) bool { return h.balancer.Paused(id, time.Now()) },
 		StateInterval: func() time.Duration { return h.peers.Fleet().Interval }, Publish: h.role.publish,
--- a/lib/entryhost/placementrole.go
+++ b/lib/entryhost/placementrole.go
@@ -12,6 +12,8 @@
 	"cuminhook.org/cuminhook/lib/lease"
 	"cuminhook.org/cuminhook/lib/peers"
 	"cuminhook.org/cuminhook/lib/placer"
+	"cuminhook.org/cuminhook/lib/registry"
+	"cuminhook.org/cuminhook/lib/residency"
 )
 
 const (
@@ -44,9 +46,37 @@
 	holderEpoch    int64                     // guarded by mu; its epoch
 	holderAlive    time.Time                 // guarded by mu; when it was last known to be alive
 	endedEpoch     int64                     // guarded by mu; highest epoch that is known to have ended
+	history        []knownPlacement          // guarded by mu; placements of the last residency.LoadWindow and the one before, the oldest first
 	maxAge         time.Duration             // guarded by mu; age of the holder's last sign up to which the placement is used
 }
 
+// knownPlacement is a placement and the time from which on this host has known it.
+type knownPlacement struct {
+	at        time.Time
+	placement *peers.Placement
+}
+
+// remember keeps the placement for loadedBefore. The caller holds mu.
+func (r *placementRole) remember(p *peers.Placement, now time.Time) {
+	r.history = append(r.history, knownPlacement{now, p})
+	for len(r.history) > 1 && now.Sub(r.history[1].at) > residency.LoadWindow {
+		r.history = r.history[1:]
+	}
+}
+
+// loadedBefore returns the models that were loaded according to the newest placement that this host has known since before the time;
+// nil if it has known none for so long.
+func (r *placementRole) loadedBefore(at time.Time) map[string]registry.Residency {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for i := len(r.history) - 1; i >= 0; i-- {
+		if !r.history[i].at.After(at) {
+			return r.history[i].placement.Residencies
+		}
+	}
+	return nil
+}
+
 func newPlacementRole(h *Host) *placementRole {
 	return &placementRole{
 		host: h, campaignOrder: lease.NewCampaignOrder(h.cfg.Settings.Host, time.Now()), maxAge: maxPlacementAge,
@@ -134,6 +164,7 @@
 		return false
 	}
 	r.placement, r.placementAt, r.inUse = p, now, true
+	r.remember(p, now)
 	r.applyHolder(peers.Holder{Host: p.Controller, Epoch: p.Version.Epoch}, now)
 	r.mu.Unlock()
 	r.host.balancer.SetResidency(maps.Clone(p.Residencies))
@@ -177,6 +208,7 @@
 		Controller: r.host.cfg.Settings.Host, Version: version, Residencies: residents, ExpectedMS: expectedMS,
 	}
 	r.placementAt, r.inUse = now, true
+	r.remember(r.placement, now)
 	r.mu.Unlock()
 	r.host.balancer.SetResidency(maps.Clone(residents))
 	return true
--- a/lib/placer/models.go
+++ b/lib/placer/models.go
@@ -67,6 +67,7 @@
 		return // the loaded models are changing, or the report predates an accepted order: the report is read again later
 	}
 	t.applyReport(r)
+	t.countNew(p.loadedBefore[t.info.ID])
 }
 
 // fetchReport returns the target's report, which may be up to maxReportAge old.
--- a/lib/placer/placer.go
+++ b/lib/placer/placer.go
@@ -38,6 +38,9 @@
 	// loadRateFraction is the fraction of the tolerated load rate that the planner uses. The remainder allows for orders
 	// that are executed late and close together.
 	loadRateFraction = 0.93
+	// maxUnseenLoads is how many loads from the weight store a target executes at most within residency.LoadWindow, one after the other:
+	// the fastest take 1.3 s.
+	maxUnseenLoads = 3
 	// maxLoggedLoads stands in the log for a number of loads that is not known, as JSON has no infinity.
 	maxLoggedLoads = 1e6
 	// unknownModelMB is the memory that a loaded model is assumed to take if it is not in the configuration.
@@ -66,8 +69,11 @@
 	Waves bool
 	// DemandTimeConstant is the time constant of the exponential averages that Demand returns. It is used for waves only.
 	DemandTimeConstant time.Duration
-	Log                *slog.Logger
-	Metrics            *metrics.Set
+	// LoadedBefore returns the models that were loaded, by target, according to a placement that this host has known since before the
+	// time; nil if it has known none for so long. It is used for waves only, and may be nil.
+	LoadedBefore func(time.Time) map[string]registry.Residency
+	Log          *slog.Logger
+	Metrics      *metrics.Set
 }
 
 // Placer campaigns for the placement lease and sends orders while it holds it. It is safe for concurrent use.
@@ -80,6 +86,7 @@
 	active       bool                          // guarded by mu
 	epoch        int64                         // guarded by mu; of the current or last term
 	planners     map[string]*residency.Planner // guarded by mu; by service
+	loadedBefore map[string]registry.Residency // guarded by mu; a window of the weight store before the term; nil: not known
 	demand       Demand                        // guarded by mu; as of the latest plan; not changed
 	adapterLoads map[string]chan struct{}      // guarded by mu; closed when a load ends; by service/model/adapter
 	publishing   bool                          // guarded by mu; publishSoon will publish
@@ -244,10 +251,15 @@
 
 // beginTerm activates the placer and discards what it knew in an earlier term.
 func (p *Placer) beginTerm(epoch int64) {
+	var loadedBefore map[string]registry.Residency
+	if p.cfg.Waves && p.cfg.LoadedBefore != nil {
+		loadedBefore = p.cfg.LoadedBefore(time.Now().Add(-residency.LoadWindow))
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.active, p.epoch, p.demand = true, epoch, Demand{}
 	p.planners = map[string]*residency.Planner{}
+	p.loadedBefore = loadedBefore
 	for _, t := range p.targets {
 		t.reset()
 	}
@@ -341,6 +353,22 @@
 	return out
 }
 
+// predecessorLoads returns how many loads the controllers before this one can have started in the window before the term: of
+// each target the models that it did not have then, and maxUnseenLoads of a target whose report has not been read. The caller holds mu.
+func (p *Placer) predecessorLoads(s *catalog.Service) (n int) {
+	for _, t := range p.targets {
+		if t.info.Service != s.Name {
+			continue
+		}
+		if t.seen {
+			n += t.newAtFirst
+		} else {
+			n += maxUnseenLoads
+		}
+	}
+	return n
+}
+
 // planModels starts the loads and unloads of models that the planner returns. The caller holds mu.
 func (p *Placer) planModels(ctx context.Context, s *catalog.Service, demand Demand) {
 	now := time.Now()
@@ -356,6 +384,9 @@
 			WindowLoads:   s.Engine.LoadsPerSecond*p.cfg.LoadRateFactor*residency.LoadWindow.Seconds() + excessLoads,
 			RatePerSecond: s.Engine.LoadsPerSecond, DemandTimeConstant: p.cfg.DemandTimeConstant,
 		}, now)
+		if p.loadedBefore != nil {
+			planner.SetPredecessorLoads(p.predecessorLoads(s))
+		}
 	}
 	var models []residency.Model
 	for _, m := range s.Engine.Models {
--- a/lib/placer/placer_test.go
+++ b/lib/placer/placer_test.go
@@ -51,10 +51,51 @@
 	ignoreExpected bool    // execute orders whatever number they state, as a negative control
 	lateFraction   float64 // fraction of orders that get no answer and are executed seconds later
 	byID           map[string]*fakeEngine
-	overcommits    []string // models and adapters that would have crashed an engine
+	history        []fakePlacement // what hosts know of loaded models, if it is kept
+	early          []int           // loads in the first seconds of each term
+	overcommits    []string        // models and adapters that would have crashed an engine
 	loads          []time.Time
 }
 
+// fakePlacement is what hosts knew of loaded models at a time.
+type fakePlacement struct {
+	at       time.Time
+	byTarget map[string]registry.Residency
+}
+
+// keepHistory records what is loaded each reportInterval until ctx ends.
+func (e *fakeClient) keepHistory(ctx context.Context) {
+	for {
+		e.mu.Lock()
+		p := fakePlacement{time.Now(), map[string]registry.Residency{}}
+		for id, g := range e.byID {
+			var r registry.Residency
+			for model := range g.models {
+				if g.loading[model].IsZero() {
+					r.Models = append(r.Models, registry.ResidentModel{Model: model})
+				}
+			}
+			p.byTarget[id] = r
+		}
+		e.history = append(e.history, p)
+		e.mu.Unlock()
+		if !sleep.For(ctx, reportInterval) {
+			return
+		}
+	}
+}
+
+func (e *fakeClient) loadedBefore(at time.Time) (out map[string]registry.Residency) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, p := range e.history {
+		if !p.at.After(at) {
+			out = p.byTarget
+		}
+	}
+	return out
+}
+
 func newFakeClient(t *testing.T, ids ...string) *fakeClient {
 	e := &fakeClient{t: t, random: rand.New(rand.NewPCG(5, 5)), byID: map[string]*fakeEngine{}}
 	for _, id := range ids {
@@ -236,6 +277,12 @@
 		Paused:        func(id string) bool { return h.paused.Load() == id },
 		StateInterval: func() time.Duration { return 200 * time.Millisecond },
 		Waves:         waves, DemandTimeConstant: 1500 * time.Millisecond,
+		LoadedBefore: func(at time.Time) map[string]registry.Residency {
+			if f, ok := client.(*fakeClient); ok {
+				return f.loadedBefore(at)
+			}
+			return nil
+		},
 		Log: slog.New(slog.DiscardHandler), Metrics: metrics.NewSet(),
 	})
 	h.SetCatalog(c)
--- a/lib/placer/target.go
+++ b/lib/placer/target.go
@@ -22,6 +22,8 @@
 	busy                bool      // a model is being loaded or unloaded, or the outcome of such an order is unknown
 	adapterOrderPending bool      // an order for an adapter is in progress
 	models              map[string]*loadedModel
+	seen                bool     // a report was applied in this term
+	newAtFirst          int      // models of the first report that were not loaded a window of the weight store before the term
 	cachedModels        []string // models whose weights are in host memory or on the target's disk
 }
 
@@ -47,6 +49,22 @@
 	return t.info.Service == s.Name && t.info.State == registry.Ready && !t.suspect
 }
 
+// countNew counts the models of the first report of the term that the target did not have before.
+func (t *target) countNew(before registry.Residency) {
+	if t.seen {
+		return
+	}
+	t.seen, t.newAtFirst = true, len(t.models)
+	if before.Started != t.info.Started {
+		return
+	}
+	for _, m := range before.Models {
+		if t.models[m.Model] != nil {
+			t.newAtFirst--
+		}
+	}
+}
+
 // addLoading adds a model that is being loaded.
 func (t *target) addLoading(model string, readyBy time.Time) {
 	t.models[model] = &loadedModel{adapters: map[string]bool{}, readyBy: readyBy}
--- a/lib/residency/loadwindow.go
+++ b/lib/residency/loadwindow.go
@@ -29,6 +29,7 @@
 	tolerated   float64     // loads that may begin within LoadWindow
 	loads       []storeLoad // in the order of the plans
 	predecessor time.Time   // until when loads of an earlier controller may fall into the window
+	theirLoads  float64     // how many of them may; infinite if that is not known
 }
 
 // storeLoad is a load that may have begun within the window.
@@ -57,7 +58,7 @@
 func (w *loadWindow) limit(fraction float64, now time.Time) float64 {
 	own := termFraction * w.tolerated
 	if now.Before(w.predecessor) {
-		own = w.tolerated - own
+		own = max(w.tolerated-own, own-w.theirLoads) // late orders of the predecessor may still be carried out
 	}
 	return max(1, fraction*own) // a small store would otherwise never load what is less urgent
 }
--- a/lib/residency/waves.go
+++ b/lib/residency/waves.go
@@ -68,13 +68,21 @@
 	if p.waves == nil {
 		p.waves = &waveState{levels: map[string]float64{}}
 		if p.succeeds {
-			p.waves.window.predecessor = now.Add(LoadWindow)
+			p.waves.window.predecessor, p.waves.window.theirLoads = now.Add(LoadWindow), math.Inf(1)
 		}
 	}
 	p.waves.Waves = w
 	p.waves.window.tolerated = w.WindowLoads
 }
 
+// SetPredecessorLoads sets how many loads an earlier planner can have started in the window before this one began. As long as it is
+// not called they are taken to be as many as a planner may start.
+func (p *Planner) SetPredecessorLoads(n int) {
+	if p.waves != nil {
+		p.waves.window.theirLoads = float64(n)
+	}
+}
+
 // Began records that the order of a load has been carried out before now, or never will be. accepted states that it was answered,
 // so that the load began just now.
 func (p *Planner) Began(target, model string, accepted bool, now time.Time) {
