Placer: with waves, unused models are unloaded without the wait for hosts

An unload waits until all hosts have left the copy. Nobody sends requests to a model that is not in demand. At first the store is taken to run as many loads as its permitted rate needs beside the places for first copies.

--- a/lib/placer/placer.go
+++ b/lib/placer/placer.go
@@ -419,7 +419,7 @@
 			go p.loadModel(ctx, t, s.Engine, a)
 		} else {
 			t.models[a.Model].unloading = true
-			go p.unloadModel(ctx, t, a.Model)
+			go p.unloadModel(ctx, t, a.Model, a.Idle)
 		}
 	}
 }
--- a/lib/residency/burst_test.go
+++ b/lib/residency/burst_test.go
@@ -180,8 +180,10 @@
 	switch {
 	case a.Op == orders.Unload:
 		f.unloads++
-		o.acceptedAt = o.acceptedAt.Add(simRetire)
 		o.left = 100*time.Millisecond + time.Duration(f.random.Float64()*float64(simMaxRuns))
+		if !a.Idle || f.planner.waves == nil {
+			o.acceptedAt = o.acceptedAt.Add(simRetire)
+		}
 		for i := range t.Models {
 			if t.Models[i].Model == a.Model {
 				t.Models[i].Ready, t.Models[i].Unloading = false, true
--- a/lib/residency/residency.go
+++ b/lib/residency/residency.go
@@ -94,6 +94,7 @@
 	Model     string
 	FromStore bool   // the load reads the weight store, and counts against its rate
 	Reason    string // for logs
+	Idle      bool   // nobody asks for the model that is unloaded
 }
 
 // Reasons of actions.
@@ -333,7 +334,7 @@
 		t.Models = append(t.Models, LoadedModel{Model: c.model.Name, MB: c.model.MB})
 		s.copies[c.model.Name]++
 		s.inZone[zoneModel{t.Zone, c.model.Name}]++
-		return Action{orders.Load, t.ID, c.model.Name, fromStore, c.reason}, true
+		return Action{Op: orders.Load, Target: t.ID, Model: c.model.Name, FromStore: fromStore, Reason: c.reason}, true
 	}
 	if s.waves && !storeAllowed && s.reserveMemory(c.model) {
 		return Action{}, false
@@ -555,7 +556,7 @@
 			t.Models[i].Unloading, t.Models[i].Ready = true, false
 		}
 	}
-	return Action{orders.Unload, t.ID, m.Name, false, reason}
+	return Action{Op: orders.Unload, Target: t.ID, Model: m.Name, Reason: reason, Idle: !m.used()}
 }
 
 // freeMemory unloads surplus copies until enough targets have free memory for the largest model, or will have it
--- a/lib/residency/waves.go
+++ b/lib/residency/waves.go
@@ -102,13 +102,14 @@
 	return w.currentDemand(models, now)
 }
 
-// assumedFullSpeedLoads returns how many loads run at the same time at the permitted rate. Stores are sized for that.
+// assumedFullSpeedLoads returns how many loads run at the same time at the permitted rate, while firstCopyShare of their places is kept
+// free. Stores are sized for that.
 func (w *waveState) assumedFullSpeedLoads(models []Model) float64 {
 	seconds := 0.0
 	for i := range models {
 		seconds += models[i].StoreLoadTime.Seconds()
 	}
-	return max(defaultFullSpeedLoads, math.Ceil(w.RatePerSecond*seconds/float64(max(1, len(models)))))
+	return max(defaultFullSpeedLoads, math.Ceil(w.RatePerSecond*seconds/float64(max(1, len(models)))/(1-firstCopyShare)))
 }
 
 // currentDemand returns the models with the level of their demand. The level follows the average slowly, unless the average, or
