Residency: copies of unused models may use half of the window

With 0.3 a deployment with 2.1 loads a second would begin with four loads in 5 s where it did ten. go test -run 'Burst|Late|Wave|Stay|Crash' ./lib/residency

--- a/lib/configcheck/configcheck.go
+++ b/lib/configcheck/configcheck.go
@@ -203,8 +203,9 @@
 			holders[key] = o.Name
 		}
 		if o.Rate > 0 && o.Burst < max(1, float64(o.PlainTokens)) {
-			k.add(Warning, at(FieldBurst), fmt.Sprintf("the burst of %.0f tokens is below what a single request takes (%d for one without token counts): it is always refused",
-				o.Burst, max(1, o.PlainTokens)), "raise the burst to that of the largest request at least")
+			k.add(Warning, at(FieldBurst),
+				fmt.Sprintf("the burst of %.0f tokens is below what a request without token counts takes (%d): it is always refused", o.Burst, max(1, o.PlainTokens)),
+				"raise the burst to that of the largest request at least")
 		}
 	}
 }
--- a/lib/residency/loadwindow.go
+++ b/lib/residency/loadwindow.go
@@ -16,7 +16,7 @@
 	// to what may become urgent before the window has passed.
 	urgentFraction = 0.85 // for demand, while a model has less than half of the copies that it needs
 	demandFraction = 0.6  // for demand otherwise
-	unusedFraction = 0.3  // of models that are not in demand
+	unusedFraction = 0.5  // of models that are not in demand
 	// maxUnresolved is how long a load without a known outcome counts: orders are carried out up to 12 s late, and a target that
 	// takes longer to answer has lost its entry in the store.
 	maxUnresolved = 30 * time.Second
