--- a/lib/placer/models.go
+++ b/lib/placer/models.go
@@ -67,6 +67,7 @@
 		return // the loaded models are changing, or the report predates an accepted order: the report is read again later
 	}
 	t.applyReport(r)
+	t.countNew(p.loadedBefore[t.info.ID])
 }
 
 // fetchReport returns the target's report, which may be up to maxReportAge old.
@@ -258,9 +259,10 @@
 	}
 }
 
-// unloadModel waits until the hosts no longer use the model, sends the order to unload it and waits for its execution.
-func (p *Placer) unloadModel(ctx context.Context, t *target, model string) {
-	if !sleep.For(ctx, retireStatePeriods*p.cfg.StateInterval()+stateDelay) {
+// unloadModel waits until the hosts no longer use the model, sends the order to unload it and waits for its execution. With waves it
+// does not wait for a model that nobody asks for: a request that comes in that moment is told that the model is missing, and has not run.
+func (p *Placer) unloadModel(ctx context.Context, t *target, model string, idle bool) {
+	if !(idle && p.cfg.Waves) && !sleep.For(ctx, retireStatePeriods*p.cfg.StateInterval()+stateDelay) {
 		return
 	}
 	outcome, err := p.sendUntilResolved(ctx, t, orders.Order{Op: orders.Unload, Model: model})
--- a/lib/placer/target.go
+++ b/lib/placer/target.go
@@ -22,6 +22,8 @@
 	busy                bool      // a model is being loaded or unloaded, or the outcome of such an order is unknown
 	adapterOrderPending bool      // an order for an adapter is in progress
 	models              map[string]*loadedModel
+	seen                bool     // a report was applied in this term
+	newAtFirst          int      // models of the first report that were not loaded a window of the weight store before the term
 	cachedModels        []string // models whose weights are in host memory or on the target's disk
 }
 
@@ -47,6 +49,22 @@
 	return t.info.Service == s.Name && t.info.State == registry.Ready && !t.suspect
 }
 
+// countNew counts the models of the first report of the term that the target did not have before.
+func (t *target) countNew(before registry.Residency) {
+	if t.seen {
+		return
+	}
+	t.seen, t.newAtFirst = true, len(t.models)
+	if before.Started != t.info.Started {
+		return
+	}
+	for _, m := range before.Models {
+		if t.models[m.Model] != nil {
+			t.newAtFirst--
+		}
+	}
+}
+
 // addLoading adds a model that is being loaded.
 func (t *target) addLoading(model string, readyBy time.Time) {
 	t.models[model] = &loadedModel{adapters: map[string]bool{}, readyBy: readyBy}
@@ -70,7 +88,7 @@
 // plannerTarget returns the target in the form that the planner takes.
 func (t *target) plannerTarget(e *catalog.Engine) *residency.Target {
 	out := &residency.Target{
-		ID: t.info.ID, Zone: t.info.Zone, MemoryMB: modelMemoryMB(e), Busy: t.busy,
+		ID: t.info.ID, Zone: t.info.Zone, MemoryMB: e.ModelMemoryMB(), Busy: t.busy,
 		Cached: t.cachedModels,
 	}
 	for name, h := range t.models {
@@ -89,18 +107,6 @@
 	return out
 }
 
-// modelMemoryMB returns the memory in MB that a target has for models: its memory less that of its adapter slots, each
-// as large as the largest configured adapter.
-func modelMemoryMB(e *catalog.Engine) float64 {
-	largest := 0.0
-	for _, m := range e.Models {
-		if len(m.Adapters) > 0 {
-			largest = max(largest, m.AdapterMB)
-		}
-	}
-	return e.MemoryMB - float64(e.AdapterSlots)*largest
-}
-
 // adapterCount returns the number of adapter slots in use.
 func (t *target) adapterCount() int {
 	n := 0
--- a/lib/residency/waves.go
+++ b/lib/residency/waves.go
@@ -68,13 +68,21 @@
 	if p.waves == nil {
 		p.waves = &waveState{levels: map[string]float64{}}
 		if p.succeeds {
-			p.waves.window.predecessor = now.Add(LoadWindow)
+			p.waves.window.predecessor, p.waves.window.theirLoads = now.Add(LoadWindow), math.Inf(1)
 		}
 	}
 	p.waves.Waves = w
 	p.waves.window.tolerated = w.WindowLoads
 }
 
+// SetPredecessorLoads sets how many loads an earlier planner can have started in the window before this one began. As long as it is
+// not called they are taken to be as many as a planner may start.
+func (p *Planner) SetPredecessorLoads(n int) {
+	if p.waves != nil {
+		p.waves.window.theirLoads = float64(n)
+	}
+}
+
 // Began records that the order of a load has been carried out before now, or never will be. accepted states that it was answered,
 // so that the load began just now.
 func (p *Planner) Began(target, model string, accepted bool, now time.Time) {
@@ -94,13 +102,14 @@
 	return w.currentDemand(models, now)
 }
 
-// assumedFullSpeedLoads returns how many loads run at the same time at the permitted rate. Stores are sized for that.
+// assumedFullSpeedLoads returns how many loads run at the same time at the permitted rate, while firstCopyShare of their places is kept
+// free. Stores are sized for that.
 func (w *waveState) assumedFullSpeedLoads(models []Model) float64 {
 	seconds := 0.0
 	for i := range models {
 		seconds += models[i].StoreLoadTime.Seconds()
 	}
-	return max(defaultFullSpeedLoads, math.Ceil(w.RatePerSecond*seconds/float64(max(1, len(models)))))
+	return max(defaultFullSpeedLoads, math.Ceil(w.RatePerSecond*seconds/float64(max(1, len(models)))/(1-firstCopyShare)))
 }
 
 // currentDemand returns the models with the level of their demand. The level follows the average slowly, unless the average, or
