--- a/lib/balance/balance.go
+++ b/lib/balance/balance.go
@@ -6,6 +6,7 @@
 package balance
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"maps"
@@ -134,24 +135,26 @@
 	connections Connections // nil: not limited
 	rates       Rates       // nil: not limited
 
-	mu            sync.Mutex
-	targets       map[string]*target            // guarded by mu; by id
-	list          []*target                     // guarded by mu; the targets in no particular order
-	peers         map[string]map[string]Load    // guarded by mu; by host and target
-	residency     map[string]registry.Residency // guarded by mu; by target, from the controller; precedes store entries
-	latencyRatios map[string]float64            // guarded by mu; by model: observed over expected time to the first event
-	catalog       *catalog.Catalog
-	random        *rand.Rand
-	hosts         int                       // guarded by mu; including this one
-	absent        map[string]absentPause    // guarded by mu; pauses of targets that are not in the list, by target
-	room          roomModel                 // guarded by mu
-	onRoom        func(service string)      // guarded by mu
-	peerSuspects  map[string]map[string]int // guarded by mu; hosts that find a target unresponsive, by host that reports them and target
-	even          bool                      // guarded by mu; choose by pickEven
-	newsDelay     time.Duration             // guarded by mu; in which a report reaches all hosts
-	prefixLoads   map[uint64]*prefixLoad    // guarded by mu; by hash of the prefix
-	options       []option                  // guarded by mu; scratch space of pickEven
-	outliers      outliers                  // guarded by mu
+	mu             sync.Mutex
+	targets        map[string]*target            // guarded by mu; by id
+	list           []*target                     // guarded by mu; the targets by id
+	peers          map[string]map[string]Load    // guarded by mu; by host and target
+	residency      map[string]registry.Residency // guarded by mu; by target, from the controller; precedes store entries
+	latencyRatios  map[string]float64            // guarded by mu; by model: observed over expected time to the first event
+	catalog        *catalog.Catalog
+	random         *rand.Rand
+	hosts          int                       // guarded by mu; including this one
+	absent         map[string]absentPause    // guarded by mu; pauses of targets that are not in the list, by target
+	room           roomModel                 // guarded by mu
+	onRoom         func(service string)      // guarded by mu
+	peerSuspects   map[string]map[string]int // guarded by mu; hosts that find a target unresponsive, by host that reports them and target
+	even           bool                      // guarded by mu; choose by pickEven
+	newsDelay      time.Duration             // guarded by mu; in which a report reaches all hosts
+	prefixLoads    map[uint64]*prefixLoad    // guarded by mu; by hash of the prefix
+	options        []option                  // guarded by mu; scratch space of pickEven
+	outliers       outliers                  // guarded by mu
+	prefixRequests uint64                    // guarded by mu; requests with a shared prefix
+	prefixSpills   uint64                    // guarded by mu; those of them that were sent to other targets than hold the prefix
 }
 
 // target is a target with its load, what its KV cache probably holds, and its health.
@@ -220,7 +223,7 @@
 			delete(b.targets, id)
 		}
 	}
-	b.list = slices.Collect(maps.Values(b.targets))
+	b.list = slices.SortedFunc(maps.Values(b.targets), func(x, y *target) int { return cmp.Compare(x.info.ID, y.info.ID) })
 	b.sumPeerLoads()
 }
 
@@ -336,10 +339,7 @@
 	if now.Before(t.missing[model]) {
 		return false, false
 	}
-	list := t.info.Models
-	if h, ok := b.residency[t.info.ID]; ok && h.Started == t.info.Started {
-		list = h.Models
-	}
+	list := b.models(t)
 	for i := range list {
 		if list[i].Model == model {
 			hasModel = true
@@ -352,6 +352,14 @@
 	return hasModel, hasModel && hasAdapter && !now.Before(t.missing[model+"/"+adapter])
 }
 
+// models returns the models that t has loaded; the caller holds mu.
+func (b *Balancer) models(t *target) []registry.ResidentModel {
+	if h, ok := b.residency[t.info.ID]; ok && h.Started == t.info.Started {
+		return h.Models
+	}
+	return t.info.Models
+}
+
 // Pick chooses the target of least cost and adds the request to its load. Errors: ErrNoTarget, ErrNoModel,
 // ErrNoAdapter, ErrBusy, ErrPaced, ErrPaused.
 func (b *Balancer) Pick(q Query, now time.Time) (*Choice, error) {
@@ -369,13 +377,7 @@
 	}
 	var c *Choice
 	if engine == nil || q.Call.Model == "" {
-		if b.even {
-			c = b.pickPlainEven(candidates, now)
-		} else {
-			c = b.pickPlain(candidates, now)
-		}
-	} else if b.even {
-		c = b.pickEven(candidates, engine, q.Call, now)
+		c = b.pickPlain(candidates, now)
 	} else {
 		c = b.pickEngine(candidates, engine, q.Call, now)
 	}
@@ -509,6 +511,9 @@
 
 // pickPlain chooses a target of a service without engines, by requests in flight for each slot.
 func (b *Balancer) pickPlain(candidates []*target, now time.Time) *Choice {
+	if b.even {
+		return b.pickPlainEven(candidates, now)
+	}
 	best, lowest := candidates[0], 0.0
 	for i, t := range candidates {
 		running := float64(t.local.Running + t.peers.Running)
