--- a/lib/balance/balance.go
+++ b/lib/balance/balance.go
@@ -101,7 +101,8 @@
 	StartWithin time.Duration
 	Priority    int // 0 is the most urgent; targets serve requests in this order
 	// Rank is the place of the request in the demand, from 0 to 1, in the order in which it is sent while targets are full.
-	Rank float64
+	Rank    float64
+	Regions []string // in which a target must be; nil: any
 }
 
 // Connections states how many connections a host may have to a target.
@@ -155,6 +156,7 @@
 	outliers       outliers                  // guarded by mu
 	prefixRequests uint64                    // guarded by mu; requests with a shared prefix
 	prefixSpills   uint64                    // guarded by mu; those of them that were sent to other targets than hold the prefix
+	eligibility    eligibility               // guarded by mu
 }
 
 // target is a target with its load, what its KV cache probably holds, and its health.
@@ -361,7 +363,7 @@
 }
 
 // Pick chooses the target of least cost and adds the request to its load. Errors: ErrNoTarget, ErrNoModel,
-// ErrNoAdapter, ErrBusy, ErrPaced, ErrPaused.
+// ErrNoAdapter, ErrBusy, ErrPaced, ErrPaused, ErrEvacuated, ErrRegion.
 func (b *Balancer) Pick(q Query, now time.Time) (*Choice, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -399,16 +401,21 @@
 
 // candidates returns the targets of the first rank that is not empty. A target in a pause, or to which this host may open no
 // further connection, or send no request within the target's rate, is left out. Errors: ErrNoTarget, ErrNoModel, ErrNoAdapter,
-// ErrBusy, ErrPaced, ErrPaused.
+// ErrBusy, ErrPaced, ErrPaused, ErrEvacuated, ErrRegion.
 func (b *Balancer) candidates(q Query, now time.Time) ([]*target, error) {
 	b.updateOutliers(now)
 	var byRank [ranks][]*target
 	var pausedUntil time.Time // the earliest
+	var ineligible error
 	err, pacedRate := ErrNoTarget, 0.0
 	for _, t := range b.list {
 		if t.info.Service != q.Service || t.info.State != registry.Ready {
 			continue
 		}
+		if barred := b.eligibility.check(t, &q); barred != nil {
+			ineligible = mergeIneligible(ineligible, barred)
+			continue
+		}
 		if t.pause.active(now) {
 			if !b.couldServe(t, q, now) {
 				if err == ErrNoTarget {
@@ -463,6 +470,8 @@
 		return nil, &PacedError{pacedRate}
 	case (err == ErrNoTarget || err == ErrNoModel) && !pausedUntil.IsZero():
 		return nil, &PausedError{pausedUntil}
+	case err == ErrNoTarget && ineligible != nil:
+		return nil, ineligible
 	}
 	return nil, err
 }
--- a/lib/entryhost/entryhost.go
+++ b/lib/entryhost/entryhost.go
@@ -113,6 +113,7 @@
 	catchingUp   atomic.Bool // a configuration is being read from a peer
 	targetsRead  atomic.Bool // a list of targets has been read
 	stopping     atomic.Bool
+	evacuated    atomic.Int64 // number of evacuated zones
 	stop         *stopping.Stop
 	settingsMu   sync.Mutex
 	current      Settings // guarded by settingsMu; Config.Settings with what was reloaded since
@@ -130,6 +131,8 @@
 		balancer: balance.New(s.Zone, conns, rates, newRandom()),
 		limiter:  orglimit.New(time.Now()), meter: workload.New(), retries: retry.NewBudget(s.RetryRatio, s.RetrySlack),
 	}
+	h.balancer.SetRegions(s.Zones)
+	cfg.Metrics.NewGauge("cuminhook_evacuated_zones", func() float64 { return float64(h.evacuated.Load()) })
 	h.cold = newColdRole(h)
 	h.balancer.SetEvenLoad(s.EvenLoad)
 	h.balancer.SetAside(s.SetAside)
@@ -156,7 +159,7 @@
 		},
 	}, cfg.Log)
 	h.storeWatcher = storewatch.New(cfg.Store, cfg.Codec, storewatch.Handlers{
-		OnCatalog: h.setCatalog, OnTargets: h.setTargets, OnHosts: h.peers.SetEntries, OnQuarantine: h.quarantine.restore,
+		OnCatalog: h.setCatalog, OnTargets: h.setTargets, OnHosts: h.peers.SetEntries, OnZones: h.setEvacuations, OnQuarantine: h.quarantine.restore,
 		OnRestored: h.quarantine.forgetAllStored, Announce: h.peers.Announce,
 	}, cfg.Log)
 	h.statements = &statements{h.storeWatcher, h.balancer, h.cold, cfg.Log, cfg.Metrics}
@@ -199,12 +202,22 @@
 		return t.Addr == s.Listen || t.Addr == s.Ready || t.Addr == s.Peers || t.Addr == s.Metrics
 	})
 	h.connections.SetTargets(list)
-	h.rates.SetTargets(list, time.Now())
+	if h.rates.SetTargets(list, time.Now()) {
+		h.cold.announce()
+	}
 	h.balancer.SetTargets(list)
 	h.placer.SetTargets(list)
 	h.targetsRead.Store(true)
 }
 
+// setEvacuations applies a change of the zones that are evacuated. The targets of a zone that returns are limited before they are used.
+func (h *Host) setEvacuations(e storewatch.Evacuations) {
+	h.rates.ZonesReturned(e.Returned, time.Now())
+	h.balancer.SetEvacuated(e.Zones)
+	h.placer.SetEvacuated(e.Zones)
+	h.evacuated.Store(int64(len(e.Zones)))
+}
+
 func newRandom() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 
 // setFleet applies what is newly known of the fleet.
@@ -232,7 +245,7 @@
 
 // polling returns this host's part in polling the store.
 func (h *Host) polling(f peers.Fleet) storewatch.Polling {
-	within := min(h.cfg.Settings.DrainWithin, h.cfg.Settings.ConfigWithin)
+	within := min(h.cfg.Settings.DrainWithin, h.cfg.Settings.ConfigWithin, h.cfg.Settings.EvacuateWithin)
 	p := storewatch.Polling{
 		Poller: f.Poller, Pollers: f.Pollers, Window: within - announceTime - 2*(f.Spread-f.Interval)/3, Interval: meshPollInterval,
 	}
--- a/lib/filter/relay/relay.go
+++ b/lib/filter/relay/relay.go
@@ -35,6 +35,8 @@
 const (
 	// busyRetryAfter is the Retry-After when targets exist but none took the request.
 	busyRetryAfter = 500 * time.Millisecond
+	// evacuatedRetryAfter is the Retry-After while the zones of all targets are evacuated, which lasts until the operator ends it.
+	evacuatedRetryAfter = 2 * time.Second
 	// retryAfterDivisor divides the caller's remaining time and so bounds Retry-After: a caller that waits longer would
 	// have too little time left for the retry.
 	retryAfterDivisor = 3
@@ -59,6 +61,8 @@
 	Pause(t *registry.Target, d time.Duration, requestID string)
 	// Cold records how much longer the target is cold.
 	Cold(t *registry.Target, left time.Duration)
+	// Down records that the target refused a connection: no process listens at its address.
+	Down(t *registry.Target)
 }
 
 // Config are the settings of the filter.
@@ -133,6 +137,10 @@
 		service: ex.Matched.PickService(f.cfg.Random()),
 		state:   attempt.State{Repeatable: ex.Matched.Repeatable(), MaxRuns: ex.Matched.MaxAttempts},
 	}
+	if err := r.findRegions(); err != nil {
+		cancel()
+		return err
+	}
 	f.cfg.Retries.RecordRequest(r.service)
 	if err := r.checkQuarantine(); err != nil {
 		cancel()
@@ -162,6 +170,7 @@
 	failedAnswer *try              // latest 5xx answer; passed on unless a later attempt succeeds
 	lastEventID  string            // id of the last event passed on
 	onSend       func()            // called before an attempt is sent; nil: none
+	regions      []string          // in which a target must be; nil: any
 	streaming    bool              // the answer is passed on as a stream: a further attempt has to continue it
 	reserved     *balance.Choice   // target of the next attempt, whose retry is charged; nil: none was reserved
 }
@@ -290,8 +299,13 @@
 // refuseNoTarget ends a request for which pick found no target.
 func (r *request) refuseNoTarget(err error) error {
 	reason, after := refusal.NoTarget, busyRetryAfter
-	if errors.Is(err, balance.ErrNoModel) {
+	switch {
+	case errors.Is(err, balance.ErrNoModel):
 		after = r.modelRetryAfter()
+	case errors.Is(err, balance.ErrEvacuated):
+		reason, after = refusal.ZonesEvacuated, evacuatedRetryAfter
+	case errors.Is(err, balance.ErrRegion):
+		reason, after = refusal.RegionNotAllowed, 0
 	}
 	if paced := (*balance.PacedError)(nil); errors.As(err, &paced) {
 		after = max(after, r.paced.drainTime(r.pacedQueue(), paced.PerSecond))
@@ -305,8 +319,9 @@
 	if errors.Is(err, errDrained) {
 		return r.refuseStop()
 	}
+	r.countIneligible(reason)
 	r.cfg.Log.Info("no target", "request_id", r.ex.ID, "service", r.service, "model", r.call.Model,
-		"adapter", r.call.Adapter, "tried", len(r.tried), "reason", err.Error())
+		"adapter", r.call.Adapter, "tried", len(r.tried), "regions", r.regions, "reason", err.Error())
 	if paused := (*balance.PausedError)(nil); errors.As(err, &paused) {
 		return r.end(reason, r.pauseRetryAfter(paused))
 	}
@@ -356,8 +371,8 @@
 	})
 	if t.outcome == forward.NotSent {
 		choice.Unsent()
-		if errors.Is(t.err, syscall.ECONNREFUSED) && r.cfg.Rates != nil {
-			r.cfg.Rates.Down(choice.Target.ID, time.Now())
+		if errors.Is(t.err, syscall.ECONNREFUSED) && r.cfg.Statements != nil {
+			r.cfg.Statements.Down(choice.Target)
 		}
 	}
 	if t.answer != nil {
--- a/lib/targetrate/cold.go
+++ b/lib/targetrate/cold.go
@@ -29,10 +29,14 @@
 	// endMargin is added to the end of a cold time, so that requests of the last moments do not reach the target in the second of those
 	// that all hosts send when it has ended.
 	endMargin = 250 * time.Millisecond
+	// refusalTTL is how long hosts report that a target refused a connection, and minRefusalZones the number of zones whose hosts have to
+	// find that before the others assume that its process has ended: a zone may be cut off from targets that are well.
+	refusalTTL      = 2 * time.Second
+	minRefusalZones = 2
 	// maxColdTime bounds the time that a target states.
 	maxColdTime = 10 * time.Minute
 	// maxSilence is the time without a call of Contact after which the process was suspended.
-	maxSilence = 2 * time.Second
+	maxSilence = 3 * time.Second
 )
 
 // ColdBound is the bound on the requests that reach a cold target in any second: the service's rate times Overshoot, plus Slack.
@@ -40,14 +44,13 @@
 
 // cold is what is known of a target that may be cold.
 type cold struct {
-	service        string
+	service, zone  string
 	started, beat  int64 // of the latest entry
 	absentSince    time.Time
-	until          time.Time // end of the cold time that was stated
-	assumedUntil   time.Time // end of the cold time that is assumed without news
-	assumedAtBeat  int64     // a later entry that states no cold time ends the assumption
-	since          time.Time
-	source         string
+	until          time.Time             // end of the cold time that was stated
+	assumedUntil   time.Time             // end of the cold time that is assumed without news
+	assumedAtBeat  int64                 // a later entry that states no cold time ends the assumption
+	refused        map[string]time.Time  // when the target last refused a connection to a host, by the zone of the host
 	limit          *catalog.Organisation // of the service, as last used; nil: none yet
 	sent           []sentRequest         // of the last boundWindow+arrivalSpread
 	part           int                   // requests that this host may send in that time
@@ -69,7 +72,7 @@
 	targets    map[string]*cold
 	listed     bool // a list of targets was installed
 	traffic    bool // requests have been sent, here or at another host
-	self       string
+	self, zone string
 	members    map[string]time.Time // when last known; the zero time: known now
 	generation int                  // of members
 	contact    bool                 // with the store or a peer, at the latest call of Contact
@@ -86,7 +89,9 @@
 // ColdStatement is the cold time that a target stated, as hosts report it to each other.
 type ColdStatement struct {
 	Started int64 `json:"s,omitempty"` // of the incarnation
-	LeftMS  int64 `json:"l"`
+	LeftMS  int64 `json:"l,omitempty"` // zero: it stated none
+	// RefusedMS is the time since the target refused a connection to a host, by the host's zone.
+	RefusedMS map[string]int64 `json:"r,omitempty"`
 }
 
 // SetColdBound sets the bound for cold targets, and a function that is called when a target becomes cold for this host; it may be nil.
@@ -96,6 +101,13 @@
 	l.cold.bound, l.cold.onChange = bound, onChange
 }
 
+// SetZone sets the zone of this host.
+func (l *Limits) SetZone(zone string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.cold.zone = zone
+}
+
 // SetCatalog installs a new configuration.
 func (l *Limits) SetCatalog(c *catalog.Catalog) {
 	l.mu.Lock()
@@ -122,13 +134,14 @@
 	}
 }
 
-// SetTargets installs the list of targets. Statements of targets that are not in it are dropped.
-func (l *Limits) SetTargets(list []*registry.Target, now time.Time) {
+// SetTargets installs the list of targets, and reports whether an entry states a cold time that is news for other hosts. Statements of
+// targets that are not in the list are dropped.
+func (l *Limits) SetTargets(list []*registry.Target, now time.Time) (changed bool) {
 	known := make(map[string]bool, len(list))
 	l.mu.Lock()
 	for _, t := range list {
 		known[t.ID] = true
-		l.setTarget(t, now)
+		changed = l.setTarget(t, now) || changed
 	}
 	for id, s := range l.cold.targets {
 		switch {
@@ -145,10 +158,11 @@
 	}
 	l.mu.Unlock()
 	l.Retain(func(id string) bool { return known[id] })
+	return changed
 }
 
-// setTarget applies the entry of a target. The caller holds mu.
-func (l *Limits) setTarget(t *registry.Target, now time.Time) {
+// setTarget applies the entry of a target, and reports whether it states a cold time that is news. The caller holds mu.
+func (l *Limits) setTarget(t *registry.Target, now time.Time) (changed bool) {
 	s := l.cold.targets[t.ID]
 	isNew := s == nil || s.started == 0 && s.service == ""
 	if s == nil {
@@ -158,13 +172,13 @@
 	restarted := !isNew && s.started != t.Started
 	returned := !isNew && !restarted && !s.absentSince.IsZero()
 	newer := isNew || restarted || t.Beat > s.beat
-	s.service, s.started, s.beat, s.absentSince = t.Service, t.Started, t.Beat, time.Time{}
+	s.service, s.zone, s.started, s.beat, s.absentSince = t.Service, t.Zone, t.Started, t.Beat, time.Time{}
 	if !newer && !returned {
-		return
+		return false
 	}
 	switch {
 	case t.Cold > 0:
-		l.begin(t.ID, s, now.Add(min(t.Cold, maxColdTime)+endMargin), "entry", now)
+		return l.begin(t.ID, s, now.Add(min(t.Cold, maxColdTime)+endMargin), "entry", now)
 	case returned:
 		l.assume(t.ID, s, "entry came back", now)
 	case (isNew && l.cold.listed || restarted) && !t.StatesCold:
@@ -172,6 +186,7 @@
 	case t.StatesCold && (restarted || t.Beat > s.assumedAtBeat):
 		s.assumedUntil = time.Time{}
 	}
+	return false
 }
 
 // terms returns the time for which targets of the service are cold after their start, and the rate that a cold one takes; zero: none
@@ -200,14 +215,21 @@
 
 // assume records that a target counts as cold without news. Before traffic starts none does. The caller holds mu.
 func (l *Limits) assume(id string, s *cold, source string, now time.Time) {
+	l.assumeSince(id, s, source, now, now)
+}
+
+// assumeSince is assume for news that are of an earlier time. It reports whether the target counts as cold for longer. The caller holds
+// mu.
+func (l *Limits) assumeSince(id string, s *cold, source string, at, now time.Time) (changed bool) {
 	coldTime, _ := l.terms(s.service)
-	if coldTime == 0 || !l.cold.traffic {
-		return
+	until := at.Add(coldTime)
+	if coldTime == 0 || !l.cold.traffic || !until.After(s.assumedUntil) || !until.After(now) {
+		return false
 	}
-	until := now.Add(coldTime)
 	l.report(id, s, until, source, now)
 	s.assumedUntil, s.assumedAtBeat = until, s.beat
 	l.countOthers(id, now)
+	return true
 }
 
 // countOthers has what other hosts send to a cold target count from now on. The caller holds mu.
@@ -217,12 +239,11 @@
 	}
 }
 
-// report notes since when a target is cold, and who said so. The caller holds mu.
+// report reports that a target turns cold, and who said so. The caller holds mu.
 func (l *Limits) report(id string, s *cold, until time.Time, source string, now time.Time) {
 	if s.active(now) {
 		return
 	}
-	s.since, s.source = now, source
 	if coldTime, _ := l.terms(s.service); coldTime > 0 && l.cold.onChange != nil {
 		l.cold.onChange(ColdChange{Target: id, Source: source, Left: until.Sub(now)})
 	}
@@ -239,13 +260,73 @@
 	return s != nil && left > 0 && l.begin(target, s, now.Add(min(left, maxColdTime)+endMargin), "answer", now)
 }
 
-// Down records that a target refused a connection: its process has ended, and it will be cold when it is back.
-func (l *Limits) Down(target string, now time.Time) {
+// ZonesReturned records that evacuations have ended. The targets of the zones count as cold, as they have had no requests.
+func (l *Limits) ZonesReturned(zones []string, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if s := l.cold.targets[target]; s != nil {
-		l.assume(target, s, "connection refused", now)
+	for id, s := range l.cold.targets {
+		if slices.Contains(zones, s.zone) {
+			l.assume(id, s, "zone returned", now)
+		}
+	}
+}
+
+// Down records that a target refused a connection: its process has ended, and it will be cold when it is back. It reports whether that is
+// news for other hosts.
+func (l *Limits) Down(target string, now time.Time) (changed bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.cold.targets[target]
+	if s == nil {
+		return false
+	}
+	if coldTime, _ := l.terms(s.service); coldTime == 0 {
+		return false
+	}
+	l.assumeDown(target, s, "connection refused", now, now)
+	return s.noteRefusal(l.cold.zone, now, now)
+}
+
+// assumeDown records that a target counts as cold because it refused a connection. The next entry may have been written before. The
+// caller holds mu.
+func (l *Limits) assumeDown(id string, s *cold, source string, at, now time.Time) {
+	if l.assumeSince(id, s, source, at, now) {
+		s.assumedAtBeat = s.beat + 1
+	}
+}
+
+// noteRefusal notes a refused connection to a host in the zone, and reports whether none was known there within refusalTTL.
+func (s *cold) noteRefusal(zone string, at, now time.Time) (changed bool) {
+	if s.refused == nil {
+		s.refused = map[string]time.Time{}
+	}
+	changed = now.Sub(s.refused[zone]) > refusalTTL
+	if at.After(s.refused[zone]) {
+		s.refused[zone] = at
 	}
+	return changed
+}
+
+// mergeRefusals applies what another host reports of refused connections, and reports whether there is news. The caller holds mu.
+func (l *Limits) mergeRefusals(id string, s *cold, refusedMS map[string]int64, now time.Time) (changed bool) {
+	for zone, ms := range refusedMS {
+		if at := now.Add(-time.Duration(ms) * time.Millisecond); now.Sub(at) <= refusalTTL {
+			changed = s.noteRefusal(zone, at, now) || changed
+		}
+	}
+	fresh, latest := 0, time.Time{}
+	for _, at := range s.refused {
+		if now.Sub(at) > refusalTTL {
+			continue
+		}
+		if fresh++; at.After(latest) {
+			latest = at
+		}
+	}
+	if fresh >= minRefusalZones {
+		l.assumeDown(id, s, "connections refused in several zones", latest, now)
+	}
+	return changed
 }
 
 // Traffic records that requests are being sent, here or at another host: targets that start from now on may be cold.
@@ -280,24 +361,33 @@
 	}
 }
 
-// ColdStatements returns the cold times that targets stated, for other hosts.
+// ColdStatements returns the cold times that targets stated, and which targets refused connections, for other hosts.
 func (l *Limits) ColdStatements(now time.Time) map[string]ColdStatement {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var out map[string]ColdStatement
 	for id, s := range l.cold.targets {
-		if !now.Before(s.until) {
+		stated := ColdStatement{Started: s.started, LeftMS: max(0, s.until.Sub(now).Milliseconds())}
+		for zone, at := range s.refused {
+			if age := now.Sub(at); age <= refusalTTL {
+				if stated.RefusedMS == nil {
+					stated.RefusedMS = map[string]int64{}
+				}
+				stated.RefusedMS[zone] = age.Milliseconds()
+			}
+		}
+		if stated.LeftMS == 0 && stated.RefusedMS == nil {
 			continue
 		}
 		if out == nil {
 			out = map[string]ColdStatement{}
 		}
-		out[id] = ColdStatement{s.started, s.until.Sub(now).Milliseconds()}
+		out[id] = stated
 	}
 	return out
 }
 
-// MergeCold applies the cold times that another host reports, and reports whether there is news.
+// MergeCold applies what another host reports of cold targets, and reports whether there is news.
 func (l *Limits) MergeCold(r map[string]ColdStatement, source string, now time.Time) (changed bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -307,7 +397,11 @@
 			s = &cold{}
 			l.cold.targets[id] = s
 		}
-		if stated.Started >= s.started {
+		if stated.Started < s.started {
+			continue
+		}
+		changed = l.mergeRefusals(id, s, stated.RefusedMS, now) || changed
+		if stated.LeftMS > 0 {
 			left := min(time.Duration(stated.LeftMS)*time.Millisecond, maxColdTime+endMargin)
 			changed = l.begin(id, s, now.Add(left), source, now) || changed
 		}
