One memory budget per process: requests are admitted, refused and shed by what they hold

Descriptors were not bounded by what the process may have, and lack of them ended it.

Change: lib/membudget divides three tenths of the machine's memory (new settings memory_mb, max_fds and callers) among connections, bodies and answers. The pipeline reads requests by itself, with fasthttp's codec: memory is reserved before it is allocated, grows with what has arrived, and an idle connection holds no buffer. If memory is short, connections that hold much and make no progress are shed, then those of the owner (organisation or address) that holds more than twice as much as the one in need; else the request is refused with 503. Large answers are reserved too, and wait for memory. Sockets' buffers are bounded, the collector knows the limit (0.55 of the memory; only where memory_mb is stated), and callers' connections are 0.6 of the descriptors. The operator's limits replace the constants and follow changes. The gateway keeps its settings and its policy (MaxBuffered, nothing is shed); it counts the capacity of buffers now instead of the bytes read. Trailers of requests were not passed on before either; they are skipped unparsed.

conn_test.go reads the number of connections and the size of a small request from their new places; its checks are the same.

--- a/lib/catalog/catalog.go
+++ b/lib/catalog/catalog.go
@@ -101,6 +101,7 @@
 	Routes        []*Route
 	Services      []*Service
 	Organisations []*Organisation
+	Limits        Limits
 }
 
 // Catalog is one version of the configuration.
--- a/lib/entryhost/entryhost.go
+++ b/lib/entryhost/entryhost.go
@@ -38,6 +38,7 @@
 	"cuminhook.org/cuminhook/lib/stopping"
 	"cuminhook.org/cuminhook/lib/storewatch"
 	"cuminhook.org/cuminhook/lib/targetrate"
+	"cuminhook.org/cuminhook/lib/tcpopt"
 	"cuminhook.org/cuminhook/lib/workload"
 )
 
@@ -54,20 +55,8 @@
 	maxLeafCatchUpDelay = 100 * time.Millisecond
 	// catchUpTimeout bounds the call that reads a configuration from a peer.
 	catchUpTimeout = time.Second
-	// maxHeaderBytes bounds the request line and header of a request.
-	maxHeaderBytes = 20 << 10
-	// maxBodyBytes bounds the body of a request.
-	maxBodyBytes = 5 << 20
-	// maxBufferedBytes bounds the bodies of all requests in memory.
-	maxBufferedBytes = 64 << 20
 	// minBackgroundStop is the time that background work has to end, also if requests took all of the grace.
 	minBackgroundStop = 50 * time.Millisecond
-	// readTimeout bounds the arrival of a request. It is the write timeout too.
-	readTimeout = 10 * time.Second
-	// idleTimeout is above every idle timeout that operators set for callers, since callers reuse connections up to theirs.
-	idleTimeout = 2 * time.Minute
-	// maxConns bounds the callers' connections. It leaves file descriptors for connections to targets.
-	maxConns = 2500
 )
 
 // Store is the platform's store: reads, writes and leases, and the feed of changes.
@@ -107,6 +96,7 @@
 	placer       *placer.Placer
 	role         *placementRole
 	server       *pipeline.Server
+	memory       *memory
 	catalog      atomic.Pointer[catalog.Catalog]
 	catchingUp   atomic.Bool // a configuration is being read from a peer
 	targetsRead  atomic.Bool // a list of targets has been read
@@ -156,11 +146,9 @@
 	if source, ok := cfg.Engines.(orders.StatedSource); ok {
 		source.OnStated(h.statements.ofOrders)
 	}
-	h.server = pipeline.NewServer(pipeline.ServerConfig{
-		First: h.filters(), MaxBodyBytes: maxBodyBytes, MaxBufferedBytes: maxBufferedBytes, MaxHeaderBytes: maxHeaderBytes,
-		ReadTimeout: readTimeout, WriteTimeout: readTimeout, IdleTimeout: idleTimeout, MaxConns: maxConns, FineRetryAfter: true,
-		Log: cfg.Log, Metrics: cfg.Metrics,
-	})
+	h.memory = newMemory(s, cfg.Log, cfg.Metrics)
+	h.server = pipeline.NewServer(h.serverConfig())
+	h.memory.export(h.server)
 	return h
 }
 
@@ -181,6 +169,7 @@
 	h.balancer.SetCatalog(c)
 	h.placer.SetCatalog(c)
 	h.catalog.Store(c)
+	h.server.SetLimits(callerLimits(c.Limits))
 }
 
 // setTargets applies a new list of targets. A target at an address of this host would send requests back to it.
@@ -344,7 +333,8 @@
 // Run serves until ctx ends, and then lets open requests finish within Settings.Grace.
 func (h *Host) Run(ctx context.Context) error {
 	s := h.cfg.Settings
-	callers, err := net.Listen("tcp", s.Listen)
+	listen := net.ListenConfig{Control: tcpopt.SetBuffers(receiveBuffer, sendBuffer)}
+	callers, err := listen.Listen(ctx, "tcp", s.Listen)
 	if err != nil {
 		return fmt.Errorf("listen: %w; choose an address of this host that is free", err)
 	}
@@ -369,6 +359,7 @@
 	group.Go(func() error { return serveStatus(groupCtx, s.Ready, h.readyHandler()) })
 	group.Go(func() error { return serveStatus(groupCtx, s.Metrics, h.metricsHandler()) })
 	group.Go(func() error { return h.server.Serve(callers) })
+	group.Go(func() error { h.memory.watch(groupCtx); return nil })
 	h.log.Info("started", "listen", s.Listen, "peers", s.Peers, "store", s.Store)
 	select {
 	case <-ctx.Done():
--- /dev/null
+++ b/lib/entryhost/memory.go
@@ -0,0 +1,179 @@
+package entryhost
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"log/slog"
+	"runtime/debug"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/valyala/fasthttp"
+
+	"cuminhook.org/cuminhook/lib/catalog"
+	"cuminhook.org/cuminhook/lib/membudget"
+	"cuminhook.org/cuminhook/lib/pipeline"
+)
+
+const (
+	// defaultMemoryMB is assumed where memory_mb is not stated; bodies may then use about 64 MB.
+	defaultMemoryMB = 430
+	// budgetShare is the part of the machine's memory that callers may hold. Garbage that is not collected yet adds up to gcPercent of the
+	// command, the process itself takes 15 to 40 MB, and all of it must stay below three quarters.
+	budgetShare = 0.3
+	// heapShare is the part of the machine's memory from which on the collector runs more often. Hosts without pressure use far less.
+	heapShare = 0.55
+	// minMemoryMB is the least memory with which a host can serve a request of the default size.
+	minMemoryMB = 64
+
+	// reservedFDs are the descriptors that the platform reserves for files.
+	reservedFDs = 200
+	// connsShare is the part of the other descriptors for callers' connections; targets, peers and the store take the rest.
+	connsShare = 0.6
+	// defaultMaxConns bounds the callers' connections where max_fds is not stated.
+	defaultMaxConns = 2500
+	minMaxFDs       = 300
+
+	// Limits of requests where the operator's configuration states none.
+	defaultHeaderBytes   = 16 << 10
+	defaultBodyBytes     = 5 << 20
+	defaultHeaderTimeout = 10 * time.Second
+	// defaultIdleTimeout is above every idle timeout that operators set for callers, since callers reuse connections up to theirs.
+	defaultIdleTimeout = 2 * time.Minute
+	// requestLineBytes is permitted beside the header.
+	requestLineBytes = 4 << 10
+	// headerTimeoutMargin is added to the stated time for a header: a caller may use all of it, and the network delays its bytes.
+	headerTimeoutMargin = 250 * time.Millisecond
+
+	// defaultBodyTimeout is above the timeouts of routes, after which a body is of no use.
+	defaultBodyTimeout = 30 * time.Second
+	// defaultBodyRate is a seventh of the rate of a slow mobile connection.
+	defaultBodyRate = 16 << 10
+	writeTimeout    = 10 * time.Second
+
+	// receiveBuffer and sendBuffer are the sizes of the kernel's buffers of a caller's connection: bytes in them count as the process's
+	// memory. The kernel doubles them for its own use.
+	receiveBuffer = 64 << 10
+	sendBuffer    = 64 << 10
+
+	// warnShare is the part of the budget from which on a warning is logged, once in warnInterval. usageInterval is the time between two looks.
+	warnShare     = 0.8
+	warnInterval  = 10 * time.Second
+	usageInterval = 500 * time.Millisecond
+)
+
+// validateMemory checks the settings of memory, descriptors and callers.
+func (s *Settings) validateMemory() error {
+	if s.MemoryMB < 0 || s.MemoryMB > 0 && s.MemoryMB < minMemoryMB {
+		return fmt.Errorf("memory_mb (%d) must be %d or more, or 0 if unknown; set it to the memory of the machine", s.MemoryMB, minMemoryMB)
+	}
+	if s.MaxFDs < 0 || s.MaxFDs > 0 && s.MaxFDs < minMaxFDs {
+		return fmt.Errorf("max_fds (%d) must be %d or more, or 0 if unknown; set it to the descriptors that the process may have", s.MaxFDs, minMaxFDs)
+	}
+	c := s.Callers
+	if c.MaxHeaderLines < 0 || c.BodyTimeout <= 0 || c.MinBodyRate <= 0 || c.MaxConns < 0 || c.MaxConnsPerIP < 0 {
+		return fmt.Errorf("callers: body_timeout and min_body_rate must be above 0, max_header_lines, max_conns and max_conns_per_ip not negative")
+	}
+	return nil
+}
+
+// maxConns returns the most callers' connections.
+func (s *Settings) maxConns() int {
+	switch {
+	case s.Callers.MaxConns > 0:
+		return s.Callers.MaxConns
+	case s.MaxFDs > 0:
+		return int(connsShare * float64(s.MaxFDs-reservedFDs))
+	default:
+		return defaultMaxConns
+	}
+}
+
+// callerLimits returns the limits that the operator states, with defaults.
+func callerLimits(l catalog.Limits) pipeline.Limits {
+	out := pipeline.Limits{
+		MaxHeaderBytes: cmp.Or(l.MaxHeaderBytes, defaultHeaderBytes), MaxBodyBytes: cmp.Or(l.MaxBodyBytes, defaultBodyBytes),
+		HeaderTimeout: defaultHeaderTimeout, IdleTimeout: cmp.Or(l.IdleTimeout, defaultIdleTimeout),
+	}
+	if l.HeaderTimeout > 0 {
+		out.HeaderTimeout = l.HeaderTimeout + headerTimeoutMargin
+	}
+	return out
+}
+
+// serverConfig returns the settings of the server for callers.
+func (h *Host) serverConfig() pipeline.ServerConfig {
+	s, limits := h.cfg.Settings, callerLimits(catalog.Limits{})
+	return pipeline.ServerConfig{
+		First: h.filters(), MaxBodyBytes: limits.MaxBodyBytes, MaxHeaderBytes: limits.MaxHeaderBytes, RequestLineBytes: requestLineBytes,
+		HeaderTimeout: limits.HeaderTimeout, IdleTimeout: limits.IdleTimeout, ReadTimeout: s.Callers.BodyTimeout, WriteTimeout: writeTimeout,
+		MaxHeaderLines: s.Callers.MaxHeaderLines, MinBodyRate: s.Callers.MinBodyRate, MaxConns: s.maxConns(),
+		MaxConnsPerIP: s.Callers.MaxConnsPerIP, Memory: h.memory.budget, Owner: h.owner, FineRetryAfter: true,
+		Log: h.cfg.Log, Metrics: h.cfg.Metrics,
+	}
+}
+
+// owner returns whose request it is, as far as its key tells.
+func (h *Host) owner(header *fasthttp.RequestHeader) string {
+	c := h.catalog.Load()
+	call, err := h.cfg.Protocol.ReadCall(header)
+	if c == nil || err != nil {
+		return ""
+	}
+	if o := c.Organisation(call.Key); o != nil {
+		return "organisation " + o.Name
+	}
+	return ""
+}
+
+// memory is the budget of the process for its callers.
+type memory struct {
+	budget *membudget.Budget
+	log    *slog.Logger
+	set    *metrics.Set
+	warned time.Time
+}
+
+// newMemory returns the budget that follows from the settings, and tells the collector the limit where the memory is stated.
+func newMemory(s Settings, log *slog.Logger, set *metrics.Set) *memory {
+	total := float64(cmp.Or(s.MemoryMB, defaultMemoryMB)) * 1e6
+	if s.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(heapShare * total))
+	}
+	return &memory{budget: membudget.New(membudget.Config{Limit: int64(budgetShare * total), Shed: true}), log: log, set: set}
+}
+
+// export adds the metrics of the budget and the connections.
+func (m *memory) export(server *pipeline.Server) {
+	for _, k := range membudget.Kinds() {
+		m.set.NewGauge(`cuminhook_memory_held_bytes{kind="`+k.String()+`"}`, func() float64 { return float64(m.budget.Held(k)) })
+	}
+	m.set.NewGauge("cuminhook_memory_budget_bytes", func() float64 { return float64(m.budget.Usage().Limit) })
+	m.set.NewGauge("cuminhook_memory_refused", func() float64 { return float64(m.budget.Usage().Refused) })
+	m.set.NewGauge("cuminhook_memory_shed", func() float64 { return float64(m.budget.Usage().Shed) })
+	m.set.NewGauge("cuminhook_caller_connections", func() float64 { return float64(server.Connections()) })
+}
+
+// watch logs a warning while most of the budget is used.
+func (m *memory) watch(ctx context.Context) {
+	tick := time.NewTicker(usageInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-tick.C:
+			m.warn(now)
+		}
+	}
+}
+
+func (m *memory) warn(now time.Time) {
+	u := m.budget.Usage()
+	if float64(u.Total) < warnShare*float64(u.Limit) || now.Sub(m.warned) < warnInterval {
+		return
+	}
+	m.warned = now
+	m.log.Warn("memory for callers nearly used up", "held", u.Held, "budget", u.Limit, "refused", u.Refused, "shed", u.Shed)
+}
--- a/lib/entryhost/settings.go
+++ b/lib/entryhost/settings.go
@@ -29,6 +29,12 @@
 
 	Placement PlacementSettings `yaml:"placement"`
 
+	// MemoryMB is the memory of this host's machine in MB (10^6 bytes), from which the budget for callers follows; zero: unknown.
+	MemoryMB int `yaml:"memory_mb"`
+	// MaxFDs is the most file descriptors that the process may have; zero: unknown.
+	MaxFDs  int            `yaml:"max_fds"`
+	Callers CallerSettings `yaml:"callers"`
+
 	Grace time.Duration `yaml:"grace"` // from the signal to stop until the platform kills the process
 	// StopDelay is the time from the signal until the host takes no more requests; zero: defaultStopDelay, or less if the
 	// grace is short.
@@ -41,12 +47,22 @@
 	LoadsOvershoot float64       `yaml:"loads_overshoot"` // factor on the weight store's permitted rate of loads, at least 1
 }
 
+// CallerSettings are limits of callers' connections and requests.
+type CallerSettings struct {
+	MaxHeaderLines int           `yaml:"max_header_lines"` // lines of a header; zero: as many as it has room for
+	BodyTimeout    time.Duration `yaml:"body_timeout"`     // time for a body, beside what it takes at min_body_rate
+	MinBodyRate    int           `yaml:"min_body_rate"`    // bytes per second that a long body must keep up after body_timeout
+	MaxConns       int           `yaml:"max_conns"`        // connections of all callers; zero: derived from max_fds
+	MaxConnsPerIP  int           `yaml:"max_conns_per_ip"` // connections of one address; zero: unlimited, as behind a load balancer
+}
+
 // DefaultSettings returns the settings that apply where the file sets none.
 func DefaultSettings() Settings {
 	return Settings{
 		DrainWithin: 2 * time.Second, ConfigWithin: 2 * time.Second, LinkMbps: 100, RetryRatio: 0.1, RetrySlack: 10,
 		Placement: PlacementSettings{Lease: 3 * time.Second, LoadsOvershoot: 1},
 		Grace:     8 * time.Second,
+		Callers:   CallerSettings{BodyTimeout: defaultBodyTimeout, MinBodyRate: defaultBodyRate},
 	}
 }
 
@@ -89,6 +105,9 @@
 	if s.Placement.Lease < time.Second || s.Placement.LoadsOvershoot < 1 {
 		return fmt.Errorf("placement: lease must be 1s or longer, loads_overshoot 1 or more")
 	}
+	if err := s.validateMemory(); err != nil {
+		return err
+	}
 	if s.Grace <= 0 || s.StopDelay < 0 || s.StopDelay >= s.Grace {
 		return fmt.Errorf("grace (%s) must be above 0 and above stop_delay (%s); set it to the time after which the platform kills a process that it stops",
 			s.Grace, s.StopDelay)
--- a/lib/forward/forward.go
+++ b/lib/forward/forward.go
@@ -18,6 +18,7 @@
 	"github.com/valyala/fasthttp"
 
 	"cuminhook.org/cuminhook/lib/httpconn"
+	"cuminhook.org/cuminhook/lib/membudget"
 	"cuminhook.org/cuminhook/lib/passthrough"
 )
 
@@ -92,9 +93,11 @@
 	conn     *httpconn.Conn
 	body     io.Reader
 	chunked  bool
-	unframed bool         // the body ends with the connection
-	reusable bool         // the connection may be reused after the body
-	written  <-chan error // result of writing the request body in the background; nil if it was written before
+	unframed bool               // the body ends with the connection
+	reusable bool               // the connection may be reused after the body
+	account  *membudget.Account // of the caller's connection; nil: none
+	done     <-chan struct{}    // closed when the request ends
+	written  <-chan error       // result of writing the request body in the background; nil if it was written before
 }
 
 // Client sends requests on pooled connections. It is safe for concurrent use.
@@ -172,7 +175,7 @@
 		// The target may have run the request: it may answer and close before it has read the body.
 		return nil, Unknown, err
 	}
-	a := &Answer{conn: conn, written: written}
+	a := &Answer{conn: conn, written: written, account: membudget.FromContext(ctx), done: ctx.Done()}
 	if err := c.readHeader(a, r); err != nil {
 		if ctx.Err() == nil && isClosed(err) && conn.ClosedAtOnce() {
 			// The request was written before the close arrived, so that it may have run.
@@ -397,13 +400,86 @@
 // Buffered reports whether bytes of the connection have been received but not read yet.
 func (a *Answer) Buffered() bool { return a.conn.Reader().Buffered() > 0 }
 
+const (
+	// firstBodyBytes is the first size of the buffer of an answer that may be larger.
+	firstBodyBytes = 1 << 10
+	// memoryWait bounds the wait for memory for a large answer. A target cuts off an answer that stays unread for seconds.
+	memoryWait     = 2 * time.Second
+	memoryInterval = 10 * time.Millisecond
+)
+
+// ErrNoMemory means that there was no memory for a large answer.
+var ErrNoMemory = errors.New("forward: the memory for answers is used up; raise memory_mb, or have callers read faster")
+
+// readBody reads the body into a buffer that doubles while it arrives. An answer of a small known length is read into one of that size.
+func (a *Answer) readBody() (body []byte, err error) {
+	limit, size := maxBodyBytes+1, firstBodyBytes
+	if a.Length >= 0 {
+		if a.Length > maxBodyBytes {
+			return nil, ErrTooLarge
+		}
+		limit = int(a.Length)
+		if limit <= membudget.SmallBytes {
+			size = limit
+		}
+	}
+	for {
+		size = min(size, limit)
+		if err := a.reserve(size - cap(body)); err != nil {
+			return nil, err
+		}
+		grown := make([]byte, len(body), size)
+		copy(grown, body)
+		body = grown
+		for len(body) < cap(body) {
+			n, err := a.body.Read(body[len(body):cap(body)])
+			body = body[:len(body)+n]
+			if errors.Is(err, io.EOF) && (a.Length < 0 || len(body) == limit) {
+				if len(body) > maxBodyBytes {
+					return nil, ErrTooLarge
+				}
+				return body, nil
+			}
+			if err != nil {
+				return nil, err
+			}
+		}
+		switch {
+		case a.Length >= 0 && len(body) == limit:
+			return body, nil
+		case len(body) == limit:
+			return nil, ErrTooLarge
+		}
+		size *= 2
+	}
+}
+
+// reserve reserves memory for n bytes of the answer in the account of the caller's connection. It waits until others have returned some:
+// the request has run, and what it returned would be lost.
+func (a *Answer) reserve(n int) error {
+	if a.account == nil {
+		return nil
+	}
+	for began := time.Now(); ; {
+		now := time.Now()
+		if a.account.Reserve(membudget.Answers, int64(n), now) == nil {
+			return nil
+		}
+		if now.Sub(began) > memoryWait || a.account.Shed() {
+			return ErrNoMemory
+		}
+		select {
+		case <-time.After(memoryInterval):
+		case <-a.done:
+			return ErrNoMemory
+		}
+	}
+}
+
 // ReadAll reads the rest of the body and closes the answer. Its error wraps ErrIncomplete, and ErrTooLarge if the body
 // exceeds the size limit.
 func (a *Answer) ReadAll() ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(a.body, maxBodyBytes+1))
-	if err == nil && len(body) > maxBodyBytes {
-		err = ErrTooLarge
-	}
+	body, err := a.readBody()
 	if err != nil {
 		a.Close(false)
 		return nil, fmt.Errorf("%w: %w", ErrIncomplete, err)
--- a/lib/pipeline/conn.go
+++ b/lib/pipeline/conn.go
@@ -7,17 +7,20 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"cuminhook.org/cuminhook/lib/membudget"
+	"cuminhook.org/cuminhook/lib/tcpopt"
 )
 
 // watchedConn detects that the caller closes its connection while a request is being served. Watch reads one byte ahead in
 // the background; the next Read ends the watch and returns that byte first.
 type watchedConn struct {
 	net.Conn
-	server       *Server
-	ip           string
-	closed       sync.Once
-	requestBytes atomic.Int64 // bytes read for the requests in flight on this connection
-	used         bool         // a read has returned; only Read accesses it
+	server  *Server
+	ip      string
+	closed  sync.Once
+	account *membudget.Account
+	phase   atomic.Uint32 // see connPhase
 
 	mu           sync.Mutex
 	watching     bool
@@ -28,13 +31,22 @@
 	hasReadAhead bool
 	err          error     // of the background read; returned by every later Read
 	deadline     time.Time // read deadline set by the server, applied when no watch is active
+	writing      bool      // the whole answer is being written
+	cut          bool      // the connection has lost its memory to others: reads end at once
 }
 
-// smallRequestBytes is the size up to which requests are read even if the buffers of all requests exceed their limit.
-const smallRequestBytes = 64 << 10
+// connPhase tells whether a request is being received or served on a connection.
+type connPhase = uint32
+
+// Phases of a connection. The change from idle decides between a request that begins and a stop that closes the connection.
+const (
+	connIdle connPhase = iota
+	connActive
+	connClosing
+)
 
-// errBuffersFull means that the requests in memory together exceed ServerConfig.MaxBufferedBytes.
-var errBuffersFull = errors.New("pipeline: request bodies in memory exceed the limit; retry on another host")
+// writeStep bounds the bytes of one write, so that the progress of a caller that reads a large answer slowly is seen.
+const writeStep = 64 << 10
 
 // pastDeadline is a deadline in the past; setting it interrupts a pending read.
 var pastDeadline = time.Unix(1, 0)
@@ -99,27 +111,54 @@
 // Close implements net.Conn.
 func (c *watchedConn) Close() error {
 	c.closed.Do(func() {
-		c.server.conns.remove(c.ip)
-		c.server.unused.use(c)
-		c.releaseBuffered()
+		c.server.conns.remove(c)
+		c.account.Close()
 	})
 	return c.Conn.Close()
 }
 
-// countBuffered counts n more bytes in memory. It returns errBuffersFull if the limit for all requests is exceeded and this
-// one is not small: small requests are not refused because of large ones.
-func (c *watchedConn) countBuffered(n int) error {
-	request := c.requestBytes.Add(int64(n))
-	total := c.server.bufferedBytes.Add(int64(n))
-	if limit := c.server.cfg.MaxBufferedBytes; limit > 0 && total > limit && request > smallRequestBytes {
-		return errBuffersFull
+// shed ends what the connection does, as its memory is needed for others. A request that is being received is refused; in all other
+// cases the connection is closed.
+func (c *watchedConn) shed() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cut = true
+	if c.phase.Load() != connActive || c.writing {
+		_ = c.Conn.Close()
+		return
 	}
-	return nil
+	_ = c.Conn.SetReadDeadline(pastDeadline)
+}
+
+// setWriting records whether the whole answer is being written.
+func (c *watchedConn) setWriting(writing bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writing = writing
 }
 
-// releaseBuffered stops counting the bytes of this connection's requests. It is called when a request has ended and when
-// the connection is closed.
-func (c *watchedConn) releaseBuffered() { c.server.bufferedBytes.Add(-c.requestBytes.Swap(0)) }
+// awaitBytes waits until bytes can be read, or the connection has ended. It holds no buffer meanwhile.
+func (c *watchedConn) awaitBytes() error {
+	c.Unwatch()
+	c.mu.Lock()
+	has, err := c.hasReadAhead, c.err
+	c.mu.Unlock()
+	if has || err != nil {
+		return err
+	}
+	if known, err := tcpopt.AwaitBytes(c.Conn); known {
+		return err
+	}
+	var b [1]byte
+	n, err := c.Conn.Read(b[:])
+	if n == 1 {
+		c.mu.Lock()
+		c.readAhead, c.hasReadAhead = b, true
+		c.mu.Unlock()
+		return nil
+	}
+	return err
+}
 
 // Read implements net.Conn.
 func (c *watchedConn) Read(p []byte) (int, error) {
@@ -136,24 +175,30 @@
 		return 0, err
 	}
 	n, err := c.Conn.Read(p)
-	if !c.used {
-		if !c.server.unused.use(c) {
-			return 0, net.ErrClosed
-		}
-		c.used = true
-	}
-	if full := c.countBuffered(n); full != nil {
-		return 0, full
+	if n > 0 {
+		c.account.Progress(time.Now())
 	}
 	return n, err
 }
 
+// Write implements net.Conn.
+func (c *watchedConn) Write(p []byte) (written int, err error) {
+	for {
+		n, err := c.Conn.Write(p[:min(len(p), writeStep)])
+		written, p = written+n, p[n:]
+		if err != nil || len(p) == 0 {
+			return written, err
+		}
+		c.account.Progress(time.Now())
+	}
+}
+
 // SetReadDeadline implements net.Conn.
 func (c *watchedConn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.deadline = t
-	if c.watching {
+	if c.watching || c.cut {
 		return nil
 	}
 	return c.Conn.SetReadDeadline(t)
--- a/lib/pipeline/conn_test.go
+++ b/lib/pipeline/conn_test.go
@@ -14,6 +14,8 @@
 
 	"github.com/valyala/fasthttp"
 	"github.com/valyala/fasthttp/fasthttputil"
+
+	"cuminhook.org/cuminhook/lib/membudget"
 )
 
 // Guards against lost or reordered bytes of a request that the caller sends while an earlier one is being served, and
@@ -74,7 +76,7 @@
 		t.Fatal(err)
 	}
 	defer conn.Close()
-	for s.http.GetOpenConnectionsCount() == 0 {
+	for s.Connections() == 0 {
 		time.Sleep(time.Millisecond)
 	}
 	stopped := make(chan error, 1)
@@ -122,7 +124,7 @@
 			}
 		}
 		<-kept
-		if n := <-kept; n > smallRequestBytes {
+		if n := <-kept; n > membudget.SmallBytes {
 			t.Errorf("%s: the connection keeps %d bytes", name, n)
 		}
 	}
--- a/lib/pipeline/server.go
+++ b/lib/pipeline/server.go
@@ -1,13 +1,14 @@
 package pipeline
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"log/slog"
-	"net"
 	"runtime/debug"
+	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -15,6 +16,7 @@
 	"github.com/google/uuid"
 	"github.com/valyala/fasthttp"
 
+	"cuminhook.org/cuminhook/lib/membudget"
 	"cuminhook.org/cuminhook/lib/refusal"
 )
 
@@ -32,22 +34,54 @@
 	IdleTimeout      time.Duration // between requests
 	MaxConns         int           // zero: unlimited
 	MaxConnsPerIP    int           // zero: unlimited
+	// HeaderTimeout bounds the arrival of the header; ReadTimeout then bounds that of the body. Zero: ReadTimeout bounds both, and the
+	// first byte on a new connection.
+	HeaderTimeout time.Duration
+	// RequestLineBytes is the size of the request line that is permitted beside MaxHeaderBytes.
+	RequestLineBytes int
+	MaxHeaderLines   int // zero: as many as the header has room for
+	// MinBodyRate extends ReadTimeout for long bodies: it is the rate, in bytes per second, that a body must keep up after ReadTimeout.
+	// Zero: ReadTimeout is not extended.
+	MinBodyRate int
+	// Memory is the budget of the process for callers; nil: one of MaxBufferedBytes that counts bodies only.
+	Memory *membudget.Budget
+	// Owner returns who holds the memory of a request with a large body; nil or empty: the caller's address.
+	Owner func(h *fasthttp.RequestHeader) string
 	// FineRetryAfter sets Retry-After with milliseconds instead of whole seconds, for callers that can read it.
 	FineRetryAfter bool
 	Log            *slog.Logger
 	Metrics        *metrics.Set // nil: a new set that is not exported
 }
 
-// Server accepts callers' connections and passes each request to the first filter.
+// serverName is stated in responses whose target states none.
+const serverName = "cuminhook"
+
+// Limits are the limits of requests that can change while the server runs.
+type Limits struct {
+	MaxHeaderBytes int
+	MaxBodyBytes   int
+	HeaderTimeout  time.Duration
+	IdleTimeout    time.Duration
+
+	requestLineBytes int
+}
+
+// headBuffer returns the size of the buffer that holds a head.
+func (l *Limits) headBuffer() int { return l.MaxHeaderBytes + l.requestLineBytes }
+
+// Server accepts callers' connections and passes each request to the first filter. It uses fasthttp's codec but not its server: that
+// allocates the memory of a request before anything can be refused, and keeps a buffer for each idle connection.
 type Server struct {
-	cfg   ServerConfig
-	http  *fasthttp.Server
-	conns connCount
+	cfg      ServerConfig
+	limits   atomic.Pointer[Limits]
+	memory   *membudget.Budget
+	conns    connSet
+	readers  readerPool
+	writers  writerPool
+	contexts sync.Pool
 	// rejecting counts the connections above the limits that are being refused.
-	rejecting     atomic.Int64
-	bufferedBytes atomic.Int64 // bytes read for all requests in flight
-	stopping      atomic.Bool
-	unused        unusedConns
+	rejecting atomic.Int64
+	stopping  atomic.Bool
 }
 
 // NewServer returns a server with the settings of cfg.
@@ -58,36 +92,37 @@
 	if cfg.Metrics == nil {
 		cfg.Metrics = metrics.NewSet()
 	}
-	s := &Server{cfg: cfg}
-	s.http = &fasthttp.Server{
-		Handler:      s.handle,
-		ErrorHandler: s.refuseUnreadable,
-		Name:         "cuminhook",
-		// The listener refuses connections above MaxConns with a reason. fasthttp's own limit must be higher, since its
-		// workers end shortly after their connections.
-		Concurrency:                  2*cfg.MaxConns + 1000,
-		ReadBufferSize:               cfg.MaxHeaderBytes,
-		ReadTimeout:                  cfg.ReadTimeout,
-		WriteTimeout:                 cfg.WriteTimeout,
-		IdleTimeout:                  cfg.IdleTimeout,
-		MaxRequestBodySize:           cfg.MaxBodyBytes,
-		DisablePreParseMultipartForm: true,
-		CloseOnShutdown:              true,
-		SecureErrorLogMessage:        true,
-		Logger:                       debugLogger{cfg.Log},
+	s := &Server{cfg: cfg, memory: cfg.Memory}
+	if s.memory == nil {
+		s.memory = membudget.New(membudget.Config{Limit: cfg.MaxBufferedBytes})
 	}
+	s.SetLimits(Limits{
+		MaxHeaderBytes: cfg.MaxHeaderBytes, MaxBodyBytes: cmp.Or(cfg.MaxBodyBytes, fasthttp.DefaultMaxRequestBodySize),
+		HeaderTimeout: cfg.HeaderTimeout, IdleTimeout: cfg.IdleTimeout,
+	})
 	return s
 }
 
+// SetLimits replaces the limits. They apply to the requests that begin afterwards.
+func (s *Server) SetLimits(l Limits) {
+	l.requestLineBytes = s.cfg.RequestLineBytes
+	s.limits.Store(&l)
+}
+
+// Connections returns the number of callers' connections.
+func (s *Server) Connections() int { return s.conns.count() }
+
+// countClosed counts a connection that was closed or refused because of a limit.
+func (s *Server) countClosed(reason string) {
+	s.cfg.Metrics.GetOrCreateCounter(`cuminhook_caller_connections_closed_total{reason="` + reason + `"}`).Inc()
+}
+
 // debugLogger logs fasthttp's messages at debug level and without their arguments, which may quote what callers sent.
 type debugLogger struct{ log *slog.Logger }
 
 // Printf implements fasthttp.Logger.
 func (l debugLogger) Printf(format string, _ ...any) { l.log.Debug("http server", "message", format) }
 
-// Serve accepts connections on ln until Stop is called.
-func (s *Server) Serve(ln net.Listener) error { return s.http.Serve(listener{ln, s}) }
-
 // BeginStop adds "Connection: close" to every further answer, so that callers and load balancers move to other hosts.
 // New connections are still accepted.
 func (s *Server) BeginStop() { s.stopping.Store(true) }
@@ -96,21 +131,22 @@
 // if ctx ends first; requests that are still open are then cut when the process exits.
 func (s *Server) Stop(ctx context.Context) error {
 	s.BeginStop()
-	s.unused.close()
-	if err := s.http.ShutdownWithContext(ctx); err != nil {
-		return fmt.Errorf("pipeline: callers' connections were still open when the time to stop ended: %w; raise stop_limit of a gateway, or grace of an entry host", err)
+	select {
+	case <-s.conns.close():
+		return nil
+	case <-ctx.Done():
+		return fmt.Errorf("pipeline: callers' connections were still open when the time to stop ended: %w; raise stop_limit of a gateway, or grace of an entry host", ctx.Err())
 	}
-	return nil
 }
 
-// handle serves one request: it passes an Exchange through the filters and finishes it unless its answer is detached.
-func (s *Server) handle(h *fasthttp.RequestCtx) {
+// handle serves one request: it passes an Exchange through the filters and finishes it unless its answer is detached, which it returns.
+func (s *Server) handle(h *fasthttp.RequestCtx) (detached bool) {
 	ctx, cancel := context.WithCancelCause(context.Background())
 	ex := &Exchange{HTTP: h, Start: time.Now()}
-	conn, watched := h.Conn().(*watchedConn)
-	if watched {
+	if conn, watched := h.Conn().(*watchedConn); watched {
+		ctx = membudget.NewContext(ctx, conn.account)
 		conn.Watch(func() { cancel(ErrCallerGone) })
-		ex.OnFinish(func(Outcome) { conn.releaseBuffered() })
+		ex.OnFinish(func(Outcome) { conn.account.ReleaseAll(membudget.Bodies) })
 	}
 	ex.OnFinish(func(Outcome) { releaseBody(h) })
 	ex.OnFinish(func(Outcome) { cancel(nil) })
@@ -126,12 +162,13 @@
 			Status: h.Response.StatusCode(), Complete: true, PromptTokens: -1, OutputTokens: -1,
 		})
 	}
+	return ex.Detached()
 }
 
-// releaseBody frees the buffer of a large body, which fasthttp would keep for the next request on the connection.
+// releaseBody lets go of a large body, whose memory is not counted any more.
 func releaseBody(h *fasthttp.RequestCtx) {
-	if cap(h.Request.Body()) > smallRequestBytes {
-		h.Request.SwapBody(nil)
+	if len(h.Request.Body()) > membudget.SmallBytes {
+		h.Request.ResetBody()
 	}
 }
 
@@ -181,27 +218,36 @@
 		Reason: refusal.BadRequest, Run: refusal.NotRun, Status: fasthttp.StatusBadRequest,
 		Message: "the request is not valid HTTP/1.1", Remedy: "correct the request",
 	}
+	limits := s.limits.Load()
 	var small *fasthttp.ErrSmallBuffer
 	switch {
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
 		r.Reason, r.Status = refusal.BodyTooLarge, fasthttp.StatusRequestEntityTooLarge
-		r.Message = fmt.Sprintf("the body exceeds %d bytes", s.cfg.MaxBodyBytes)
+		r.Message = fmt.Sprintf("the body exceeds %d bytes", limits.MaxBodyBytes)
 		r.Remedy = "send a shorter body"
-	case errors.Is(err, errBuffersFull):
+	case errors.Is(err, membudget.ErrFull), errors.Is(err, errShed):
 		r.Reason, r.Status, r.RetryAfter = refusal.QueueFull, fasthttp.StatusServiceUnavailable, time.Second
 		r.Message, r.Remedy = "too many large requests are in memory", "retry after a short delay"
-	case errors.As(err, &small):
+	case errors.Is(err, errTooManyLines):
 		r.Status = fasthttp.StatusRequestHeaderFieldsTooLarge
-		r.Message = fmt.Sprintf("the request line and header exceed %d bytes", s.cfg.MaxHeaderBytes)
+		r.Message = "the header or trailer has more lines than permitted"
+		r.Remedy = "send fewer lines"
+	case errors.As(err, &small), errors.Is(err, errHeadTooLarge):
+		r.Status = fasthttp.StatusRequestHeaderFieldsTooLarge
+		r.Message = fmt.Sprintf("the request line and header exceed %d bytes", limits.MaxHeaderBytes)
 		r.Remedy = "send a shorter header"
-	case isTimeout(err) || errors.Is(err, io.ErrUnexpectedEOF) && isTimeout(errors.Unwrap(err)):
+	case isTimeout(err):
 		r.Reason, r.Status = refusal.RequestTimeout, fasthttp.StatusRequestTimeout
-		r.Message = fmt.Sprintf("the request did not arrive within %s", s.cfg.ReadTimeout)
+		r.Message = "the request did not arrive in time"
 		r.Remedy = "send the request faster or in smaller parts"
 	}
+	s.countClosed(strconv.Itoa(r.Status))
 	// The request is counted and logged here, since it does not reach the filters that do this.
 	id := uuid.NewString()
 	s.cfg.Metrics.GetOrCreateCounter(fmt.Sprintf(`cuminhook_refusals_total{reason=%q}`, string(r.Reason))).Inc()
 	s.cfg.Log.Info("request not read", "request_id", id, "status", r.Status, "reason", string(r.Reason), "run", string(r.Run))
 	WriteRefusal(h, r, id)
+	if s.cfg.FineRetryAfter {
+		writeFineRetryAfter(h, r)
+	}
 }
--- a/lib/tcpopt/tcpopt.go
+++ b/lib/tcpopt/tcpopt.go
@@ -2,6 +2,8 @@
 package tcpopt
 
 import (
+	"errors"
+	"io"
 	"net"
 	"syscall"
 	"time"
@@ -62,3 +64,47 @@
 	})
 	return stale || err != nil
 }
+
+// AwaitBytes waits until a TCP connection has bytes to read, and returns io.EOF if it has ended instead. It uses no buffer. Of other
+// connections it is not known: it then returns false at once.
+func AwaitBytes(conn net.Conn) (known bool, err error) {
+	tcp, ok := conn.(*net.TCPConn)
+	if !ok {
+		return false, nil
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return true, err
+	}
+	var n int
+	var peekErr error
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		n, _, peekErr = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		return peekErr != syscall.EAGAIN && peekErr != syscall.EINTR
+	})
+	switch {
+	case err != nil:
+		return true, err
+	case peekErr != nil:
+		return true, peekErr
+	case n == 0:
+		return true, io.EOF
+	}
+	return true, nil
+}
+
+// SetBuffers returns a function for net.ListenConfig.Control that sets the sizes of the kernel's buffers of all connections that the
+// listener accepts.
+func SetBuffers(receive, send int) func(network, address string, c syscall.RawConn) error {
+	return func(_, _ string, c syscall.RawConn) error {
+		var optErr error
+		err := c.Control(func(fd uintptr) {
+			optErr = errors.Join(
+				syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receive),
+				syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_SNDBUF, send),
+			)
+		})
+		return errors.Join(err, optErr)
+	}
+}
