--- a/lib/entryhost/memory.go
+++ b/lib/entryhost/memory.go
@@ -54,7 +54,7 @@
 
 	// receiveBuffer and sendBuffer are the sizes of the kernel's buffers of a caller's connection: bytes in them count as the process's
 	// memory. The kernel doubles them for its own use.
-	receiveBuffer = 64 << 10
+	receiveBuffer = 128 << 10
 	sendBuffer    = 64 << 10
 
 	// warnShare is the part of the budget from which on a warning is logged, once in warnInterval. usageInterval is the time between two looks.
--- a/lib/pipeline/body.go
+++ b/lib/pipeline/body.go
@@ -54,6 +54,10 @@
 			return err
 		}
 	}
+	small := length > 0 && length <= membudget.SmallBytes
+	if small { // gets the buffer of an earlier request
+		b.pooled = h.Request.SwapBody(nil)
+	}
 	var err error
 	if length > 0 {
 		err = b.readExact(br, length)
@@ -63,7 +67,11 @@
 	if err != nil {
 		return err
 	}
-	h.Request.SetBodyRaw(b.buf)
+	if small {
+		h.Request.SwapBody(b.buf)
+	} else {
+		h.Request.SetBodyRaw(b.buf)
+	}
 	header.SetContentLength(len(b.buf))
 	return nil
 }
@@ -75,6 +83,7 @@
 	header   *fasthttp.RequestHeader
 	max      int
 	buf      []byte
+	pooled   []byte // buffer of an earlier request, for a small body
 	began    time.Time
 	extended int  // length at which the deadline was extended last
 	sized    bool // the owner of a large body has been recorded, or need not be
@@ -170,6 +179,10 @@
 	if err := b.conn.account.Reserve(membudget.Bodies, int64(size-cap(b.buf)), time.Now()); err != nil {
 		return err
 	}
+	if size <= cap(b.pooled) {
+		b.buf, b.pooled = b.pooled[:0:size], nil
+		return nil
+	}
 	old := b.buf
 	b.buf = make([]byte, len(old), size)
 	copy(b.buf, old)
