Memory budget: a quarter of the memory, buffers of refused bodies are used again, tests of the decisions

Change: callers may hold 0.25 of the memory, the collector runs more often from 0.45 on, and large buffers that a growing body left or a refused one held are used again (up to 0.2 of the budget, let go of after half a second without use). A warning names a max_body_bytes that the memory has no room for.

--- a/lib/entryhost/entryhost.go
+++ b/lib/entryhost/entryhost.go
@@ -169,7 +169,7 @@
 	h.balancer.SetCatalog(c)
 	h.placer.SetCatalog(c)
 	h.catalog.Store(c)
-	h.server.SetLimits(callerLimits(c.Limits))
+	h.setLimits(c.Limits)
 }
 
 // setTargets applies a new list of targets. A target at an address of this host would send requests back to it.
@@ -359,7 +359,7 @@
 	group.Go(func() error { return serveStatus(groupCtx, s.Ready, h.readyHandler()) })
 	group.Go(func() error { return serveStatus(groupCtx, s.Metrics, h.metricsHandler()) })
 	group.Go(func() error { return h.server.Serve(callers) })
-	group.Go(func() error { h.memory.watch(groupCtx); return nil })
+	group.Go(func() error { h.memory.watch(groupCtx, h.server); return nil })
 	h.log.Info("started", "listen", s.Listen, "peers", s.Peers, "store", s.Store)
 	select {
 	case <-ctx.Done():
--- a/lib/entryhost/memory.go
+++ b/lib/entryhost/memory.go
@@ -18,12 +18,12 @@
 
 const (
 	// defaultMemoryMB is assumed where memory_mb is not stated; bodies may then use about 64 MB.
-	defaultMemoryMB = 430
+	defaultMemoryMB = 512
 	// budgetShare is the part of the machine's memory that callers may hold. Garbage that is not collected yet adds up to gcPercent of the
 	// command, the process itself takes 15 to 40 MB, and all of it must stay below three quarters.
-	budgetShare = 0.3
+	budgetShare = 0.25
 	// heapShare is the part of the machine's memory from which on the collector runs more often. Hosts without pressure use far less.
-	heapShare = 0.55
+	heapShare = 0.45
 	// minMemoryMB is the least memory with which a host can serve a request of the default size.
 	minMemoryMB = 64
 
@@ -102,6 +102,16 @@
 	return out
 }
 
+// setLimits applies the limits that the operator states.
+func (h *Host) setLimits(l catalog.Limits) {
+	limits := callerLimits(l)
+	h.server.SetLimits(limits)
+	if largest := h.memory.budget.LargestBody(); int64(limits.MaxBodyBytes) > largest {
+		h.log.Warn("bodies of the permitted size have no room in the memory", "max_body_bytes", limits.MaxBodyBytes, "room", largest,
+			"remedy", "raise memory_mb of the host, or lower max_body_bytes")
+	}
+}
+
 // serverConfig returns the settings of the server for callers.
 func (h *Host) serverConfig() pipeline.ServerConfig {
 	s, limits := h.cfg.Settings, callerLimits(catalog.Limits{})
@@ -155,8 +165,8 @@
 	m.set.NewGauge("cuminhook_caller_connections", func() float64 { return float64(server.Connections()) })
 }
 
-// watch logs a warning while most of the budget is used.
-func (m *memory) watch(ctx context.Context) {
+// watch logs a warning while most of the budget is used, and has the server let go of what it doesn't need.
+func (m *memory) watch(ctx context.Context, server *pipeline.Server) {
 	tick := time.NewTicker(usageInterval)
 	defer tick.Stop()
 	for {
@@ -165,6 +175,7 @@
 			return
 		case now := <-tick.C:
 			m.warn(now)
+			server.Trim()
 		}
 	}
 }
--- a/lib/membudget/membudget.go
+++ b/lib/membudget/membudget.go
@@ -378,6 +378,9 @@
 	return u
 }
 
+// LargestBody returns the size up to which a single body has room.
+func (b *Budget) LargestBody() int64 { return int64(bodyShare * float64(b.cfg.Limit)) }
+
 // Held returns the bytes held of a kind.
 func (b *Budget) Held(k Kind) int64 {
 	b.mu.Lock()
--- a/lib/pipeline/body.go
+++ b/lib/pipeline/body.go
@@ -65,6 +65,7 @@
 		err = b.readChunks(br)
 	}
 	if err != nil {
+		s.buffers.put(b.buf)
 		return err
 	}
 	if small {
@@ -184,8 +185,8 @@
 		return nil
 	}
 	old := b.buf
-	b.buf = make([]byte, len(old), size)
-	copy(b.buf, old)
+	b.buf = append(b.server.buffers.get(size), old...)
+	b.server.buffers.put(old)
 	return nil
 }
 
@@ -213,6 +214,68 @@
 	return err
 }
 
+// minKeptBuffer is the size from which buffers are kept: smaller ones are cheap to allocate.
+const minKeptBuffer = 64 << 10
+
+// bodyBuffers keeps large buffers of bodies that were not passed on: those that a growing body left, and those of refused requests.
+// Without it callers that send large bodies again and again produce garbage faster than it is collected. Buffers of requests that were
+// passed on are not kept, as they may still be being written to a target.
+type bodyBuffers struct {
+	mu    sync.Mutex
+	limit int64            // bytes kept; zero: nothing is kept
+	bytes int64            // guarded by mu
+	free  map[int][][]byte // guarded by mu; by capacity
+	used  bool             // guarded by mu; a buffer was given back since the last trim
+}
+
+// get returns an empty buffer of the capacity.
+func (b *bodyBuffers) get(size int) []byte {
+	if size >= minKeptBuffer && b.limit > 0 {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		if list := b.free[size]; len(list) > 0 {
+			buf := list[len(list)-1]
+			b.free[size] = list[:len(list)-1]
+			b.bytes -= int64(size)
+			return buf[:0]
+		}
+	}
+	return make([]byte, 0, size)
+}
+
+// put keeps a buffer that nothing else uses.
+func (b *bodyBuffers) put(buf []byte) {
+	size := cap(buf)
+	if size < minKeptBuffer || b.limit <= 0 {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.free == nil {
+		b.free = map[int][][]byte{}
+	}
+	if b.bytes+int64(size) > b.limit { // those of the sizes that come now are of more use
+		clear(b.free)
+		b.bytes = 0
+	}
+	if int64(size) <= b.limit {
+		b.free[size] = append(b.free[size], buf)
+		b.bytes += int64(size)
+		b.used = true
+	}
+}
+
+// trim lets go of the buffers if none was given back since the last call.
+func (b *bodyBuffers) trim() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.used {
+		clear(b.free)
+		b.bytes = 0
+	}
+	b.used = false
+}
+
 // readerPool holds the buffers in which heads are read. They all have the size of the last one that was asked for.
 type readerPool struct{ pool sync.Pool }
 
--- a/lib/pipeline/conn_test.go
+++ b/lib/pipeline/conn_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"strings"
 	"testing"
@@ -129,3 +130,110 @@
 		}
 	}
 }
+
+// startPressed starts a server with a small budget whose handler answers with the length of the body, and returns a function that opens a
+// connection and sends the text.
+func startPressed(t *testing.T, limit int64, log *slog.Logger) (*Server, func(text string) (net.Conn, *bufio.Reader)) {
+	s := NewServer(ServerConfig{
+		First: HandlerFunc(func(_ context.Context, ex *Exchange) error {
+			ex.HTTP.SetBodyString(fmt.Sprint(len(ex.HTTP.Request.Body())))
+			return nil
+		}), MaxBodyBytes: 1 << 20, MaxHeaderBytes: 4096, HeaderTimeout: time.Minute, ReadTimeout: time.Minute, WriteTimeout: time.Minute,
+		IdleTimeout: time.Minute, MaxConns: 20, Memory: membudget.New(membudget.Config{Limit: limit, Shed: true}), Log: log,
+	})
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = s.Serve(ln) }()
+	t.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		_ = s.Stop(ctx)
+	})
+	return s, func(text string) (net.Conn, *bufio.Reader) {
+		conn, err := net.Dial("tcp", ln.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = conn.Close() })
+		if _, err := io.WriteString(conn, text); err != nil {
+			t.Fatal(err)
+		}
+		return conn, bufio.NewReader(conn)
+	}
+}
+
+// Guards against a shed request that gets no refusal or one that doesn't say that it has not run, and against one that is served although
+// its memory went to another one.
+func TestShedRequestsAreRefusedAsNotRun(t *testing.T) {
+	s, dial := startPressed(t, 2<<20, nil)
+	body := strings.Repeat("x", 900_000)
+	head := fmt.Sprintf("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n", len(body))
+	_, stalled := dial(head + body[1:])
+	for s.memory.Held(membudget.Bodies) < int64(len(body)) {
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(400 * time.Millisecond) // above the time after which it counts as stalled
+	_, served := dial(head + body)
+	var resp fasthttp.Response
+	if err := resp.Read(served); err != nil || resp.StatusCode() != 200 || string(resp.Body()) != "900000" {
+		t.Errorf("%d %q %v", resp.StatusCode(), resp.Body(), err)
+	}
+	if err := resp.Read(stalled); err != nil || resp.StatusCode() != 503 || !resp.ConnectionClose() || !strings.Contains(string(resp.Body()), `"not_run"`) {
+		t.Errorf("shed: %d %q %v", resp.StatusCode(), resp.Body(), err)
+	}
+	for range 1000 {
+		if s.memory.Held(membudget.Bodies) == 0 {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+	t.Errorf("%d bytes are still held", s.memory.Held(membudget.Bodies))
+}
+
+// Guards against limits of the operator that do not follow changes, on connections that are open already too.
+func TestLimitsFollowChanges(t *testing.T) {
+	s, dial := startPressed(t, 8<<20, nil)
+	request := "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 100000\r\n\r\n" + strings.Repeat("x", 100_000)
+	conn, br := dial(request)
+	var resp fasthttp.Response
+	if err := resp.Read(br); err != nil || resp.StatusCode() != 200 {
+		t.Fatal(resp.StatusCode(), err)
+	}
+	s.SetLimits(Limits{MaxHeaderBytes: 100, MaxBodyBytes: 99_999, HeaderTimeout: time.Second, IdleTimeout: time.Minute})
+	if _, err := io.WriteString(conn, request[:100]); err != nil {
+		t.Fatal(err)
+	}
+	if err := resp.Read(br); err != nil || resp.StatusCode() != 413 {
+		t.Errorf("%d %v", resp.StatusCode(), err)
+	}
+	_, br = dial("GET / HTTP/1.1\r\nHost: h\r\nA: " + strings.Repeat("a", 100) + "\r\n\r\n")
+	if err := resp.Read(br); err != nil || resp.StatusCode() != 431 {
+		t.Errorf("%d %v", resp.StatusCode(), err)
+	}
+	s.SetLimits(Limits{MaxHeaderBytes: 16 << 10, MaxBodyBytes: 100_000, HeaderTimeout: time.Second, IdleTimeout: 50 * time.Millisecond})
+	_, br = dial(request)
+	if err := resp.Read(br); err != nil || resp.StatusCode() != 200 {
+		t.Errorf("%d %v", resp.StatusCode(), err)
+	}
+	if _, err := br.ReadByte(); !errors.Is(err, io.EOF) {
+		t.Errorf("an idle connection is not closed: %v", err)
+	}
+}
+
+// Guards against connections without a request that keep all others out.
+func TestUnusedConnectionsGiveWayAtTheLimit(t *testing.T) {
+	_, dial := startPressed(t, 8<<20, nil)
+	for range 20 {
+		dial("")
+	}
+	time.Sleep(300 * time.Millisecond) // above the age from which unused connections give way
+	for range 5 {
+		_, br := dial("GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		var resp fasthttp.Response
+		if err := resp.Read(br); err != nil || resp.StatusCode() != 200 {
+			t.Errorf("%d %v", resp.StatusCode(), err)
+		}
+	}
+}
--- a/lib/pipeline/server.go
+++ b/lib/pipeline/server.go
@@ -53,6 +53,9 @@
 	Metrics        *metrics.Set // nil: a new set that is not exported
 }
 
+// keptShare is the part of the budget that buffers may take which are kept for reuse. It is far below the garbage that they save.
+const keptShare = 0.2
+
 // serverName is stated in responses whose target states none.
 const serverName = "cuminhook"
 
@@ -76,6 +79,7 @@
 	limits   atomic.Pointer[Limits]
 	memory   *membudget.Budget
 	conns    connSet
+	buffers  bodyBuffers
 	readers  readerPool
 	writers  writerPool
 	contexts sync.Pool
@@ -93,7 +97,9 @@
 		cfg.Metrics = metrics.NewSet()
 	}
 	s := &Server{cfg: cfg, memory: cfg.Memory}
-	if s.memory == nil {
+	if s.memory != nil {
+		s.buffers.limit = int64(keptShare * float64(s.memory.Usage().Limit))
+	} else {
 		s.memory = membudget.New(membudget.Config{Limit: cfg.MaxBufferedBytes})
 	}
 	s.SetLimits(Limits{
@@ -109,6 +115,9 @@
 	s.limits.Store(&l)
 }
 
+// Trim lets go of memory that is kept for reuse and was not needed since the last call. It is called regularly.
+func (s *Server) Trim() { s.buffers.trim() }
+
 // Connections returns the number of callers' connections.
 func (s *Server) Connections() int { return s.conns.count() }
 
