Requests that were shed don't begin; closed connections are counted by reason; memory_mb and max_fds may be fractions

A connection that was shed while the last bytes of its request arrived could have begun the request and then lost its connection. Budget.Begin decides under the budget's lock (TestShedRequestDoesNotBegin). cuminhook_caller_connections_closed_total states a reason.

--- a/lib/entryhost/settings.go
+++ b/lib/entryhost/settings.go
@@ -30,9 +30,9 @@
 	Placement PlacementSettings `yaml:"placement"`
 
 	// MemoryMB is the memory of this host's machine in MB (10^6 bytes), from which the budget for callers follows; zero: unknown.
-	MemoryMB int `yaml:"memory_mb"`
+	MemoryMB float64 `yaml:"memory_mb"`
 	// MaxFDs is the most file descriptors that the process may have; zero: unknown.
-	MaxFDs  int            `yaml:"max_fds"`
+	MaxFDs  float64        `yaml:"max_fds"`
 	Callers CallerSettings `yaml:"callers"`
 
 	Grace time.Duration `yaml:"grace"` // from the signal to stop until the platform kills the process
--- a/lib/entryhost/settings_test.go
+++ b/lib/entryhost/settings_test.go
@@ -37,6 +37,10 @@
 		{"3000ms", "soon", "[11:10] placement.lease"},
 		{"retry_slack", "retry_slak", "retry_slak"},
 		{"loads_overshoot: 1.1", "loads_overshoot: 0.5", "loads_overshoot"},
+		{"retry_slack: 54", "memory_mb: 1", "memory_mb"},
+		{"retry_slack: 54", "max_fds: 100", "max_fds"},
+		{"retry_slack: 54", "callers: {body_timeout: 0s}", "body_timeout"},
+		{"retry_slack: 54", "callers: {max_conns: -1}", "max_conns"},
 	} {
 		s := DefaultSettings()
 		err := settings.Parse("entry.yaml", []byte(strings.Replace(valid, c.from, c.to, 1)), &s)
@@ -46,6 +50,24 @@
 	}
 }
 
+// Guards against more connections or memory for callers than the machine has, and against a host that does not start where they are not
+// stated.
+func TestLimitsOfTheMachineAreKept(t *testing.T) {
+	for text, want := range map[string][2]int{ // connections, MB for callers
+		"memory_mb: 144\nmax_fds: 1024\n": {494, 36}, "memory_mb: 536.5\nmax_fds: 700\n": {300, 134}, "memory_mb:\nmax_fds:\n": {2500, 128},
+		"max_fds: 1024\ncallers: {max_conns: 100}\n": {100, 128}, "": {2500, 128},
+	} {
+		s := DefaultSettings()
+		if err := settings.Parse("entry.yaml", []byte(valid+text), &s); err != nil {
+			t.Errorf("%q: %v", text, err)
+			continue
+		}
+		if got := [2]int{s.maxConns(), int(s.callerBytes() / 1e6)}; got != want {
+			t.Errorf("%q: %v, want %v", text, got, want)
+		}
+	}
+}
+
 // Guards against settings that are accepted and then break a host.
 func FuzzSettings(f *testing.F) {
 	f.Add(valid)
--- a/lib/membudget/membudget.go
+++ b/lib/membudget/membudget.go
@@ -144,6 +144,17 @@
 	a.progress.Store(now.UnixNano())
 }
 
+// Begin records that the request goes to a target, from when on it is not shed. It returns false if it has been shed before.
+func (a *Account) Begin(now time.Time) bool {
+	a.budget.mu.Lock()
+	defer a.budget.mu.Unlock()
+	if a.isShed {
+		return false
+	}
+	a.SetState(Serving, now)
+	return true
+}
+
 // Progress records that bytes have been received or written.
 func (a *Account) Progress(now time.Time) { a.progress.Store(now.UnixNano()) }
 
--- a/lib/membudget/membudget_test.go
+++ b/lib/membudget/membudget_test.go
@@ -92,6 +92,19 @@
 	}
 }
 
+// Guards against a request that goes to a target after it was shed: it would be cut off while it runs.
+func TestShedRequestDoesNotBegin(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b := New(Config{Limit: 10 * mib, Shed: true})
+	shed, begun := open(b, "a", now), open(b, "a", now)
+	shed.fill(Bodies, 2*mib, now)
+	begun.fill(Bodies, 3*mib, now)
+	later := now.Add(time.Minute)
+	if !begun.Begin(now) || open(b, "b", later).fill(Bodies, mib, later) != mib || shed.Begin(later) || begun.shed || !shed.shed {
+		t.Errorf("shed: waiting %v, begun %v", shed.shed, begun.shed)
+	}
+}
+
 // Guards against a crowd of one owner that keeps sending and so takes the share of all others.
 func TestOwnerAboveItsShareGivesWay(t *testing.T) {
 	now := time.Unix(1000, 0)
--- a/lib/pipeline/conn.go
+++ b/lib/pipeline/conn.go
@@ -123,6 +123,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.cut = true
+	c.server.countClosed("shed")
 	if c.phase.Load() != connActive || c.writing {
 		_ = c.Conn.Close()
 		return
--- a/lib/pipeline/serve.go
+++ b/lib/pipeline/serve.go
@@ -106,8 +106,10 @@
 	if err == nil {
 		err = s.readBody(c, h, br, limits)
 	}
+	if err == nil && !c.account.Begin(time.Now()) {
+		err = errShed
+	}
 	if err == nil {
-		c.account.SetState(membudget.Serving, time.Now())
 		keep = s.answer(c, h)
 	} else {
 		s.refuseUnread(c, h, err)
--- a/lib/pipeline/server.go
+++ b/lib/pipeline/server.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"log/slog"
 	"runtime/debug"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -227,30 +226,35 @@
 		Reason: refusal.BadRequest, Run: refusal.NotRun, Status: fasthttp.StatusBadRequest,
 		Message: "the request is not valid HTTP/1.1", Remedy: "correct the request",
 	}
-	limits := s.limits.Load()
+	limits, closed := s.limits.Load(), "invalid"
 	var small *fasthttp.ErrSmallBuffer
 	switch {
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		closed = "body_too_large"
 		r.Reason, r.Status = refusal.BodyTooLarge, fasthttp.StatusRequestEntityTooLarge
 		r.Message = fmt.Sprintf("the body exceeds %d bytes", limits.MaxBodyBytes)
 		r.Remedy = "send a shorter body"
 	case errors.Is(err, membudget.ErrFull), errors.Is(err, errShed):
+		closed = "memory"
 		r.Reason, r.Status, r.RetryAfter = refusal.QueueFull, fasthttp.StatusServiceUnavailable, time.Second
 		r.Message, r.Remedy = "too many large requests are in memory", "retry after a short delay"
 	case errors.Is(err, errTooManyLines):
+		closed = "header_lines"
 		r.Status = fasthttp.StatusRequestHeaderFieldsTooLarge
-		r.Message = "the header or trailer has more lines than permitted"
-		r.Remedy = "send fewer lines"
+		r.Message, r.Remedy = "the header or trailer has more lines than permitted", "send fewer lines"
 	case errors.As(err, &small), errors.Is(err, errHeadTooLarge):
+		closed = "header_too_large"
 		r.Status = fasthttp.StatusRequestHeaderFieldsTooLarge
-		r.Message = fmt.Sprintf("the request line and header exceed %d bytes", limits.MaxHeaderBytes)
+		r.Message = fmt.Sprintf("the header exceeds %d bytes", limits.MaxHeaderBytes)
 		r.Remedy = "send a shorter header"
 	case isTimeout(err):
+		closed = "timeout"
 		r.Reason, r.Status = refusal.RequestTimeout, fasthttp.StatusRequestTimeout
-		r.Message = "the request did not arrive in time"
-		r.Remedy = "send the request faster or in smaller parts"
+		r.Message, r.Remedy = "the request did not arrive in time", "send the request faster or in smaller parts"
+	}
+	if !errors.Is(err, errShed) { // counted when it was shed
+		s.countClosed(closed)
 	}
-	s.countClosed(strconv.Itoa(r.Status))
 	// The request is counted and logged here, since it does not reach the filters that do this.
 	id := uuid.NewString()
 	s.cfg.Metrics.GetOrCreateCounter(fmt.Sprintf(`cuminhook_refusals_total{reason=%q}`, string(r.Reason))).Inc()
