--- a/lib/entryhost/memory.go
+++ b/lib/entryhost/memory.go
@@ -19,8 +19,9 @@
 const (
 	// defaultMemoryMB is assumed where memory_mb is not stated; bodies may then use about 64 MB.
 	defaultMemoryMB = 512
-	// budgetShare is the part of the machine's memory that callers may hold. Garbage that is not collected yet adds up to gcPercent of the
-	// command, the process itself takes 15 to 40 MB, and all of it must stay below three quarters.
+	// budgetShare is the part of the machine's memory that callers may hold. Garbage that is not collected yet comes on top of it, and the
+	// process itself takes 15 to 40 MB; all of it must stay below three quarters. With 0.3 a crowd that came back again and again took a
+	// machine of 144 MB to 110 MB.
 	budgetShare = 0.25
 	// heapShare is the part of the machine's memory from which on the collector runs more often. Hosts without pressure use far less.
 	heapShare = 0.45
@@ -48,7 +49,7 @@
 
 	// defaultBodyTimeout is above the timeouts of routes, after which a body is of no use.
 	defaultBodyTimeout = 30 * time.Second
-	// defaultBodyRate is a seventh of the rate of a slow mobile connection.
+	// defaultBodyRate is far below the rate of links between callers and hosts: a body of 4 MiB has more than four minutes.
 	defaultBodyRate = 16 << 10
 	writeTimeout    = 10 * time.Second
 
--- a/lib/forward/forward.go
+++ b/lib/forward/forward.go
@@ -58,6 +58,9 @@
 	// runOnceMaxIdle is how long ago a connection may have carried an answer to be reused for a request that must run once.
 	// Whether such a request ran is unknown if its target has died meanwhile; a failed dial tells that it did not.
 	runOnceMaxIdle = 500 * time.Millisecond
+	// receiveBuffer bounds what a target can send ahead of a caller that reads slowly: bytes in the kernel count as the process's memory,
+	// and the kernel's own limit is 6 MiB a connection.
+	receiveBuffer = 128 << 10
 	// maxSkippedAnswers bounds the late answers to earlier requests that are skipped on one connection.
 	maxSkippedAnswers = 2
 	// maxTrailerLines bounds the trailer of a chunked answer.
@@ -121,7 +124,7 @@
 // NewClient returns a client without connections.
 func NewClient(cfg Config) *Client {
 	c := &Client{cfg: cfg}
-	c.pool = &httpconn.Pool{Dial: cfg.Dial, DialTimeout: dialTimeout, IdleTimeout: idleTimeout, MaxIdle: maxIdle, Limit: cfg.Limit}
+	c.pool = &httpconn.Pool{Dial: cfg.Dial, DialTimeout: dialTimeout, IdleTimeout: idleTimeout, MaxIdle: maxIdle, Limit: cfg.Limit, ReceiveBuffer: receiveBuffer}
 	if cfg.Metrics != nil {
 		c.pool.Events = func(e httpconn.Event) {
 			cfg.Metrics.GetOrCreateCounter(`cuminhook_target_connections_total{event="` + string(e) + `"}`).Inc()
--- a/lib/httpconn/httpconn.go
+++ b/lib/httpconn/httpconn.go
@@ -66,13 +66,15 @@
 
 // Pool dials connections and keeps idle ones for reuse. The zero value dials TCP with the default timeouts and options.
 type Pool struct {
-	Dial        Dialer                // nil: TCP
-	DialTimeout time.Duration         // zero: DefaultDialTimeout
-	IdleTimeout time.Duration         // of connections whose target states none; zero: idleTimeout
-	MaxIdle     time.Duration         // longest time that a connection is kept idle, whatever its target states; zero: IdleTimeout
-	Options     *tcpopt.Options       // nil: targetTCPOptions
-	Limit       func(addr string) int // most connections to addr, in use and idle; nil: no limit
-	Events      func(Event)           // called for each event of a connection, with mu held; nil: none
+	Dial        Dialer          // nil: TCP
+	DialTimeout time.Duration   // zero: DefaultDialTimeout
+	IdleTimeout time.Duration   // of connections whose target states none; zero: idleTimeout
+	MaxIdle     time.Duration   // longest time that a connection is kept idle, whatever its target states; zero: IdleTimeout
+	Options     *tcpopt.Options // nil: targetTCPOptions
+	// ReceiveBuffer is the size of the kernel's buffer for bytes that a target has sent and that were not read; zero: the kernel decides.
+	ReceiveBuffer int
+	Limit         func(addr string) int // most connections to addr, in use and idle; nil: no limit
+	Events        func(Event)           // called for each event of a connection, with mu held; nil: none
 
 	mu    sync.Mutex
 	addrs map[string]*addrConns // guarded by mu
@@ -293,7 +295,8 @@
 	dial := p.Dial
 	if dial == nil {
 		dial = func(ctx context.Context, addr string) (net.Conn, error) {
-			return new(net.Dialer).DialContext(ctx, "tcp", addr)
+			d := net.Dialer{Control: tcpopt.SetBuffers(p.ReceiveBuffer, 0)}
+			return d.DialContext(ctx, "tcp", addr)
 		}
 	}
 	started := time.Now()
--- a/lib/tcpopt/tcpopt.go
+++ b/lib/tcpopt/tcpopt.go
@@ -94,16 +94,17 @@
 	return true, nil
 }
 
-// SetBuffers returns a function for net.ListenConfig.Control that sets the sizes of the kernel's buffers of all connections that the
-// listener accepts.
+// SetBuffers returns a Control function of net.ListenConfig or net.Dialer that sets the sizes of the kernel's buffers of a connection, or of
+// all that a listener accepts. The kernel doubles them for its own use. Zero leaves a size to the kernel.
 func SetBuffers(receive, send int) func(network, address string, c syscall.RawConn) error {
 	return func(_, _ string, c syscall.RawConn) error {
 		var optErr error
 		err := c.Control(func(fd uintptr) {
-			optErr = errors.Join(
-				syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receive),
-				syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_SNDBUF, send),
-			)
+			for option, size := range map[int]int{syscall.SO_RCVBUF: receive, syscall.SO_SNDBUF: send} {
+				if size > 0 {
+					optErr = errors.Join(optErr, syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, option, size))
+				}
+			}
 		})
 		return errors.Join(err, optErr)
 	}
--- a/lib/tcpopt/tcpopt_test.go
+++ b/lib/tcpopt/tcpopt_test.go
@@ -1,7 +1,10 @@
 package tcpopt
 
 import (
+	"errors"
+	"io"
 	"net"
+	"os"
 	"syscall"
 	"testing"
 	"time"
@@ -83,3 +86,61 @@
 		t.Error("a closed connection is not called stale")
 	}
 }
+
+// Guards against buffers of the kernel that grow with what a peer sends and is not read.
+func TestBuffersAreBounded(t *testing.T) {
+	const size = 32 << 10
+	listen := net.ListenConfig{Control: SetBuffers(size, 0)}
+	ln, err := listen.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	out, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer out.Close()
+	in, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer in.Close()
+	raw, err := in.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got int
+	if err := raw.Control(func(fd uintptr) { got, err = syscall.GetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF) }); err != nil || got != 2*size {
+		t.Errorf("%d bytes, %v; want %d, which the kernel doubles", got, err, 2*size)
+	}
+}
+
+// Guards against a wait for bytes that consumes them, outlasts its deadline, or takes an ended connection for one with bytes.
+func TestAwaitBytesTellsBytesFromTheEnd(t *testing.T) {
+	in, out := tcpPair(t)
+	if err := out.SetReadDeadline(time.Now().Add(10 * time.Millisecond)); err != nil {
+		t.Fatal(err)
+	}
+	if known, err := AwaitBytes(out); !known || !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("without bytes: %v %v", known, err)
+	}
+	_ = out.SetReadDeadline(time.Time{})
+	if _, err := in.Write([]byte("ab")); err != nil {
+		t.Fatal(err)
+	}
+	b := make([]byte, 2)
+	if known, err := AwaitBytes(out); !known || err != nil {
+		t.Errorf("with bytes: %v %v", known, err)
+	}
+	if _, err := io.ReadFull(out, b); err != nil || string(b) != "ab" {
+		t.Errorf("%q %v", b, err)
+	}
+	_ = in.Close()
+	if known, err := AwaitBytes(out); !known || !errors.Is(err, io.EOF) {
+		t.Errorf("after the end: %v %v", known, err)
+	}
+	if known, _ := AwaitBytes(struct{ net.Conn }{out}); known {
+		t.Error("a connection that is not TCP is taken for one")
+	}
+}
