Pipeline: an empty line after a body starts no request; streams are closed with requests of many lines too

An empty line that some callers send after a body would have counted as the start of a request, whose time then ran on an idle connection (TestEmptyLineAfterABodyStartsNoRequest).

--- a/lib/pipeline/conn_test.go
+++ b/lib/pipeline/conn_test.go
@@ -237,3 +237,20 @@
 		}
 	}
 }
+
+// Guards against an empty line after a body that counts as the start of the next request, so that its time runs while the connection is idle.
+func TestEmptyLineAfterABodyStartsNoRequest(t *testing.T) {
+	s, dial := startPressed(t, 8<<20, nil)
+	s.SetLimits(Limits{MaxHeaderBytes: 4096, MaxBodyBytes: 100, HeaderTimeout: 20 * time.Millisecond, IdleTimeout: time.Minute})
+	conn, br := dial("")
+	for range 3 {
+		if _, err := io.WriteString(conn, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nhi\r\n"); err != nil {
+			t.Fatal(err)
+		}
+		var resp fasthttp.Response
+		if err := resp.Read(br); err != nil || resp.StatusCode() != 200 {
+			t.Fatal(resp.StatusCode(), err)
+		}
+		time.Sleep(60 * time.Millisecond) // above HeaderTimeout
+	}
+}
--- a/lib/pipeline/serve.go
+++ b/lib/pipeline/serve.go
@@ -118,13 +118,24 @@
 	c.account.ReleaseAll(membudget.Answers)
 	c.account.ReleaseAll(membudget.Bodies)
 	c.account.ReleaseDownTo(membudget.Connections, connBytes)
-	if keep && br.Buffered() > 0 {
+	if keep && holdsRequest(br) {
 		return br, true
 	}
 	s.readers.put(br)
 	return nil, keep
 }
 
+// holdsRequest reports whether the reader holds bytes of a further request. It skips empty lines, which some callers send after a body.
+func holdsRequest(br *bufio.Reader) bool {
+	for br.Buffered() > 0 {
+		if b, err := br.Peek(1); err != nil || b[0] != '\r' && b[0] != '\n' {
+			return true
+		}
+		_, _ = br.Discard(1)
+	}
+	return false
+}
+
 // readHead reads the request line and the header, and returns its number of lines. The memory for the parsed lines is reserved before
 // they are parsed.
 func (s *Server) readHead(c *watchedConn, h *fasthttp.RequestCtx, br *bufio.Reader, limits *Limits, start time.Time) (int, error) {
@@ -271,14 +282,6 @@
 	s.rejecting.Add(-1)
 }
 
-// CloseWrite ends the sending side of the connection.
-func (c *watchedConn) CloseWrite() error {
-	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
-		return w.CloseWrite()
-	}
-	return nil
-}
-
 // acquireCtx returns a context without a request.
 func (s *Server) acquireCtx(c *watchedConn) *fasthttp.RequestCtx {
 	h, ok := s.contexts.Get().(*fasthttp.RequestCtx)
@@ -289,14 +292,14 @@
 	return h
 }
 
-// releaseCtx keeps the context for another request. Those with many header lines are not kept: they would hold the memory of these.
+// releaseCtx closes the body of the response, if it is still open, and keeps the context for another request. Those with many header
+// lines are not kept: they would hold the memory of these.
 func (s *Server) releaseCtx(h *fasthttp.RequestCtx, lines int) {
-	if lines > maxPooledLines {
-		return
-	}
 	h.Request.Reset()
 	h.Response.Reset()
-	s.contexts.Put(h)
+	if lines <= maxPooledLines {
+		s.contexts.Put(h)
+	}
 }
 
 // expectsContinue reports whether the caller waits to be asked for the body.
