--- a/lib/balance/balance.go
+++ b/lib/balance/balance.go
@@ -6,13 +6,17 @@
 package balance
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"cuminhook.org/cuminhook/lib/catalog"
 	"cuminhook.org/cuminhook/lib/passthrough"
 	"cuminhook.org/cuminhook/lib/registry"
@@ -93,7 +97,12 @@
 	Wanted map[string]bool
 	// UsualRate is the requests a second for the model at this host, averaged over a longer time.
 	UsualRate float64
-	Regions   []string // in which a target must be; nil: any
+	// StartWithin is the time within which a target has to be expected to begin the request; zero: no limit.
+	StartWithin time.Duration
+	Priority    int // 0 is the most urgent; targets serve requests in this order
+	// Rank is the place of the request in the demand, from 0 to 1, in the order in which it is sent while targets are full.
+	Rank    float64
+	Regions []string // in which a target must be; nil: any
 }
 
 // Connections states how many connections a host may have to a target.
@@ -127,16 +136,27 @@
 	connections Connections // nil: not limited
 	rates       Rates       // nil: not limited
 
-	mu            sync.Mutex
-	targets       map[string]*target            // guarded by mu; by id
-	peers         map[string]map[string]Load    // guarded by mu; by host and target
-	residency     map[string]registry.Residency // guarded by mu; by target, from the controller; precedes store entries
-	latencyRatios map[string]float64            // guarded by mu; by model: observed over expected time to the first event
-	catalog       *catalog.Catalog
-	random        *rand.Rand
-	hosts         int                    // guarded by mu; including this one
-	absent        map[string]absentPause // guarded by mu; pauses of targets that are not in the list, by target
-	eligibility   eligibility            // guarded by mu
+	mu             sync.Mutex
+	targets        map[string]*target            // guarded by mu; by id
+	list           []*target                     // guarded by mu; the targets by id
+	peers          map[string]map[string]Load    // guarded by mu; by host and target
+	residency      map[string]registry.Residency // guarded by mu; by target, from the controller; precedes store entries
+	latencyRatios  map[string]float64            // guarded by mu; by model: observed over expected time to the first event
+	catalog        *catalog.Catalog
+	random         *rand.Rand
+	hosts          int                       // guarded by mu; including this one
+	absent         map[string]absentPause    // guarded by mu; pauses of targets that are not in the list, by target
+	room           roomModel                 // guarded by mu
+	onRoom         func(service string)      // guarded by mu
+	peerSuspects   map[string]map[string]int // guarded by mu; hosts that find a target unresponsive, by host that reports them and target
+	even           bool                      // guarded by mu; choose by pickEven
+	newsDelay      time.Duration             // guarded by mu; in which a report reaches all hosts
+	prefixLoads    map[uint64]*prefixLoad    // guarded by mu; by hash of the prefix
+	options        []option                  // guarded by mu; scratch space of pickEven
+	outliers       outliers                  // guarded by mu
+	prefixRequests uint64                    // guarded by mu; requests with a shared prefix
+	prefixSpills   uint64                    // guarded by mu; those of them that were sent to other targets than hold the prefix
+	eligibility    eligibility               // guarded by mu
 }
 
 // target is a target with its load, what its KV cache probably holds, and its health.
@@ -144,12 +164,22 @@
 	prefillMS      float64   // prefill time in ms of this host's requests: an exponentially decaying sum as of prefillUpdated
 	prefillUpdated time.Time // last change of prefillMS
 	info           *registry.Target
+	hash           uint64    // of the id
+	isNew          bool      // appeared after others were known
+	seenAt         time.Time // first choice of which the target was a candidate
+	speed          float64   // learned, relative to other targets; see learnSpeeds
+	logSpeed       float64   // its logarithm
+	meanBacklog    float64   // averaged backlog of prompts in milliseconds, as of averagedAt
+	meanPrefill    float64   // averaged prefill load in milliseconds a second
+	averagedAt     time.Time
+	speedDue       time.Duration        // since the last step of logSpeed
 	local          Load                 // of this host's requests, without PrefillMSPerSecond
 	peers          Load                 // of all other hosts' requests
 	missing        map[string]time.Time // by model or model/adapter: until when it counts as not loaded
 	prefixCache    segmentCache
 	health         health
 	pause          pause
+	hearing        hearing
 }
 
 // New returns a balancer for a host in the zone. random breaks ties between targets of about the same cost. Without
@@ -157,7 +187,7 @@
 func New(zone string, connections Connections, rates Rates, random *rand.Rand) *Balancer {
 	return &Balancer{
 		zone: zone, connections: connections, rates: rates, targets: map[string]*target{}, peers: map[string]map[string]Load{}, latencyRatios: map[string]float64{},
-		random: random,
+		random: random, prefixLoads: map[uint64]*prefixLoad{},
 	}
 }
 
@@ -172,12 +202,12 @@
 func (b *Balancer) SetTargets(all []*registry.Target) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	seen := make(map[string]bool, len(all))
+	seen, first := make(map[string]bool, len(all)), len(b.targets) == 0
 	for _, info := range all {
 		seen[info.ID] = true
 		t := b.targets[info.ID]
 		if t == nil || t.info.Started != info.Started {
-			t = &target{missing: map[string]time.Time{}}
+			t = &target{missing: map[string]time.Time{}, hash: xxhash.Sum64String(info.ID), isNew: !first, speed: 1}
 			b.targets[info.ID] = t
 			if a, ok := b.absent[info.ID]; ok && a.started == info.Started {
 				t.pause = a.pause
@@ -195,6 +225,7 @@
 			delete(b.targets, id)
 		}
 	}
+	b.list = slices.SortedFunc(maps.Values(b.targets), func(x, y *target) int { return cmp.Compare(x.info.ID, y.info.ID) })
 	b.sumPeerLoads()
 }
 
@@ -253,10 +284,13 @@
 // sumPeerLoads recomputes the load of all other hosts at each target; the caller holds mu.
 func (b *Balancer) sumPeerLoads() {
 	for id, t := range b.targets {
+		before := t.peers
 		t.peers = Load{}
 		for _, loads := range b.peers {
 			t.peers.add(loads[id], 1)
 		}
+		t.hearing.recordPeers(before, t.peers)
+		b.roomAt(t)
 	}
 }
 
@@ -276,6 +310,7 @@
 func (b *Balancer) LocalLoads(now time.Time) map[string]Load {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.sampleGates(now)
 	out := map[string]Load{}
 	for id, t := range b.targets {
 		load := t.local
@@ -306,10 +341,7 @@
 	if now.Before(t.missing[model]) {
 		return false, false
 	}
-	list := t.info.Models
-	if h, ok := b.residency[t.info.ID]; ok && h.Started == t.info.Started {
-		list = h.Models
-	}
+	list := b.models(t)
 	for i := range list {
 		if list[i].Model == model {
 			hasModel = true
@@ -322,6 +354,14 @@
 	return hasModel, hasModel && hasAdapter && !now.Before(t.missing[model+"/"+adapter])
 }
 
+// models returns the models that t has loaded; the caller holds mu.
+func (b *Balancer) models(t *target) []registry.ResidentModel {
+	if h, ok := b.residency[t.info.ID]; ok && h.Started == t.info.Started {
+		return h.Models
+	}
+	return t.info.Models
+}
+
 // Pick chooses the target of least cost and adds the request to its load. Errors: ErrNoTarget, ErrNoModel,
 // ErrNoAdapter, ErrBusy, ErrPaced, ErrPaused, ErrEvacuated, ErrRegion.
 func (b *Balancer) Pick(q Query, now time.Time) (*Choice, error) {
@@ -337,10 +377,14 @@
 			engine = s.Engine
 		}
 	}
+	var c *Choice
 	if engine == nil || q.Call.Model == "" {
-		return b.pickPlain(candidates, now), nil
+		c = b.pickPlain(candidates, now)
+	} else {
+		c = b.pickEngine(candidates, engine, q.Call, now)
 	}
-	return b.pickEngine(candidates, engine, q.Call, now), nil
+	b.recordStart(c, &q)
+	return c, nil
 }
 
 // rank orders the targets that can serve a request; a target of a later rank is chosen only if there is none of an
@@ -350,6 +394,7 @@
 const (
 	rankUsable    rank = iota
 	rankNonMember      // this host keeps no connections to the target
+	rankSetAside       // fails a part of its requests
 	rankUnusable       // suspended, or being probed
 	ranks
 )
@@ -358,11 +403,12 @@
 // further connection, or send no request within the target's rate, is left out. Errors: ErrNoTarget, ErrNoModel, ErrNoAdapter,
 // ErrBusy, ErrPaced, ErrPaused, ErrEvacuated, ErrRegion.
 func (b *Balancer) candidates(q Query, now time.Time) ([]*target, error) {
+	b.updateOutliers(now)
 	var byRank [ranks][]*target
 	var pausedUntil time.Time // the earliest
 	var ineligible error
 	err, pacedRate := ErrNoTarget, 0.0
-	for _, t := range b.targets {
+	for _, t := range b.list {
 		if t.info.Service != q.Service || t.info.State != registry.Ready {
 			continue
 		}
@@ -406,7 +452,15 @@
 		r := b.rankOf(t, now)
 		byRank[r] = append(byRank[r], t)
 	}
-	for _, list := range byRank {
+	keepHalf(&byRank)
+	var full *FullError
+	for r, list := range byRank {
+		if q.StartWithin > 0 && len(list) > 0 && rank(r) != rankUnusable {
+			list, full = b.withRoom(list, &q, full, now)
+		}
+		if full != nil && rank(r) == rankUnusable {
+			return nil, full
+		}
 		if len(list) > 0 {
 			return list, nil
 		}
@@ -455,6 +509,8 @@
 	switch {
 	case !t.health.usable(now):
 		return rankUnusable
+	case b.leftOut(t, now):
+		return rankSetAside
 	case b.connections != nil && !b.connections.Member(t.info.Addr):
 		return rankNonMember
 	default:
@@ -464,6 +520,9 @@
 
 // pickPlain chooses a target of a service without engines, by requests in flight for each slot.
 func (b *Balancer) pickPlain(candidates []*target, now time.Time) *Choice {
+	if b.even {
+		return b.pickPlainEven(candidates, now)
+	}
 	best, lowest := candidates[0], 0.0
 	for i, t := range candidates {
 		running := float64(t.local.Running + t.peers.Running)
@@ -492,6 +551,7 @@
 // probes whether t answers again.
 func (b *Balancer) assign(t *target, load Load, model string, now time.Time) *Choice {
 	t.local.add(load, 1)
+	t.health.sentTo(now, b.hosts)
 	if b.rates != nil {
 		b.rates.Take(t.info.ID, now)
 	}
@@ -500,5 +560,6 @@
 	}
 	return &Choice{
 		Target: t.info, balancer: b, picked: t, load: load, model: model, pickedAt: now, returnStep: t.pause.send(now),
+		progress: t.hearing.progress, progressAt: now,
 	}
 }
--- a/lib/catalog/catalog.go
+++ b/lib/catalog/catalog.go
@@ -125,6 +125,7 @@
 	Routes        []*Route
 	Services      []*Service
 	Organisations []*Organisation
+	Limits        Limits
 }
 
 // Catalog is one version of the configuration.
@@ -192,3 +193,15 @@
 	}
 	return r.Split[len(r.Split)-1].Service
 }
+
+// ModelMemoryMB returns the memory in MB that a target has for models: its memory less that of its adapter slots, each as large
+// as the largest configured adapter.
+func (e *Engine) ModelMemoryMB() float64 {
+	largest := 0.0
+	for _, m := range e.Models {
+		if len(m.Adapters) > 0 {
+			largest = max(largest, m.AdapterMB)
+		}
+	}
+	return e.MemoryMB - float64(e.AdapterSlots)*largest
+}
--- a/lib/entryhost/entryhost.go
+++ b/lib/entryhost/entryhost.go
@@ -38,6 +38,7 @@
 	"cuminhook.org/cuminhook/lib/stopping"
 	"cuminhook.org/cuminhook/lib/storewatch"
 	"cuminhook.org/cuminhook/lib/targetrate"
+	"cuminhook.org/cuminhook/lib/tcpopt"
 	"cuminhook.org/cuminhook/lib/workload"
 )
 
@@ -54,20 +55,8 @@
 	maxLeafCatchUpDelay = 100 * time.Millisecond
 	// catchUpTimeout bounds the call that reads a configuration from a peer.
 	catchUpTimeout = time.Second
-	// maxHeaderBytes bounds the request line and header of a request.
-	maxHeaderBytes = 20 << 10
-	// maxBodyBytes bounds the body of a request.
-	maxBodyBytes = 5 << 20
-	// maxBufferedBytes bounds the bodies of all requests in memory.
-	maxBufferedBytes = 64 << 20
 	// minBackgroundStop is the time that background work has to end, also if requests took all of the grace.
 	minBackgroundStop = 50 * time.Millisecond
-	// readTimeout bounds the arrival of a request. It is the write timeout too.
-	readTimeout = 10 * time.Second
-	// idleTimeout is above every idle timeout that operators set for callers, since callers reuse connections up to theirs.
-	idleTimeout = 2 * time.Minute
-	// maxConns bounds the callers' connections. It leaves file descriptors for connections to targets.
-	maxConns = 2500
 )
 
 // Store is the platform's store: reads, writes and leases, and the feed of changes.
@@ -95,6 +84,7 @@
 	cfg          Config
 	log          *slog.Logger
 	balancer     *balance.Balancer
+	aside        *asideLog
 	limiter      *orglimit.Limiter
 	rates        *targetrate.Limits
 	cold         *coldRole
@@ -108,6 +98,7 @@
 	placer       *placer.Placer
 	role         *placementRole
 	server       *pipeline.Server
+	memory       *memory
 	catalog      atomic.Pointer[catalog.Catalog]
 	catchingUp   atomic.Bool // a configuration is being read from a peer
 	targetsRead  atomic.Bool // a list of targets has been read
@@ -133,10 +124,14 @@
 	h.balancer.SetRegions(s.Zones)
 	cfg.Metrics.NewGauge("cuminhook_evacuated_zones", func() float64 { return float64(h.evacuated.Load()) })
 	h.cold = newColdRole(h)
+	h.balancer.SetEvenLoad(s.EvenLoad)
+	h.balancer.SetAside(s.SetAside)
+	h.aside = newAsideLog(h.balancer, cfg.Log, cfg.Metrics)
 	h.role = newPlacementRole(h)
 	h.quarantine = newQuarantineRole(s.Host, cfg.Store, func() { h.peers.Relay() }, cfg.Log, cfg.Metrics)
 	h.placer = placer.New(placer.Config{
 		Host: s.Host, Client: cfg.Engines, ShouldCampaign: h.role.shouldCampaign, LoadRateFactor: s.Placement.LoadsOvershoot,
+		Waves: s.Placement.Waves, DemandTimeConstant: workload.AverageTimeConstant, LoadedBefore: h.role.loadedBefore,
 		Demand: h.role.totalDemand, Suspects: h.role.agreedSuspects,
 		Paused:        func(id string) bool { return h.balancer.Paused(id, time.Now()) },
 		StateInterval: func() time.Duration { return h.peers.Fleet().Interval }, Publish: h.role.publish,
@@ -144,7 +139,7 @@
 			lease.Options{Wait: leaseWait, Clock: bootclock.Now, History: cfg.Store.History}),
 		Log: cfg.Log, Metrics: cfg.Metrics,
 	})
-	h.peers = peers.New(peers.Config{Host: s.Host, Zone: s.Zone, Addr: s.Peers, LinkMbps: s.LinkMbps}, peers.Handlers{
+	h.peers = peers.New(peers.Config{Host: s.Host, Zone: s.Zone, Addr: s.Peers, LinkMbps: s.LinkMbps, FarInterval: s.FarInterval}, peers.Handlers{
 		FillState: h.fillState, FillPartialState: h.fillPartialState, Placement: h.role.latestPlacement,
 		OnState: h.handleState, OnUnreachable: h.removeHost, OnFleet: h.setFleet,
 		OnAggregatorSilent: func() { h.storeWatcher.PollNow() },
@@ -161,11 +156,9 @@
 	if source, ok := cfg.Engines.(orders.StatedSource); ok {
 		source.OnStated(h.statements.ofOrders)
 	}
-	h.server = pipeline.NewServer(pipeline.ServerConfig{
-		First: h.filters(), MaxBodyBytes: maxBodyBytes, MaxBufferedBytes: maxBufferedBytes, MaxHeaderBytes: maxHeaderBytes,
-		ReadTimeout: readTimeout, WriteTimeout: readTimeout, IdleTimeout: idleTimeout, MaxConns: maxConns, FineRetryAfter: true,
-		Log: cfg.Log, Metrics: cfg.Metrics,
-	})
+	h.memory = newMemory(s, cfg.Log, cfg.Metrics)
+	h.server = pipeline.NewServer(h.serverConfig())
+	h.memory.export(h.server)
 	return h
 }
 
@@ -173,7 +166,8 @@
 func (h *Host) filters() pipeline.Handler {
 	handler := relay.New(relay.Config{
 		Protocol: h.cfg.Protocol, Client: h.connections.client, Balancer: h.balancer, Retries: h.retries,
-		Placement: h.role, Demand: h.meter, Rates: h.rates, Statements: h.statements, Quarantine: h.quarantine.detector, Stop: h.stop, Log: h.cfg.RequestLog, Metrics: h.cfg.Metrics,
+		Placement: h.role, Demand: h.meter, Rates: h.rates, Statements: h.statements, Quarantine: h.quarantine.detector, Admission: h.cfg.Settings.Admission,
+		Stop: h.stop, Log: h.cfg.RequestLog, Metrics: h.cfg.Metrics,
 	})
 	handler = orgrate.New(handler, orgrate.Config{Limiter: h.limiter, Log: h.cfg.RequestLog})
 	handler = classify.New(handler, classify.Config{Protocol: h.cfg.Protocol, Catalog: h.catalog.Load})
@@ -187,6 +181,7 @@
 	h.balancer.SetCatalog(c)
 	h.placer.SetCatalog(c)
 	h.catalog.Store(c)
+	h.setLimits(c.Limits)
 }
 
 // setTargets applies a new list of targets. A target at an address of this host would send requests back to it.
@@ -220,6 +215,7 @@
 	h.rates.SetHosts(len(f.Known)+1, f.Spread)
 	h.rates.SetMembers(h.cfg.Settings.Host, f.Known, time.Now())
 	h.balancer.SetHosts(len(f.Known) + 1)
+	h.balancer.SetNewsDelay(f.Spread)
 	h.retries.SetHosts(len(f.Known) + 1)
 	h.connections.SetHosts(f.Known)
 	h.storeWatcher.SetPolling(h.polling(f))
@@ -248,9 +244,19 @@
 	return p
 }
 
+// engineLoad returns the demand at this host by model, in milliseconds of engine time a second.
+func (h *Host) engineLoad(now time.Time) map[string]float64 {
+	load := h.meter.EngineLoad(now)
+	if h.cfg.Settings.Placement.Waves {
+		return workload.BySpeed(load, h.balancer.Slowness)
+	}
+	return load
+}
+
 // fillState fills in a full state of this host.
 func (h *Host) fillState(s *peers.State) {
 	now := time.Now()
+	h.aside.update(now)
 	s.Changes = h.storeWatcher.TargetChanges()
 	if c := h.catalog.Load(); c != nil {
 		s.ConfigVersion = c.Version
@@ -260,8 +266,8 @@
 		suspects[id] = 1
 	}
 	s.Contribution = aggregate.Contribution{
-		Hosts: 1, Demand: h.limiter.Report(now), TargetDemand: h.rates.Usage(now), Loads: h.balancer.LocalLoads(now), EngineLoad: h.meter.EngineLoad(now),
-		AdapterRates: h.meter.Adapters(now), Suspects: suspects, Outcomes: h.quarantine.detector.Outcomes(now),
+		Hosts: 1, Demand: h.limiter.Report(now), TargetDemand: h.rates.Usage(now), Loads: h.balancer.LocalLoads(now), EngineLoad: h.engineLoad(now),
+		AdapterRates: h.meter.Adapters(now), Suspects: suspects, Failures: h.balancer.LocalFailures(now), Outcomes: h.quarantine.detector.Outcomes(now),
 	}
 	h.connections.updateDemand(h.balancer, now)
 	s.TargetRates = h.rates.Statements(now)
@@ -290,6 +296,8 @@
 		h.limiter.ApplyReport(s.Host, s.Boot, s.Hosts, s.Demand, now)
 		h.rates.ApplyUsage(s.Host, s.Boot, s.Hosts, s.TargetDemand, now)
 		h.balancer.SetPeerLoads(s.Host, s.Loads)
+		h.balancer.SetSuspects(s.Host, s.Suspects)
+		h.balancer.SetPeerFailures(s.Host, s.Failures)
 		h.quarantine.detector.SetPeerOutcomes(s.Host, &s.Outcomes)
 		h.role.handleState(s, now)
 	}
@@ -344,6 +352,8 @@
 	h.limiter.RemovePeer(host)
 	h.rates.RemovePeer(host)
 	h.balancer.SetPeerLoads(host, nil)
+	h.balancer.SetSuspects(host, nil)
+	h.balancer.SetPeerFailures(host, nil)
 	h.quarantine.detector.SetPeerOutcomes(host, nil)
 	h.role.removeHost(host)
 }
@@ -356,7 +366,8 @@
 // Run serves until ctx ends, and then lets open requests finish within Settings.Grace.
 func (h *Host) Run(ctx context.Context) error {
 	s := h.cfg.Settings
-	callers, err := net.Listen("tcp", s.Listen)
+	listen := net.ListenConfig{Control: tcpopt.SetBuffers(receiveBuffer, sendBuffer)}
+	callers, err := listen.Listen(ctx, "tcp", s.Listen)
 	if err != nil {
 		return fmt.Errorf("listen: %w; choose an address of this host that is free", err)
 	}
@@ -381,6 +392,7 @@
 	group.Go(func() error { return serveStatus(groupCtx, s.Ready, h.readyHandler()) })
 	group.Go(func() error { return serveStatus(groupCtx, s.Metrics, h.metricsHandler()) })
 	group.Go(func() error { return h.server.Serve(callers) })
+	group.Go(func() error { h.memory.watch(groupCtx, h.server); return nil })
 	h.log.Info("started", "listen", s.Listen, "peers", s.Peers, "store", s.Store)
 	select {
 	case <-ctx.Done():
--- a/lib/filter/relay/relay.go
+++ b/lib/filter/relay/relay.go
@@ -19,6 +19,7 @@
 	"cuminhook.org/cuminhook/lib/balance"
 	"cuminhook.org/cuminhook/lib/catalog"
 	"cuminhook.org/cuminhook/lib/forward"
+	"cuminhook.org/cuminhook/lib/hostqueue"
 	"cuminhook.org/cuminhook/lib/httpconn"
 	"cuminhook.org/cuminhook/lib/passthrough"
 	"cuminhook.org/cuminhook/lib/pipeline"
@@ -32,11 +33,6 @@
 )
 
 const (
-	// responseTimeoutFactor times the route's objective is the time after which an idempotent request without an answer
-	// is sent to another target.
-	responseTimeoutFactor = 3
-	// minResponseTimeout is the shortest response and stall timeout. A restarting target is unresponsive for longer.
-	minResponseTimeout = 300 * time.Millisecond
 	// busyRetryAfter is the Retry-After when targets exist but none took the request.
 	busyRetryAfter = 500 * time.Millisecond
 	// evacuatedRetryAfter is the Retry-After while the zones of all targets are evacuated, which lasts until the operator ends it.
@@ -82,6 +78,9 @@
 	Statements Statements
 	// Quarantine learns which prompt segments crash targets; nil: a detector of its own.
 	Quarantine *quarantine.Detector
+	// Admission has requests wait at this host for room at the targets, and refuses at once what cannot be served; false: all are sent
+	// at once.
+	Admission bool
 	// Stop is the stop of this host; nil: it never stops.
 	Stop    *stopping.Stop
 	Log     *slog.Logger
@@ -93,8 +92,10 @@
 	cfg              Config
 	crashes          *crashWatch
 	paced            pacedQueues
+	admission        *admission // nil: requests are sent at once
 	durations        durations
 	retryCounter     func(reason string) *metrics.Counter
+	givenUpCounter   *metrics.Counter // attempts given up at silent targets, and handed over
 	firstByteSeconds *metrics.Histogram
 }
 
@@ -109,13 +110,18 @@
 	if cfg.Quarantine == nil {
 		cfg.Quarantine = quarantine.New()
 	}
-	return &filter{
+	f := &filter{
 		cfg: cfg, crashes: newCrashWatch(cfg.Client, cfg.Quarantine, cfg.Log),
 		retryCounter: func(reason string) *metrics.Counter {
 			return cfg.Metrics.GetOrCreateCounter(`cuminhook_repeats_total{reason="` + reason + `"}`)
 		},
+		givenUpCounter:   cfg.Metrics.GetOrCreateCounter("cuminhook_attempts_given_up_total"),
 		firstByteSeconds: cfg.Metrics.GetOrCreateHistogram("cuminhook_first_byte_seconds"),
 	}
+	if cfg.Admission {
+		f.admission = newAdmission(&f.cfg)
+	}
+	return f
 }
 
 // Serve implements pipeline.Handler.
@@ -143,7 +149,10 @@
 	if r.call.Model != "" {
 		f.cfg.Demand.Add(r.call, ex.Start)
 	}
-	ex.OnFinish(func(pipeline.Outcome) { cancel() })
+	ex.OnFinish(func(pipeline.Outcome) {
+		cancel()
+		r.releaseReserved()
+	})
 	return r.run()
 }
 
@@ -163,6 +172,7 @@
 	onSend       func()            // called before an attempt is sent; nil: none
 	regions      []string          // in which a target must be; nil: any
 	streaming    bool              // the answer is passed on as a stream: a further attempt has to continue it
+	reserved     *balance.Choice   // target of the next attempt, whose retry is charged; nil: none was reserved
 }
 
 // try is one attempt at a target.
@@ -174,7 +184,8 @@
 	outcome  forward.Outcome
 	err      error
 	cancel   context.CancelFunc
-	timedOut atomic.Bool // the response timeout passed, or the stream stalled
+	timedOut atomic.Bool // the attempt was given up: its target is silent, or another one continues the stream
+	givenUp  *metrics.Counter
 	sentAt   time.Time
 	headerAt time.Time // when the header of the answer arrived
 	began    bool      // the target has sent a whole answer or, of a stream, a whole event
@@ -240,7 +251,7 @@
 // run makes attempts until an answer can be delivered or no further attempt is allowed.
 func (r *request) run() error {
 	for {
-		choice, err := r.pick()
+		choice, err := r.nextChoice()
 		if err != nil {
 			return r.refuseNoTarget(err)
 		}
@@ -255,6 +266,7 @@
 		t := r.attempt(choice)
 		r.logAttempt(t)
 		if t.outcome == forward.Answered && !r.retryable(t) {
+			r.releaseReserved()
 			return r.deliver(t)
 		}
 		if t.outcome == forward.Answered {
@@ -276,7 +288,7 @@
 	if !r.state.MaySend() {
 		return false
 	}
-	if r.state.NextIsRetry() && !r.cfg.Retries.Allow(r.service) {
+	if r.state.NextIsRetry() && r.reserved == nil && !r.cfg.Retries.Allow(r.service) {
 		r.retryCounter("denied").Inc()
 		return false
 	}
@@ -301,6 +313,12 @@
 	if r.state.MayHaveRun() {
 		reason = refusal.TargetFailed
 	}
+	if refused := (*hostqueue.RefusedError)(nil); errors.As(err, &refused) {
+		return r.refuseFull(refused)
+	}
+	if errors.Is(err, errDrained) {
+		return r.refuseStop()
+	}
 	r.countIneligible(reason)
 	r.cfg.Log.Info("no target", "request_id", r.ex.ID, "service", r.service, "model", r.call.Model,
 		"adapter", r.call.Adapter, "tried", len(r.tried), "regions", r.regions, "reason", err.Error())
@@ -336,14 +354,11 @@
 
 // attempt sends the request to the chosen target and reads the answer, except for the body of a stream.
 func (r *request) attempt(choice *balance.Choice) *try {
-	t := &try{choice: choice, sentAt: time.Now()}
+	t := &try{choice: choice, sentAt: time.Now(), givenUp: r.givenUpCounter}
 	r.tried = append(r.tried, choice.Target.ID)
 	ctx := r.ctx
 	ctx, t.cancel = context.WithCancel(ctx)
-	if timeout := r.responseTimeout(choice); timeout > 0 {
-		timer := time.AfterFunc(timeout, t.timeOut)
-		defer timer.Stop()
-	}
+	defer r.watchSilence(t)()
 	h := &r.ex.HTTP.Request.Header
 	head := r.cfg.Protocol.AppendHead(nil, h, passthrough.Attempt{
 		Instance: choice.Target.ID, TimeLeft: time.Until(r.targetDeadline()), Organisation: r.ex.Organisation,
@@ -363,6 +378,9 @@
 	if t.answer != nil {
 		r.answers = append(r.answers, t.answer)
 		t.headerAt = time.Now()
+		if !t.otherInstance() {
+			t.choice.Heard(t.headerAt)
+		}
 		r.recordStatements(t)
 	}
 	r.readAnswer(t)
@@ -403,21 +421,6 @@
 	}
 }
 
-// timeOut cancels an attempt at an unresponsive target.
-func (t *try) timeOut() {
-	t.timedOut.Store(true)
-	t.cancel()
-}
-
-// responseTimeout returns the time after which an attempt without an answer is cancelled in favour of another one. Zero
-// means that the attempt may last until the request's deadline.
-func (r *request) responseTimeout(choice *balance.Choice) time.Duration {
-	if !r.state.Repeatable || r.route.MaxAttempts < 2 || r.streaming && !r.state.MayFollow() {
-		return 0
-	}
-	return max(minResponseTimeout, responseTimeoutFactor*r.route.Objective, 2*choice.ExpectedFirstEvent)
-}
-
 // Priorities at the engine are 0 to 9; 0 is served first.
 const (
 	enginePriorityBase = 3
@@ -503,6 +506,9 @@
 	if t.answer != nil && t.answer.Stated.Pause != 0 {
 		attrs = append(attrs, slog.Float64("pause_s", t.answer.Stated.Pause.Seconds()))
 	}
+	if t.timedOut.Load() {
+		attrs = append(attrs, slog.Bool("given_up", true))
+	}
 	if t.err != nil {
 		attrs = append(attrs, slog.String("error", t.err.Error()))
 	}
--- a/lib/placer/placer.go
+++ b/lib/placer/placer.go
@@ -33,9 +33,14 @@
 	// maxLoadBurst is the maximum number of loads from the weight store that may start at once. The platform tolerates
 	// three loads above its rate in a window.
 	maxLoadBurst = 2
+	// excessLoads is how many loads above its rate the platform tolerates in a window.
+	excessLoads = 3
 	// loadRateFraction is the fraction of the tolerated load rate that the planner uses. The remainder allows for orders
 	// that are executed late and close together.
 	loadRateFraction = 0.93
+	// maxUnseenLoads is how many loads from the weight store a target executes at most within residency.LoadWindow, one after the other:
+	// the fastest take 1.3 s.
+	maxUnseenLoads = 3
 	// maxLoggedLoads stands in the log for a number of loads that is not known, as JSON has no infinity.
 	maxLoggedLoads = 1e6
 	// unknownModelMB is the memory that a loaded model is assumed to take if it is not in the configuration.
@@ -60,8 +65,15 @@
 	Paused         func(id string) bool   // whether a target wants no requests from this host now; nil: never
 	StateInterval  func() time.Duration   // time between two states that this host broadcasts
 	Publish        func()                 // called when the resident models or adapters may have changed
-	Log            *slog.Logger
-	Metrics        *metrics.Set
+	// Waves has copies planned in waves: as many loads from the weight store at once as its window has room for.
+	Waves bool
+	// DemandTimeConstant is the time constant of the exponential averages that Demand returns. It is used for waves only.
+	DemandTimeConstant time.Duration
+	// LoadedBefore returns the models that were loaded, by target, according to a placement that this host has known since before the
+	// time; nil if it has known none for so long. It is used for waves only, and may be nil.
+	LoadedBefore func(time.Time) map[string]registry.Residency
+	Log          *slog.Logger
+	Metrics      *metrics.Set
 }
 
 // Placer campaigns for the placement lease and sends orders while it holds it. It is safe for concurrent use.
@@ -74,6 +86,7 @@
 	active       bool                          // guarded by mu
 	epoch        int64                         // guarded by mu; of the current or last term
 	planners     map[string]*residency.Planner // guarded by mu; by service
+	loadedBefore map[string]registry.Residency // guarded by mu; a window of the weight store before the term; nil: not known
 	demand       Demand                        // guarded by mu; as of the latest plan; not changed
 	adapterLoads map[string]chan struct{}      // guarded by mu; closed when a load ends; by service/model/adapter
 	publishing   bool                          // guarded by mu; publishSoon will publish
@@ -256,10 +269,15 @@
 
 // beginTerm activates the placer and discards what it knew in an earlier term.
 func (p *Placer) beginTerm(epoch int64) {
+	var loadedBefore map[string]registry.Residency
+	if p.cfg.Waves && p.cfg.LoadedBefore != nil {
+		loadedBefore = p.cfg.LoadedBefore(time.Now().Add(-residency.LoadWindow))
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.active, p.epoch, p.demand = true, epoch, Demand{}
 	p.planners = map[string]*residency.Planner{}
+	p.loadedBefore = loadedBefore
 	for _, t := range p.targets {
 		t.reset()
 	}
@@ -353,6 +371,22 @@
 	return out
 }
 
+// predecessorLoads returns how many loads the controllers before this one can have started in the window before the term: of
+// each target the models that it did not have then, and maxUnseenLoads of a target whose report has not been read. The caller holds mu.
+func (p *Placer) predecessorLoads(s *catalog.Service) (n int) {
+	for _, t := range p.targets {
+		if t.info.Service != s.Name {
+			continue
+		}
+		if t.seen {
+			n += t.newAtFirst
+		} else {
+			n += maxUnseenLoads
+		}
+	}
+	return n
+}
+
 // planModels starts the loads and unloads of models that the planner returns. The caller holds mu.
 func (p *Placer) planModels(ctx context.Context, s *catalog.Service, demand Demand) {
 	now := time.Now()
@@ -363,6 +397,15 @@
 		p.planners[s.Name] = planner
 	}
 	planner.SetRate(s.Engine.LoadsPerSecond * p.cfg.LoadRateFactor * loadRateFraction)
+	if p.cfg.Waves {
+		planner.SetWaves(residency.Waves{
+			WindowLoads:   s.Engine.LoadsPerSecond*p.cfg.LoadRateFactor*residency.LoadWindow.Seconds() + excessLoads,
+			RatePerSecond: s.Engine.LoadsPerSecond, DemandTimeConstant: p.cfg.DemandTimeConstant,
+		}, now)
+		if p.loadedBefore != nil {
+			planner.SetPredecessorLoads(p.predecessorLoads(s))
+		}
+	}
 	var models []residency.Model
 	for _, m := range s.Engine.Models {
 		models = append(models, residency.Model{Name: m.Name, MB: m.WeightsMB, StoreLoadTime: m.StoreLoadTime, EngineLoad: demand.EngineLoad[m.Name]})
@@ -394,7 +437,7 @@
 			go p.loadModel(ctx, t, s.Engine, a)
 		} else {
 			t.models[a.Model].unloading = true
-			go p.unloadModel(ctx, t, a.Model)
+			go p.unloadModel(ctx, t, a.Model, a.Idle)
 		}
 	}
 }
