--- a/lib/balance/eligible.go
+++ b/lib/balance/eligible.go
@@ -22,6 +22,13 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.eligibility.evacuated = zones
+	woken := map[string]bool{}
+	for _, t := range b.targets { // requests that wait choose among others, or are refused
+		if !woken[t.info.Service] {
+			woken[t.info.Service] = true
+			b.roomAt(t)
+		}
+	}
 }
 
 // SetRegions sets the region of each zone. A zone without one is a region of its own name.
--- a/lib/balance/eligible_test.go
+++ b/lib/balance/eligible_test.go
@@ -56,3 +56,24 @@
 		}
 	}
 }
+
+// Guards against requests that wait for room at an evacuated zone, and against a host that sends all of its demand because the idle
+// targets of such a zone look like room.
+func TestEvacuatedZoneIsNoRoom(t *testing.T) {
+	b := newBalancer("a")
+	b.SetTargets(engines(8, registry.ResidentModel{Model: "m"}))
+	woken := 0
+	b.OnRoom(func(service string) { woken++ })
+	b.SetEvacuated(map[string]bool{"b": true, "c": true, "d": true})
+	if woken != 1 {
+		t.Errorf("waiting requests were woken %d times", woken)
+	}
+	for range 2 * 64 {
+		pick(t, b, Query{Service: "llm", Call: &passthrough.Call{Model: "m", PromptTokens: 10}})
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if _, fill, ok := b.loadOfAll(&gate{service: "llm", model: "m"}, now); !ok || fill < 1 {
+		t.Errorf("all slots outside of the evacuated zones are taken, but %.2f of them count as taken", fill)
+	}
+}
