--- a/lib/balance/room.go
+++ b/lib/balance/room.go
@@ -54,7 +54,7 @@
 	fleetNewsAge = 700 * time.Millisecond
 	meshHosts    = 16
 	// gateStep is the largest factor by which the fraction changes with a sample.
-	gateStep = 1.4
+	gateStep = 2.0
 	// minSent is the least fraction of the demand that is sent: what is sent shows whether targets begin it.
 	minSent = 0.05
 	// demandWeight is the weight of the newest sample in the estimated demand; there is one with each state that the host sends.
@@ -64,6 +64,8 @@
 	// gateHistory is the time for which samples are kept, and slopeTime that over which the change of the wait is taken.
 	gateHistory = 3 * time.Second
 	slopeTime   = 900 * time.Millisecond
+	// sampleInterval is the least time between two samples. Hosts send their states each 0.2 s or more.
+	sampleInterval = 150 * time.Millisecond
 	// gateTTL is the time after the last request for a model for which its gate is kept.
 	gateTTL = 30 * time.Second
 	// crowdedTargets times the wait that is wanted is the longest one at a target that is chosen while others wait less.
@@ -245,29 +247,39 @@
 		b.room.gates[key] = g
 	}
 	g.usedAt, g.wanted = now, q.StartWithin
+	b.sampleGate(g, now)
 	return g
 }
 
 // sampleGates updates the fractions that are sent from the present load. The caller holds mu.
 func (b *Balancer) sampleGates(now time.Time) {
-	age := fleetNewsAge
-	if b.hosts <= meshHosts {
-		age = meshNewsAge
-	}
 	for key, g := range b.room.gates {
 		if now.Sub(g.usedAt) > gateTTL {
 			delete(b.room.gates, key)
 			continue
 		}
-		wait, fill, ok := b.loadOfAll(g, now)
-		if !ok {
-			continue
-		}
-		before := g.sent
-		g.update(wait, fill, age, now)
-		if g.sent > before && b.onRoom != nil {
-			b.onRoom(g.service)
-		}
+		b.sampleGate(g, now)
+	}
+}
+
+// sampleGate updates the fraction that is sent from the present load, unless that was done just before. The caller holds mu.
+func (b *Balancer) sampleGate(g *gate, now time.Time) {
+	if n := len(g.samples); n > 0 && now.Sub(g.samples[n-1].at) < sampleInterval {
+		return
+	}
+	wait, fill, ok := b.loadOfAll(g, now)
+	if !ok {
+		g.sent = 1
+		return
+	}
+	age := fleetNewsAge
+	if b.hosts <= meshHosts {
+		age = meshNewsAge
+	}
+	before := g.sent
+	g.update(wait, fill, age, now)
+	if g.sent > before && b.onRoom != nil {
+		b.onRoom(g.service)
 	}
 }
 
@@ -279,11 +291,11 @@
 	engine, busy := b.engineOf(q), b.busyTime(key).Seconds()
 	running, slots, others, n := 0.0, 0.0, 0.0, 0.0
 	for _, t := range b.targets {
-		if t.info.Service != g.service || t.info.State != registry.Ready || !b.couldServe(t, *q, now) || !t.health.usable(now) || t.pause.active(now) {
+		if t.info.Slots <= 0 || t.info.Service != g.service || t.info.State != registry.Ready || !b.couldServe(t, *q, now) || !t.health.usable(now) || t.pause.active(now) {
 			continue
 		}
 		load := t.local.Plus(t.peers, 1)
-		running, slots, n = running+float64(load.Running), slots+float64(max(1, t.info.Slots)), n+1
+		running, slots, n = running+float64(load.Running), slots+float64(t.info.Slots), n+1
 		others += b.otherWait(load, engine, q, key).Seconds()
 	}
 	if slots == 0 {
@@ -386,9 +398,12 @@
 // startIn returns the time until the target is expected to begin a request: until a slot and KV cache are free, and the prompts
 // ahead of it are prefilled. local is the load of this host there, without the request. The caller holds mu.
 func (b *Balancer) startIn(t *target, local Load, engine *catalog.Engine, q *Query) time.Duration {
+	if t.info.Slots <= 0 {
+		return 0 // it states no limit
+	}
 	key := roomKey(q.Service, q.Call.Model)
 	load := local.Plus(t.peers, 1)
-	slots := float64(max(1, t.info.Slots))
+	slots := float64(t.info.Slots)
 	wait := max(0, float64(load.Running+1)-slots) / slots * float64(b.busyTime(key))
 	if engine != nil {
 		wait = max(wait, float64(b.otherWait(load, engine, q, key))) * b.aheadFraction(key, q.Priority)
--- a/lib/fairqueue/fairqueue_test.go
+++ b/lib/fairqueue/fairqueue_test.go
@@ -209,3 +209,29 @@
 		})
 	}
 }
+
+// Guards against entries of a higher level that are served or kept before those of a lower one, and against an entry that blocks others
+// because it cannot be served itself.
+func TestLevelsAreServedInOrder(t *testing.T) {
+	l := &Levels{Limit: 4}
+	entries := map[string]*Entry{}
+	for level, name := range []string{"first", "second", "third"} {
+		entries[name] = &Entry{Organisation: "o", Tokens: 1, Deadline: int64(10 - level), Value: name}
+		l.Push(level, entries[name])
+	}
+	none := func(*Entry) bool { return false }
+	if e := l.Next(none); e.Value != "first" || l.Len() != 3 {
+		t.Errorf("%v of %d", e.Value, l.Len())
+	}
+	if e := l.Next(func(e *Entry) bool { return e.Value == "first" }); e.Value != "second" {
+		t.Errorf("%v", e.Value)
+	}
+	l.Push(0, &Entry{Organisation: "p", Tokens: 1})
+	if dropped := l.Push(1, &Entry{Organisation: "p", Tokens: 1}); dropped == nil || dropped.Value != "third" || l.Len() != 4 {
+		t.Errorf("dropped %+v of %d", dropped, l.Len())
+	}
+	l.Take(entries["first"])
+	if !l.Remove(entries["second"]) || l.Remove(entries["second"]) || l.Len() != 2 {
+		t.Errorf("%d left", l.Len())
+	}
+}
--- a/lib/hostqueue/sim_test.go
+++ b/lib/hostqueue/sim_test.go
@@ -124,14 +124,15 @@
 
 type sim struct {
 	site
-	now     time.Duration
-	seq     int
-	events  simEvents
-	random  *rand.Rand
-	callers *rand.Rand // of arrivals, which are the same in each variant
-	hosts   []*simHost
-	targets []*simTarget
-	calls   []*simCall
+	now       time.Duration
+	seq       int
+	events    simEvents
+	random    *rand.Rand
+	callers   *rand.Rand // of arrivals, which are the same in each variant
+	hosts     []*simHost
+	targets   []*simTarget
+	calls     []*simCall
+	byRequest map[*Request]*simCall // requests that queues have not decided on
 }
 
 var simStart = time.Unix(1000, 0)
@@ -179,7 +180,7 @@
 
 // play simulates a day and returns all requests of callers.
 func play(c site, seed uint64) *sim {
-	s := &sim{site: c, random: rand.New(rand.NewPCG(seed, 7)), callers: rand.New(rand.NewPCG(seed, 8))}
+	s := &sim{site: c, byRequest: map[*Request]*simCall{}, random: rand.New(rand.NewPCG(seed, 7)), callers: rand.New(rand.NewPCG(seed, 8))}
 	for range c.targets {
 		s.targets = append(s.targets, &simTarget{})
 	}
@@ -255,17 +256,14 @@
 		return
 	}
 	c.req.Query.Call.ID = fmt.Sprint(len(s.calls))
-	byRequest[c.req] = c
+	s.byRequest[c.req] = c
 	s.apply(h.queue.Enter(c.req, s.time()))
 }
 
-// byRequest finds the call of a request that a queue has decided on.
-var byRequest = map[*Request]*simCall{}
-
 func (s *sim) apply(decided []*Request) {
 	for _, r := range decided {
-		c := byRequest[r]
-		delete(byRequest, r)
+		c := s.byRequest[r]
+		delete(s.byRequest, r)
 		s.decided(c, r.Arrived)
 	}
 }
@@ -291,8 +289,9 @@
 	}
 	c.choice, c.priority = c.req.Choice, c.kind.priority
 	_, _ = fmt.Sscanf(c.choice.Target.ID, "t%d", &c.target)
+	choice := c.choice
 	s.after(simRoundTrip, func() {
-		if c.done {
+		if c.done || c.choice != choice {
 			return
 		}
 		if s.isGone(c.target) {
@@ -325,8 +324,9 @@
 		t.running++
 		c.inSlot = true
 		t.prefilled = max(t.prefilled, s.now) + time.Duration(c.kind.prompt)*time.Millisecond/simTokensPerMS
+		choice := c.choice
 		s.after(t.prefilled-s.now, func() {
-			if c.done {
+			if c.done || c.choice != choice {
 				return
 			}
 			c.first = s.now
@@ -363,7 +363,7 @@
 	default:
 		c.done = true
 		if c.req != nil && s.hosts[c.host].queue.Leave(c.req) {
-			delete(byRequest, c.req)
+			delete(s.byRequest, c.req)
 		}
 	}
 }
