An organisation within its rate is not refused because targets turn its requests away

Cause: a request that was not run is refunded, but stayed in the organisation's demand. While one organisation overloads the targets, requests of the others are refused and sent again several times; their demand then exceeds their rate, and hosts refuse them with 429 although what runs is far below it.

Change: orglimit.Limiter.Withdraw takes back the charge and its part in the demand; the filter orgrate uses it.

--- a/lib/aggregate/limits_test.go
+++ b/lib/aggregate/limits_test.go
@@ -135,3 +135,35 @@
 		t.Errorf("%.3f of the requests were admitted", fraction)
 	}
 }
+
+// Guards against refusals of an organisation that stays well below its rate, but whose requests targets turn away and callers send again:
+// demand that does not run is no charge that peers have yet to hear of.
+func TestNoRefusalsBelowTheRateWhileTargetsAreFull(t *testing.T) {
+	const tokens, sends = 4000, 6 // each request is turned away five times out of six
+	for seed := range uint64(4) {
+		o := &catalog.Organisation{Name: "o", Rate: 200_000, Burst: 200_000}
+		f := newLimitedFleet(15, 5, seed)
+		refused, asked := 0, 0
+		for at := time.Duration(0); at < 20*time.Second; at += step {
+			f.now = f.now.Add(step)
+			f.exchange(at)
+			for range sends {
+				if f.random.Float64() > 0.55*o.Rate*step.Seconds()/tokens {
+					continue
+				}
+				group := f.groups[f.random.IntN(len(f.groups))]
+				host := group[f.random.IntN(len(group))]
+				asked++
+				switch {
+				case !host.Charge(o, tokens, f.now).Admitted:
+					refused++
+				case f.random.IntN(sends) > 0:
+					host.Withdraw(o, tokens, f.now, f.now)
+				}
+			}
+		}
+		if refused*100 > asked {
+			t.Errorf("seed %d: %d of %d requests refused", seed, refused, asked)
+		}
+	}
+}
--- a/lib/filter/orgrate/orgrate.go
+++ b/lib/filter/orgrate/orgrate.go
@@ -41,7 +41,8 @@
 	if ex.Call.HasTokens {
 		ex.Charge = ex.Call.Tokens()
 	}
-	decision := f.cfg.Limiter.Charge(o, ex.Charge, time.Now())
+	chargedAt := time.Now()
+	decision := f.cfg.Limiter.Charge(o, ex.Charge, chargedAt)
 	if !decision.Admitted {
 		f.cfg.Log.Info("above the rate", "request_id", ex.ID, "organisation", o.Name, "charge", ex.Charge, "rate", o.Rate,
 			"burst", o.Burst, "pool", int64(decision.SharedTokens), "own", int64(decision.LocalTokens),
@@ -54,7 +55,7 @@
 	}
 	err := f.next.Serve(ctx, ex)
 	if r, refused := refusal.As(err); refused && r.Run == refusal.NotRun {
-		f.cfg.Limiter.Refund(o, ex.Charge)
+		f.cfg.Limiter.Withdraw(o, ex.Charge, chargedAt, time.Now())
 	}
 	return err
 }
--- a/lib/orglimit/orglimit.go
+++ b/lib/orglimit/orglimit.go
@@ -251,6 +251,22 @@
 	}
 }
 
+// Withdraw takes back a charge for a request that was not run, and its part in the demand. Peers take demand for charges that they have
+// not heard of, and would refuse an organisation within its rate whose requests are refused for want of targets and sent again.
+func (l *Limiter) Withdraw(o *catalog.Organisation, tokens int64, chargedAt, now time.Time) {
+	l.Refund(o, tokens)
+	if o == nil || o.Rate <= 0 {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if b := l.buckets[o.Name]; b != nil {
+		b.decayDemand(now)
+		counted := float64(tokens) / demandTimeConstant.Seconds() * math.Exp(-float64(max(0, now.Sub(chargedAt)))/float64(demandTimeConstant))
+		b.usage.Demand = max(0, b.usage.Demand-counted)
+	}
+}
+
 // refill refills the organisation's bucket up to now, and creates it if there is none. It returns the bucket and what is
 // estimated of the peers.
 func (l *Limiter) refill(o *catalog.Organisation, now time.Time) (*bucket, peerEstimate) {
