One queue at the host: requests wait there for connections and stated rates too

They are sent in its order now, when load falls or the queue is looked at, and refused under the same rules as before: after the objective, or at once behind more requests than a stated rate takes. Checked: go test -race -cpu 1 ./lib/filter/relay (the tests of stated rates run with and without the setting), go test ./lib/hostqueue.

--- a/lib/filter/relay/pacedqueue.go
+++ b/lib/filter/relay/pacedqueue.go
@@ -41,10 +41,15 @@
 func (q *pacedQueues) drainTime(name string, perSecond float64) time.Duration {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	return drainTime(q.waiting[name], perSecond)
+}
+
+// drainTime returns the time in which waiting requests, and one more, are taken at a rate.
+func drainTime(waiting int, perSecond float64) time.Duration {
 	if perSecond <= 0 {
 		return 0
 	}
-	return time.Duration(float64(q.waiting[name]+1) / perSecond * float64(time.Second))
+	return time.Duration(float64(waiting+1) / perSecond * float64(time.Second))
 }
 
 // pacedQueue returns the name of the request's queue.
--- a/lib/filter/relay/pacedqueue_test.go
+++ b/lib/filter/relay/pacedqueue_test.go
@@ -8,9 +8,16 @@
 )
 
 // Guards against requests that wait for their whole objective, only to be refused, while their only target states a limit far
-// below the demand.
+// below the demand, with and without a queue at the host.
 func TestRequestsBeyondALimitAreRefusedAtOnce(t *testing.T) {
-	withTargets(t, map[string]script{"near": reply(200, "Limit: 2\r\n", "near")}, func(t *testing.T, r *harness) {
+	for _, run := range []func(*testing.T, map[string]script, func(*testing.T, *harness)){withTargets, withAdmission} {
+		testRequestsBeyondALimit(t, run)
+	}
+}
+
+func testRequestsBeyondALimit(t *testing.T, run func(*testing.T, map[string]script, func(*testing.T, *harness))) {
+	t.Helper()
+	run(t, map[string]script{"near": reply(200, "Limit: 2\r\n", "near")}, func(t *testing.T, r *harness) {
 		var mu sync.Mutex
 		var wg sync.WaitGroup
 		served, refusedAtOnce, refusedLate := 0, 0, 0
--- a/lib/filter/relay/pick.go
+++ b/lib/filter/relay/pick.go
@@ -65,6 +65,9 @@
 		}
 		pause := r.pause(&w, err)
 		if pause < 0 {
+			if w.queued != nil {
+				r.ahead = w.queued.req.Ahead
+			}
 			return nil, err
 		}
 		select {
@@ -98,6 +101,9 @@
 	if schedule, stops := r.cfg.Stop.Schedule(); stops {
 		w.endBefore(schedule.Targets)
 	}
+	if w.queued != nil && (errors.Is(err, balance.ErrBusy) || errors.Is(err, balance.ErrPaced)) {
+		return refuse // it has waited in the queue of the host
+	}
 	if paced := (*balance.PacedError)(nil); errors.As(err, &paced) && !r.joinPacedQueue(w, paced) {
 		return refuse
 	}
--- a/lib/filter/relay/relay.go
+++ b/lib/filter/relay/relay.go
@@ -158,6 +158,7 @@
 	answers      []*forward.Answer // to earlier attempts
 	failedAnswer *try              // latest 5xx answer; passed on unless a later attempt succeeds
 	lastEventID  string            // id of the last event passed on
+	ahead        int               // requests before it in the queue of the host for targets with limits
 	onSend       func()            // called before an attempt is sent; nil: none
 	streaming    bool              // the answer is passed on as a stream: a further attempt has to continue it
 	reserved     *balance.Choice   // target of the next attempt, whose retry is charged; nil: none was reserved
@@ -291,7 +292,7 @@
 		after = r.modelRetryAfter()
 	}
 	if paced := (*balance.PacedError)(nil); errors.As(err, &paced) {
-		after = max(after, r.paced.drainTime(r.pacedQueue(), paced.PerSecond))
+		after = max(after, r.paced.drainTime(r.pacedQueue(), paced.PerSecond), drainTime(r.ahead, paced.PerSecond))
 	}
 	if r.state.MayHaveRun() {
 		reason = refusal.TargetFailed
--- a/lib/filter/relay/relay_test.go
+++ b/lib/filter/relay/relay_test.go
@@ -382,8 +382,15 @@
 // Guards against a target in trouble that gets more requests than it states to take while another one is free, against
 // refusals for that reason, and against a limit that outlives its statement.
 func TestTargetThatStatesALimitIsLeftAlone(t *testing.T) {
+	for _, run := range []func(*testing.T, map[string]script, func(*testing.T, *harness)){withTargets, withAdmission} {
+		testTargetThatStatesALimit(t, run)
+	}
+}
+
+func testTargetThatStatesALimit(t *testing.T, run func(*testing.T, map[string]script, func(*testing.T, *harness))) {
+	t.Helper()
 	limit := "Limit: 2\r\n"
-	withTargets(t, map[string]script{
+	run(t, map[string]script{
 		"near": func(r *receivedRequest) bool { return reply(200, limit, "near")(r) }, "far": reply(200, "", "far"),
 	}, func(t *testing.T, r *harness) {
 		send := func(n int) (near int) {
--- a/lib/hostqueue/hostqueue.go
+++ b/lib/hostqueue/hostqueue.go
@@ -62,15 +62,18 @@
 	Latest       time.Time     // a later begin is of no use to the request
 	Rank         float64       // place in the demand; set by Enter
 
+	// Ahead is the number of requests that waited before it for targets that state a rate, when it was refused because of that rate.
+	Ahead int
 	// Choice is the target that the request is to be sent to, and Err why there is none; both are nil while it waits. Err is a
-	// *RefusedError, or an error of Pick other than ErrFull.
+	// *RefusedError, or an error of Pick other than ErrFull; of ErrBusy and ErrPaced after a wait.
 	Choice *balance.Choice
 	Err    error
 
-	key   string
-	draw  float64
-	due   time.Time
-	entry fairqueue.Entry
+	key     string
+	entered time.Time
+	draw    float64
+	due     time.Time
+	entry   fairqueue.Entry
 }
 
 // Decided reports whether the request is to be sent or not.
@@ -180,6 +183,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	again := r.key != ""
+	r.entered = now
 	r.Choice, r.Err = nil, nil
 	r.key = r.Query.Service + "/" + r.Query.Call.Model
 	r.due = r.Arrived.Add(time.Duration(dueFraction*float64(r.Objective)) - r.Elapsed)
@@ -256,15 +260,22 @@
 	return q.arrivals[r.key].rank(r.priority(), r.Organisation, r.draw, now.After(r.due))
 }
 
+// obstacle is why the requests of a key wait.
+type obstacle struct {
+	full *balance.FullError
+	err  error // ErrBusy or ErrPaced; nil: the targets are full
+}
+
 // decide sends what there is room for, in the order of the queue, and refuses what cannot be begun in time. The caller holds mu.
 func (q *Queue) decide(now time.Time) (decided []*Request) {
 	q.demoteLate(now)
-	full := map[string]*balance.FullError{}
+	obstacles := map[string]obstacle{}
 	for {
 		e := q.levels.Next(func(e *fairqueue.Entry) bool {
 			r := e.Value.(*Request)
 			r.Rank = q.rank(r, now)
-			return full[r.key] != nil && r.Rank >= full[r.key].Sent
+			o, blocked := obstacles[r.key]
+			return blocked && r.Rank >= o.full.Sent
 		})
 		if e == nil {
 			break
@@ -273,10 +284,12 @@
 		r.Query.Rank = r.Rank
 		choice, err := q.balancer.Pick(r.Query, now)
 		if f := (*balance.FullError)(nil); errors.As(err, &f) {
-			if f.Sent > r.Rank { // the balancer's own view has changed
-				f.Sent = r.Rank
-			}
-			full[r.key] = f
+			f.Sent = min(f.Sent, r.Rank) // the balancer's own view may have changed
+			obstacles[r.key] = obstacle{full: f}
+			continue
+		}
+		if errors.Is(err, balance.ErrBusy) || errors.Is(err, balance.ErrPaced) {
+			obstacles[r.key] = obstacle{&balance.FullError{}, err}
 			continue
 		}
 		q.levels.Take(e)
@@ -286,7 +299,7 @@
 	if q.levels.Len() == 0 {
 		return decided
 	}
-	return append(decided, q.refuse(full, now)...)
+	return append(decided, q.refuse(obstacles, now)...)
 }
 
 // demoteLate moves the requests that have become late to the level of late ones. The caller holds mu.
@@ -304,16 +317,27 @@
 	}
 }
 
-// refuse takes out the requests that will not be begun in time, and those that have waited too long. full holds by key why the
-// requests wait. The caller holds mu.
-func (q *Queue) refuse(full map[string]*balance.FullError, now time.Time) (decided []*Request) {
+// refuse takes out the requests that will not be begun in time, and those that have waited too long. The caller holds mu.
+func (q *Queue) refuse(obstacles map[string]obstacle, now time.Time) (decided []*Request) {
 	var waiting []*Request
 	q.levels.All(func(e *fairqueue.Entry) bool {
 		waiting = append(waiting, e.Value.(*Request))
 		return true
 	})
+	ahead := map[string]int{}
 	for _, r := range waiting {
-		refused := q.judge(r, full[r.key], now)
+		o := obstacles[r.key]
+		if o.err != nil {
+			if r.Ahead = ahead[r.key]; !r.mayWaitFor(o.err, now) {
+				q.levels.Remove(&r.entry)
+				r.Err = o.err
+				decided = append(decided, r)
+				continue
+			}
+			ahead[r.key]++
+			continue
+		}
+		refused := q.judge(r, o.full, now)
 		if refused == nil {
 			continue
 		}
@@ -329,6 +353,16 @@
 	return decided
 }
 
+// mayWaitFor reports whether the request goes on to wait for connections, or for targets that state a rate: up to its objective, and not
+// behind more requests than such targets take in that time.
+func (r *Request) mayWaitFor(err error, now time.Time) bool {
+	if paced := (*balance.PacedError)(nil); errors.As(err, &paced) && r.Ahead > 0 &&
+		float64(r.Ahead+1) > paced.PerSecond*r.Objective.Seconds() {
+		return false
+	}
+	return now.Sub(r.entered) < r.Objective && now.Before(r.Latest)
+}
+
 // judge returns why a request does not wait any longer, or nil. The caller holds mu.
 func (q *Queue) judge(r *Request, full *balance.FullError, now time.Time) *RefusedError {
 	e := &RefusedError{
--- a/lib/hostqueue/hostqueue_test.go
+++ b/lib/hostqueue/hostqueue_test.go
@@ -259,3 +259,40 @@
 		t.Errorf("%d wait", q.Len())
 	}
 }
+
+// busyBalancer has no connection, or no request of a stated rate, to spare.
+type busyBalancer struct{ err error }
+
+func (b *busyBalancer) Pick(balance.Query, time.Time) (*balance.Choice, error) {
+	if b.err != nil {
+		return nil, b.err
+	}
+	return &balance.Choice{}, nil
+}
+
+// Guards against requests that wait for connections, or for targets that state a rate, for longer than their objective, behind more than
+// these take in that time, or after one has come free.
+func TestRequestsWaitForConnectionsAndStatedRates(t *testing.T) {
+	at := time.Unix(1000, 0)
+	b := &busyBalancer{balance.ErrBusy}
+	q := New(b, func() float64 { return 0.5 })
+	q.Enter(request("o", 0, at), at)
+	if decided := q.Advance(at.Add(799 * time.Millisecond)); len(decided) > 0 {
+		t.Errorf("%v", decided[0].Err)
+	}
+	if decided := q.Advance(at.Add(800 * time.Millisecond)); len(decided) != 1 || !errors.Is(decided[0].Err, balance.ErrBusy) {
+		t.Errorf("%v", decided)
+	}
+	b.err = &balance.PacedError{PerSecond: 5}
+	refused := 0
+	for range 10 {
+		refused += len(q.Enter(request("o", 0, at), at))
+	}
+	if refused != 6 || q.Len() != 4 {
+		t.Errorf("%d refused, %d wait for 5 a second within 0.8 s", refused, q.Len())
+	}
+	b.err = nil
+	if decided := q.Advance(at.Add(100 * time.Millisecond)); len(decided) != 4 {
+		t.Errorf("%d sent", len(decided))
+	}
+}
