--- a/lib/balance/room.go
+++ b/lib/balance/room.go
@@ -422,8 +422,11 @@
 	return time.Duration(max(cache, prefill))
 }
 
-// recordStart completes a choice with what is needed to learn from its course; the caller holds mu.
+// recordStart completes a choice with what is needed to learn from its course, if somebody asks for room; the caller holds mu.
 func (b *Balancer) recordStart(c *Choice, q *Query) {
+	if b.onRoom == nil {
+		return
+	}
 	c.key, c.startIn = roomKey(q.Service, q.Call.Model), b.startIn(c.picked, c.picked.local.Plus(c.load, -1), b.engineOf(q), q)
 	b.countPriority(c.key, max(0, q.Priority))
 }
