The part of the demand that is sent falls faster when demand rises above capacity

Cause: the averaged demand lagged by a second, and what was sent meanwhile began late. Change: a rise above what targets can serve counts by half at once.

--- a/lib/balance/room.go
+++ b/lib/balance/room.go
@@ -59,6 +59,8 @@
 	minSent = 0.05
 	// demandWeight is the weight of the newest sample in the estimated demand; there is one with each state that the host sends.
 	demandWeight = 0.25
+	// risingDemandWeight is that weight where demand is above what targets can serve and rises: what is sent meanwhile is late.
+	risingDemandWeight = 0.5
 	// maxDemand bounds the estimated demand, as a multiple of what the targets can serve.
 	maxDemand = 10.0
 	// gateHistory is the time for which samples are kept, and slopeTime that over which the change of the wait is taken.
@@ -318,7 +320,11 @@
 	if old := g.sampleAt(now.Add(-slopeTime)); old != nil {
 		g.slope = (wait - old.wait) / now.Sub(old.at).Seconds()
 		demand := min(maxDemand, max(0, (g.slope+(fill+old.fill)/2)/sentBefore))
-		g.demand += demandWeight * (demand - g.demand)
+		weight := demandWeight
+		if demand > g.demand && g.demand > 1 {
+			weight = risingDemandWeight
+		}
+		g.demand += weight * (demand - g.demand)
 	}
 	// A queue that is due to chance becomes shorter by itself.
 	wanted := g.wanted.Seconds() * min(chanceQueue, max(1, chanceQueue-(g.demand-1)/chanceDemand))
