--- a/lib/balance/room.go
+++ b/lib/balance/room.go
@@ -293,7 +293,8 @@
 	engine, busy := b.engineOf(q), b.busyTime(key).Seconds()
 	running, slots, others, n := 0.0, 0.0, 0.0, 0.0
 	for _, t := range b.targets {
-		if t.info.Slots <= 0 || t.info.Service != g.service || t.info.State != registry.Ready || !b.couldServe(t, *q, now) || !t.health.usable(now) || t.pause.active(now) {
+		if t.info.Slots <= 0 || t.info.Service != g.service || t.info.State != registry.Ready || !b.couldServe(t, *q, now) ||
+			!t.health.usable(now) || t.pause.active(now) {
 			continue
 		}
 		load := t.local.Plus(t.peers, 1)
--- a/lib/hostqueue/hostqueue_test.go
+++ b/lib/hostqueue/hostqueue_test.go
@@ -94,7 +94,8 @@
 			return during(0.5*capacity*p, 5, 4*second, 8*second)
 		})}, func(_ int, s *sim) bool {
 			back := s.report(func(c *simCall) bool { return c.sends > 1 })
-			return quantile(s.of("").lastWaits, 0.9) < 2200*time.Millisecond && back.n > 100 && back.part(back.answered) > 0.15 && s.of("").part(s.of("").answered) > 0.65
+			return quantile(s.of("").lastWaits, 0.9) < 2200*time.Millisecond && back.n > 100 && back.part(back.answered) > 0.15 &&
+				s.of("").part(s.of("").answered) > 0.65
 		}},
 	} {
 		for _, hosts := range []int{7, 80} {
