--- a/lib/balance/balance.go
+++ b/lib/balance/balance.go
@@ -6,13 +6,17 @@
 package balance
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"cuminhook.org/cuminhook/lib/catalog"
 	"cuminhook.org/cuminhook/lib/passthrough"
 	"cuminhook.org/cuminhook/lib/registry"
@@ -97,7 +101,8 @@
 	StartWithin time.Duration
 	Priority    int // 0 is the most urgent; targets serve requests in this order
 	// Rank is the place of the request in the demand, from 0 to 1, in the order in which it is sent while targets are full.
-	Rank float64
+	Rank    float64
+	Regions []string // in which a target must be; nil: any
 }
 
 // Connections states how many connections a host may have to a target.
@@ -131,18 +136,27 @@
 	connections Connections // nil: not limited
 	rates       Rates       // nil: not limited
 
-	mu            sync.Mutex
-	targets       map[string]*target            // guarded by mu; by id
-	peers         map[string]map[string]Load    // guarded by mu; by host and target
-	residency     map[string]registry.Residency // guarded by mu; by target, from the controller; precedes store entries
-	latencyRatios map[string]float64            // guarded by mu; by model: observed over expected time to the first event
-	catalog       *catalog.Catalog
-	random        *rand.Rand
-	hosts         int                       // guarded by mu; including this one
-	absent        map[string]absentPause    // guarded by mu; pauses of targets that are not in the list, by target
-	room          roomModel                 // guarded by mu
-	onRoom        func(service string)      // guarded by mu
-	peerSuspects  map[string]map[string]int // guarded by mu; hosts that find a target unresponsive, by host that reports them and target
+	mu             sync.Mutex
+	targets        map[string]*target            // guarded by mu; by id
+	list           []*target                     // guarded by mu; the targets by id
+	peers          map[string]map[string]Load    // guarded by mu; by host and target
+	residency      map[string]registry.Residency // guarded by mu; by target, from the controller; precedes store entries
+	latencyRatios  map[string]float64            // guarded by mu; by model: observed over expected time to the first event
+	catalog        *catalog.Catalog
+	random         *rand.Rand
+	hosts          int                       // guarded by mu; including this one
+	absent         map[string]absentPause    // guarded by mu; pauses of targets that are not in the list, by target
+	room           roomModel                 // guarded by mu
+	onRoom         func(service string)      // guarded by mu
+	peerSuspects   map[string]map[string]int // guarded by mu; hosts that find a target unresponsive, by host that reports them and target
+	even           bool                      // guarded by mu; choose by pickEven
+	newsDelay      time.Duration             // guarded by mu; in which a report reaches all hosts
+	prefixLoads    map[uint64]*prefixLoad    // guarded by mu; by hash of the prefix
+	options        []option                  // guarded by mu; scratch space of pickEven
+	outliers       outliers                  // guarded by mu
+	prefixRequests uint64                    // guarded by mu; requests with a shared prefix
+	prefixSpills   uint64                    // guarded by mu; those of them that were sent to other targets than hold the prefix
+	eligibility    eligibility               // guarded by mu
 }
 
 // target is a target with its load, what its KV cache probably holds, and its health.
@@ -150,6 +164,15 @@
 	prefillMS      float64   // prefill time in ms of this host's requests: an exponentially decaying sum as of prefillUpdated
 	prefillUpdated time.Time // last change of prefillMS
 	info           *registry.Target
+	hash           uint64    // of the id
+	isNew          bool      // appeared after others were known
+	seenAt         time.Time // first choice of which the target was a candidate
+	speed          float64   // learned, relative to other targets; see learnSpeeds
+	logSpeed       float64   // its logarithm
+	meanBacklog    float64   // averaged backlog of prompts in milliseconds, as of averagedAt
+	meanPrefill    float64   // averaged prefill load in milliseconds a second
+	averagedAt     time.Time
+	speedDue       time.Duration        // since the last step of logSpeed
 	local          Load                 // of this host's requests, without PrefillMSPerSecond
 	peers          Load                 // of all other hosts' requests
 	missing        map[string]time.Time // by model or model/adapter: until when it counts as not loaded
@@ -164,7 +187,7 @@
 func New(zone string, connections Connections, rates Rates, random *rand.Rand) *Balancer {
 	return &Balancer{
 		zone: zone, connections: connections, rates: rates, targets: map[string]*target{}, peers: map[string]map[string]Load{}, latencyRatios: map[string]float64{},
-		random: random,
+		random: random, prefixLoads: map[uint64]*prefixLoad{},
 	}
 }
 
@@ -179,12 +202,12 @@
 func (b *Balancer) SetTargets(all []*registry.Target) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	seen := make(map[string]bool, len(all))
+	seen, first := make(map[string]bool, len(all)), len(b.targets) == 0
 	for _, info := range all {
 		seen[info.ID] = true
 		t := b.targets[info.ID]
 		if t == nil || t.info.Started != info.Started {
-			t = &target{missing: map[string]time.Time{}}
+			t = &target{missing: map[string]time.Time{}, hash: xxhash.Sum64String(info.ID), isNew: !first, speed: 1}
 			b.targets[info.ID] = t
 			if a, ok := b.absent[info.ID]; ok && a.started == info.Started {
 				t.pause = a.pause
@@ -202,6 +225,7 @@
 			delete(b.targets, id)
 		}
 	}
+	b.list = slices.SortedFunc(maps.Values(b.targets), func(x, y *target) int { return cmp.Compare(x.info.ID, y.info.ID) })
 	b.sumPeerLoads()
 }
 
@@ -317,10 +341,7 @@
 	if now.Before(t.missing[model]) {
 		return false, false
 	}
-	list := t.info.Models
-	if h, ok := b.residency[t.info.ID]; ok && h.Started == t.info.Started {
-		list = h.Models
-	}
+	list := b.models(t)
 	for i := range list {
 		if list[i].Model == model {
 			hasModel = true
@@ -333,8 +354,16 @@
 	return hasModel, hasModel && hasAdapter && !now.Before(t.missing[model+"/"+adapter])
 }
 
+// models returns the models that t has loaded; the caller holds mu.
+func (b *Balancer) models(t *target) []registry.ResidentModel {
+	if h, ok := b.residency[t.info.ID]; ok && h.Started == t.info.Started {
+		return h.Models
+	}
+	return t.info.Models
+}
+
 // Pick chooses the target of least cost and adds the request to its load. Errors: ErrNoTarget, ErrNoModel,
-// ErrNoAdapter, ErrBusy, ErrPaced, ErrPaused.
+// ErrNoAdapter, ErrBusy, ErrPaced, ErrPaused, ErrEvacuated, ErrRegion.
 func (b *Balancer) Pick(q Query, now time.Time) (*Choice, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -365,21 +394,28 @@
 const (
 	rankUsable    rank = iota
 	rankNonMember      // this host keeps no connections to the target
+	rankSetAside       // fails a part of its requests
 	rankUnusable       // suspended, or being probed
 	ranks
 )
 
 // candidates returns the targets of the first rank that is not empty. A target in a pause, or to which this host may open no
 // further connection, or send no request within the target's rate, is left out. Errors: ErrNoTarget, ErrNoModel, ErrNoAdapter,
-// ErrBusy, ErrPaced, ErrPaused.
+// ErrBusy, ErrPaced, ErrPaused, ErrEvacuated, ErrRegion.
 func (b *Balancer) candidates(q Query, now time.Time) ([]*target, error) {
+	b.updateOutliers(now)
 	var byRank [ranks][]*target
 	var pausedUntil time.Time // the earliest
+	var ineligible error
 	err, pacedRate := ErrNoTarget, 0.0
-	for _, t := range b.targets {
+	for _, t := range b.list {
 		if t.info.Service != q.Service || t.info.State != registry.Ready {
 			continue
 		}
+		if barred := b.eligibility.check(t, &q); barred != nil {
+			ineligible = mergeIneligible(ineligible, barred)
+			continue
+		}
 		if t.pause.active(now) {
 			if !b.couldServe(t, q, now) {
 				if err == ErrNoTarget {
@@ -416,6 +452,7 @@
 		r := b.rankOf(t, now)
 		byRank[r] = append(byRank[r], t)
 	}
+	keepHalf(&byRank)
 	var full *FullError
 	for r, list := range byRank {
 		if q.StartWithin > 0 && len(list) > 0 && rank(r) != rankUnusable {
@@ -433,6 +470,8 @@
 		return nil, &PacedError{pacedRate}
 	case (err == ErrNoTarget || err == ErrNoModel) && !pausedUntil.IsZero():
 		return nil, &PausedError{pausedUntil}
+	case err == ErrNoTarget && ineligible != nil:
+		return nil, ineligible
 	}
 	return nil, err
 }
@@ -470,6 +509,8 @@
 	switch {
 	case !t.health.usable(now):
 		return rankUnusable
+	case b.leftOut(t, now):
+		return rankSetAside
 	case b.connections != nil && !b.connections.Member(t.info.Addr):
 		return rankNonMember
 	default:
@@ -479,6 +520,9 @@
 
 // pickPlain chooses a target of a service without engines, by requests in flight for each slot.
 func (b *Balancer) pickPlain(candidates []*target, now time.Time) *Choice {
+	if b.even {
+		return b.pickPlainEven(candidates, now)
+	}
 	best, lowest := candidates[0], 0.0
 	for i, t := range candidates {
 		running := float64(t.local.Running + t.peers.Running)
@@ -507,6 +551,7 @@
 // probes whether t answers again.
 func (b *Balancer) assign(t *target, load Load, model string, now time.Time) *Choice {
 	t.local.add(load, 1)
+	t.health.sentTo(now, b.hosts)
 	if b.rates != nil {
 		b.rates.Take(t.info.ID, now)
 	}
--- a/lib/catalog/catalog.go
+++ b/lib/catalog/catalog.go
@@ -50,6 +50,8 @@
 	MaxAttempts int           // number of targets that may run one request
 	Public      bool          // callers need no key
 	Resumable   bool          // a stream may resume at another target
+	// AllowedRegions are the regions whose targets may get the requests; empty: all.
+	AllowedRegions []string
 }
 
 // Repeatable reports whether a request may run on more than one target.
@@ -82,6 +84,10 @@
 	Name     string
 	MaxConns int     // connections that each target accepts from all hosts together; zero: not limited
 	Engine   *Engine // nil for a plain service
+	// ColdStart is how long a target is cold after its start, and ColdPerSecond the requests a second that a cold target takes from all
+	// hosts together. If either is zero no target is cold.
+	ColdStart     time.Duration
+	ColdPerSecond float64
 }
 
 // Organisation is a customer with its keys and limits.
@@ -93,6 +99,24 @@
 	Rate        float64 // tokens per second over all hosts; zero: unlimited
 	Burst       float64 // capacity of the token bucket, in tokens
 	PlainTokens int64   // tokens charged for a request that states no token counts
+	// AllowedRegions are the regions whose targets may get the organisation's requests; empty: all.
+	AllowedRegions []string
+}
+
+// AllowedRegions returns the regions that both the route and the organisation, which may be nil, allow; nil: all. ok is false if they
+// have none in common.
+func AllowedRegions(r *Route, o *Organisation) (regions []string, ok bool) {
+	if len(r.AllowedRegions) > 0 {
+		regions = r.AllowedRegions
+	}
+	if o == nil || len(o.AllowedRegions) == 0 {
+		return regions, true
+	}
+	if regions == nil {
+		return o.AllowedRegions, true
+	}
+	regions = slices.DeleteFunc(slices.Clone(regions), func(region string) bool { return !slices.Contains(o.AllowedRegions, region) })
+	return regions, len(regions) > 0
 }
 
 // Content is the content of a catalog.
@@ -168,3 +192,15 @@
 	}
 	return r.Split[len(r.Split)-1].Service
 }
+
+// ModelMemoryMB returns the memory in MB that a target has for models: its memory less that of its adapter slots, each as large
+// as the largest configured adapter.
+func (e *Engine) ModelMemoryMB() float64 {
+	largest := 0.0
+	for _, m := range e.Models {
+		if len(m.Adapters) > 0 {
+			largest = max(largest, m.AdapterMB)
+		}
+	}
+	return e.MemoryMB - float64(e.AdapterSlots)*largest
+}
--- a/lib/entryhost/entryhost.go
+++ b/lib/entryhost/entryhost.go
@@ -95,8 +95,10 @@
 	cfg          Config
 	log          *slog.Logger
 	balancer     *balance.Balancer
+	aside        *asideLog
 	limiter      *orglimit.Limiter
 	rates        *targetrate.Limits
+	cold         *coldRole
 	retries      *retry.Budget
 	connections  *connections
 	peers        *peers.Exchanger
@@ -111,6 +113,7 @@
 	catchingUp   atomic.Bool // a configuration is being read from a peer
 	targetsRead  atomic.Bool // a list of targets has been read
 	stopping     atomic.Bool
+	evacuated    atomic.Int64 // number of evacuated zones
 	stop         *stopping.Stop
 	settingsMu   sync.Mutex
 	current      Settings // guarded by settingsMu; Config.Settings with what was reloaded since
@@ -128,10 +131,17 @@
 		balancer: balance.New(s.Zone, conns, rates, newRandom()),
 		limiter:  orglimit.New(time.Now()), meter: workload.New(), retries: retry.NewBudget(s.RetryRatio, s.RetrySlack),
 	}
+	h.balancer.SetRegions(s.Zones)
+	cfg.Metrics.NewGauge("cuminhook_evacuated_zones", func() float64 { return float64(h.evacuated.Load()) })
+	h.cold = newColdRole(h)
+	h.balancer.SetEvenLoad(s.EvenLoad)
+	h.balancer.SetAside(s.SetAside)
+	h.aside = newAsideLog(h.balancer, cfg.Log, cfg.Metrics)
 	h.role = newPlacementRole(h)
 	h.quarantine = newQuarantineRole(s.Host, cfg.Store, func() { h.peers.Relay() }, cfg.Log, cfg.Metrics)
 	h.placer = placer.New(placer.Config{
 		Host: s.Host, Client: cfg.Engines, ShouldCampaign: h.role.shouldCampaign, LoadRateFactor: s.Placement.LoadsOvershoot,
+		Waves: s.Placement.Waves, DemandTimeConstant: workload.AverageTimeConstant, LoadedBefore: h.role.loadedBefore,
 		Demand: h.role.totalDemand, Suspects: h.role.agreedSuspects,
 		Paused:        func(id string) bool { return h.balancer.Paused(id, time.Now()) },
 		StateInterval: func() time.Duration { return h.peers.Fleet().Interval }, Publish: h.role.publish,
@@ -139,7 +149,7 @@
 			lease.Options{Wait: leaseWait, Clock: bootclock.Now, History: cfg.Store.History}),
 		Log: cfg.Log, Metrics: cfg.Metrics,
 	})
-	h.peers = peers.New(peers.Config{Host: s.Host, Zone: s.Zone, Addr: s.Peers, LinkMbps: s.LinkMbps}, peers.Handlers{
+	h.peers = peers.New(peers.Config{Host: s.Host, Zone: s.Zone, Addr: s.Peers, LinkMbps: s.LinkMbps, FarInterval: s.FarInterval}, peers.Handlers{
 		FillState: h.fillState, FillPartialState: h.fillPartialState, Placement: h.role.latestPlacement,
 		OnState: h.handleState, OnUnreachable: h.removeHost, OnFleet: h.setFleet,
 		OnAggregatorSilent: func() { h.storeWatcher.PollNow() },
@@ -149,10 +159,10 @@
 		},
 	}, cfg.Log)
 	h.storeWatcher = storewatch.New(cfg.Store, cfg.Codec, storewatch.Handlers{
-		OnCatalog: h.setCatalog, OnTargets: h.setTargets, OnHosts: h.peers.SetEntries, OnQuarantine: h.quarantine.restore,
+		OnCatalog: h.setCatalog, OnTargets: h.setTargets, OnHosts: h.peers.SetEntries, OnZones: h.setEvacuations, OnQuarantine: h.quarantine.restore,
 		OnRestored: h.quarantine.forgetAllStored, Announce: h.peers.Announce,
 	}, cfg.Log)
-	h.statements = &statements{h.storeWatcher, h.balancer, cfg.Log, cfg.Metrics}
+	h.statements = &statements{h.storeWatcher, h.balancer, h.cold, cfg.Log, cfg.Metrics}
 	if source, ok := cfg.Engines.(orders.StatedSource); ok {
 		source.OnStated(h.statements.ofOrders)
 	}
@@ -179,6 +189,7 @@
 // setCatalog applies a new configuration.
 func (h *Host) setCatalog(c *catalog.Catalog) {
 	h.connections.SetCatalog(c)
+	h.rates.SetCatalog(c)
 	h.balancer.SetCatalog(c)
 	h.placer.SetCatalog(c)
 	h.catalog.Store(c)
@@ -191,28 +202,31 @@
 		return t.Addr == s.Listen || t.Addr == s.Ready || t.Addr == s.Peers || t.Addr == s.Metrics
 	})
 	h.connections.SetTargets(list)
-	h.retainRates(list)
+	if h.rates.SetTargets(list, time.Now()) {
+		h.cold.announce()
+	}
 	h.balancer.SetTargets(list)
 	h.placer.SetTargets(list)
 	h.targetsRead.Store(true)
 }
 
-func newRandom() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
-
-// retainRates forgets the rates of targets that are not in the list.
-func (h *Host) retainRates(list []*registry.Target) {
-	known := make(map[string]bool, len(list))
-	for _, t := range list {
-		known[t.ID] = true
-	}
-	h.rates.Retain(func(target string) bool { return known[target] })
+// setEvacuations applies a change of the zones that are evacuated. The targets of a zone that returns are limited before they are used.
+func (h *Host) setEvacuations(e storewatch.Evacuations) {
+	h.rates.ZonesReturned(e.Returned, time.Now())
+	h.balancer.SetEvacuated(e.Zones)
+	h.placer.SetEvacuated(e.Zones)
+	h.evacuated.Store(int64(len(e.Zones)))
 }
 
+func newRandom() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
+
 // setFleet applies what is newly known of the fleet.
 func (h *Host) setFleet(f peers.Fleet) {
 	h.limiter.SetHosts(len(f.Known)+1, f.Spread)
 	h.rates.SetHosts(len(f.Known)+1, f.Spread)
+	h.rates.SetMembers(h.cfg.Settings.Host, f.Known, time.Now())
 	h.balancer.SetHosts(len(f.Known) + 1)
+	h.balancer.SetNewsDelay(f.Spread)
 	h.retries.SetHosts(len(f.Known) + 1)
 	h.connections.SetHosts(f.Known)
 	h.storeWatcher.SetPolling(h.polling(f))
@@ -231,7 +245,7 @@
 
 // polling returns this host's part in polling the store.
 func (h *Host) polling(f peers.Fleet) storewatch.Polling {
-	within := min(h.cfg.Settings.DrainWithin, h.cfg.Settings.ConfigWithin)
+	within := min(h.cfg.Settings.DrainWithin, h.cfg.Settings.ConfigWithin, h.cfg.Settings.EvacuateWithin)
 	p := storewatch.Polling{
 		Poller: f.Poller, Pollers: f.Pollers, Window: within - announceTime - 2*(f.Spread-f.Interval)/3, Interval: meshPollInterval,
 	}
@@ -241,9 +255,19 @@
 	return p
 }
 
+// engineLoad returns the demand at this host by model, in milliseconds of engine time a second.
+func (h *Host) engineLoad(now time.Time) map[string]float64 {
+	load := h.meter.EngineLoad(now)
+	if h.cfg.Settings.Placement.Waves {
+		return workload.BySpeed(load, h.balancer.Slowness)
+	}
+	return load
+}
+
 // fillState fills in a full state of this host.
 func (h *Host) fillState(s *peers.State) {
 	now := time.Now()
+	h.aside.update(now)
 	s.Changes = h.storeWatcher.TargetChanges()
 	if c := h.catalog.Load(); c != nil {
 		s.ConfigVersion = c.Version
@@ -253,24 +277,27 @@
 		suspects[id] = 1
 	}
 	s.Contribution = aggregate.Contribution{
-		Hosts: 1, Demand: h.limiter.Report(now), TargetDemand: h.rates.Usage(now), Loads: h.balancer.LocalLoads(now), EngineLoad: h.meter.EngineLoad(now),
-		AdapterRates: h.meter.Adapters(now), Suspects: suspects, Outcomes: h.quarantine.detector.Outcomes(now),
+		Hosts: 1, Demand: h.limiter.Report(now), TargetDemand: h.rates.Usage(now), Loads: h.balancer.LocalLoads(now), EngineLoad: h.engineLoad(now),
+		AdapterRates: h.meter.Adapters(now), Suspects: suspects, Failures: h.balancer.LocalFailures(now), Outcomes: h.quarantine.detector.Outcomes(now),
 	}
 	h.connections.updateDemand(h.balancer, now)
 	s.TargetRates = h.rates.Statements(now)
+	h.cold.fill(s, now)
 	s.Quarantine = h.quarantine.report(now, h.peers.Fleet().Spread)
 	s.Holder, s.PlacementVersion = h.role.holder(now)
 	s.StoreLost = h.storeWatcher.StoreLost()
+	h.cold.checkContact(!s.StoreLost, now)
 }
 
 // fillPartialState fills in a partial state and reports whether it carries changes that the audience may not know.
 func (h *Host) fillPartialState(s *peers.State, to storewatch.Audience) bool {
 	s.Changes = h.storeWatcher.NewTargetChanges(to)
 	s.Quarantine = h.quarantine.news(to, time.Now())
+	cold := h.cold.fillNews(s, to, time.Now())
 	if c := h.catalog.Load(); c != nil {
 		s.ConfigVersion = c.Version
 	}
-	return !s.Changes.Empty() || len(s.Quarantine.Quarantined)+len(s.Quarantine.Suspects) > 0
+	return !s.Changes.Empty() || cold || len(s.Quarantine.Quarantined)+len(s.Quarantine.Suspects) > 0
 }
 
 // handleState applies a state received from another host.
@@ -281,10 +308,12 @@
 		h.rates.ApplyUsage(s.Host, s.Boot, s.Hosts, s.TargetDemand, now)
 		h.balancer.SetPeerLoads(s.Host, s.Loads)
 		h.balancer.SetSuspects(s.Host, s.Suspects)
+		h.balancer.SetPeerFailures(s.Host, s.Failures)
 		h.quarantine.detector.SetPeerOutcomes(s.Host, &s.Outcomes)
 		h.role.handleState(s, now)
 	}
 	h.rates.Merge(s.TargetRates, now)
+	h.cold.merge(s, now)
 	h.quarantine.merge(s, now)
 	relay := h.storeWatcher.ApplyChanges(s.Changes, s.Kind == peers.Up)
 	if h.role.applyPlacement(s.Placement, now) || relay {
@@ -335,6 +364,7 @@
 	h.rates.RemovePeer(host)
 	h.balancer.SetPeerLoads(host, nil)
 	h.balancer.SetSuspects(host, nil)
+	h.balancer.SetPeerFailures(host, nil)
 	h.quarantine.detector.SetPeerOutcomes(host, nil)
 	h.role.removeHost(host)
 }
--- a/lib/entryhost/settings.go
+++ b/lib/entryhost/settings.go
@@ -22,11 +22,31 @@
 	DrainWithin  time.Duration `yaml:"drain_within"`
 	ConfigWithin time.Duration `yaml:"config_within"`
 
+	// EvacuateWithin is the time after the store's acknowledgement of an operator's request to evacuate a zone within which no target
+	// of the zone gets a request any more, on every host.
+	EvacuateWithin time.Duration `yaml:"evacuate_within"`
+	// Zones holds the region of each zone. A zone that is missing is a region of its own name.
+	Zones map[string]string `yaml:"zones"`
+
 	LinkMbps float64 `yaml:"link_mbps"` // rate of this host's network link in Mbit/s
 
+	// FarInterval is how many times as long as to hosts of their own zone hosts wait between two states to hosts of other zones, in
+	// fleets whose hosts report through others; zero counts as one. Bytes between zones fall, and what hosts know of others is older.
+	FarInterval int `yaml:"far_interval"`
+
 	RetryRatio float64 `yaml:"retry_ratio"` // retries allowed per request of a service, over all hosts
 	RetrySlack float64 `yaml:"retry_slack"` // retries allowed in addition, over all hosts
 
+	// ColdOvershoot and ColdSlack bound the requests that reach a cold target in any second: its service's rate for cold targets times
+	// ColdOvershoot, plus ColdSlack.
+	ColdOvershoot float64 `yaml:"cold_overshoot"`
+	ColdSlack     float64 `yaml:"cold_slack"`
+	// EvenLoad has requests spread over targets by what other hosts have probably sent since their reports, instead of to the target
+	// that looked least loaded.
+	EvenLoad bool `yaml:"even_load"`
+	// SetAside is the largest fraction of a service's targets that get hardly any requests because they fail a part of theirs; zero:
+	// none.
+	SetAside float64 `yaml:"set_aside"`
 	// Admission has requests wait at the host for room at the targets, and refuses at once those that cannot be served.
 	Admission bool `yaml:"admission"`
 
@@ -42,20 +62,27 @@
 type PlacementSettings struct {
 	Lease          time.Duration `yaml:"lease"`           // time to live of the controller's lease
 	LoadsOvershoot float64       `yaml:"loads_overshoot"` // factor on the weight store's permitted rate of loads, at least 1
+	// Waves has the copies of a model that is short of them loaded at once, as far as the weight store tolerates it, in place of
+	// one after the other.
+	Waves bool `yaml:"waves"`
 }
 
 // DefaultSettings returns the settings that apply where the file sets none.
 func DefaultSettings() Settings {
 	return Settings{
-		DrainWithin: 2 * time.Second, ConfigWithin: 2 * time.Second, LinkMbps: 100, RetryRatio: 0.1, RetrySlack: 10,
+		DrainWithin: 2 * time.Second, ConfigWithin: 2 * time.Second, EvacuateWithin: 5 * time.Second, LinkMbps: 100, RetryRatio: 0.1, RetrySlack: 10,
 		Placement: PlacementSettings{Lease: 3 * time.Second, LoadsOvershoot: 1},
-		Grace:     8 * time.Second,
+		Grace:     8 * time.Second, ColdOvershoot: 1,
 	}
 }
 
 const (
+	// minEvacuateWithin is announceTime and as much for a poll of the store.
+	minEvacuateWithin = 1600 * time.Millisecond
 	// defaultStopDelay is enough for a load balancer that checks once a second and stops sending after two failed checks.
 	defaultStopDelay = 2500 * time.Millisecond
+	// maxFarInterval keeps a host that reports to other zones reachable for them: they take it for lost after four intervals.
+	maxFarInterval = 4
 	// minServingGrace is the smallest fraction of the grace that the default leaves to requests after admission has ended.
 	minServingGrace = 0.625
 )
@@ -83,12 +110,30 @@
 	if s.DrainWithin <= 0 || s.ConfigWithin <= 0 {
 		return fmt.Errorf("drain_within (%s) and config_within (%s) must be above 0", s.DrainWithin, s.ConfigWithin)
 	}
+	if s.EvacuateWithin < minEvacuateWithin {
+		return fmt.Errorf("evacuate_within (%s) must be %s or more, the time in which all hosts learn of a change", s.EvacuateWithin, minEvacuateWithin)
+	}
+	for zone, region := range s.Zones {
+		if zone == "" || region == "" {
+			return fmt.Errorf("zones: %q: %q must name a zone and its region; leave out zones that are regions of their own", zone, region)
+		}
+	}
 	if !(s.LinkMbps > 0) {
 		return fmt.Errorf("link_mbps (%v) must be above 0; set it to the rate of this host's link in Mbit/s", s.LinkMbps)
 	}
+	if s.FarInterval < 0 || s.FarInterval > maxFarInterval {
+		return fmt.Errorf("far_interval (%d) must be from 0 to %d; 0 and 1 report to all zones alike", s.FarInterval, maxFarInterval)
+	}
 	if s.RetryRatio < 0 || s.RetrySlack < 0 {
 		return fmt.Errorf("retry_ratio and retry_slack cannot be negative; zero forbids repeats")
 	}
+	if !(s.ColdOvershoot >= 1) || !(s.ColdSlack >= 0) {
+		return fmt.Errorf("cold_overshoot (%v) must be 1 or more, cold_slack (%v) 0 or more; they bound the requests to targets that have just started",
+			s.ColdOvershoot, s.ColdSlack)
+	}
+	if !(s.SetAside >= 0 && s.SetAside < 1) {
+		return fmt.Errorf("set_aside (%v) must be 0 or more and below 1; set it to the fraction of a service that the others can stand in for", s.SetAside)
+	}
 	if s.Placement.Lease < time.Second || s.Placement.LoadsOvershoot < 1 {
 		return fmt.Errorf("placement: lease must be 1s or longer, loads_overshoot 1 or more")
 	}
--- a/lib/filter/relay/harness_test.go
+++ b/lib/filter/relay/harness_test.go
@@ -130,7 +130,10 @@
 	c := catalog.New(catalog.Content{Version: 1, Services: []*catalog.Service{{Name: "s"}}, Routes: []*catalog.Route{
 		route("/safe/", catalog.Idempotent, false), route("/unsafe/", catalog.NonIdempotent, false),
 		route("/stream/", catalog.Stream, false), route("/resumable/", catalog.Stream, true),
+		inRegion(route("/north/", catalog.Idempotent, false), "north"), inRegion(route("/northstream/", catalog.Stream, true), "north"),
+		inRegion(route("/nowhere/", catalog.Idempotent, false), "west"),
 	}})
+	r.balancer.SetRegions(map[string]string{"z": "north"})
 	r.balancer.SetCatalog(c)
 	var targets []*registry.Target
 	for addr := range scripts {
@@ -179,11 +182,23 @@
 	r.balancer.SetTargets(r.targets)
 }
 
+// Cold implements Statements.
+func (r *harness) Cold(*registry.Target, time.Duration) {}
+
+// Down implements Statements.
+func (r *harness) Down(*registry.Target) {}
+
 // Pause implements Statements.
 func (r *harness) Pause(t *registry.Target, d time.Duration, _ string) {
 	r.balancer.Pause(t.ID, t.Started, d, time.Now())
 }
 
+// inRegion returns the route with an allowed region.
+func inRegion(r *catalog.Route, region string) *catalog.Route {
+	r.AllowedRegions = []string{region}
+	return r
+}
+
 func zoneOf(addr string) string {
 	if strings.HasPrefix(addr, "far") {
 		return "other"
--- a/lib/residency/residency.go
+++ b/lib/residency/residency.go
@@ -94,6 +94,7 @@
 	Model     string
 	FromStore bool   // the load reads the weight store, and counts against its rate
 	Reason    string // for logs
+	Idle      bool   // nobody asks for the model that is unloaded
 }
 
 // Reasons of actions.
@@ -110,7 +111,9 @@
 	pace       *storePace
 	usage      map[string]float64 // average demand by model, in milliseconds of engine time per second
 	plannedAt  time.Time
-	waiting    []string // see Waiting
+	waiting    []string   // see Waiting
+	waves      *waveState // nil: copies are not planned in waves
+	succeeds   bool       // an earlier planner may have started loads shortly before
 }
 
 // NewPlanner returns a planner that starts at most rate loads a second from the weight store, and at most burst at once.
@@ -121,7 +124,7 @@
 	if startFull {
 		b.tokens = burst
 	}
-	return &Planner{storeLoads: b, pace: newStorePace(now), usage: map[string]float64{}, plannedAt: now}
+	return &Planner{storeLoads: b, pace: newStorePace(now), usage: map[string]float64{}, plannedAt: now, succeeds: !startFull}
 }
 
 // tokenBucket limits the rate of loads; each load takes one token.
@@ -160,19 +163,22 @@
 	p.storeLoads.refill(now)
 	p.updateUsage(models, now)
 	p.pace.update(targets, now)
+	if p.waves != nil {
+		models = p.waves.prepare(models, p.pace, now)
+	}
 	s := newPlanState(models, targets, p.usage)
+	s.waves = p.waves != nil
 	s.maxUnloading = max(1, int(math.Ceil(p.storeLoads.rate*unloadHorizon.Seconds())))
 	var out []Action
 	p.waiting = nil
 	for _, c := range s.missingCopies() {
-		tokens := 1.0
-		if c.reason == ReasonUnused { // what is in use goes first, also what will be asked for next
-			tokens = p.storeLoads.burst
-		}
-		if a, ok := s.placeCopy(c, p.storeLoads.tokens >= tokens && p.pace.mayStart(c.reason == ReasonLost)); ok {
+		if a, ok := s.placeCopy(c, p.storeAllowed(c, s.copies[c.model.Name], now)); ok {
 			if a.FromStore {
 				p.storeLoads.tokens--
 				p.pace.start(a.Target, c.model, c.reason == ReasonLost, now)
+				if p.waves != nil {
+					p.waves.window.start(a.Target, a.Model, now)
+				}
 			}
 			out = append(out, a)
 		}
@@ -183,6 +189,18 @@
 	return append(out, s.freeMemory()...)
 }
 
+// storeAllowed reports whether a load from the weight store may begin for the missing copy of a model that has as many copies.
+func (p *Planner) storeAllowed(c missingCopy, have int, now time.Time) bool {
+	if p.waves != nil {
+		return p.waves.storeAllowed(c, have, p.pace, now)
+	}
+	tokens := 1.0
+	if c.reason == ReasonUnused { // what is in use goes first, also what will be asked for next
+		tokens = p.storeLoads.burst
+	}
+	return p.storeLoads.tokens >= tokens && p.pace.mayStart(c.reason == ReasonLost)
+}
+
 // Waiting returns the models in demand that had no copy in the last plan and did not get one, because they wait for memory or
 // for a load token. The most urgent comes first.
 func (p *Planner) Waiting() []string { return p.waiting }
@@ -224,13 +242,15 @@
 	anySurplus, anyRare     answer             // see any
 	busy                    map[string]bool    // by target: executes an order, or got an action
 	loadMS                  map[string]float64 // by target: demand in milliseconds of engine time per second
+	waves                   bool               // copies are planned in waves
+	promised                map[string]int     // by model: missing copies for which memory is free or being freed
 }
 
 func newPlanState(models []Model, targets []*Target, usage map[string]float64) *planState {
 	s := &planState{
 		models: models, byName: map[string]*Model{}, targets: targets, usage: usage, copies: map[string]int{},
 		inZone: map[zoneModel]int{}, ready: map[string]int{},
-		busy: map[string]bool{}, loadMS: map[string]float64{},
+		busy: map[string]bool{}, loadMS: map[string]float64{}, promised: map[string]int{},
 	}
 	for i := range models {
 		s.byName[models[i].Name] = &models[i]
@@ -265,7 +285,7 @@
 
 // neededCopies returns the number of copies that the demand needs, at least one.
 func (m *Model) neededCopies() int {
-	return max(1, int(math.Ceil(m.EngineLoad/(1000*maxBusyFraction))))
+	return copiesFor(m.EngineLoad)
 }
 
 // missingCopies lists the models that should get a copy, the most urgent first.
@@ -274,7 +294,7 @@
 	var out []missingCopy
 	for i := range s.models {
 		m := &s.models[i]
-		have, need := s.copies[m.Name], m.neededCopies()
+		have, need := s.copies[m.Name], s.copiesToAdd(m)
 		switch {
 		case have == 0 && m.used():
 			out = append(out, missingCopy{m, ReasonLost, 0, m.EngineLoad})
@@ -314,12 +334,19 @@
 		t.Models = append(t.Models, LoadedModel{Model: c.model.Name, MB: c.model.MB})
 		s.copies[c.model.Name]++
 		s.inZone[zoneModel{t.Zone, c.model.Name}]++
-		return Action{orders.Load, t.ID, c.model.Name, fromStore, c.reason}, true
+		return Action{Op: orders.Load, Target: t.ID, Model: c.model.Name, FromStore: fromStore, Reason: c.reason}, true
+	}
+	if s.waves && !storeAllowed && s.reserveMemory(c.model) {
+		return Action{}, false
 	}
 	if c.reason == ReasonUnused || s.claimUnload(c.model) || s.unloading >= s.maxUnloading {
 		return Action{}, false
 	}
-	return s.evictFor(c)
+	a, ok := s.evictFor(c)
+	if ok {
+		s.promised[c.model.Name]++
+	}
+	return a, ok
 }
 
 // findTarget returns the idle target of least cost that has free memory for the model, or nil.
@@ -333,7 +360,7 @@
 		}
 		cost := s.loadMS[t.ID]
 		if !cached {
-			cost += storeLoadCostMS
+			cost += s.storeLoadCost()
 		}
 		if s.zoneHasModel(t.Zone, m.Name) {
 			cost += sameZoneCostMS
@@ -345,6 +372,14 @@
 	return best
 }
 
+// storeLoadCost returns what is added to the load of a target that would load a copy from the weight store.
+func (s *planState) storeLoadCost() float64 {
+	if s.waves {
+		return waveStoreLoadCostMS
+	}
+	return storeLoadCostMS
+}
+
 func (s *planState) zoneHasModel(zone, model string) bool {
 	return s.inZone[zoneModel{zone, model}] > 0
 }
@@ -367,12 +402,29 @@
 		return false
 	}
 	s.claimed++
+	s.promised[m.Name]++
 	return true
 }
 
+// copiesToAdd returns the number of copies up to which a model gets further ones.
+func (s *planState) copiesToAdd(m *Model) int {
+	if s.waves {
+		return copiesFor(addFraction * m.EngineLoad)
+	}
+	return m.neededCopies()
+}
+
+// copiesToKeep returns the number of copies beyond which a model has a surplus.
+func (s *planState) copiesToKeep(m *Model) int {
+	if s.waves {
+		return copiesFor(keepFraction * m.EngineLoad)
+	}
+	return m.neededCopies()
+}
+
 // surplus returns how many copies a model can lose so that minKept, the needed copies and one ready copy stay.
 func (s *planState) surplus(m *Model, minKept int) int {
-	return min(s.copies[m.Name]-max(minKept, m.neededCopies()), s.ready[m.Name]-1)
+	return min(s.copies[m.Name]-max(minKept, s.copiesToKeep(m)), s.ready[m.Name]-1)
 }
 
 // evictFor unloads a copy from a target that then has free memory for the missing one: a surplus copy, or else the last one
@@ -401,12 +453,18 @@
 			s.claimed++
 			return s.unload(t, v, ReasonFreeMemory), true
 		}
+		if s.waves && c.reason == ReasonDemand {
+			continue
+		}
 		if later || c.reason == ReasonDemand {
 			// A busy target has done its order before a model that has to yield otherwise is loaded again, and a further copy
 			// that does not fit is no reason to take a model its last one.
 			return Action{}, false
 		}
 	}
+	if s.waves && c.reason == ReasonDemand {
+		return s.evictForBurst(m)
+	}
 	return Action{}, false
 }
 
@@ -462,7 +520,7 @@
 		}
 		cost := s.loadMS[t.ID] + costOf(v)
 		if !slices.Contains(t.Cached, m.Name) {
-			cost += storeLoadCostMS
+			cost += s.storeLoadCost()
 		}
 		if best == nil || cost < lowest {
 			best, victim, lowest = t, v, cost
@@ -498,10 +556,10 @@
 			t.Models[i].Unloading, t.Models[i].Ready = true, false
 		}
 	}
-	return Action{orders.Unload, t.ID, m.Name, false, reason}
+	return Action{Op: orders.Unload, Target: t.ID, Model: m.Name, Reason: reason, Idle: !m.used()}
 }
 
-// freeMemory unloads surplus copies until minFreeTargets targets have free memory for the largest model, or will have it
+// freeMemory unloads surplus copies until enough targets have free memory for the largest model, or will have it
 // after their unloads.
 func (s *planState) freeMemory() []Action {
 	largestMB := 0.0
@@ -521,7 +579,7 @@
 		}
 	}
 	var out []Action
-	for freeTargets < minFreeTargets {
+	for freeTargets < s.minFreeTargets() {
 		t, m := s.leastNeededCopy(largestMB)
 		if t == nil {
 			break
@@ -532,6 +590,14 @@
 	return out
 }
 
+// minFreeTargets returns how many targets should have free memory for the largest model.
+func (s *planState) minFreeTargets() int {
+	if s.waves {
+		return max(minFreeTargets, int(waveFreeFraction*float64(len(s.targets))))
+	}
+	return minFreeTargets
+}
+
 // leastNeededCopy returns the target and model of the copy with the largest surplus among those whose unload gives a target
 // neededMB of free memory; nil if there is none.
 func (s *planState) leastNeededCopy(neededMB float64) (*Target, *Model) {
