--- a/lib/targetrate/cold.go
+++ b/lib/targetrate/cold.go
@@ -21,6 +21,8 @@
 	usableFraction = 0.75
 	// memberTTL is how long a host that is no longer known counts as a member. It may be cut off and use its part still.
 	memberTTL = 10 * time.Minute
+	// reportedTTL is how long after the end of a cold time what was sent to the target is reported. It covers several states.
+	reportedTTL = 5 * time.Second
 	// absentTTL is how long a target without an entry is remembered, so that its entry is known to have come back.
 	absentTTL = time.Hour
 	// sameEnd is the difference up to which two ends are taken for that of one statement. The time of transit adds to the end at each
@@ -39,7 +41,8 @@
 	maxSilence = 3 * time.Second
 )
 
-// ColdBound is the bound on the requests that reach a cold target in any second: the service's rate times Overshoot, plus Slack.
+// ColdBound is the bound on the requests that reach a cold target in any second: the service's rate times Overshoot, plus Slack. An
+// Overshoot of zero stands for 1.
 type ColdBound struct{ Overshoot, Slack float64 }
 
 // cold is what is known of a target that may be cold.
@@ -441,13 +444,29 @@
 	return s.limit
 }
 
+// dropEnded forgets what was sent to targets whose cold time has ended, so that hosts no longer report it.
+func (l *Limits) dropEnded(now time.Time) {
+	l.mu.Lock()
+	ended := map[string]bool{}
+	for id, s := range l.cold.targets {
+		if s.limit != nil && !s.active(now.Add(-reportedTTL)) {
+			s.limit = nil
+			ended[id] = l.stated[id].limit == nil
+		}
+	}
+	l.mu.Unlock()
+	if len(ended) > 0 {
+		l.limiter.Retain(func(id string) bool { return !ended[id] })
+	}
+}
+
 // coldPart returns how many requests this host may send to a cold target in boundWindow+arrivalSpread. All hosts divide the bound in the
 // same order, so that they need not hear of each other's requests; with more hosts than requests, most may send none. The caller
 // holds mu.
 func (l *Limits) coldPart(target string, s *cold) int {
 	c := &l.cold
 	_, perSecond := l.terms(s.service)
-	bound := perSecond*max(1, c.bound.Overshoot) + max(0, c.bound.Slack)
+	bound := perSecond*cmp.Or(c.bound.Overshoot, 1) + c.bound.Slack
 	usable := max(min(int(bound), 1), int(usableFraction*bound))
 	if s.partGeneration != c.generation || s.partOf != usable {
 		hosts, before, own := 1, 0, xxhash.Sum64String(target+"/"+c.self)
