--- a/lib/balance/eligible_test.go
+++ b/lib/balance/eligible_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"testing"
+	"time"
 
 	"cuminhook.org/cuminhook/lib/passthrough"
 	"cuminhook.org/cuminhook/lib/registry"
@@ -73,7 +74,7 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if _, fill, ok := b.loadOfAll(&gate{service: "llm", model: "m"}, now); !ok || fill < 1 {
+	if _, fill, ok := b.loadOfAll(&gate{service: "llm", model: "m", wanted: time.Minute}, now); !ok || fill < 1 {
 		t.Errorf("all slots outside of the evacuated zones are taken, but %.2f of them count as taken", fill)
 	}
 }
