Waits at targets follow from Little's law, not from prefill speeds and stated outputs

Change: the time to a first event is the prompt tokens that wait at the targets over those that come in a second, both of which are in the sums; what goes beyond the request's own time is the wait. The learned factor on the KV cache goes. The age of the news is that of SetNewsDelay. The simulated hosts choose by even load.

--- a/lib/balance/room.go
+++ b/lib/balance/room.go
@@ -48,11 +48,6 @@
 	// chanceDemand the fraction of the demand above that from which on it may not.
 	chanceQueue  = 2.0
 	chanceDemand = 0.5
-	// meshNewsAge and fleetNewsAge are the mean age of what a host knows of the others' load, where all hosts send each other their
-	// states and in larger fleets, and meshHosts the number of hosts up to which they do.
-	meshNewsAge  = 250 * time.Millisecond
-	fleetNewsAge = 700 * time.Millisecond
-	meshHosts    = 16
 	// gateStep is the largest factor by which the fraction changes with a sample.
 	gateStep = 2.0
 	// minSent is the least fraction of the demand that is sent: what is sent shows whether targets begin it.
@@ -76,21 +71,15 @@
 	minAheadFraction = 0.1
 	// aheadWeight is the weight of the newest request in the parts of the priorities.
 	aheadWeight = 0.02
-	// cacheFactorStep is the relative change of the KV cache that a target is taken to have, with each request that shows that it has more
-	// or less. The cache that requests are counted with is an upper bound, as few use all of their output.
-	cacheFactorStep = 0.02
-	// maxCacheFactor bounds that factor.
-	maxCacheFactor = 8.0
-	// noWait is the longest wait at a target that counts as none.
-	noWait = 50 * time.Millisecond
+	// minTokenRate is the rate in prompt tokens a second at a target below which nothing follows from the tokens that wait there.
+	minTokenRate = 100.0
 )
 
 // roomModel is what a host has learned of the time that requests spend at targets, by model, or by service for plain ones.
 type roomModel struct {
-	busy        map[string]time.Duration // mean time that a request keeps a slot
-	cacheFactor map[string]float64       // KV cache that targets have, as requests are counted, over what is stated
-	byPriority  map[string][]float64     // parts of the requests, by priority
-	gates       map[string]*gate
+	busy       map[string]time.Duration // mean time that a request keeps a slot
+	byPriority map[string][]float64     // parts of the requests, by priority
+	gates      map[string]*gate
 }
 
 // gate decides which fraction of the demand for a model is sent while its targets are full. All hosts see about the same load of all
@@ -103,6 +92,8 @@
 	demand         float64 // requests that arrive over those that the targets can begin
 	sent           float64 // fraction that is sent
 	slope          float64 // change of the wait, in seconds a second
+	firstEvent     float64 // mean time in seconds from a request to its first event at the targets; zero: not known
+	meanBacklog    float64 // prompt tokens that wait at a target, on average
 	samples        []gateSample
 }
 
@@ -157,26 +148,6 @@
 	b.room.busy[key] = old + time.Duration(busyTimeWeight*float64(d-old))
 }
 
-// observeWait learns from the time that a request has waited at a target, where its KV cache was expected to be the reason for a wait.
-// The caller holds mu.
-func (b *Balancer) observeWait(key string, expected, observed time.Duration) {
-	factor := b.cacheFactor(key)
-	switch {
-	case expected <= 0:
-		return
-	case observed < noWait:
-		factor *= 1 + cacheFactorStep
-	case observed > expected:
-		factor *= 1 - cacheFactorStep
-	}
-	if b.room.cacheFactor == nil {
-		b.room.cacheFactor = map[string]float64{}
-	}
-	b.room.cacheFactor[key] = min(maxCacheFactor, max(1, factor))
-}
-
-func (b *Balancer) cacheFactor(key string) float64 { return max(1, b.room.cacheFactor[key]) }
-
 // countPriority counts a request that is picked for; the caller holds mu.
 func (b *Balancer) countPriority(key string, priority int) {
 	if b.room.byPriority == nil {
@@ -274,9 +245,9 @@
 		g.sent = 1
 		return
 	}
-	age := fleetNewsAge
-	if b.hosts <= meshHosts {
-		age = meshNewsAge
+	age := b.newsDelay
+	if age <= 0 {
+		age = defaultNewsDelay
 	}
 	before := g.sent
 	g.update(wait, fill, age, now)
@@ -288,10 +259,9 @@
 // loadOfAll returns the wait at all targets of a gate, and the fraction of their work that is done; ok is false if there are none. The
 // caller holds mu.
 func (b *Balancer) loadOfAll(g *gate, now time.Time) (wait, fill float64, ok bool) {
-	key := roomKey(g.service, g.model)
-	q := &Query{Service: g.service, Call: &passthrough.Call{Model: g.model}, Priority: math.MaxInt}
-	engine, busy := b.engineOf(q), b.busyTime(key).Seconds()
-	running, slots, others, n := 0.0, 0.0, 0.0, 0.0
+	q := &Query{Service: g.service, Call: &passthrough.Call{Model: g.model}}
+	engine := b.engineOf(q)
+	running, slots, tokens, perSecond, n := 0.0, 0.0, 0.0, 0.0, 0.0
 	for _, t := range b.targets {
 		if t.info.Slots <= 0 || t.info.Service != g.service || t.info.State != registry.Ready || !b.couldServe(t, *q, now) ||
 			!t.health.usable(now) || t.pause.active(now) {
@@ -299,16 +269,25 @@
 		}
 		load := t.local.Plus(t.peers, 1)
 		running, slots, n = running+float64(load.Running), slots+float64(t.info.Slots), n+1
-		others += b.otherWait(load, engine, q, key).Seconds()
+		tokens += float64(load.PrefillTokens)
+		perSecond += (t.localPrefillLoad(now) + float64(t.peers.PrefillMSPerSecond)) * prefillTokensPerMS
 	}
 	if slots == 0 {
 		return 0, 0, false
 	}
-	wait = (running/slots - 1) * busy
+	wait = (running/slots - 1) * b.busyTime(roomKey(g.service, g.model)).Seconds()
 	fill = min(1, running/slots)
-	// Prompts that are prefilled are no sign of a full target, unless they wait for each other.
-	if others /= n; others > max(wait, g.wanted.Seconds()/2) {
-		wait, fill = others, 1
+	g.firstEvent, g.meanBacklog = 0, tokens/n
+	if !b.even {
+		perSecond /= b.latencyRatio(g.model) // the time of a prefill is counted with the ratio
+	}
+	if engine != nil && perSecond > minTokenRate*n {
+		// By Little's law, whatever it is that requests wait for: slots, KV cache, or the prompts of others. A first event may take as long
+		// as the wait that is wanted for the request's own prompt.
+		g.firstEvent = tokens / perSecond
+		if other := g.firstEvent - g.wanted.Seconds(); other > max(wait, g.wanted.Seconds()/2) {
+			wait, fill = other, 1
+		}
 	}
 	return wait, fill, true
 }
@@ -402,8 +381,8 @@
 	return nil
 }
 
-// startIn returns the time until the target is expected to begin a request: until a slot and KV cache are free, and the prompts
-// ahead of it are prefilled. local is the load of this host there, without the request. The caller holds mu.
+// startIn returns the time until the target is expected to begin a request: until a slot is free, and for as long as prompts wait there
+// longer than is usual at the targets. local is the load of this host there, without the request. The caller holds mu.
 func (b *Balancer) startIn(t *target, local Load, engine *catalog.Engine, q *Query) time.Duration {
 	if t.info.Slots <= 0 {
 		return 0 // it states no limit
@@ -411,22 +390,14 @@
 	key := roomKey(q.Service, q.Call.Model)
 	load := local.Plus(t.peers, 1)
 	slots := float64(t.info.Slots)
-	wait := max(0, float64(load.Running+1)-slots) / slots * float64(b.busyTime(key))
-	if engine != nil {
-		wait = max(wait, float64(b.otherWait(load, engine, q, key))) * b.aheadFraction(key, q.Priority)
-	}
-	return time.Duration(wait)
-}
-
-// otherWait returns the time until KV cache is free at a target with the load, and the prompts ahead are prefilled. The caller holds mu.
-func (b *Balancer) otherWait(load Load, engine *catalog.Engine, q *Query, key string) time.Duration {
+	wait := max(0, float64(load.Running+1)-slots) / slots * b.busyTime(key).Seconds()
 	if engine == nil {
-		return 0
+		return time.Duration(wait * float64(time.Second))
+	}
+	if g := b.room.gates[key]; g != nil && g.meanBacklog > 0 {
+		wait = max(wait, g.firstEvent*(float64(load.PrefillTokens)/g.meanBacklog-1))
 	}
-	size := float64(max(1, engine.CacheTokens)) * b.cacheFactor(key)
-	cache := max(0, float64(load.CacheTokens+requiredCacheTokens(q.Call))/size-1) * float64(b.busyTime(key))
-	prefill := float64(load.PrefillTokens) / prefillTokensPerMS * b.latencyRatio(q.Call.Model) * float64(time.Millisecond)
-	return time.Duration(max(cache, prefill))
+	return time.Duration(wait * b.aheadFraction(key, q.Priority) * float64(time.Second))
 }
 
 // recordStart completes a choice with what is needed to learn from its course, if somebody asks for room; the caller holds mu.
@@ -438,12 +409,10 @@
 	b.countPriority(c.key, max(0, q.Priority))
 }
 
-// began records the first event of the answer: the wait at the target was the time before it without the request's own prefill. The
-// caller holds the mutex of the balancer.
+// began records the first event of the answer. The caller holds the mutex of the balancer.
 func (c *Choice) began(now time.Time) {
 	if c.beganAt.IsZero() && c.key != "" {
 		c.beganAt = now
-		c.balancer.observeWait(c.key, c.startIn, now.Sub(c.pickedAt)-c.ownPrefill())
 	}
 }
 
--- a/lib/hostqueue/sim_test.go
+++ b/lib/hostqueue/sim_test.go
@@ -89,35 +89,8 @@
 	prefilled time.Duration // when the prompts in the batch are prefilled
 }
 
-// spread has a balancer choose among a few targets at random, so that hosts with the same old news do not all choose the same one.
-type spread struct {
-	*balance.Balancer
-	sim *sim
-}
-
-const simChoices = 3
-
-// Pick implements Balancer.
-func (b *spread) Pick(q balance.Query, now time.Time) (*balance.Choice, error) {
-	choice, err := b.Balancer.Pick(q, now)
-	if err != nil {
-		return nil, err
-	}
-	choice.Unsent()
-	choice.Abandoned()
-	q.StartWithin = 0
-	for _, i := range b.sim.random.Perm(len(b.sim.targets))[simChoices:] {
-		q.Tried = append(q.Tried, simTargetID(i))
-	}
-	if spread, err := b.Balancer.Pick(q, now); err == nil {
-		return spread, nil
-	}
-	q.Tried = nil
-	return b.Balancer.Pick(q, now)
-}
-
 type simHost struct {
-	balancer *spread
+	balancer *balance.Balancer
 	queue    *Queue
 	woken    bool
 }
@@ -185,7 +158,9 @@
 		s.targets = append(s.targets, &simTarget{})
 	}
 	for i := range c.hosts {
-		h := &simHost{balancer: &spread{balance.New(string(rune('a'+i%4)), nil, nil, rand.New(rand.NewPCG(seed, uint64(i)))), s}}
+		h := &simHost{balancer: balance.New(string(rune('a'+i%4)), nil, nil, rand.New(rand.NewPCG(seed, uint64(i))))}
+		h.balancer.SetEvenLoad(true)
+		h.balancer.SetNewsDelay(simNewsDelay + simNewsInterval)
 		h.balancer.SetCatalog(catalog.New(catalog.Content{Services: []*catalog.Service{
 			{Name: "llm", Engine: &catalog.Engine{Slots: simSlots, CacheTokens: 400_000}},
 		}}))
