--- a/lib/balance/balance.go
+++ b/lib/balance/balance.go
@@ -97,6 +97,12 @@
 	Wanted map[string]bool
 	// UsualRate is the requests a second for the model at this host, averaged over a longer time.
 	UsualRate float64
+	// StartWithin is the time within which a target has to be expected to begin the request; zero: no limit.
+	StartWithin time.Duration
+	Priority    int // 0 is the most urgent; targets serve requests in this order
+	// Rank is the place of the request in the demand, from 0 to 1, in the order in which it is sent while targets are full.
+	Rank    float64
+	Regions []string // in which a target must be; nil: any
 }
 
 // Connections states how many connections a host may have to a target.
@@ -138,14 +144,19 @@
 	latencyRatios  map[string]float64            // guarded by mu; by model: observed over expected time to the first event
 	catalog        *catalog.Catalog
 	random         *rand.Rand
-	hosts          int                    // guarded by mu; including this one
-	absent         map[string]absentPause // guarded by mu; pauses of targets that are not in the list, by target
-	even           bool                   // guarded by mu; choose by pickEven
-	newsDelay      time.Duration          // guarded by mu; in which a report reaches all hosts
-	prefixLoads    map[uint64]*prefixLoad // guarded by mu; by hash of the prefix
-	prefixRequests uint64                 // guarded by mu; requests with a shared prefix
-	prefixSpills   uint64                 // guarded by mu; those of them that were sent to other targets than hold the prefix
-	options        []option               // guarded by mu; scratch space of pickEven
+	hosts          int                       // guarded by mu; including this one
+	absent         map[string]absentPause    // guarded by mu; pauses of targets that are not in the list, by target
+	room           roomModel                 // guarded by mu
+	onRoom         func(service string)      // guarded by mu
+	peerSuspects   map[string]map[string]int // guarded by mu; hosts that find a target unresponsive, by host that reports them and target
+	even           bool                      // guarded by mu; choose by pickEven
+	newsDelay      time.Duration             // guarded by mu; in which a report reaches all hosts
+	prefixLoads    map[uint64]*prefixLoad    // guarded by mu; by hash of the prefix
+	options        []option                  // guarded by mu; scratch space of pickEven
+	outliers       outliers                  // guarded by mu
+	prefixRequests uint64                    // guarded by mu; requests with a shared prefix
+	prefixSpills   uint64                    // guarded by mu; those of them that were sent to other targets than hold the prefix
+	eligibility    eligibility               // guarded by mu
 }
 
 // target is a target with its load, what its KV cache probably holds, and its health.
@@ -166,6 +177,7 @@
 	prefixCache    segmentCache
 	health         health
 	pause          pause
+	hearing        hearing
 }
 
 // New returns a balancer for a host in the zone. random breaks ties between targets of about the same cost. Without
@@ -275,10 +287,13 @@
 // sumPeerLoads recomputes the load of all other hosts at each target; the caller holds mu.
 func (b *Balancer) sumPeerLoads() {
 	for id, t := range b.targets {
+		before := t.peers
 		t.peers = Load{}
 		for _, loads := range b.peers {
 			t.peers.add(loads[id], 1)
 		}
+		t.hearing.recordPeers(before, t.peers)
+		b.roomAt(t)
 	}
 }
 
@@ -298,6 +313,7 @@
 func (b *Balancer) LocalLoads(now time.Time) map[string]Load {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.sampleGates(now)
 	out := map[string]Load{}
 	for id, t := range b.targets {
 		load := t.local
@@ -350,7 +366,7 @@
 }
 
 // Pick chooses the target of least cost and adds the request to its load. Errors: ErrNoTarget, ErrNoModel,
-// ErrNoAdapter, ErrBusy, ErrPaced, ErrPaused.
+// ErrNoAdapter, ErrBusy, ErrPaced, ErrPaused, ErrEvacuated, ErrRegion.
 func (b *Balancer) Pick(q Query, now time.Time) (*Choice, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -364,10 +380,14 @@
 			engine = s.Engine
 		}
 	}
+	var c *Choice
 	if engine == nil || q.Call.Model == "" {
-		return b.pickPlain(candidates, now), nil
+		c = b.pickPlain(candidates, now)
+	} else {
+		c = b.pickEngine(candidates, engine, q.Call, now)
 	}
-	return b.pickEngine(candidates, engine, q.Call, now), nil
+	b.recordStart(c, &q)
+	return c, nil
 }
 
 // rank orders the targets that can serve a request; a target of a later rank is chosen only if there is none of an
@@ -377,21 +397,28 @@
 const (
 	rankUsable    rank = iota
 	rankNonMember      // this host keeps no connections to the target
+	rankSetAside       // fails a part of its requests
 	rankUnusable       // suspended, or being probed
 	ranks
 )
 
 // candidates returns the targets of the first rank that is not empty. A target in a pause, or to which this host may open no
 // further connection, or send no request within the target's rate, is left out. Errors: ErrNoTarget, ErrNoModel, ErrNoAdapter,
-// ErrBusy, ErrPaced, ErrPaused.
+// ErrBusy, ErrPaced, ErrPaused, ErrEvacuated, ErrRegion.
 func (b *Balancer) candidates(q Query, now time.Time) ([]*target, error) {
+	b.updateOutliers(now)
 	var byRank [ranks][]*target
 	var pausedUntil time.Time // the earliest
+	var ineligible error
 	err, pacedRate := ErrNoTarget, 0.0
 	for _, t := range b.list {
 		if t.info.Service != q.Service || t.info.State != registry.Ready {
 			continue
 		}
+		if barred := b.eligibility.check(t, &q); barred != nil {
+			ineligible = mergeIneligible(ineligible, barred)
+			continue
+		}
 		if t.pause.active(now) {
 			if !b.couldServe(t, q, now) {
 				if err == ErrNoTarget {
@@ -428,7 +455,15 @@
 		r := b.rankOf(t, now)
 		byRank[r] = append(byRank[r], t)
 	}
-	for _, list := range byRank {
+	keepHalf(&byRank)
+	var full *FullError
+	for r, list := range byRank {
+		if q.StartWithin > 0 && len(list) > 0 && rank(r) != rankUnusable {
+			list, full = b.withRoom(list, &q, full, now)
+		}
+		if full != nil && rank(r) == rankUnusable {
+			return nil, full
+		}
 		if len(list) > 0 {
 			return list, nil
 		}
@@ -438,6 +473,8 @@
 		return nil, &PacedError{pacedRate}
 	case (err == ErrNoTarget || err == ErrNoModel) && !pausedUntil.IsZero():
 		return nil, &PausedError{pausedUntil}
+	case err == ErrNoTarget && ineligible != nil:
+		return nil, ineligible
 	}
 	return nil, err
 }
@@ -475,6 +512,8 @@
 	switch {
 	case !t.health.usable(now):
 		return rankUnusable
+	case b.leftOut(t, now):
+		return rankSetAside
 	case b.connections != nil && !b.connections.Member(t.info.Addr):
 		return rankNonMember
 	default:
@@ -515,6 +554,7 @@
 // probes whether t answers again.
 func (b *Balancer) assign(t *target, load Load, model string, now time.Time) *Choice {
 	t.local.add(load, 1)
+	t.health.sentTo(now, b.hosts)
 	if b.rates != nil {
 		b.rates.Take(t.info.ID, now)
 	}
@@ -523,5 +563,6 @@
 	}
 	return &Choice{
 		Target: t.info, balancer: b, picked: t, load: load, model: model, pickedAt: now, returnStep: t.pause.send(now),
+		progress: t.hearing.progress, progressAt: now,
 	}
 }
--- a/lib/balance/choice.go
+++ b/lib/balance/choice.go
@@ -17,8 +17,14 @@
 	load               Load
 	model              string
 	pickedAt           time.Time
-	prefillReleased    bool // the prefill tokens of the load are released
-	returnStep         int  // step of the return from a pause to which the request counts until the target serves it; zero: none
+	prefillReleased    bool          // the prefill tokens of the load are released
+	progress           uint64        // of the target's hearing at progressAt
+	progressAt         time.Time     // when progress at the requests of other hosts was last seen
+	overdue            bool          // Overdue was called
+	key                string        // of what is learned of the time at targets; see roomKey
+	startIn            time.Duration // expected wait at the target
+	beganAt            time.Time     // when the first event arrived
+	returnStep         int           // step of the return from a pause to which the request counts until the target serves it; zero: none
 }
 
 // FirstEvent records the first event of the answer: the prompt is prefilled, and the observed time corrects the model's
@@ -28,11 +34,14 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	c.endReturn(true)
+	c.picked.heard(now)
+	c.began(now)
 	if c.prefillReleased {
 		return
 	}
 	c.prefillReleased = true
 	c.picked.local.PrefillTokens -= c.load.PrefillTokens
+	c.balancer.roomAt(c.picked)
 	if c.ExpectedFirstEvent > 0 && c.load.PrefillTokens > 0 {
 		ratio := min(maxLatencyRatio, max(minLatencyRatio, float64(now.Sub(c.pickedAt))/float64(c.ExpectedFirstEvent)))
 		current := b.latencyRatio(c.model)
@@ -58,6 +67,7 @@
 	}
 	c.picked.local.Running -= c.load.Running
 	c.picked.local.CacheTokens -= c.load.CacheTokens
+	c.balancer.roomAt(c.picked)
 }
 
 // Answered ends the request with an answer; failed states that the answer was a failure of the target.
@@ -66,6 +76,10 @@
 	defer c.balancer.mu.Unlock()
 	c.endReturn(true)
 	c.releaseLoad()
+	c.picked.heard(now)
+	if !failed {
+		c.served(now)
+	}
 	c.picked.health.answered(failed, now)
 }
 
@@ -74,6 +88,7 @@
 	c.balancer.mu.Lock()
 	defer c.balancer.mu.Unlock()
 	c.releaseLoad()
+	c.picked.heard(now)
 	c.picked.health.rejected(now)
 }
 
@@ -94,6 +109,7 @@
 	if adapter != "" {
 		name += "/" + adapter
 	}
+	c.picked.heard(now)
 	c.picked.missing[name] = now.Add(missingModelTTL)
 }
 
--- a/lib/filter/relay/harness_test.go
+++ b/lib/filter/relay/harness_test.go
@@ -110,6 +110,11 @@
 
 // newHarnessWith is newHarness with a placement. The targets have no model loaded.
 func newHarnessWith(t *testing.T, scripts map[string]script, placement Placement) *harness {
+	return newHarnessOf(t, scripts, placement, false)
+}
+
+// newHarnessOf is newHarnessWith with the setting admission.
+func newHarnessOf(t *testing.T, scripts map[string]script, placement Placement, admission bool) *harness {
 	rates := targetrate.New(time.Now(), rand.New(rand.NewPCG(2, 2)))
 	r := &harness{
 		t: t, ln: fasthttputil.NewInmemoryListener(), scripts: scripts,
@@ -125,7 +130,10 @@
 	c := catalog.New(catalog.Content{Version: 1, Services: []*catalog.Service{{Name: "s"}}, Routes: []*catalog.Route{
 		route("/safe/", catalog.Idempotent, false), route("/unsafe/", catalog.NonIdempotent, false),
 		route("/stream/", catalog.Stream, false), route("/resumable/", catalog.Stream, true),
+		inRegion(route("/north/", catalog.Idempotent, false), "north"), inRegion(route("/northstream/", catalog.Stream, true), "north"),
+		inRegion(route("/nowhere/", catalog.Idempotent, false), "west"),
 	}})
+	r.balancer.SetRegions(map[string]string{"z": "north"})
 	r.balancer.SetCatalog(c)
 	var targets []*registry.Target
 	for addr := range scripts {
@@ -139,7 +147,7 @@
 		Protocol: testProtocol{}, Client: forward.NewClient(forward.Config{Protocol: testProtocol{}, Dial: r.dial}), Balancer: r.balancer,
 		Retries: r.retries, Placement: placement, Quarantine: r.detector, Rates: rates, Statements: r,
 		Demand: workload.New(), Log: log, Metrics: metrics.NewSet(), Random: func() float64 { return 0.5 },
-		Stop: r.stop,
+		Stop: r.stop, Admission: admission,
 	})
 	h = classify.New(h, classify.Config{Protocol: testProtocol{}, Catalog: func() *catalog.Catalog { return c }})
 	s := pipeline.NewServer(pipeline.ServerConfig{
@@ -174,11 +182,23 @@
 	r.balancer.SetTargets(r.targets)
 }
 
+// Cold implements Statements.
+func (r *harness) Cold(*registry.Target, time.Duration) {}
+
+// Down implements Statements.
+func (r *harness) Down(*registry.Target) {}
+
 // Pause implements Statements.
 func (r *harness) Pause(t *registry.Target, d time.Duration, _ string) {
 	r.balancer.Pause(t.ID, t.Started, d, time.Now())
 }
 
+// inRegion returns the route with an allowed region.
+func inRegion(r *catalog.Route, region string) *catalog.Route {
+	r.AllowedRegions = []string{region}
+	return r
+}
+
 func zoneOf(addr string) string {
 	if strings.HasPrefix(addr, "far") {
 		return "other"
--- a/lib/filter/relay/pick.go
+++ b/lib/filter/relay/pick.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"cuminhook.org/cuminhook/lib/balance"
+	"cuminhook.org/cuminhook/lib/hostqueue"
 )
 
 const (
@@ -38,6 +39,7 @@
 	nextAdapter          time.Time     // when to ask for the adapter again
 	adapterRetryInterval time.Duration // between the last try to have the adapter loaded and the next
 	paced                bool          // the request is in the queue for targets with limits
+	queued               *queued       // the request's place in the queue of the host; nil: none yet
 }
 
 // pick chooses a target. If there is none, the request waits: for a target to appear, or for its model or adapter to be
@@ -47,10 +49,11 @@
 	defer r.leavePacedQueue(&w)
 	q := balance.Query{
 		Service: r.service, Call: r.call, Wanted: map[string]bool{}, UsualRate: r.cfg.Demand.UsualRate(r.call.Model, time.Now()),
+		Regions: r.regions,
 	}
 	for {
 		q.Tried = r.tried
-		choice, err := r.cfg.Balancer.Pick(q, time.Now())
+		choice, err := r.pickOrWait(&w, q)
 		if err == nil {
 			return choice, nil
 		}
@@ -63,6 +66,9 @@
 		}
 		pause := r.pause(&w, err)
 		if pause < 0 {
+			if w.queued != nil {
+				r.ahead = w.queued.req.Ahead
+			}
 			return nil, err
 		}
 		select {
@@ -96,11 +102,15 @@
 	if schedule, stops := r.cfg.Stop.Schedule(); stops {
 		w.endBefore(schedule.Targets)
 	}
+	if w.queued != nil && (errors.Is(err, balance.ErrBusy) || errors.Is(err, balance.ErrPaced)) {
+		return refuse // it has waited in the queue of the host
+	}
 	if paced := (*balance.PacedError)(nil); errors.As(err, &paced) && !r.joinPacedQueue(w, paced) {
 		return refuse
 	}
 	switch {
-	case errors.Is(err, balance.ErrPaused):
+	case errors.Is(err, balance.ErrPaused), errors.Is(err, balance.ErrEvacuated), errors.Is(err, balance.ErrRegion),
+		errors.Is(err, hostqueue.ErrRefused), errors.Is(err, errDrained):
 		return refuse
 	case now.Sub(w.began) < r.route.Objective/pickWaitDivisor && !errors.Is(err, balance.ErrNoAdapter):
 		return pickInterval
--- a/lib/registry/registry.go
+++ b/lib/registry/registry.go
@@ -49,6 +49,10 @@
 	Started int64
 	Beat    int64           // increases with each entry that this incarnation writes
 	Models  []ResidentModel // loaded when the entry was written
+	// Cold is how much longer the target was cold when the entry was written: it takes few requests after a start. StatesCold reports
+	// whether the entry states that; zero then means that the target was not cold.
+	Cold       time.Duration
+	StatesCold bool
 
 	Revision int64 // store revision at which the entry was written
 }
@@ -65,6 +69,16 @@
 	return t.Beat >= old.Beat && (old.State != Draining || t.State == Draining)
 }
 
+// Aged returns the target as its entry describes it some time after it was read: it is cold for less.
+func (t *Target) Aged(d time.Duration) *Target {
+	if t.Cold <= 0 {
+		return t
+	}
+	out := *t
+	out.Cold = max(0, t.Cold-d)
+	return &out
+}
+
 // Departure reports that an incarnation of a target drains or was removed.
 type Departure struct {
 	ID      string `json:"i"`
