Even load: what is learned from a request's own prefill, and a crowded target, read the backlog in its unit

Cause: with even_load the prompt tokens of a load count in proportion to the speed of their model already; lib/balance/room.go and silence.go multiplied them with the ratio of the model again. The interference of a repeated prompt was counted without it.

--- a/lib/balance/even.go
+++ b/lib/balance/even.go
@@ -224,7 +224,7 @@
 	running := float64(t.local.Running + t.peers.Running)
 	e.firstEventMS = b.backlogMS(t.local.PrefillTokens+t.peers.PrefillTokens+e.prefillTokens, p.model)/t.speed +
 		runningRequestCostMS*running + waitMS
-	delayedMS := running * float64(e.prefillTokens+repeatedTokens) / prefillTokensPerMS
+	delayedMS := running * (float64(e.prefillTokens) + float64(repeatedTokens)*p.latencyRatio) / prefillTokensPerMS
 	lostMS := float64(p.cacheTokens-p.tokens) * min(1, o.prefill/1000) * prefillStepDelayMS
 	e.costMS = e.firstEventMS + b.pathCost(t) + interferenceWeight*(delayedMS+lostMS)
 }
--- a/lib/balance/room.go
+++ b/lib/balance/room.go
@@ -418,7 +418,7 @@
 
 // ownPrefill returns the expected time to prefill the request's own prompt; the caller holds the mutex of the balancer.
 func (c *Choice) ownPrefill() time.Duration {
-	return time.Duration(float64(c.load.PrefillTokens) / prefillTokensPerMS * c.balancer.latencyRatio(c.model) * float64(time.Millisecond))
+	return time.Duration(c.balancer.backlogMS(c.load.PrefillTokens, c.model) * float64(time.Millisecond))
 }
 
 // served records the end of the answer. The caller holds the mutex of the balancer.
--- a/lib/balance/silence.go
+++ b/lib/balance/silence.go
@@ -114,7 +114,7 @@
 	if service == nil || service.Engine == nil {
 		return false
 	}
-	backlogMS := float64(load.PrefillTokens) / prefillTokensPerMS * b.latencyRatio(c.model)
+	backlogMS := b.backlogMS(load.PrefillTokens, c.model)
 	return float64(load.CacheTokens) >= crowdedFraction*float64(max(1, service.Engine.CacheTokens)) ||
 		crowdedBacklogFactor*backlogMS > float64(within)/float64(time.Millisecond)
 }
