--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -27,6 +27,9 @@
 all=$(go list -f '{{.Dir}}' ./... | sed "s|^$PWD|.|" | grep -v '^./test/process$')
 others=$(comm -23 <(sort <<<"$all") <(sort <<<"$bubbles"))
 go test -race -cpu 1 ${skip:+-skip "$skip"} $bubbles
-go test -race ${skip:+-skip "$skip"} $others
+# Tests that bound the memory of a process under a crowd of callers run apart from other load.
+crowd='^(TestCrowd[A-Za-z]*|TestSingleRequestsWithinTheLimitsAreServed)$'
+go test -race -skip "${skip:+$skip|}$crowd" $others
+go test -race -count=1 ${skip:+-skip "$skip"} -run "$crowd" ./platform
 # These tests build the programs by themselves, so the test cache would not notice changes of the programs.
 go test -race -count=1 ${skip:+-skip "$skip"} ./test/process
