Memory budget: a connection that begins a request is not seen as stalled

Cause: SetState stored the state before the time of the last progress. Between the two, a connection that left the state Idle looked as if it read without progress since its last request, and could be shed when memory ran short. Change: the time is stored first. Result: found by reading; no test brings the moment about. go test -race -cpu 1 ./lib/membudget passes.

--- a/lib/membudget/membudget.go
+++ b/lib/membudget/membudget.go
@@ -138,10 +138,11 @@
 	}
 }
 
-// SetState records what the connection does; that is progress too.
+// SetState records what the connection does; that is progress too. The progress is stored first: a connection that has just left the
+// state Idle must not be seen in the new state with the time of its last request, as it would be shed.
 func (a *Account) SetState(s State, now time.Time) {
-	a.state.Store(uint32(s))
 	a.progress.Store(now.UnixNano())
+	a.state.Store(uint32(s))
 }
 
 // Begin records that the request goes to a target, from when on it is not shed. It returns false if it has been shed before.
