--- a/lib/balance/balance.go
+++ b/lib/balance/balance.go
@@ -177,7 +177,7 @@
 	prefixCache    segmentCache
 	health         health
 	pause          pause
-	hearing        hearing
+	liveness       liveness
 }
 
 // New returns a balancer for a host in the zone. random breaks ties between targets of about the same cost. Without
@@ -292,7 +292,7 @@
 		for _, loads := range b.peers {
 			t.peers.add(loads[id], 1)
 		}
-		t.hearing.recordPeers(before, t.peers)
+		t.liveness.recordPeers(before, t.peers)
 		b.roomAt(t)
 	}
 }
@@ -563,6 +563,6 @@
 	}
 	return &Choice{
 		Target: t.info, balancer: b, picked: t, load: load, model: model, pickedAt: now, returnStep: t.pause.send(now),
-		progress: t.hearing.progress, progressAt: now,
+		progress: t.liveness.progress, progressAt: now,
 	}
 }
--- a/lib/balance/choice.go
+++ b/lib/balance/choice.go
@@ -18,7 +18,7 @@
 	model              string
 	pickedAt           time.Time
 	prefillReleased    bool          // the prefill tokens of the load are released
-	progress           uint64        // of the target's hearing at progressAt
+	progress           uint64        // of the target's liveness at progressAt
 	progressAt         time.Time     // when progress at the requests of other hosts was last seen
 	overdue            bool          // Overdue was called
 	key                string        // of what is learned of the time at targets; see roomKey
@@ -34,7 +34,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	c.endReturn(true)
-	c.picked.heard(now)
+	c.picked.recordResponse(now)
 	c.began(now)
 	if c.prefillReleased {
 		return
@@ -76,7 +76,7 @@
 	defer c.balancer.mu.Unlock()
 	c.endReturn(true)
 	c.releaseLoad()
-	c.picked.heard(now)
+	c.picked.recordResponse(now)
 	if !failed {
 		c.served(now)
 	}
@@ -88,7 +88,7 @@
 	c.balancer.mu.Lock()
 	defer c.balancer.mu.Unlock()
 	c.releaseLoad()
-	c.picked.heard(now)
+	c.picked.recordResponse(now)
 	c.picked.health.rejected(now)
 }
 
@@ -109,7 +109,7 @@
 	if adapter != "" {
 		name += "/" + adapter
 	}
-	c.picked.heard(now)
+	c.picked.recordResponse(now)
 	c.picked.missing[name] = now.Add(missingModelTTL)
 }
 
--- a/lib/balance/silence.go
+++ b/lib/balance/silence.go
@@ -16,14 +16,14 @@
 	lostFactor = 1.25
 )
 
-// hearing is what a host has heard of a target: of its answers to this host, and of progress at its peers' requests.
-type hearing struct {
+// liveness is what shows that a target works: its answers to this host, and progress at its peers' requests.
+type liveness struct {
 	answeredAt time.Time // last header, event or end of an answer to this host
 	progress   uint64    // times that the reported load of the peers has fallen
 }
 
 // recordPeers records a new sum of the peers' loads. Load that falls shows that the target has begun or ended a request.
-func (h *hearing) recordPeers(before, after Load) {
+func (h *liveness) recordPeers(before, after Load) {
 	if after.Running < before.Running || after.PrefillTokens < before.PrefillTokens {
 		h.progress++
 	}
@@ -54,16 +54,16 @@
 	return false
 }
 
-// Heard records that a part of an answer has arrived.
-func (c *Choice) Heard(now time.Time) {
+// Responding records that a part of an answer has arrived.
+func (c *Choice) Responding(now time.Time) {
 	c.balancer.mu.Lock()
 	defer c.balancer.mu.Unlock()
-	c.picked.heard(now)
+	c.picked.recordResponse(now)
 }
 
-// heard records a sign of life of the target; the caller holds the mutex of the balancer.
-func (t *target) heard(now time.Time) {
-	t.hearing.answeredAt = now
+// recordResponse records a sign of life of the target; the caller holds the mutex of the balancer.
+func (t *target) recordResponse(now time.Time) {
+	t.liveness.answeredAt = now
 	t.health.misses = 0
 }
 
@@ -74,15 +74,15 @@
 	b, t := c.balancer, c.picked
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if c.progress != t.hearing.progress {
-		c.progress, c.progressAt = t.hearing.progress, now
+	if c.progress != t.liveness.progress {
+		c.progress, c.progressAt = t.liveness.progress, now
 	}
 	crowded := c.crowded(after)
-	heardAt := since
-	if t.hearing.answeredAt.After(heardAt) {
-		heardAt = t.hearing.answeredAt
+	respondedAt := since
+	if t.liveness.answeredAt.After(respondedAt) {
+		respondedAt = t.liveness.answeredAt
 	}
-	if now.Sub(heardAt) < after {
+	if now.Sub(respondedAt) < after {
 		return !crowded && now.Sub(since) >= time.Duration(lostFactor*float64(after))
 	}
 	return b.targets[c.Target.ID] != t || t.health.misses > 0 || b.suspected(c.Target.ID) || !crowded || now.Sub(c.progressAt) >= after
--- a/lib/balance/silence_test.go
+++ b/lib/balance/silence_test.go
@@ -11,16 +11,16 @@
 func TestSilenceIsToldFromLoad(t *testing.T) {
 	const after = time.Second
 	for name, c := range map[string]struct {
-		full, progress, heard, suspected, gone bool
-		wait                                   time.Duration
-		silent                                 bool
+		full, progress, responds, suspected, gone bool
+		wait                                      time.Duration
+		silent                                    bool
 	}{
 		"no time has passed":                {wait: after - 1},
 		"idle, no answer":                   {wait: after, silent: true},
-		"idle, answers others":              {wait: after, heard: true},
-		"idle, answers others but not this": {wait: 3 * after / 2, heard: true, silent: true},
+		"idle, answers others":              {wait: after, responds: true},
+		"idle, answers others but not this": {wait: 3 * after / 2, responds: true, silent: true},
 		"full, peers see progress":          {wait: 3 * after, full: true, progress: true},
-		"full, answers others":              {wait: 3 * after, full: true, heard: true},
+		"full, answers others":              {wait: 3 * after, full: true, responds: true},
 		"full, nobody sees progress":        {wait: after, full: true, silent: true},
 		"full, a peer suspects it":          {wait: after, full: true, progress: true, suspected: true, silent: true},
 		"full, left the list":               {wait: after, full: true, progress: true, gone: true, silent: true},
@@ -46,8 +46,8 @@
 					load.Running ^= 1
 					b.SetPeerLoads("peer", map[string]Load{"t00": load})
 				}
-				if c.heard {
-					b.targets["t00"].heard(now.Add(d))
+				if c.responds {
+					b.targets["t00"].recordResponse(now.Add(d))
 				}
 				silent = choice.Silent(now, after, now.Add(d))
 			}
--- a/lib/filter/relay/relay.go
+++ b/lib/filter/relay/relay.go
@@ -380,7 +380,7 @@
 		r.answers = append(r.answers, t.answer)
 		t.headerAt = time.Now()
 		if !t.otherInstance() {
-			t.choice.Heard(t.headerAt)
+			t.choice.Responding(t.headerAt)
 		}
 		r.recordStatements(t)
 	}
