--- a/lib/peers/send.go
+++ b/lib/peers/send.go
@@ -76,7 +76,7 @@
 }
 
 // meshReceivers returns the hosts of the mesh that get the next full state. Hosts of other zones get one in farInterval only:
-// sums for them are most of the bytes between zones. Changes are announced to them at once all the same. The caller holds mu.
+// sums for them are a large part of the bytes between zones. Changes are announced to them at once all the same. The caller holds mu.
 func (x *Exchanger) meshReceivers() []*peer {
 	receivers := x.receivers(storewatch.ToMesh)
 	x.rounds++
