--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -9,4 +9,4 @@
 	exit 2
 fi
 export ENTRY="$PWD/target/cuminhook-entry"
-exec timeout -s KILL 115 target/review-lab2 late-order "$here/record.txt"
+exec timeout -k 5 110 target/review-lab2 late-order "$here/record.txt"
--- a/review/lab2/hosts.go
+++ b/review/lab2/hosts.go
@@ -183,6 +183,11 @@
 }
 
 func (h *host) send(ctx context.Context, id, model string, events int) (a answer) {
+	return h.sendTo(ctx, "/brief/1", id, model, events)
+}
+
+// sendTo sends a request to a path, for a model unless that is empty, and reads the answer.
+func (h *host) sendTo(ctx context.Context, path, id, model string, events int) (a answer) {
 	c, err := (&net.Dialer{Timeout: time.Second}).DialContext(ctx, "tcp", h.listen)
 	if err != nil {
 		return answer{err: err}
@@ -191,10 +196,12 @@
 	defer context.AfterFunc(ctx, func() { _ = c.Close() })()
 	const deadline = 15 * time.Second
 	_ = c.SetDeadline(time.Now().Add(deadline))
-	body := "prompt of " + id
-	fmt.Fprintf(c, "POST /brief/1 HTTP/1.1\r\nHost: %s\r\nCuminhook-Attempt-Id: %s\r\nCuminhook-Model: %s\r\nCuminhook-Token-Counts: 50,%d\r\n"+
-		"Cuminhook-Prompt-Prefix: %x:50\r\nCuminhook-Deadline-Ms: %d\r\nX-Api-Key: %s\r\nContent-Length: %d\r\n\r\n%s",
-		hostName, id, model, events, id, deadline.Milliseconds(), apiKey, len(body), body)
+	body, fields := "prompt of "+id, ""
+	if model != "" {
+		fields = fmt.Sprintf("Cuminhook-Model: %s\r\nCuminhook-Token-Counts: 50,%d\r\nCuminhook-Prompt-Prefix: %x:50\r\n", model, events, id)
+	}
+	fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: %s\r\nCuminhook-Attempt-Id: %s\r\n%sCuminhook-Deadline-Ms: %d\r\nX-Api-Key: %s\r\n"+
+		"Content-Length: %d\r\n\r\n%s", path, hostName, id, fields, deadline.Milliseconds(), apiKey, len(body), body)
 	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
 	if err != nil {
 		return answer{err: err}
--- a/review/lab2/main.go
+++ b/review/lab2/main.go
@@ -4,8 +4,11 @@
 	"errors"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"sync"
 	"syscall"
+	"time"
 )
 
 // Exit codes of a scenario.
@@ -21,7 +24,10 @@
 	dir     string
 	trouble bool
 	store   *store
-	hosts   []*host
+
+	mu     sync.Mutex
+	closed bool    // guarded by mu; no further process is started
+	hosts  []*host // written with mu
 }
 
 // errBroken means that the rule was broken.
@@ -30,6 +36,7 @@
 var scenarios = map[string]func(*lab) error{
 	"late-order":    lateOrder,
 	"second-answer": secondAnswer,
+	"born-back":     bornBack,
 }
 
 func main() { os.Exit(run()) }
@@ -52,6 +59,7 @@
 	}
 	l := &lab{rec: rec, dir: dir, trouble: os.Getenv("TROUBLE") != "0"}
 	defer l.close()
+	l.stopOnSignal()
 	if l.store, err = newStore(rec); err == nil {
 		err = scenarios[os.Args[1]](l)
 	}
@@ -70,8 +78,29 @@
 	return exitHeld
 }
 
+// timeLimit is the longest time that a scenario may take.
+const timeLimit = 100 * time.Second
+
+// stopOnSignal ends the processes and the scenario if it takes too long or is stopped from outside.
+func (l *lab) stopOnSignal() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
+	go func() {
+		select {
+		case <-signals:
+		case <-time.After(timeLimit):
+		}
+		l.rec.printf("not run: stopped")
+		l.close()
+		os.Exit(exitNotRun)
+	}()
+}
+
 // close ends all processes that the lab has started, and keeps their logs if KEEP_LOGS names a directory.
 func (l *lab) close() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.closed = true
 	for _, h := range l.hosts {
 		h.signal(syscall.SIGKILL)
 		h.wait()
@@ -91,10 +120,9 @@
 		if err != nil {
 			return err
 		}
-		if err := h.start(); err != nil {
+		if err := l.add(h); err != nil {
 			return err
 		}
-		l.hosts = append(l.hosts, h)
 	}
 	for _, h := range l.hosts {
 		if err := h.awaitReady(); err != nil {
@@ -104,6 +132,20 @@
 	return nil
 }
 
+// add starts a host.
+func (l *lab) add(h *host) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed {
+		return errors.New("stopped")
+	}
+	if err := h.start(); err != nil {
+		return err
+	}
+	l.hosts = append(l.hosts, h)
+	return nil
+}
+
 // host returns the host of the name.
 func (l *lab) host(name string) *host {
 	for _, h := range l.hosts {
