--- a/review/lab2/bornback.go
+++ b/review/lab2/bornback.go
@@ -26,15 +26,7 @@
 	if err != nil {
 		return err
 	}
-	c := config(1, 3, 3, lateModel)
-	c["routes"] = append(c["routes"].([]map[string]any), map[string]any{
-		"name": "r-siren", "host": hostName, "prefix": "/siren/", "kind": "non_idempotent", "timeout_ms": 2500, "target_latency_ms": 150,
-		"priority": 2, "service": "dispatch-app", "max_attempts": 1, "public": false, "sticky": false, "resumable": false,
-	})
-	c["services"] = append(c["services"].([]map[string]any), map[string]any{
-		"name": "dispatch-app", "health_path": "/health", "max_conns": 100, "protocol": "h1", "tls": false,
-	})
-	if err := l.store.put("op/config", c); err != nil {
+	if err := l.store.put("op/config", plainConfig()); err != nil {
 		return err
 	}
 	if err := b.begin(0); err != nil {
@@ -104,3 +96,16 @@
 		return n
 	}
 }
+
+// plainConfig returns a configuration with a route of requests that may run once, to a plain service.
+func plainConfig() map[string]any {
+	c := config(1, 3, 3, lateModel)
+	c["routes"] = append(c["routes"].([]map[string]any), map[string]any{
+		"name": "r-siren", "host": hostName, "prefix": "/siren/", "kind": "non_idempotent", "timeout_ms": 2500, "target_latency_ms": 150,
+		"priority": 2, "service": "dispatch-app", "max_attempts": 1, "public": false, "sticky": false, "resumable": false,
+	})
+	c["services"] = append(c["services"].([]map[string]any), map[string]any{
+		"name": "dispatch-app", "health_path": "/health", "max_conns": 100, "protocol": "h1", "tls": false,
+	})
+	return c
+}
--- a/review/lab2/main.go
+++ b/review/lab2/main.go
@@ -37,6 +37,7 @@
 	"late-order":    lateOrder,
 	"second-answer": secondAnswer,
 	"born-back":     bornBack,
+	"cut-watch":     cutWatch,
 }
 
 func main() { os.Exit(run()) }
@@ -60,9 +61,8 @@
 	l := &lab{rec: rec, dir: dir, trouble: os.Getenv("TROUBLE") != "0"}
 	defer l.close()
 	l.stopOnSignal()
-	if l.store, err = newStore(rec); err == nil {
-		err = scenarios[os.Args[1]](l)
-	}
+	l.store = newStore(rec)
+	err = scenarios[os.Args[1]](l)
 	switch {
 	case errors.Is(err, errBroken):
 		rec.printf("BROKEN: %v", err)
@@ -116,7 +116,11 @@
 // startHosts starts entry hosts and waits until they are ready.
 func (l *lab) startHosts(names ...string) error {
 	for _, name := range names {
-		h, err := newHost(l.rec, l.dir, name, l.store.addr())
+		addr, err := l.store.addr()
+		if err != nil {
+			return err
+		}
+		h, err := newHost(l.rec, l.dir, name, addr)
 		if err != nil {
 			return err
 		}
--- a/review/lab2/plain.go
+++ b/review/lab2/plain.go
@@ -25,6 +25,7 @@
 	service string
 	addr    string
 	work    time.Duration
+	quiet   bool // its entry is not written again while only its count of writes would change
 
 	mu     sync.Mutex
 	ln     net.Listener
@@ -60,6 +61,10 @@
 	p.mu.Unlock()
 	p.rec.printf("%s: start %d, born %d", p.id, start, p.born)
 	go p.accept(ln)
+	if p.quiet {
+		p.writeEntry(start)
+		return nil
+	}
 	go func() {
 		for p.writeEntry(start) {
 			time.Sleep(beatInterval)
@@ -109,6 +114,18 @@
 	p.rec.printf("%s: the store has accepted that it is draining", p.id)
 }
 
+// remove has the entry removed. The server serves on.
+func (p *plain) remove() {
+	p.mu.Lock()
+	p.start++ // writes no further entry
+	p.mu.Unlock()
+	p.store.remove("servers/" + p.id)
+	p.mu.Lock()
+	p.leaves = time.Now()
+	p.mu.Unlock()
+	p.rec.printf("%s: the store has removed its entry", p.id)
+}
+
 // leave ends the server as planned, and removes its entry.
 func (p *plain) leave() {
 	p.crash()
--- a/review/lab2/store.go
+++ b/review/lab2/store.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"io"
+	"log"
 	"net"
 	"net/http"
 	"sort"
@@ -33,7 +35,6 @@
 // store is a stand-in of the platform's store.
 type store struct {
 	rec *record
-	ln  net.Listener
 
 	mu       sync.Mutex
 	revision int64
@@ -41,20 +42,16 @@
 	events   []item
 	leases   map[int64]*lease
 	changed  chan struct{}
+	addrs    []string
+	cut      map[string]bool // by address of the store: the next watch that waits there is cut
 }
 
-func newStore(rec *record) (*store, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return nil, err
+func newStore(rec *record) *store {
+	return &store{
+		rec: rec, revision: 10, items: map[string]item{}, leases: map[int64]*lease{}, changed: make(chan struct{}), cut: map[string]bool{},
 	}
-	s := &store{rec: rec, ln: ln, revision: 10, items: map[string]item{}, leases: map[int64]*lease{}, changed: make(chan struct{})}
-	go func() { _ = http.Serve(ln, s) }()
-	return s, nil
 }
 
-func (s *store) addr() string { return s.ln.Addr().String() }
-
 // put writes an item as the operator and the servers do.
 func (s *store) put(key string, value any) error {
 	text, err := json.Marshal(value)
@@ -200,14 +197,60 @@
 		}
 		select {
 		case <-changed:
-		case <-end:
-			return http.StatusOK, map[string]any{"events": out, "at": at}
-		case <-r.Context().Done():
-			return http.StatusOK, nil
+		case <-time.After(cutAfter):
+			s.cutWatch(r)
+			select {
+			case <-changed:
+			case <-end:
+				return http.StatusOK, map[string]any{"events": out, "at": at}
+			case <-r.Context().Done():
+				return http.StatusOK, nil
+			}
 		}
 	}
 }
 
+// cutAfter is how long a watch waits at least before it is cut.
+const cutAfter = 10 * time.Millisecond
+
+// cutWatch ends the call without an answer if the next watch that waits at its address of the store is to be cut.
+func (s *store) cutWatch(r *http.Request) {
+	at, _ := r.Context().Value(http.LocalAddrContextKey).(net.Addr)
+	s.mu.Lock()
+	cut := at != nil && s.cut[at.String()]
+	if cut {
+		delete(s.cut, at.String())
+	}
+	s.mu.Unlock()
+	if cut {
+		s.rec.printf("store: cuts a watch that waits, of the host at %s", at)
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// cutWatches has the next watch that waits at each address of the store cut.
+func (s *store) cutWatches() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, addr := range s.addrs {
+		s.cut[addr] = true
+	}
+}
+
+// addr opens a further address of the store, for one host.
+func (s *store) addr() (string, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	server := &http.Server{Handler: s, ErrorLog: log.New(io.Discard, "", 0)}
+	go func() { _ = server.Serve(ln) }()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.addrs = append(s.addrs, ln.Addr().String())
+	return ln.Addr().String(), nil
+}
+
 func (s *store) txn(r *http.Request) (int, any) {
 	var t struct {
 		Expected []struct {
