Review: the hosts of the lab get ports that connections do not take

Cause: one run of case 9 could not start as a port that was free a moment before had been given to a connection. Change: ports are taken from below the range of the kernel.

--- a/review/lab2/hosts.go
+++ b/review/lab2/hosts.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -36,13 +37,23 @@
 	ended chan struct{}
 }
 
+// freeAddr returns an address whose port is free, below the ports that the kernel gives to connections.
 func freeAddr() (string, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	const first, last, tries = 12000, 32000, 200
+	for range tries {
+		addr := fmt.Sprintf("127.0.0.1:%d", first+rand.N(last-first))
+		ln, err := net.Listen("tcp", addr)
+		if err != nil {
+			continue
+		}
+		udp, err := net.ListenPacket("udp", addr)
+		_ = ln.Close()
+		if err == nil {
+			_ = udp.Close()
+			return addr, nil
+		}
 	}
-	defer ln.Close()
-	return ln.Addr().String(), nil
+	return "", errors.New("no port is free")
 }
 
 // newHost writes the settings file of a host as deploy/entry.yaml.tmpl has it, with the bounds of trinacria-strike.
