--- a/review/lab2/hosts.go
+++ b/review/lab2/hosts.go
@@ -57,7 +57,7 @@
 }
 
 // newHost writes the settings file of a host as deploy/entry.yaml.tmpl has it, with the bounds of trinacria-strike.
-func newHost(rec *record, dir, name, store string) (*host, error) {
+func newHost(rec *record, dir, name, store string, drain time.Duration) (*host, error) {
 	var addrs [4]string
 	for i := range addrs {
 		var err error
@@ -76,8 +76,8 @@
 peers: %s
 metrics: %s
 store: %s
-drain_within: 2000ms
-config_within: 2000ms
+drain_within: %[7]dms
+config_within: %[7]dms
 zones:
   palermo: sicilia
 link_mbps: 1000.0
@@ -91,7 +91,7 @@
 placement:
   lease: 3000ms
   loads_overshoot: 1.1
-`, name, h.listen, h.ready, h.peers, addrs[3], store)
+`, name, h.listen, h.ready, h.peers, addrs[3], store, drain.Milliseconds())
 	return h, os.WriteFile(h.file, []byte(settings), 0o600)
 }
 
--- a/review/lab2/main.go
+++ b/review/lab2/main.go
@@ -24,6 +24,7 @@
 	dir     string
 	trouble bool
 	store   *store
+	drain   time.Duration // drain_ms of the site, and config_apply_ms
 
 	mu     sync.Mutex
 	closed bool    // guarded by mu; no further process is started
@@ -38,6 +39,7 @@
 	"second-answer": secondAnswer,
 	"born-back":     bornBack,
 	"cut-watch":     cutWatch,
+	"removed-again": removedAgain,
 }
 
 func main() { os.Exit(run()) }
@@ -58,7 +60,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitNotRun
 	}
-	l := &lab{rec: rec, dir: dir, trouble: os.Getenv("TROUBLE") != "0"}
+	l := &lab{rec: rec, dir: dir, trouble: os.Getenv("TROUBLE") != "0", drain: drainBound}
 	defer l.close()
 	l.stopOnSignal()
 	l.store = newStore(rec)
@@ -120,7 +122,7 @@
 		if err != nil {
 			return err
 		}
-		h, err := newHost(l.rec, l.dir, name, addr)
+		h, err := newHost(l.rec, l.dir, name, addr, l.drain)
 		if err != nil {
 			return err
 		}
