--- a/review/lab2/hosts.go
+++ b/review/lab2/hosts.go
@@ -37,11 +37,17 @@
 	ended chan struct{}
 }
 
-// freeAddr returns an address whose port is free, below the ports that the kernel gives to connections.
+// given are the addresses that freeAddr has returned. Its callers use them a little later.
+var given = map[string]bool{}
+
+// freeAddr returns an address whose port is free, below the ports that the kernel gives to connections. It is called by one goroutine.
 func freeAddr() (string, error) {
 	const first, last, tries = 12000, 32000, 200
 	for range tries {
 		addr := fmt.Sprintf("127.0.0.1:%d", first+rand.N(last-first))
+		if given[addr] {
+			continue
+		}
 		ln, err := net.Listen("tcp", addr)
 		if err != nil {
 			continue
@@ -50,6 +56,7 @@
 		_ = ln.Close()
 		if err == nil {
 			_ = udp.Close()
+			given[addr] = true
 			return addr, nil
 		}
 	}
--- a/review/lab2/plain.go
+++ b/review/lab2/plain.go
@@ -44,14 +44,20 @@
 	if err != nil {
 		return nil, err
 	}
-	return &plain{rec: rec, store: st, id: id, service: service, addr: addr, work: 30 * time.Millisecond}, nil
+	ln, err := net.Listen("tcp", addr)
+	return &plain{rec: rec, store: st, id: id, service: service, addr: addr, ln: ln, work: 30 * time.Millisecond}, err
 }
 
 // begin starts the server. Its clock is ahead of the true time by a step, which born shows.
 func (p *plain) begin(ahead time.Duration) error {
-	ln, err := net.Listen("tcp", p.addr)
-	if err != nil {
-		return err
+	p.mu.Lock()
+	ln, again := p.ln, p.start > 0
+	p.mu.Unlock()
+	if again {
+		var err error
+		if ln, err = net.Listen("tcp", p.addr); err != nil {
+			return err
+		}
 	}
 	p.mu.Lock()
 	p.ln, p.conns, p.up, p.state, p.beat = ln, map[net.Conn]bool{}, true, "ready", 0
