--- a/review/lab2/again.go
+++ b/review/lab2/again.go
@@ -11,9 +11,7 @@
 const leafHosts = 20
 
 const (
-	// againServers are the servers, of which one doesn't reach the store for a while.
-	againServers = 5
-	// cutTime is how long it doesn't, and expiry the time after which its entry is removed: three heartbeat intervals.
+	// cutTime is how long a server doesn't reach the store, and expiry the time after which its entry is removed: three heartbeat intervals.
 	cutTime = 5 * time.Second
 	expiry  = 3 * beatInterval
 	// stableTime is stable_ms of the site.
@@ -24,17 +22,14 @@
 // the server leaves without reporting that it is draining: its entry is removed again, and it serves on for a while.
 func removedAgain(l *lab) error {
 	l.drain = 3 * time.Second
-	servers := []*plain{}
-	for i := range againServers {
-		p, err := newPlain(l.rec, l.store, fmt.Sprintf("i-%c", 'a'+i), "dispatch-app")
-		if err != nil {
-			return err
-		}
-		p.quiet = true // the entry changes when more than its seq changes
+	servers, err := l.plainServers(true)
+	if err != nil {
+		return err
+	}
+	for _, p := range servers {
 		if err := p.begin(0); err != nil {
 			return err
 		}
-		servers = append(servers, p)
 	}
 	a := servers[0]
 	if err := l.store.put("op/config", plainConfig()); err != nil {
--- a/review/lab2/bornback.go
+++ b/review/lab2/bornback.go
@@ -18,19 +18,18 @@
 // bornBack has a server start again under its id soon after its first start, with a time of day that has jumped back meanwhile. Later it
 // reports that it is draining, serves on and ends.
 func bornBack(l *lab) error {
-	a, err := newPlain(l.rec, l.store, "i-a", "dispatch-app")
-	if err != nil {
-		return err
-	}
-	b, err := newPlain(l.rec, l.store, "i-b", "dispatch-app")
+	servers, err := l.plainServers(false)
 	if err != nil {
 		return err
 	}
+	a := servers[0]
 	if err := l.store.put("op/config", plainConfig()); err != nil {
 		return err
 	}
-	if err := b.begin(0); err != nil {
-		return err
+	for _, p := range servers[1:] {
+		if err := p.begin(0); err != nil {
+			return err
+		}
 	}
 	if err := l.startHosts("front-palermo-1", "front-palermo-2"); err != nil {
 		return err
--- a/review/lab2/cutwatch.go
+++ b/review/lab2/cutwatch.go
@@ -10,19 +10,15 @@
 // cutWatch has the store cut the watches that wait. A second later a server leaves that never reports that it is draining: its entry is
 // removed, and it serves on for drain_ms and a little longer.
 func cutWatch(l *lab) error {
-	a, err := newPlain(l.rec, l.store, "i-a", "dispatch-app")
-	if err != nil {
-		return err
-	}
-	b, err := newPlain(l.rec, l.store, "i-b", "dispatch-app")
+	servers, err := l.plainServers(true)
 	if err != nil {
 		return err
 	}
+	a := servers[0]
 	if err := l.store.put("op/config", plainConfig()); err != nil {
 		return err
 	}
-	for _, p := range []*plain{a, b} {
-		p.quiet = true // the entry changes when more than its seq changes
+	for _, p := range servers {
 		if err := p.begin(0); err != nil {
 			return err
 		}
--- a/review/lab2/plain.go
+++ b/review/lab2/plain.go
@@ -25,7 +25,7 @@
 	service string
 	addr    string
 	work    time.Duration
-	quiet   bool // its entry is not written again while only its count of writes would change
+	quiet   bool // the entry is not written again while only its seq would change
 
 	mu     sync.Mutex
 	ln     net.Listener
@@ -206,3 +206,19 @@
 	}
 	return ids
 }
+
+// plainCount is the number of plain servers. One of them is a share of 0.125, below that of every disruption and planned work used here.
+const plainCount = 8
+
+// plainServers returns the servers of the plain service, none of them started.
+func (l *lab) plainServers(quiet bool) (out []*plain, err error) {
+	for i := range plainCount {
+		p, err := newPlain(l.rec, l.store, fmt.Sprintf("i-%c", 'a'+i), "dispatch-app")
+		if err != nil {
+			return nil, err
+		}
+		p.quiet = quiet
+		out = append(out, p)
+	}
+	return out, nil
+}
