Storewatch: a change of a target is known by the entry it is about

Cause: news was recognised by id, start and kind of the change, which can become true again, and remembered for 12 s. The aggregator of a leaf took the second change for a repetition of the first and did not pass it on.

Change: a change belongs to one entry of the store, from its creation to its removal. The revision of the creation is the same for each host that reads the entry, and identifies the change. What alters a host's list is always passed on. Arrivals of a message are applied before departures and bring the known revision up to date. A removal also removes an earlier incarnation.

--- a/lib/kv/kv.go
+++ b/lib/kv/kv.go
@@ -69,6 +69,7 @@
 	Key     string
 	Value   []byte
 	Version Version
+	Created Version // version at which the key was created; a key that is deleted and written again has another. Zero: not stated
 }
 
 // Store is a client of the key-value service. Every call honours the deadline of its context.
--- a/lib/registry/registry.go
+++ b/lib/registry/registry.go
@@ -55,6 +55,7 @@
 	StatesCold bool
 
 	Revision int64 // store revision at which the entry was written
+	Created  int64 `json:",omitempty"` // store revision at which the entry was created, also after a removal; zero if not stated
 }
 
 // Supersedes reports whether t replaces old, which may be nil. Entries of one incarnation may arrive out of order, and a
@@ -87,7 +88,28 @@
 	Removed bool   `json:"g,omitempty"` // its entry was removed; otherwise the target drains
 	Stated  bool   `json:"l,omitempty"` // the target itself said so in an answer; such a departure has no revision
 
-	Revision int64 `json:"r"` // store revision at or after the change
+	Revision int64 `json:"r"`           // store revision at or after the change
+	Created  int64 `json:"c,omitempty"` // of the entry that drains or was removed, see Target.Created
+}
+
+// Removal returns the departure of a target whose entry was removed at or before a store revision.
+func (t *Target) Removal(revision int64) Departure {
+	return Departure{ID: t.ID, Started: t.Started, Beat: t.Beat, Removed: true, Revision: revision, Created: t.Created}
+}
+
+// Drain returns the departure of a target whose entry says, as of a store revision, that it drains.
+func (t *Target) Drain(revision int64) Departure {
+	return Departure{ID: t.ID, Started: t.Started, Revision: revision, Created: t.Created}
+}
+
+// removes reports whether the removal of an entry also removes the entry that is known of the target. That one may be of an earlier
+// incarnation, if this host has not heard of the later one.
+func (d *Departure) removes(known *Target) bool {
+	if d.Started != known.Started {
+		return d.Revision >= known.Revision && kv.Version(d.Revision).Era() == kv.Version(known.Revision).Era()
+	}
+	// An entry of a restored store has a later revision than the removal that the store has lost.
+	return d.Revision >= known.Revision || d.Beat >= known.Beat && isLaterEra(known.Revision, d.Revision)
 }
 
 // ApplyDeparture applies a departure that another host has seen. A target that has restarted since, or written an entry after
@@ -97,18 +119,18 @@
 		return t.applyStatement(d, now)
 	}
 	old := t.targets[d.ID]
-	if old == nil || old.Started != d.Started {
+	switch {
+	case old == nil:
 		return false
-	}
-	if d.Removed {
-		// An entry of a restored store has a later revision than the removal that the store has lost.
-		if d.Revision < old.Revision && (d.Beat < old.Beat || !isLaterEra(old.Revision, d.Revision)) {
+	case d.Removed:
+		if !d.removes(old) {
 			return false
 		}
 		t.drop(d.ID, d.Revision, now)
 		return true
+	default:
+		return old.Started == d.Started && t.drain(old)
 	}
-	return t.drain(old)
 }
 
 // drain marks a target in the table as draining and reports whether it was not.
--- a/lib/registry/registry_test.go
+++ b/lib/registry/registry_test.go
@@ -123,3 +123,22 @@
 		t.Error("an entry written after the full read did not restore the target")
 	}
 }
+
+// Guards against an earlier incarnation that stays listed because this host has not heard of the later one whose entry was removed.
+func TestRemovalOfALaterIncarnationIsApplied(t *testing.T) {
+	table, now := NewTable(), time.Unix(1000, 0)
+	entry := &Target{ID: "a", Started: 1, Revision: 5}
+	table.ApplyUpdate(Update{ID: "a", Target: entry, Revision: 5}, now, false)
+	removal := Departure{ID: "a", Started: 2, Removed: true, Revision: 4}
+	if table.ApplyDeparture(removal, now) {
+		t.Error("a removal from before the entry was applied")
+	}
+	removal.Revision = int64(kv.NewVersion(1, 9))
+	if table.ApplyDeparture(removal, now) {
+		t.Error("a removal of another era was applied to another incarnation")
+	}
+	removal.Revision = 9
+	if !table.ApplyDeparture(removal, now) || table.Get("a") != nil {
+		t.Error("the earlier incarnation is still listed")
+	}
+}
--- a/lib/storewatch/changes.go
+++ b/lib/storewatch/changes.go
@@ -22,10 +22,12 @@
 // Empty reports whether there are no changes.
 func (c TargetChanges) Empty() bool { return len(c.Departures)+len(c.Arrivals)+len(c.Zones) == 0 }
 
-// changeKey identifies one change of one incarnation of a target.
+// changeKey identifies one change of a target. What a change says may be true again: an entry that expired may be written again, and
+// removed again. Hosts find one change at different store revisions; the entry that it is about is the same for all of them.
 type changeKey struct {
 	id      string
 	started int64 // identifies the incarnation
+	created int64 // store revision at which the entry was created; zero if not stated
 	kind    changeKind
 }
 
@@ -61,19 +63,32 @@
 	now := bootclock.Now()
 	switch {
 	case u.Target == nil:
-		w.add(changeKey{u.ID, old.Started, targetRemoved}, recentChange{
-			departure: registry.Departure{ID: u.ID, Started: old.Started, Beat: old.Beat, Removed: true, Revision: u.Revision},
-		}, now)
+		w.addDeparture(old.Removal(u.Revision), now)
 	case u.Target.State == registry.Draining:
-		key := changeKey{u.ID, u.Target.Started, targetDraining}
-		if w.changes[key] == nil {
-			w.add(key, recentChange{departure: registry.Departure{ID: u.ID, Started: u.Target.Started, Revision: u.Revision}}, now)
+		if d := u.Target.Drain(u.Revision); w.changes[departureKey(d)] == nil {
+			w.addDeparture(d, now)
 		}
 	case old == nil || old.Started != u.Target.Started:
-		w.add(changeKey{u.ID, u.Target.Started, targetAdded}, recentChange{arrival: u.Target}, now)
+		w.add(arrivalKey(u.Target), recentChange{arrival: u.Target}, now)
 	}
 }
 
+func arrivalKey(t *registry.Target) changeKey {
+	return changeKey{t.ID, t.Started, t.Created, targetAdded}
+}
+
+func departureKey(d registry.Departure) changeKey {
+	if d.Removed {
+		return changeKey{d.ID, d.Started, d.Created, targetRemoved}
+	}
+	return changeKey{d.ID, d.Started, d.Created, targetDraining}
+}
+
+// addDeparture records a departure as of now. The caller holds mu.
+func (w *Watcher) addDeparture(d registry.Departure, now time.Duration) {
+	w.add(departureKey(d), recentChange{departure: d}, now)
+}
+
 // add records a change as of now. The caller holds mu.
 func (w *Watcher) add(key changeKey, c recentChange, now time.Duration) {
 	c.observedAt = now
@@ -87,7 +102,7 @@
 	d := registry.Departure{ID: id, Started: started, Stated: true}
 	w.mu.Lock()
 	if changed = w.targets.ApplyDeparture(d, time.Now()); changed {
-		w.add(changeKey{id, started, targetDraining}, recentChange{departure: d}, bootclock.Now())
+		w.addDeparture(d, bootclock.Now())
 	}
 	w.mu.Unlock()
 	if changed {
@@ -159,25 +174,16 @@
 	changed := false
 	zones := w.applyZoneChanges(c.Zones, fromLeaf)
 	announce = zones
-	for _, d := range c.Departures {
-		changed = w.targets.ApplyDeparture(d, now) || changed
-		kind := targetDraining
-		if d.Removed {
-			kind = targetRemoved
-		}
-		announce = w.recordReceived(changeKey{d.ID, d.Started, kind}, recentChange{departure: d}, fromLeaf) || announce
-	}
+	// Arrivals come first: an older removal of the same target is told by the revision of the entry.
 	for _, t := range c.Arrivals {
-		old := w.targets.Get(t.ID)
-		if old == nil || old.Started != t.Started {
-			applied := w.targets.ApplyUpdate(registry.Update{ID: t.ID, Target: t, Revision: t.Revision}, now, false)
-			changed = applied || changed
-			// A restored store may have lost the entry, and does not report its removal then.
-			if applied && kv.Version(t.Revision).Era() < w.era {
-				w.targets.ApplyUpdate(registry.Update{ID: t.ID, Revision: int64(kv.NewVersion(w.era, 0))}, now, true)
-			}
-		}
-		announce = w.recordReceived(changeKey{t.ID, t.Started, targetAdded}, recentChange{arrival: t}, fromLeaf) || announce
+		news := w.applyArrival(t, now)
+		changed = news || changed
+		announce = w.recordReceived(arrivalKey(t), recentChange{arrival: t}, news, fromLeaf) || announce
+	}
+	for _, d := range c.Departures {
+		news := w.targets.ApplyDeparture(d, now)
+		changed = news || changed
+		announce = w.recordReceived(departureKey(d), recentChange{departure: d}, news, fromLeaf) || announce
 	}
 	w.mu.Unlock()
 	if zones {
@@ -189,11 +195,29 @@
 	return announce
 }
 
-// recordReceived records a change that another host has announced, and reports whether it is new here. A change that was
-// seen within seenTTL is not, so that hosts do not repeat it to each other for ever. The caller holds mu.
-func (w *Watcher) recordReceived(key changeKey, c recentChange, fromLeaf bool) bool {
+// applyArrival applies the entry of a target that another host has announced, and reports whether the target is new here. The caller
+// holds mu.
+func (w *Watcher) applyArrival(t *registry.Target, now time.Time) (news bool) {
+	old := w.targets.Get(t.ID)
+	if old != nil && old.Started == t.Started && old.Revision >= t.Revision {
+		return false
+	}
+	if !w.targets.ApplyUpdate(registry.Update{ID: t.ID, Target: t, Revision: t.Revision}, now, false) {
+		return false
+	}
+	// A restored store may have lost the entry, and does not report its removal then.
+	if kv.Version(t.Revision).Era() < w.era {
+		w.targets.ApplyUpdate(registry.Update{ID: t.ID, Revision: int64(kv.NewVersion(w.era, 0))}, now, true)
+	}
+	return old == nil || old.Started != t.Started
+}
+
+// recordReceived records a change that another host has announced, and reports whether it is new here, so that hosts do not repeat it
+// to each other for ever. A change is new if it changes the list of targets (news), or if it was not seen within seenTTL: this host may
+// know it from the store, but not its leaves. The caller holds mu.
+func (w *Watcher) recordReceived(key changeKey, c recentChange, news, fromLeaf bool) bool {
 	now := bootclock.Now()
-	if item := w.changes[key]; item != nil {
+	if item := w.changes[key]; item != nil && !news {
 		item.announced[ToMesh] = item.announced[ToMesh] || !fromLeaf
 		return false
 	}
@@ -202,7 +226,7 @@
 			delete(w.seen, old)
 		}
 	}
-	if _, known := w.seen[key]; known {
+	if _, known := w.seen[key]; known && !news {
 		return false
 	}
 	c.announced[ToMesh] = !fromLeaf
--- a/lib/storewatch/storewatch_test.go
+++ b/lib/storewatch/storewatch_test.go
@@ -62,7 +62,10 @@
 func (f *fakeFeed) put(key, value string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	e := kv.Entry{Key: key, Value: []byte(value), Version: f.next()}
+	e := kv.Entry{Key: key, Value: []byte(value), Version: f.next(), Created: f.next()}
+	if old, ok := f.entries[key]; ok {
+		e.Created = old.Created
+	}
 	f.entries[key] = e
 	f.record(kv.Change{Entry: e})
 }
--- a/lib/storewatch/targets.go
+++ b/lib/storewatch/targets.go
@@ -13,18 +13,18 @@
 
 // decodeTarget returns the update that an entry describes. An entry that cannot be decoded counts as removed and is logged
 // once per version. The caller holds mu.
-func (w *Watcher) decodeTarget(key string, value []byte, version kv.Version) registry.Update {
-	id := strings.TrimPrefix(key, w.codec.TargetPrefix())
-	t, err := w.codec.Target(id, value)
+func (w *Watcher) decodeTarget(e kv.Entry) registry.Update {
+	id := strings.TrimPrefix(e.Key, w.codec.TargetPrefix())
+	t, err := w.codec.Target(id, e.Value)
 	if err != nil {
-		if w.invalidEntries[id] != version {
-			w.invalidEntries[id] = version
-			w.log.Warn("target entry not decoded", "key", key, "error", err.Error())
+		if w.invalidEntries[id] != e.Version {
+			w.invalidEntries[id] = e.Version
+			w.log.Warn("target entry not decoded", "key", e.Key, "error", err.Error())
 		}
-		return registry.Update{ID: id, Revision: int64(version)}
+		return registry.Update{ID: id, Revision: int64(e.Version)}
 	}
-	t.Revision = int64(version)
-	return registry.Update{ID: id, Target: t, Revision: int64(version)}
+	t.Revision, t.Created = int64(e.Version), int64(e.Created)
+	return registry.Update{ID: id, Target: t, Revision: int64(e.Version)}
 }
 
 // applyTargetChange applies one change of a target's entry and reports whether the table changed.
@@ -33,7 +33,7 @@
 	defer w.mu.Unlock()
 	u := registry.Update{ID: strings.TrimPrefix(c.Key, w.codec.TargetPrefix()), Revision: int64(c.Version)}
 	if !c.Deleted {
-		u = w.decodeTarget(c.Key, c.Value, c.Version)
+		u = w.decodeTarget(c.Entry)
 	}
 	return w.applyTargetUpdate(u, false)
 }
@@ -59,7 +59,7 @@
 	received := maps.Clone(w.changes)
 	var all []registry.Update
 	for _, e := range entries {
-		all = append(all, w.decodeTarget(e.Key, e.Value, e.Version))
+		all = append(all, w.decodeTarget(e))
 	}
 	restored := !first && revision.Era() > w.era
 	if restored {
