Storewatch: a failed call is no outage of the store by itself

What callers saw: the store ended a waiting watch of each host, as it may.

Cause: every failed call counted as an outage in which entries may have expired.

Change: an ended watch, 429 and a changed address prove no outage. Other failures do if the store showed no sign of itself for a heartbeat interval of the targets (setting target_heartbeat); a live target misses two heartbeats in a row in no shorter one. Targets have 2.2 s from the end of the outage, not from the time at which a host found their entries missing, and again after the next outage. One that has written its entry since is dropped at once when it is removed.

--- a/lib/entryhost/entryhost.go
+++ b/lib/entryhost/entryhost.go
@@ -148,7 +148,7 @@
 			rpcConfig:    &configService{value: func() []byte { return h.storeWatcher.ConfigValue() }},
 		},
 	}, cfg.Log)
-	h.storeWatcher = storewatch.New(cfg.Store, cfg.Codec, storewatch.Handlers{
+	h.storeWatcher = storewatch.New(cfg.Store, cfg.Codec, s.TargetHeartbeat, storewatch.Handlers{
 		OnCatalog: h.setCatalog, OnTargets: h.setTargets, OnHosts: h.peers.SetEntries, OnZones: h.setEvacuations, OnQuarantine: h.quarantine.restore,
 		OnRestored: h.quarantine.forgetAllStored, Announce: h.peers.Announce,
 	}, cfg.Log)
--- a/lib/entryhost/settings.go
+++ b/lib/entryhost/settings.go
@@ -28,6 +28,9 @@
 	// Zones holds the region of each zone. A zone that is missing is a region of its own name.
 	Zones map[string]string `yaml:"zones"`
 
+	// TargetHeartbeat is the interval at which targets write their entries in the store, which expire after three of them.
+	TargetHeartbeat time.Duration `yaml:"target_heartbeat"`
+
 	LinkMbps float64 `yaml:"link_mbps"` // rate of this host's network link in Mbit/s
 
 	// FarInterval is how many times as long as to hosts of their own zone hosts wait between two states to hosts of other zones, in
@@ -85,7 +88,8 @@
 // DefaultSettings returns the settings that apply where the file sets none.
 func DefaultSettings() Settings {
 	return Settings{
-		DrainWithin: 2 * time.Second, ConfigWithin: 2 * time.Second, EvacuateWithin: 5 * time.Second, LinkMbps: 100, RetryRatio: 0.1, RetrySlack: 10,
+		DrainWithin: 2 * time.Second, ConfigWithin: 2 * time.Second, EvacuateWithin: 5 * time.Second, TargetHeartbeat: defaultTargetHeartbeat, LinkMbps: 100,
+		RetryRatio: 0.1, RetrySlack: 10,
 		Placement: PlacementSettings{Lease: 3 * time.Second, LoadsOvershoot: 1},
 		Grace:     8 * time.Second, ColdOvershoot: 1,
 		Callers: CallerSettings{BodyTimeout: defaultBodyTimeout, MinBodyRate: defaultBodyRate},
@@ -93,6 +97,8 @@
 }
 
 const (
+	// defaultTargetHeartbeat is the interval of the platform's example.
+	defaultTargetHeartbeat = 1200 * time.Millisecond
 	// defaultStopDelay is enough for a load balancer that checks once a second and stops sending after two failed checks.
 	defaultStopDelay = 2500 * time.Millisecond
 	// maxFarInterval keeps a host that reports to other zones reachable for them: they take it for lost after four intervals.
@@ -127,6 +133,9 @@
 	if s.EvacuateWithin <= 0 {
 		return fmt.Errorf("evacuate_within (%s) must be above 0", s.EvacuateWithin)
 	}
+	if s.TargetHeartbeat <= 0 {
+		return fmt.Errorf("target_heartbeat (%s) must be above 0; set it to the interval at which targets write their entries", s.TargetHeartbeat)
+	}
 	for zone, region := range s.Zones {
 		if zone == "" || region == "" {
 			return fmt.Errorf("zones: %q: %q must name a zone and its region; leave out zones that are regions of their own", zone, region)
--- a/lib/entryhost/settings_test.go
+++ b/lib/entryhost/settings_test.go
@@ -34,6 +34,7 @@
 		{"retry_ratio: 0.2", "retry_ratio: -1", "retry_ratio"},
 		{"retry_slack: 54", "link_mbps: 0", "link_mbps"},
 		{"retry_slack: 54", "drain_within: 0s", "drain_within"},
+		{"retry_slack: 54", "target_heartbeat: 0s", "target_heartbeat"},
 		{"3000ms", "10ms", "lease"},
 		{"3000ms", "soon", "[11:10] placement.lease"},
 		{"retry_slack", "retry_slak", "retry_slak"},
--- a/lib/kv/kv.go
+++ b/lib/kv/kv.go
@@ -60,6 +60,8 @@
 	ErrConflict    = errors.New("kv: version conflict; read the key again and retry")
 	ErrUnknown     = errors.New("kv: outcome of the write unknown; read the key to find out")
 	ErrUnavailable = errors.New("kv: service unavailable; retry later")
+	ErrRateLimited = errors.New("kv: more calls than the service accepts; retry later") // with ErrUnavailable: the service is available
+	ErrMoved       = errors.New("kv: the client calls another address now; call again") // with ErrUnavailable, of reads
 	ErrLeaseLost   = errors.New("kv: lease expired; grant a new one")
 	ErrTooLarge    = errors.New("kv: value larger than 1 MiB; split it")
 )
--- a/lib/registry/leaving_test.go
+++ b/lib/registry/leaving_test.go
@@ -30,7 +30,7 @@
 		for _, s := range c.steps {
 			switch s := s.(type) {
 			case Update:
-				table.ApplyUpdate(s, at, false)
+				table.ApplyUpdate(s, at, time.Time{})
 			case Departure:
 				table.ApplyDeparture(s, at)
 			}
--- a/lib/registry/registry.go
+++ b/lib/registry/registry.go
@@ -151,21 +151,18 @@
 	Revision int64 // store revision at or after the change
 }
 
-// returnGrace is how long targets have, after an outage of the store, to write again entries that expired meanwhile.
-const returnGrace = 2200 * time.Millisecond // the platform states 2 s; the rest covers this host's own read delay
-
 // Table holds the targets of all services. It is not safe for concurrent use.
 type Table struct {
 	targets    map[string]*Target
-	missing    map[string]missing   // targets whose entries vanished in an outage
+	missing    map[string]missing   // targets whose entries may have expired in an outage
 	tombstones map[string]tombstone // targets that were dropped recently
 	leaving    map[string]leaving   // incarnations that said that they leave
 }
 
-// missing is the removal of an entry that vanished in an outage.
+// missing is the removal of an entry that may have expired in an outage.
 type missing struct {
-	dropAt   time.Time
-	revision int64 // store revision at or after the removal
+	dropAt   time.Time // unless the entry returns before
+	revision int64     // store revision at or after the removal
 }
 
 // tombstone marks a dropped target, so that an entry written before the drop does not restore it.
@@ -199,10 +196,9 @@
 	return &Table{targets: map[string]*Target{}, missing: map[string]missing{}, tombstones: map[string]tombstone{}, leaving: map[string]leaving{}}
 }
 
-// ApplyUpdate applies an update and reports whether the list of targets changed. A target whose entry vanished in or
-// right after an outage of the store is kept for returnGrace: the entry may have expired because the target could not
-// renew it.
-func (t *Table) ApplyUpdate(u Update, now time.Time, inOutage bool) (changed bool) {
+// ApplyUpdate applies an update and reports whether the list of targets changed. A target whose entry was removed is kept until
+// keepUntil, if that is later than now: the entry may have expired in an outage of the store, because the target could not renew it.
+func (t *Table) ApplyUpdate(u Update, now, keepUntil time.Time) (changed bool) {
 	old := t.targets[u.ID]
 	if u.Target == nil {
 		if old == nil || u.Revision < old.Revision {
@@ -211,8 +207,8 @@
 		if _, ok := t.missing[u.ID]; ok {
 			return false
 		}
-		if inOutage {
-			t.missing[u.ID] = missing{now.Add(returnGrace), u.Revision}
+		if now.Before(keepUntil) {
+			t.missing[u.ID] = missing{keepUntil, u.Revision}
 			return false
 		}
 		t.drop(u.ID, u.Revision, now)
@@ -273,12 +269,23 @@
 	return out
 }
 
-// Expire drops targets whose entries did not return within returnGrace, and tombstones that are no longer needed.
-func (t *Table) Expire(now time.Time) (changed bool) {
+// KeepMissing keeps targets whose entries are missing until a later time: the store was unavailable again.
+func (t *Table) KeepMissing(until time.Time) {
+	for id, m := range t.missing {
+		if until.After(m.dropAt) {
+			m.dropAt = until
+			t.missing[id] = m
+		}
+	}
+}
+
+// Expire drops targets whose entries did not return in time, and returns their departures. It also drops tombstones that are no
+// longer needed.
+func (t *Table) Expire(now time.Time) (dropped []Departure) {
 	for id, m := range t.missing {
 		if !now.Before(m.dropAt) {
+			dropped = append(dropped, t.targets[id].Removal(m.revision))
 			t.drop(id, m.revision, now)
-			changed = true
 		}
 	}
 	for id, stone := range t.tombstones {
@@ -291,7 +298,7 @@
 			delete(t.leaving, id)
 		}
 	}
-	return changed
+	return dropped
 }
 
 // Get returns the target with the id, or nil.
--- a/lib/registry/registry_test.go
+++ b/lib/registry/registry_test.go
@@ -47,17 +47,17 @@
 func TestTargetThatExpiredAfterAnOutageStaysGone(t *testing.T) {
 	table, now := NewTable(), time.Unix(1000, 0)
 	entry := &Target{ID: "a", Started: 1, Revision: 5}
-	table.ApplyUpdate(Update{ID: "a", Target: entry, Revision: 5}, now, false)
-	table.ApplyUpdate(Update{ID: "a", Revision: 9}, now, true)
-	if now = now.Add(returnGrace); !table.Expire(now) || table.Get("a") != nil {
+	table.ApplyUpdate(Update{ID: "a", Target: entry, Revision: 5}, now, time.Time{})
+	table.ApplyUpdate(Update{ID: "a", Revision: 9}, now, now.Add(time.Second))
+	if now = now.Add(time.Second); len(table.Expire(now)) != 1 || table.Get("a") != nil {
 		t.Fatal("the target was not dropped")
 	}
-	table.ApplyUpdate(Update{ID: "a", Target: entry, Revision: 5}, now, false)
+	table.ApplyUpdate(Update{ID: "a", Target: entry, Revision: 5}, now, time.Time{})
 	if table.Get("a") != nil {
 		t.Error("an entry from before the removal restored the target")
 	}
 	back := &Target{ID: "a", Started: 1, Beat: 1, Revision: 12}
-	table.ApplyUpdate(Update{ID: "a", Target: back, Revision: 12}, now, false)
+	table.ApplyUpdate(Update{ID: "a", Target: back, Revision: 12}, now, time.Time{})
 	if table.Get("a") != back {
 		t.Error("a later entry did not restore the target")
 	}
@@ -71,12 +71,12 @@
 	now := time.Unix(1000, 0)
 	dropped := func() *Table {
 		table := NewTable()
-		table.ApplyUpdate(Update{ID: "a", Target: entryAt(5), Revision: entryAt(5).Revision}, now, false)
-		table.ApplyUpdate(Update{ID: "a", Revision: int64(kv.NewVersion(1, 9))}, now, false)
+		table.ApplyUpdate(Update{ID: "a", Target: entryAt(5), Revision: entryAt(5).Revision}, now, time.Time{})
+		table.ApplyUpdate(Update{ID: "a", Revision: int64(kv.NewVersion(1, 9))}, now, time.Time{})
 		return table
 	}
 	table, back := dropped(), entryAt(12)
-	table.ApplyUpdate(Update{ID: "a", Target: back, Revision: back.Revision}, now, false)
+	table.ApplyUpdate(Update{ID: "a", Target: back, Revision: back.Revision}, now, time.Time{})
 	if table.Get("a") != back {
 		t.Error("an entry written after the removal did not restore the target")
 	}
@@ -98,12 +98,12 @@
 		if u.Target != nil {
 			u.Target.Revision = u.Revision
 		}
-		table.ApplyUpdate(u, now, false)
+		table.ApplyUpdate(u, now, time.Time{})
 	}
 	draining := &Target{ID: "a", Started: 1, Beat: 8, State: Draining, Revision: in(2, 13)}
 	read := []Update{{ID: "a", Target: draining, Revision: draining.Revision}}
 	table.Restored(read, in(2, 13))
-	table.ApplyUpdate(read[0], now, false)
+	table.ApplyUpdate(read[0], now, time.Time{})
 	if got := table.Get("a"); got == nil || got.State != Draining {
 		t.Errorf("the target is %+v, want it to drain", got)
 	}
@@ -114,11 +114,11 @@
 	now, in := time.Unix(1000, 0), func(era kv.Era, revision int64) int64 { return int64(kv.NewVersion(era, revision)) }
 	table := NewTable()
 	old := &Target{ID: "a", Started: 1, Beat: 5, Revision: in(1, 12)}
-	table.ApplyUpdate(Update{ID: "a", Target: old, Revision: old.Revision}, now, false)
-	table.ApplyUpdate(Update{ID: "a", Revision: in(1, 13)}, now, false)
+	table.ApplyUpdate(Update{ID: "a", Target: old, Revision: old.Revision}, now, time.Time{})
+	table.ApplyUpdate(Update{ID: "a", Revision: in(1, 13)}, now, time.Time{})
 	table.Restored(nil, in(2, 10))
 	back := &Target{ID: "a", Started: 1, Beat: 5, Revision: in(2, 11)}
-	table.ApplyUpdate(Update{ID: "a", Target: back, Revision: back.Revision}, now, false)
+	table.ApplyUpdate(Update{ID: "a", Target: back, Revision: back.Revision}, now, time.Time{})
 	if table.Get("a") != back {
 		t.Error("an entry written after the full read did not restore the target")
 	}
@@ -128,7 +128,7 @@
 func TestRemovalOfALaterIncarnationIsApplied(t *testing.T) {
 	table, now := NewTable(), time.Unix(1000, 0)
 	entry := &Target{ID: "a", Started: 1, Revision: 5}
-	table.ApplyUpdate(Update{ID: "a", Target: entry, Revision: 5}, now, false)
+	table.ApplyUpdate(Update{ID: "a", Target: entry, Revision: 5}, now, time.Time{})
 	removal := Departure{ID: "a", Started: 2, Removed: true, Revision: 4}
 	if table.ApplyDeparture(removal, now) {
 		t.Error("a removal from before the entry was applied")
--- a/lib/storewatch/changes.go
+++ b/lib/storewatch/changes.go
@@ -202,12 +202,12 @@
 	if old != nil && old.Started == t.Started && old.Revision >= t.Revision {
 		return false
 	}
-	if !w.targets.ApplyUpdate(registry.Update{ID: t.ID, Target: t, Revision: t.Revision}, now, false) {
+	if !w.targets.ApplyUpdate(registry.Update{ID: t.ID, Target: t, Revision: t.Revision}, now, time.Time{}) {
 		return false
 	}
 	// A restored store may have lost the entry, and does not report its removal then.
 	if kv.Version(t.Revision).Era() < w.era {
-		w.targets.ApplyUpdate(registry.Update{ID: t.ID, Revision: int64(kv.NewVersion(w.era, 0))}, now, true)
+		w.targets.ApplyUpdate(registry.Update{ID: t.ID, Revision: int64(kv.NewVersion(w.era, 0))}, now, now.Add(returnGrace))
 	}
 	return old == nil || old.Started != t.Started
 }
--- /dev/null
+++ b/lib/storewatch/outage_test.go
@@ -0,0 +1,131 @@
+package storewatch
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"cuminhook.org/cuminhook/lib/kv"
+)
+
+// Guards against sending work for too long to a target whose entry is removed after a call of the store has failed although the store was
+// available.
+func TestRemovalAfterAFailedCallIsDetectedInTime(t *testing.T) {
+	refused := errors.New("status 503")
+	for name, failing := range map[string][]error{
+		"watch ended":                         nil,
+		"watch ended, then one refused read":  {refused},
+		"watch ended, then calls too many":    {kv.ErrRateLimited, kv.ErrRateLimited},
+		"watch ended, then the address moved": {kv.ErrMoved},
+	} {
+		for _, pause := range []time.Duration{0, 100 * time.Millisecond, 1500 * time.Millisecond, 2500 * time.Millisecond} {
+			t.Run(fmt.Sprintf("%s/%v", name, pause), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					feed := newFakeFeed()
+					feed.put("targets/a", "ready")
+					_, s := startWatcher(t, feed)
+					time.Sleep(5 * time.Second)
+					feed.update(func() { feed.failing = failing })
+					feed.cutWatches()
+					time.Sleep(pause)
+					feed.remove("targets/a")
+					time.Sleep(drainDeadline)
+					if _, ok := s.targetState("a"); ok {
+						t.Errorf("the target is in use %v after its removal", drainDeadline)
+					}
+				})
+			})
+		}
+	}
+}
+
+// Guards against a target that is dropped as soon as the store is back from a second outage, before it could write its entry again, and
+// against one that is kept after that time.
+func TestEntriesExpiredInTwoOutagesAreKeptForGracePeriod(t *testing.T) {
+	for _, outage := range []time.Duration{heartbeat / 2, 3 * heartbeat} {
+		synctest.Test(t, func(t *testing.T) {
+			feed := newFakeFeed()
+			feed.put("targets/a", "ready")
+			_, s := startWatcher(t, feed)
+			time.Sleep(5 * time.Second)
+			down := func(d time.Duration, meanwhile func()) {
+				feed.update(func() { feed.down = true })
+				feed.cutWatches()
+				time.Sleep(d)
+				meanwhile()
+				feed.update(func() { feed.down = false })
+			}
+			down(3*heartbeat, func() { feed.remove("targets/a") })
+			time.Sleep(1500 * time.Millisecond)
+			down(outage, func() {})
+			time.Sleep(1500 * time.Millisecond)
+			if _, ok := s.targetState("a"); !ok {
+				t.Errorf("dropped 1.5 s after the second outage of %v", outage)
+			}
+			time.Sleep(2 * time.Second)
+			if _, ok := s.targetState("a"); ok {
+				t.Errorf("in use 3.5 s after the second outage of %v", outage)
+			}
+		})
+	}
+}
+
+// Guards against sending work for too long to a target that leaves soon after an outage in which its entry did not expire.
+func TestTargetThatWritesAfterAnOutageAndLeavesIsDroppedInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		feed := newFakeFeed()
+		feed.put("targets/a", "ready")
+		_, s := startWatcher(t, feed)
+		time.Sleep(5 * time.Second)
+		feed.update(func() { feed.down = true })
+		feed.cutWatches()
+		time.Sleep(10 * time.Second)
+		feed.update(func() { feed.down = false })
+		time.Sleep(maxRetryDelay)
+		feed.put("targets/a", "ready")
+		time.Sleep(100 * time.Millisecond)
+		feed.remove("targets/a")
+		time.Sleep(time.Second)
+		if _, ok := s.targetState("a"); ok {
+			t.Error("the target is in use a second after its removal")
+		}
+	})
+}
+
+// Guards against a failed call that is taken for an outage, and an outage that is taken for a failed call.
+func TestOutagesThatMayCostEntries(t *testing.T) {
+	const tick = heartbeat / 12
+	for name, c := range map[string]struct {
+		calls string // one a tick: . sign of the store, x failed call, - no call
+		want  int    // ticks after the last call at which entries may still return, rounded down
+	}{
+		"no failure":                         {"..........", 0},
+		"no call for long":                   {".-------------------.", 0},
+		"one failed call":                    {"....x.....", 0},
+		"failures shorter than a heartbeat":  {"....xxxxxxxxxx.", 0},
+		"outage":                             {"....xxxxxxxxxxxxxxx.", 22},
+		"outage that no call met but one":    {".--------------x.", 22},
+		"outage some time ago":               {"....xxxxxxxxxxxxxxx.--------------------------.", 0},
+		"outage a moment ago":                {"....xxxxxxxxxxxxxxx.----.", 17},
+		"flapping":                           {"....xxxxx.xxxxx.xxxxx.", 22},
+		"failures apart from each other":     {"..xxxxxxxx..............xxxxxxxx.", 0},
+		"failure while entries return":       {"....xxxxxxxxxxxxxxx.----------------x.", 22},
+		"first failure after entries return": {"....xxxxxxxxxxxxxxx........................x.", 0},
+	} {
+		o, now := outages{heartbeat: heartbeat}, time.Unix(1000, 0)
+		for _, call := range c.calls {
+			now = now.Add(tick)
+			switch call {
+			case '.':
+				o.sign(now)
+			case 'x':
+				o.fail(now)
+			}
+		}
+		if got := int(max(0, o.returnBy.Sub(now)) / tick); got != c.want {
+			t.Errorf("%s: entries may return for %d ticks, want %d", name, got, c.want)
+		}
+	}
+}
--- a/lib/storewatch/publish_test.go
+++ b/lib/storewatch/publish_test.go
@@ -11,7 +11,7 @@
 func TestOlderListOfTargetsIsNotPublishedLast(t *testing.T) {
 	entered, release := make(chan struct{}, 4), make(chan struct{})
 	latest := make(chan registry.State, 4)
-	w := New(newFakeFeed(), textCodec{}, Handlers{OnTargets: func(list []*registry.Target) {
+	w := New(newFakeFeed(), textCodec{}, heartbeat, Handlers{OnTargets: func(list []*registry.Target) {
 		if entered <- struct{}{}; len(entered) == 1 {
 			<-release
 		}
--- a/lib/storewatch/storewatch.go
+++ b/lib/storewatch/storewatch.go
@@ -48,9 +48,6 @@
 	maxRetryDelay = time.Second
 	// minRefreshInterval is the shortest time between two full reads that Refresh starts.
 	minRefreshInterval = time.Second
-	// outageGracePeriod is the time after the last failed call within which entries may be missing only because they
-	// expired while the store was unavailable.
-	outageGracePeriod = 3 * time.Second
 	// expireInterval is the time between two checks for targets whose missing entries did not return.
 	expireInterval = 200 * time.Millisecond
 )
@@ -120,22 +117,24 @@
 	publishedZones map[string]bool             // guarded by mu; evacuated zones as last published
 	hosts          map[string][]byte           // guarded by mu; values of the hosts' entries, by host
 	lastAnswer     time.Time                   // guarded by mu; when the store answered last
-	lastFailure    time.Time                   // guarded by mu; when a call failed last
 	storeLost      bool                        // guarded by mu; no call has succeeded since the last failure
+	outages        outages                     // guarded by mu
+	regained       time.Time                   // guarded by mu; end of the last outage after which the store was read in full
+	regainedAt     int64                       // guarded by mu; revision of the store at that read
 	lastRefresh    time.Time                   // guarded by mu; when Refresh last ended a watch
 	cancelWatch    context.CancelCauseFunc     // guarded by mu; ends the current watch
 	invalidEntries map[string]kv.Version       // guarded by mu; versions of undecodable entries that were logged, by target
 	loggedStates   map[string]registry.State   // guarded by mu; states of targets as last logged
 }
 
-// New returns a watcher that calls the handlers. Run starts it.
-func New(feed kv.Feed, codec Codec, handlers Handlers, log *slog.Logger) *Watcher {
+// New returns a watcher that calls the handlers. Run starts it. Targets write their entries once in an interval heartbeat.
+func New(feed kv.Feed, codec Codec, heartbeat time.Duration, handlers Handlers, log *slog.Logger) *Watcher {
 	return &Watcher{
 		feed: feed, codec: codec, handlers: handlers, log: log, configVersion: -1, targets: registry.NewTable(),
 		hosts: map[string][]byte{}, pollNow: make(chan struct{}, 1), started: time.Now(), pollPhase: rand.Float64(),
 		polling: Polling{Poller: true, Pollers: 1}, zones: map[string]*zone{},
 		changes: map[changeKey]*recentChange{}, seen: map[changeKey]time.Duration{}, invalidEntries: map[string]kv.Version{},
-		loggedStates: map[string]registry.State{},
+		loggedStates: map[string]registry.State{}, outages: outages{heartbeat: heartbeat},
 	}
 }
 
@@ -159,7 +158,7 @@
 		}
 		switch {
 		case ctx.Err() != nil:
-		case errors.Is(err, errRefresh), errors.Is(err, errIdle):
+		case errors.Is(err, errRefresh), errors.Is(err, errIdle), errors.Is(err, kv.ErrMoved):
 		case errors.Is(err, kv.ErrCompacted):
 			w.log.Info("store history compacted or store restored; reading all keys again")
 		default:
@@ -210,6 +209,7 @@
 		return 0, err
 	}
 	w.recordAnswer()
+	w.noteRegained(snap.Revision)
 	w.reportRestored(snap.Revision.Era())
 	var targets, hosts, zones []kv.Entry
 	var segments []string
@@ -359,22 +359,53 @@
 		w.log.Info("store regained", "silent_ms", time.Since(w.lastAnswer).Milliseconds())
 	}
 	w.lastAnswer = time.Now()
+	w.recordSign()
 }
 
 // recordFailure notes that a call of the store has failed.
 func (w *Watcher) recordFailure(err error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if errors.Is(err, kv.ErrWatchEnded) {
+		w.log.Info("watch ended by the store", "error", err.Error())
+		w.recordSign()
+		return
+	}
 	if !w.storeLost {
 		w.storeLost = true
 		w.log.Warn("store lost", "error", err.Error())
 	}
-	w.lastFailure = time.Now()
+	if errors.Is(err, kv.ErrRateLimited) {
+		w.recordSign()
+		return
+	}
+	w.outages.fail(time.Now())
+}
+
+// recordSign notes a sign that the store is available. The caller holds mu.
+func (w *Watcher) recordSign() {
+	if w.outages.sign(time.Now()) {
+		w.log.Info("outage of the store", "lasted_ms", w.outages.ended.Sub(w.outages.began).Milliseconds())
+		w.targets.KeepMissing(w.outages.returnBy)
+	}
 }
 
-// afterOutage reports whether entries may be missing because of an outage. The caller holds mu.
-func (w *Watcher) afterOutage(now time.Time) bool {
-	return !w.lastFailure.IsZero() && now.Sub(w.lastFailure) < outageGracePeriod
+// noteRegained notes the revision as of which the store is read again after an outage.
+func (w *Watcher) noteRegained(revision kv.Version) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.outages.ended.After(w.regained) {
+		w.regained, w.regainedAt = w.outages.ended, int64(revision)
+	}
+}
+
+// keepUntil returns until when a target is kept whose entry was removed, or the zero time. The entry may have expired in an outage of
+// the store, unless the target has written it since. The caller holds mu.
+func (w *Watcher) keepUntil(t *registry.Target) time.Time {
+	if t == nil || t.Revision > w.regainedAt {
+		return time.Time{}
+	}
+	return w.outages.returnBy
 }
 
 // applyStoreChanges applies changes read from the store and calls the handlers.
--- a/lib/storewatch/storewatch_test.go
+++ b/lib/storewatch/storewatch_test.go
@@ -18,6 +18,9 @@
 	"cuminhook.org/cuminhook/lib/sleep"
 )
 
+// heartbeat is the interval at which targets write their entries.
+const heartbeat = 1200 * time.Millisecond
+
 // textCodec decodes a configuration that is just its version and a target that is just its state.
 type textCodec struct{}
 
@@ -48,7 +51,8 @@
 	era          kv.Era
 	entries      map[string]kv.Entry
 	changes      []kv.Change
-	historyLost  bool // watches return no changes
+	failing      []error // of the next reads of all entries
+	historyLost  bool    // watches return no changes
 	down         bool
 	unresponsive bool // watches begun meanwhile get no answer, not even afterwards
 	cut          chan struct{}
@@ -121,6 +125,11 @@
 	if f.down {
 		return kv.Snapshot{}, kv.ErrUnavailable
 	}
+	if len(f.failing) > 0 {
+		err := f.failing[0]
+		f.failing = f.failing[1:]
+		return kv.Snapshot{}, fmt.Errorf("%w: %w", kv.ErrUnavailable, err)
+	}
 	out := kv.Snapshot{Revision: f.next() - 1}
 	for key, e := range f.entries {
 		if len(key) >= len(prefix) && key[:len(prefix)] == prefix {
@@ -158,7 +167,7 @@
 		select {
 		case <-changed:
 		case <-cut:
-			return nil, after, fmt.Errorf("%w: cut", kv.ErrUnavailable)
+			return nil, after, fmt.Errorf("%w: %w", kv.ErrUnavailable, kv.ErrWatchEnded)
 		case <-end:
 			return nil, after, nil
 		case <-ctx.Done():
@@ -214,7 +223,7 @@
 // startWatcherWith starts a watcher after prepare has changed it.
 func startWatcherWith(t *testing.T, feed kv.Feed, prepare func(*Watcher)) (*Watcher, *recorder) {
 	s := &recorder{}
-	w := New(feed, textCodec{}, Handlers{
+	w := New(feed, textCodec{}, heartbeat, Handlers{
 		OnCatalog: func(c *catalog.Catalog) { s.mu.Lock(); s.version = c.Version; s.mu.Unlock() },
 		OnTargets: func(list []*registry.Target) {
 			s.mu.Lock()
--- a/lib/storewatch/targets.go
+++ b/lib/storewatch/targets.go
@@ -43,8 +43,11 @@
 func (w *Watcher) applyTargetUpdate(u registry.Update, lost bool) (changed bool) {
 	now := time.Now()
 	old := w.targets.Get(u.ID)
-	changed = w.targets.ApplyUpdate(u, now, u.Target == nil && (lost || w.afterOutage(now)))
-	if changed {
+	keepUntil := w.keepUntil(old)
+	if lost {
+		keepUntil = now.Add(returnGrace)
+	}
+	if changed = w.targets.ApplyUpdate(u, now, keepUntil); changed {
 		w.recordChange(u, old)
 	}
 	return changed
@@ -123,9 +126,12 @@
 	for sleep.For(ctx, expireInterval) {
 		w.expireZones()
 		w.mu.Lock()
-		changed := !w.storeLost && w.targets.Expire(time.Now())
+		var dropped []registry.Departure
+		if !w.storeLost {
+			dropped = w.targets.Expire(time.Now())
+		}
 		w.mu.Unlock()
-		if changed {
+		if len(dropped) > 0 {
 			w.publishTargets()
 		}
 	}
