Storewatch: a target that does not return after an outage is announced

What callers would see: leaves go on choosing a target that ended during an outage of the store, for up to a minute. Found by reading.

Change: the drop is announced like any other removal.

Result: TestTargetThatDoesNotReturnAfterAnOutageIsAnnounced failed before (nothing announced) and passes.

--- a/lib/storewatch/outage_test.go
+++ b/lib/storewatch/outage_test.go
@@ -129,3 +129,33 @@
 		}
 	}
 }
+
+// Guards against leaves that go on using a target whose entry did not return after an outage: their aggregator drops it and tells nobody.
+func TestTargetThatDoesNotReturnAfterAnOutageIsAnnounced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		feed := newFakeFeed()
+		feed.put("targets/a", "ready")
+		announced := make(chan TargetChanges, 10)
+		_, s := startWatcherWith(t, feed, func(w *Watcher) {
+			w.handlers.Announce = func() { announced <- w.NewTargetChanges(ToLeaves) }
+		})
+		time.Sleep(5 * time.Second)
+		feed.update(func() { feed.down = true })
+		feed.cutWatches()
+		time.Sleep(3 * heartbeat)
+		feed.remove("targets/a")
+		feed.update(func() { feed.down = false })
+		time.Sleep(returnTime + 2*maxRetryDelay)
+		if _, ok := s.targetState("a"); ok {
+			t.Fatal("the host uses the target")
+		}
+		select {
+		case c := <-announced:
+			if len(c.Departures) != 1 || c.Departures[0].ID != "a" || !c.Departures[0].Removed {
+				t.Errorf("announced %+v, want the departure of a", c)
+			}
+		default:
+			t.Error("the departure is not announced")
+		}
+	})
+}
--- a/lib/storewatch/targets.go
+++ b/lib/storewatch/targets.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"cuminhook.org/cuminhook/lib/bootclock"
 	"cuminhook.org/cuminhook/lib/kv"
 	"cuminhook.org/cuminhook/lib/registry"
 	"cuminhook.org/cuminhook/lib/sleep"
@@ -130,9 +131,13 @@
 		if !w.storeLost {
 			dropped = w.targets.Expire(time.Now())
 		}
+		for _, d := range dropped {
+			w.addDeparture(d, bootclock.Now())
+		}
 		w.mu.Unlock()
 		if len(dropped) > 0 {
 			w.publishTargets()
+			w.announceChanges()
 		}
 	}
 }
