Storewatch: whether an entry is still missing after an outage is read from the store

What callers would see: a host that polls the store rarely drops targets that were back in time, and, since it announces what it drops, so do others.

A host between two polls has not read what came back meanwhile.

Change: a target is dropped when an answer that arrives after that time, or a watch that waits, shows that its entry is still missing. A host that does neither polls at once.

--- a/lib/registry/registry.go
+++ b/lib/registry/registry.go
@@ -279,15 +279,30 @@
 	}
 }
 
-// Expire drops targets whose entries did not return in time, and returns their departures. It also drops tombstones that are no
-// longer needed.
-func (t *Table) Expire(now time.Time) (dropped []Departure) {
+// MissingTooLong reports whether there are targets whose entries did not return in time, as far as is known.
+func (t *Table) MissingTooLong(now time.Time) bool {
+	for _, m := range t.missing {
+		if !now.Before(m.dropAt) {
+			return true
+		}
+	}
+	return false
+}
+
+// DropMissing drops targets whose entries did not return in time, and returns their departures. Call it only when all changes up to now
+// have been applied.
+func (t *Table) DropMissing(now time.Time) (dropped []Departure) {
 	for id, m := range t.missing {
 		if !now.Before(m.dropAt) {
 			dropped = append(dropped, t.targets[id].Removal(m.revision))
 			t.drop(id, m.revision, now)
 		}
 	}
+	return dropped
+}
+
+// Expire drops tombstones and statements that are no longer needed.
+func (t *Table) Expire(now time.Time) {
 	for id, stone := range t.tombstones {
 		if now.Sub(stone.at) > tombstoneTTL {
 			delete(t.tombstones, id)
@@ -298,7 +313,6 @@
 			delete(t.leaving, id)
 		}
 	}
-	return dropped
 }
 
 // Get returns the target with the id, or nil.
--- a/lib/registry/registry_test.go
+++ b/lib/registry/registry_test.go
@@ -49,7 +49,7 @@
 	entry := &Target{ID: "a", Started: 1, Revision: 5}
 	table.ApplyUpdate(Update{ID: "a", Target: entry, Revision: 5}, now, time.Time{})
 	table.ApplyUpdate(Update{ID: "a", Revision: 9}, now, now.Add(time.Second))
-	if now = now.Add(time.Second); len(table.Expire(now)) != 1 || table.Get("a") != nil {
+	if now = now.Add(time.Second); len(table.DropMissing(now)) != 1 || table.Get("a") != nil {
 		t.Fatal("the target was not dropped")
 	}
 	table.ApplyUpdate(Update{ID: "a", Target: entry, Revision: 5}, now, time.Time{})
--- a/lib/storewatch/outage_test.go
+++ b/lib/storewatch/outage_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"cuminhook.org/cuminhook/lib/kv"
+	"cuminhook.org/cuminhook/lib/sleep"
 )
 
 // Guards against sending work for too long to a target whose entry is removed after a call of the store has failed although the store was
@@ -159,3 +160,47 @@
 		}
 	})
 }
+
+// Guards against a target that is dropped though its entry is back: a host that polls rarely has not read the store since. What did not
+// return is dropped.
+func TestHostThatPollsRarelyKeepsTargetsThatReturned(t *testing.T) {
+	for name, busy := range map[string]bool{"quiet store": false, "busy store": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				feed := newFakeFeed()
+				for _, id := range []string{"a", "b", "c"} {
+					feed.put("targets/"+id, "ready")
+				}
+				_, s := startWatcherWith(t, feed, func(w *Watcher) { w.SetPolling(Polling{Interval: time.Minute}) })
+				time.Sleep(5 * time.Second)
+				feed.update(func() { feed.down = true })
+				feed.cutWatches()
+				time.Sleep(3 * heartbeat)
+				for _, id := range []string{"a", "b", "c"} {
+					feed.remove("targets/" + id)
+				}
+				feed.update(func() { feed.down = false })
+				if busy {
+					go func() {
+						for sleep.For(t.Context(), 100*time.Millisecond) {
+							feed.put("targets/other", "ready")
+						}
+					}()
+				}
+				time.Sleep(maxRetryDelay)
+				feed.put("targets/b", "ready") // answers the watch; the next one would follow in a minute
+				time.Sleep(500 * time.Millisecond)
+				feed.put("targets/a", "ready")
+				for range 40 {
+					time.Sleep(100 * time.Millisecond)
+					if _, ok := s.targetState("a"); !ok {
+						t.Fatal("a was dropped although its entry is back")
+					}
+				}
+				if _, ok := s.targetState("c"); ok {
+					t.Error("c is still used although its entry did not come back")
+				}
+			})
+		})
+	}
+}
--- a/lib/storewatch/storewatch.go
+++ b/lib/storewatch/storewatch.go
@@ -121,6 +121,7 @@
 	outages        outages                     // guarded by mu
 	regained       time.Time                   // guarded by mu; end of the last outage after which the store was read in full
 	regainedAt     int64                       // guarded by mu; revision of the store at that read
+	watchingSince  time.Time                   // guarded by mu; since when the current watch waits; zero: there is none
 	lastRefresh    time.Time                   // guarded by mu; when Refresh last ended a watch
 	cancelWatch    context.CancelCauseFunc     // guarded by mu; ends the current watch
 	invalidEntries map[string]kv.Version       // guarded by mu; versions of undecodable entries that were logged, by target
@@ -230,6 +231,7 @@
 	w.publishQuarantine(segments)
 	w.replaceZones(zones, snap.Revision)
 	w.replaceTargets(targets, snap.Revision)
+	w.dropMissing()
 	w.replaceHosts(hosts)
 	return snap.Revision, nil
 }
@@ -264,10 +266,11 @@
 			return err
 		}
 		w.recordAnswer()
+		w.applyStoreChanges(changes)
+		w.dropMissing()
 		if len(changes) == 0 {
 			return errIdle
 		}
-		w.applyStoreChanges(changes)
 		after = at
 		w.waitBetweenPolls(ctx)
 	}
@@ -277,9 +280,17 @@
 func (w *Watcher) poll(ctx context.Context, after kv.Version) ([]kv.Change, kv.Version, error) {
 	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
 	defer cancel()
+	w.setWatchingSince(time.Now())
+	defer w.setWatchingSince(time.Time{})
 	return w.feed.Changes(ctx, allKeys, after, watchWait)
 }
 
+func (w *Watcher) setWatchingSince(at time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.watchingSince = at
+}
+
 // Polling is a host's part in polling the store. A few hosts poll it for the fleet and announce what changes; the calls of
 // all hosts together then hardly grow with the fleet.
 type Polling struct {
--- a/lib/storewatch/targets.go
+++ b/lib/storewatch/targets.go
@@ -122,22 +122,37 @@
 	}
 }
 
-// expireTargets drops targets whose missing entries did not return in time. During an outage none is dropped.
+// expireTargets has targets dropped whose missing entries did not return in time, which only the store can tell: a watch that waits has
+// no change to deliver, and a host that does not watch at the moment has to.
 func (w *Watcher) expireTargets(ctx context.Context) {
 	for sleep.For(ctx, expireInterval) {
 		w.expireZones()
 		w.mu.Lock()
-		var dropped []registry.Departure
-		if !w.storeLost {
-			dropped = w.targets.Expire(time.Now())
-		}
-		for _, d := range dropped {
-			w.addDeparture(d, bootclock.Now())
-		}
+		now := time.Now()
+		w.targets.Expire(now)
+		due := !w.storeLost && w.targets.MissingTooLong(now)
+		current := !w.watchingSince.IsZero() && now.Sub(w.watchingSince) >= expireInterval
 		w.mu.Unlock()
-		if len(dropped) > 0 {
-			w.publishTargets()
-			w.announceChanges()
+		switch {
+		case !due:
+		case current:
+			w.dropMissing()
+		default:
+			w.PollNow()
 		}
 	}
 }
+
+// dropMissing drops targets whose missing entries did not return in time, and announces that. All changes up to now have been applied.
+func (w *Watcher) dropMissing() {
+	w.mu.Lock()
+	dropped := w.targets.DropMissing(time.Now())
+	for _, d := range dropped {
+		w.addDeparture(d, bootclock.Now())
+	}
+	w.mu.Unlock()
+	if len(dropped) > 0 {
+		w.publishTargets()
+		w.announceChanges()
+	}
+}
