Storewatch: a leaf that missed an outage of the store does not have targets dropped

What callers would see: in fleets with leaves, targets whose entries expired in an outage are not used for up to two seconds after its end, on all hosts.

Cause: a leaf reads the store once a minute. One that reads it right after an outage in which it made no call takes the expired entries for removed, and its announcement made hosts drop the targets that they had kept.

Change: an aggregator that knows of the outage keeps such a target as long as its own missing ones, and announces it when its entry is back, so that the leaf uses it again.

Result: TestLeafThatMissedAnOutageDoesNotHaveTargetsDropped failed before and passes.

--- a/lib/registry/registry.go
+++ b/lib/registry/registry.go
@@ -102,9 +102,9 @@
 	return Departure{ID: t.ID, Started: t.Started, Revision: revision, Created: t.Created}
 }
 
-// removes reports whether the removal of an entry also removes the entry that is known of the target. That one may be of an earlier
+// Removes reports whether the removal of an entry also removes the entry that is known of the target. That one may be of an earlier
 // incarnation, if this host has not heard of the later one.
-func (d *Departure) removes(known *Target) bool {
+func (d *Departure) Removes(known *Target) bool {
 	if d.Started != known.Started {
 		return d.Revision >= known.Revision && kv.Version(d.Revision).Era() == kv.Version(known.Revision).Era()
 	}
@@ -123,7 +123,7 @@
 	case old == nil:
 		return false
 	case d.Removed:
-		if !d.removes(old) {
+		if !d.Removes(old) {
 			return false
 		}
 		t.drop(d.ID, d.Revision, now)
@@ -163,6 +163,7 @@
 type missing struct {
 	dropAt   time.Time // unless the entry returns before
 	revision int64     // store revision at or after the removal
+	disputed bool      // another host has dropped the target
 }
 
 // tombstone marks a dropped target, so that an entry written before the drop does not restore it.
@@ -208,7 +209,7 @@
 			return false
 		}
 		if now.Before(keepUntil) {
-			t.missing[u.ID] = missing{keepUntil, u.Revision}
+			t.missing[u.ID] = missing{dropAt: keepUntil, revision: u.Revision}
 			return false
 		}
 		t.drop(u.ID, u.Revision, now)
@@ -269,6 +270,19 @@
 	return out
 }
 
+// Dispute keeps a target until a time unless its entry returns, although another host has dropped it.
+func (t *Table) Dispute(d Departure, until time.Time) {
+	m, ok := t.missing[d.ID]
+	if !ok {
+		m = missing{dropAt: until, revision: d.Revision}
+	}
+	m.disputed = true
+	t.missing[d.ID] = m
+}
+
+// Disputed reports whether another host has dropped a target whose entry is missing here.
+func (t *Table) Disputed(id string) bool { return t.missing[id].disputed }
+
 // KeepMissing keeps targets whose entries are missing until a later time: the store was unavailable again.
 func (t *Table) KeepMissing(until time.Time) {
 	for id, m := range t.missing {
--- a/lib/storewatch/changes.go
+++ b/lib/storewatch/changes.go
@@ -181,6 +181,9 @@
 		announce = w.recordReceived(arrivalKey(t), recentChange{arrival: t}, news, fromLeaf) || announce
 	}
 	for _, d := range c.Departures {
+		if fromLeaf && w.dispute(d, now) {
+			continue
+		}
 		news := w.targets.ApplyDeparture(d, now)
 		changed = news || changed
 		announce = w.recordReceived(departureKey(d), recentChange{departure: d}, news, fromLeaf) || announce
@@ -212,6 +215,18 @@
 	return old == nil || old.Started != t.Started
 }
 
+// dispute reports whether this host keeps a target that a leaf has dropped: its entry may have expired in an outage of the store in which
+// the leaf, which reads the store rarely, made no call. The caller holds mu.
+func (w *Watcher) dispute(d registry.Departure, now time.Time) bool {
+	known := w.targets.Get(d.ID)
+	until := w.keepUntil(known)
+	if !d.Removed || !now.Before(until) || !d.Removes(known) {
+		return false
+	}
+	w.targets.Dispute(d, until)
+	return true
+}
+
 // recordReceived records a change that another host has announced, and reports whether it is new here, so that hosts do not repeat it
 // to each other for ever. A change is new if it changes the list of targets (news), or if it was not seen within seenTTL: this host may
 // know it from the store, but not its leaves. The caller holds mu.
--- a/lib/storewatch/outage_test.go
+++ b/lib/storewatch/outage_test.go
@@ -204,3 +204,49 @@
 		})
 	}
 }
+
+// Guards against targets that all hosts drop because a leaf, which reads the store rarely, has made no call in the outage and takes expired
+// entries for removed ones, and against a leaf that does not use them again once they are back.
+func TestLeafThatMissedAnOutageDoesNotHaveTargetsDropped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		feed := newFakeFeed()
+		feed.put("targets/a", "ready")
+		feed.put("targets/b", "ready")
+		aggregator, s := startWatcher(t, feed)
+		leaf, view := startWatcher(t, feed)
+		time.Sleep(5 * time.Second)
+		leaf.SetPolling(Polling{Interval: time.Minute})
+		feed.put("targets/a", "ready") // answers the leaf's watch; the next one would follow in a minute
+		time.Sleep(time.Second)
+		feed.update(func() { feed.down = true })
+		feed.cutWatches()
+		time.Sleep(3 * heartbeat)
+		feed.remove("targets/a")
+		feed.remove("targets/b")
+		feed.update(func() { feed.down = false })
+		time.Sleep(maxRetryDelay)
+		leaf.PollNow()
+		synctest.Wait()
+		if _, ok := view.targetState("a"); ok {
+			t.Fatal("the leaf has not read the store")
+		}
+		aggregator.ApplyChanges(leaf.NewTargetChanges(ToMesh), true)
+		if _, ok := s.targetState("a"); !ok {
+			t.Error("dropped because a leaf says so")
+		}
+		feed.put("targets/a", "ready")
+		time.Sleep(time.Second)
+		leaf.ApplyChanges(aggregator.NewTargetChanges(ToLeaves), false)
+		if _, ok := view.targetState("a"); !ok {
+			t.Error("the leaf does not use a although its entry is back")
+		}
+		time.Sleep(returnTime + time.Second)
+		if _, ok := s.targetState("b"); ok {
+			t.Error("b is used although its entry did not come back")
+		}
+		leaf.ApplyChanges(aggregator.NewTargetChanges(ToLeaves), false)
+		if _, ok := view.targetState("a"); !ok {
+			t.Error("the leaf has dropped a again")
+		}
+	})
+}
--- a/lib/storewatch/targets.go
+++ b/lib/storewatch/targets.go
@@ -44,11 +44,15 @@
 func (w *Watcher) applyTargetUpdate(u registry.Update, lost bool) (changed bool) {
 	now := time.Now()
 	old := w.targets.Get(u.ID)
-	keepUntil := w.keepUntil(old)
+	keepUntil, disputed := w.keepUntil(old), w.targets.Disputed(u.ID)
 	if lost {
 		keepUntil = now.Add(returnGrace)
 	}
-	if changed = w.targets.ApplyUpdate(u, now, keepUntil); changed {
+	changed = w.targets.ApplyUpdate(u, now, keepUntil)
+	if disputed && u.Target != nil {
+		old = nil // for hosts that have dropped it, the target is new
+	}
+	if changed {
 		w.recordChange(u, old)
 	}
 	return changed
