Storewatch: an outdated removal is not passed on

What callers would see: in fleets with leaves, a target that was away for a moment is not used by leaves for up to a minute. Found by reading, on untouched code too.

Cause: a host passed on the removal of an entry although it had read a later one itself. Its leaves, which knew the earlier entry, dropped the target, and nobody told them that it was back.

Change: the host answers with the entry that it knows, once.

Result: TestOutdatedRemovalIsAnsweredByTheLaterEntry failed before and passes.

--- a/lib/registry/registry.go
+++ b/lib/registry/registry.go
@@ -80,6 +80,16 @@
 	return &out
 }
 
+// ReadEarlier returns the target as its entry describes it that was read at some time before: how much longer it is cold is unknown.
+func (t *Target) ReadEarlier() *Target {
+	if t.Cold <= 0 {
+		return t
+	}
+	out := *t
+	out.Cold, out.StatesCold = 0, false
+	return &out
+}
+
 // Departure reports that an incarnation of a target drains or was removed.
 type Departure struct {
 	ID      string `json:"i"`
@@ -112,6 +122,9 @@
 	return d.Revision >= known.Revision || d.Beat >= known.Beat && isLaterEra(known.Revision, d.Revision)
 }
 
+// Outdated reports whether a removal is older than the entry that is known of the target, which has been written since.
+func (d *Departure) Outdated(known *Target) bool { return d.Removed && !d.Removes(known) }
+
 // ApplyDeparture applies a departure that another host has seen. A target that has restarted since, or written an entry after
 // its removal, is left unchanged.
 func (t *Table) ApplyDeparture(d Departure, now time.Time) (changed bool) {
--- a/lib/storewatch/changes.go
+++ b/lib/storewatch/changes.go
@@ -184,6 +184,10 @@
 		if fromLeaf && w.dispute(d, now) {
 			continue
 		}
+		if known := w.targets.Get(d.ID); known != nil && d.Outdated(known) {
+			announce = w.recordReceived(arrivalKey(known), recentChange{arrival: known.ReadEarlier()}, false, fromLeaf) || announce
+			continue
+		}
 		news := w.targets.ApplyDeparture(d, now)
 		changed = news || changed
 		announce = w.recordReceived(departureKey(d), recentChange{departure: d}, news, fromLeaf) || announce
--- a/lib/storewatch/repeated_test.go
+++ b/lib/storewatch/repeated_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"cuminhook.org/cuminhook/lib/registry"
 )
 
 // Guards against leaves that go on using a target whose entry was removed again soon after it had come back, and against leaves that
@@ -64,3 +66,39 @@
 		}
 	})
 }
+
+// Guards against an outdated removal that is passed on by a host that has read a later entry, and against a host that is not told of that
+// entry.
+func TestOutdatedRemovalIsAnsweredByTheLaterEntry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		feed := newFakeFeed()
+		feed.put("targets/a", "ready")
+		aggregator, s := startWatcher(t, feed)
+		leaf, view := startWatcher(t, newFakeFeed())
+		time.Sleep(2 * time.Second)
+		leaf.ApplyChanges(TargetChanges{Arrivals: []*registry.Target{{ID: "a", Revision: 1, Created: 1}}}, false)
+		feed.put("targets/b", "ready")
+		feed.put("targets/a", "ready")
+		time.Sleep(time.Second)
+		aggregator.NewTargetChanges(ToLeaves)
+		removal := TargetChanges{Departures: []registry.Departure{{ID: "a", Removed: true, Revision: 2, Created: 1}}}
+		leaf.ApplyChanges(removal, false)
+		for range 2 {
+			aggregator.ApplyChanges(removal, true)
+		}
+		if _, ok := s.targetState("a"); !ok {
+			t.Error("dropped by an outdated removal")
+		}
+		toLeaves := aggregator.NewTargetChanges(ToLeaves)
+		if len(toLeaves.Departures) > 0 {
+			t.Errorf("the removal is passed on: %+v", toLeaves)
+		}
+		leaf.ApplyChanges(toLeaves, false)
+		if _, ok := view.targetState("a"); !ok {
+			t.Error("the leaf does not use the target")
+		}
+		if again := aggregator.ApplyChanges(removal, true); again {
+			t.Error("the entry is announced for each repetition of the removal")
+		}
+	})
+}
