Registry: of two starts of a target the one counts whose entry was written later

Cause: starts were ordered by the time that the target states, so the entries of the second start counted as late ones of the first.

Change: that time identifies a start; the revisions of the store order entries. A start that was followed by another one does not come back. Statements of leaving are kept for each start.

Test changed: TestTargetThatSaidItLeavesIsLeftByAllHosts gave the entry of a later start a lower revision than that of the start before. A store gives each write a higher one; the test does so now, and checks the same.

--- a/lib/registry/registry.go
+++ b/lib/registry/registry.go
@@ -44,8 +44,8 @@
 	Zone    string
 	Slots   int // requests that it runs at the same time
 	State   State
-	// Started is the start in Unix milliseconds by the target's clock. It identifies and orders incarnations, and is never
-	// compared with a clock.
+	// Started is the start in Unix milliseconds by the target's clock, which may have been set back since the start before. It identifies
+	// incarnations, and is never compared with a clock.
 	Started int64
 	Beat    int64           // increases with each entry that this incarnation writes
 	Models  []ResidentModel // loaded when the entry was written
@@ -59,15 +59,19 @@
 }
 
 // Supersedes reports whether t replaces old, which may be nil. Entries of one incarnation may arrive out of order, and a
-// draining incarnation never becomes ready again.
+// draining incarnation never becomes ready again. Of two incarnations the one counts whose entry was written later. A restored store
+// cannot tell that; there the one counts that started later by its clock.
 func (t *Target) Supersedes(old *Target) bool {
-	if old == nil {
+	switch {
+	case old == nil:
 		return true
-	}
-	if t.Started != old.Started {
+	case t.Started == old.Started:
+		return t.Beat >= old.Beat && (old.State != Draining || t.State == Draining)
+	case t.Revision != old.Revision && kv.Version(t.Revision).Era() == kv.Version(old.Revision).Era():
+		return t.Revision > old.Revision
+	default:
 		return t.Started > old.Started
 	}
-	return t.Beat >= old.Beat && (old.State != Draining || t.State == Draining)
 }
 
 // Aged returns the target as its entry describes it some time after it was read: it is cold for less.
@@ -167,9 +171,10 @@
 // Table holds the targets of all services. It is not safe for concurrent use.
 type Table struct {
 	targets    map[string]*Target
-	missing    map[string]missing   // targets whose entries may have expired in an outage
-	tombstones map[string]tombstone // targets that were dropped recently
-	leaving    map[string]leaving   // incarnations that said that they leave
+	missing    map[string]missing        // targets whose entries may have expired in an outage
+	tombstones map[string]tombstone      // targets that were dropped recently
+	former     map[string]int64          // by target: the incarnation before the present one, whose late entries do not count
+	leaving    map[incarnation]time.Time // incarnations that said that they leave, and when that was first said here
 }
 
 // missing is the removal of an entry that may have expired in an outage.
@@ -207,7 +212,7 @@
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{targets: map[string]*Target{}, missing: map[string]missing{}, tombstones: map[string]tombstone{}, leaving: map[string]leaving{}}
+	return &Table{targets: map[string]*Target{}, missing: map[string]missing{}, tombstones: map[string]tombstone{}, former: map[string]int64{}, leaving: map[incarnation]time.Time{}}
 }
 
 // ApplyUpdate applies an update and reports whether the list of targets changed. A target whose entry was removed is kept until
@@ -229,7 +234,7 @@
 		return true
 	}
 	u.Target = t.withStatement(u.Target)
-	if !u.Target.Supersedes(old) {
+	if former, ok := t.former[u.ID]; ok && former == u.Target.Started || !u.Target.Supersedes(old) {
 		return false
 	}
 	if stone, dropped := t.tombstones[u.ID]; dropped && stone.excludes(u.Target) {
@@ -237,6 +242,9 @@
 	}
 	delete(t.missing, u.ID)
 	delete(t.tombstones, u.ID) // from now on the entry itself tells older ones
+	if old != nil && old.Started != u.Target.Started {
+		t.former[u.ID] = old.Started
+	}
 	t.targets[u.ID] = u.Target
 	return true
 }
@@ -335,9 +343,14 @@
 			delete(t.tombstones, id)
 		}
 	}
-	for id, l := range t.leaving {
-		if now.Sub(l.at) > leavingTTL {
-			delete(t.leaving, id)
+	for id := range t.former {
+		if t.targets[id] == nil {
+			delete(t.former, id)
+		}
+	}
+	for i, at := range t.leaving {
+		if now.Sub(at) > leavingTTL {
+			delete(t.leaving, i)
 		}
 	}
 }
--- a/lib/registry/registry_test.go
+++ b/lib/registry/registry_test.go
@@ -145,3 +145,38 @@
 		t.Error("the earlier incarnation is still listed")
 	}
 }
+
+// Guards against work for a draining target whose clock was set back before it started under its id: its entries seem to be older than those
+// of the start before.
+func TestTargetThatStartsAgainUnderAnEarlierClockIsFollowed(t *testing.T) {
+	now := time.Unix(1000, 0)
+	entry := func(started, revision int64, state State) Update {
+		return Update{ID: "a", Target: &Target{ID: "a", Started: started, State: state, Revision: revision}, Revision: revision}
+	}
+	said := func(started int64) Departure { return Departure{ID: "a", Started: started, Stated: true} }
+	for name, c := range map[string]struct {
+		steps   []any // Update or Departure
+		started int64
+		state   State
+	}{
+		"drains":                                {[]any{entry(9, 10, Ready), entry(5, 11, Ready), entry(5, 12, Draining)}, 5, Draining},
+		"late news of the start before":         {[]any{entry(5, 11, Ready), entry(9, 10, Ready)}, 5, Ready},
+		"late write of the start before":        {[]any{entry(9, 10, Ready), entry(5, 11, Draining), entry(9, 12, Ready)}, 5, Draining},
+		"says that it leaves":                   {[]any{entry(9, 10, Ready), said(9), entry(5, 11, Ready), said(5), entry(5, 12, Ready)}, 5, Draining},
+		"says so before its entry is known":     {[]any{entry(9, 10, Ready), said(5), entry(5, 11, Ready)}, 5, Draining},
+		"does not say so, but the start before": {[]any{entry(9, 10, Ready), said(9), entry(5, 11, Ready)}, 5, Ready},
+	} {
+		table := NewTable()
+		for _, s := range c.steps {
+			switch s := s.(type) {
+			case Update:
+				table.ApplyUpdate(s, now, time.Time{})
+			case Departure:
+				table.ApplyDeparture(s, now)
+			}
+		}
+		if got := table.Get("a"); got == nil || got.Started != c.started || got.State != c.state {
+			t.Errorf("%s: %+v, want start %d, %s", name, got, c.started, c.state)
+		}
+	}
+}
--- a/lib/storewatch/leaving_test.go
+++ b/lib/storewatch/leaving_test.go
@@ -25,7 +25,7 @@
 func testLeavingNews(t *testing.T, hosts int) {
 	random := rand.New(rand.NewPCG(7, uint64(hosts)))
 	ready := func(started, beat int64) TargetChanges {
-		return TargetChanges{Arrivals: []*registry.Target{{ID: "a", Started: started, Beat: beat, Revision: 100 + beat}}}
+		return TargetChanges{Arrivals: []*registry.Target{{ID: "a", Started: started, Beat: beat, Revision: 100*started + beat}}}
 	}
 	var all []*Watcher
 	var views []*recorder
--- a/lib/storewatch/outage_test.go
+++ b/lib/storewatch/outage_test.go
@@ -171,7 +171,10 @@
 				for _, id := range []string{"a", "b", "c"} {
 					feed.put("targets/"+id, "ready")
 				}
-				_, s := startWatcherWith(t, feed, func(w *Watcher) { w.SetPolling(Polling{Interval: time.Minute}) })
+				_, s := startWatcherWith(t, feed, func(w *Watcher) {
+					w.SetPolling(Polling{Interval: time.Minute})
+					w.pollPhase = 0
+				})
 				time.Sleep(5 * time.Second)
 				feed.update(func() { feed.down = true })
 				feed.cutWatches()
@@ -213,7 +216,7 @@
 		feed.put("targets/a", "ready")
 		feed.put("targets/b", "ready")
 		aggregator, s := startWatcher(t, feed)
-		leaf, view := startWatcher(t, feed)
+		leaf, view := startWatcherWith(t, feed, func(w *Watcher) { w.pollPhase = 0 })
 		time.Sleep(5 * time.Second)
 		leaf.SetPolling(Polling{Interval: time.Minute})
 		feed.put("targets/a", "ready") // answers the leaf's watch; the next one would follow in a minute
--- a/lib/storewatch/repeated_test.go
+++ b/lib/storewatch/repeated_test.go
@@ -54,7 +54,7 @@
 		aggregator.ApplyChanges(announce(remove), false)
 		aggregator.NewTargetChanges(ToLeaves)
 		announce(put) // is lost
-		leaf, view := startWatcher(t, feed)
+		leaf, view := startWatcherWith(t, feed, func(w *Watcher) { w.pollPhase = 0 })
 		synctest.Wait()
 		leaf.SetPolling(Polling{Interval: time.Minute})
 		feed.put("targets/b", "ready") // ends the leaf's watch
