Placer: an order that holds already is not counted as accepted

Cause: the controller counted each answered order for an adapter as accepted. A target doesn't count one to load an adapter that it has, nor a second one to unload an adapter that it is unloading. With a number that is too high an order is not tied to the state that it was planned for; besides, reports look outdated and the target gets no further order in that term.

Change: a load that holds already is not counted. An adapter that leaves once no request uses it is not ordered to leave again.

--- a/lib/placer/adapters.go
+++ b/lib/placer/adapters.go
@@ -144,7 +144,11 @@
 		}
 		cost, v := float64(t.adapterCount())*usedSlotCost, adapterName{}
 		if t.adapterCount() >= s.Engine.AdapterSlots {
-			v = t.leastRequestedAdapter(demand)
+			var ok bool
+			if v, ok = t.leastRequestedAdapter(demand); !ok {
+				t.synced = false // its report tells when an adapter has left
+				continue
+			}
 			cost = evictionCost + demand[v.key()]
 		}
 		if best == nil || cost < lowest || cost == lowest && t.info.ID < best.info.ID {
@@ -154,17 +158,31 @@
 	return best, victim
 }
 
-// leastRequestedAdapter returns the loaded adapter of the target with the lowest demand. At least one must be loaded.
-func (t *target) leastRequestedAdapter(demand map[string]float64) adapterName {
+// leastRequestedAdapter returns the loaded adapter of the target with the lowest demand. Those that are leaving are left out; ok is false
+// if there is no other one.
+func (t *target) leastRequestedAdapter(demand map[string]float64) (name adapterName, ok bool) {
 	var all []adapterName
 	for model, h := range t.models {
 		for adapter := range h.adapters {
-			all = append(all, adapterName{model, adapter})
+			if !h.leaving[adapter] {
+				all = append(all, adapterName{model, adapter})
+			}
 		}
 	}
+	if len(all) == 0 {
+		return adapterName{}, false
+	}
 	return slices.MinFunc(all, func(a, b adapterName) int {
 		return cmp.Or(cmp.Compare(demand[a.key()], demand[b.key()]), cmp.Compare(a.key(), b.key()))
-	})
+	}), true
+}
+
+// setLeaving records that the target unloads the adapter once no request uses it.
+func (m *loadedModel) setLeaving(adapter string) {
+	if m.leaving == nil {
+		m.leaving = map[string]bool{}
+	}
+	m.leaving[adapter] = true
 }
 
 // replaceAdapter unloads the victim, unless its name is empty, and loads the other adapter. It reports whether that
@@ -179,7 +197,10 @@
 	if victim.adapter != "" {
 		p.setAdapterLoaded(t, victim, false)
 		done, err := p.sendOnce(ctx, t, orders.Order{Op: orders.Unload, Model: victim.model, Adapter: victim.adapter})
-		if err != nil || !done { // not done: a request uses the victim, which keeps its slot until the request has ended
+		if err == nil && !done { // a request uses the victim, which keeps its slot until the request has ended
+			p.noteLeaving(t, victim)
+		}
+		if err != nil || !done {
 			p.requireSync(t, maxReportAge)
 			return false
 		}
@@ -196,6 +217,16 @@
 	return ctx.Err() == nil
 }
 
+// noteLeaving records that the target unloads the adapter once no request uses it. Another order to unload it could find it gone, and would
+// not be counted then.
+func (p *Placer) noteLeaving(t *target, name adapterName) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if h := t.models[name.model]; h != nil {
+		h.setLeaving(name.adapter)
+	}
+}
+
 // setAdapterLoaded records whether the adapter is loaded at the target.
 func (p *Placer) setAdapterLoaded(t *target, name adapterName, loaded bool) {
 	p.mu.Lock()
@@ -206,6 +237,7 @@
 	}
 	if loaded {
 		h.adapters[name.adapter] = true
+		delete(h.leaving, name.adapter)
 	} else {
 		delete(h.adapters, name.adapter)
 	}
@@ -231,8 +263,9 @@
 	defer cancel()
 	done, err = p.cfg.Client.Send(ctx, info, o)
 	p.logOrder(info, o, done, err, 0)
-	if err == nil {
-		// Unlike an order for a model, an order for an adapter counts as accepted even if done is true.
+	// A target counts the orders that change what it has loaded. It unloads an adapter that no request uses at once, so that done is true
+	// then; if done is true for a load, the adapter was there already.
+	if err == nil && (!done || o.Op == orders.Unload) {
 		p.mu.Lock()
 		t.accepted++
 		p.mu.Unlock()
@@ -315,6 +348,9 @@
 	if !ok || t.adapterCount() < e.AdapterSlots {
 		return name, victim, ok
 	}
-	victim = t.leastRequestedAdapter(demand)
+	if victim, ok = t.leastRequestedAdapter(demand); !ok {
+		t.synced = false // its report tells when an adapter has left
+		return name, victim, false
+	}
 	return name, victim, demand[victim.key()] < maxEvictableRPS && demand[name.key()] > minEvictionRatio*demand[victim.key()]+maxEvictableRPS
 }
--- a/lib/placer/models.go
+++ b/lib/placer/models.go
@@ -87,6 +87,7 @@
 // applyReport replaces what is known of the target by the contents of a report.
 func (t *target) applyReport(r orders.Report) {
 	t.synced, t.busy, t.accepted = true, false, r.Accepted
+	before := t.models
 	t.models = map[string]*loadedModel{}
 	for _, list := range [][]registry.ResidentModel{r.Models, r.Loading} {
 		for _, m := range list {
@@ -97,6 +98,9 @@
 			}
 			for _, a := range m.Adapters {
 				h.adapters[a] = true
+				if old := before[m.Model]; old != nil && old.leaving[a] {
+					h.setLeaving(a)
+				}
 			}
 		}
 	}
--- a/lib/placer/placer_test.go
+++ b/lib/placer/placer_test.go
@@ -36,6 +36,8 @@
 type fakeEngine struct {
 	accepted int64
 	models   map[string]map[string]bool // adapters by model
+	inUse    bool                       // requests use all adapters; those to unload are unloaded when that ends
+	leaving  []adapterName
 	loading  map[string]time.Time
 	report   orders.Report // up to reportInterval old
 	fences   []int64
@@ -157,7 +159,15 @@
 	if loaded == nil {
 		return false, orders.ErrInvalid
 	}
+	name := adapterName{o.Model, o.Adapter}
+	if loaded[o.Adapter] == (o.Op == orders.Load) || slices.Contains(g.leaving, name) {
+		return true, nil // an order that holds already is not counted
+	}
 	g.accepted++
+	if o.Op == orders.Unload && g.inUse {
+		g.leaving = append(g.leaving, name)
+		return false, nil
+	}
 	if o.Op == orders.Unload {
 		delete(loaded, o.Adapter)
 		return true, nil
@@ -166,7 +176,7 @@
 	for _, adapters := range g.models {
 		n += len(adapters)
 	}
-	if n >= adapterSlots && !loaded[o.Adapter] {
+	if n >= adapterSlots {
 		e.overcommits = append(e.overcommits, fmt.Sprintf("%s: adapter %s beyond the slots", id, o.Adapter))
 	}
 	loaded[o.Adapter] = true
@@ -438,6 +448,58 @@
 	})
 }
 
+// Guards against a wrong number of accepted orders: a target does not count an order to load an adapter that it has, or to unload one that
+// it is unloading. With a higher number the controller gives the target no further order, and a late order is not tied to the state that it was planned for.
+func TestOrdersThatHoldAlreadyAreNotCounted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		client := newFakeClient(t, "a")
+		ctx, cancel := context.WithCancel(t.Context())
+		go client.refreshReports(ctx)
+		h := startCandidate(t, "h", memkv.New(), client, 1, "a")
+		time.Sleep(5 * time.Second)
+		client.mu.Lock()
+		client.byID["a"].models["m0"]["a1"] = true // the controller does not know
+		client.mu.Unlock()
+		check := func(name string) {
+			t.Helper()
+			if _, err := h.Ensure(ctx, "s", "m0", name); err != nil {
+				t.Errorf("%s: %v", name, err)
+			}
+			h.mu.Lock()
+			defer h.mu.Unlock()
+			if counted, accepted := h.targets["a"].accepted, client.byID["a"].accepted; counted != accepted {
+				t.Errorf("%s: %d orders counted, the target has accepted %d", name, counted, accepted)
+			}
+		}
+		for _, name := range []string{"a1", "a2", "a3", "a4"} {
+			check(name)
+		}
+		client.byID["a"].inUse = true
+		for range 2 * adapterSlots { // each time an adapter is to be unloaded that is in use
+			call, cancel := context.WithTimeout(ctx, time.Second)
+			if _, err := h.Ensure(call, "s", "m0", "a5"); err == nil {
+				t.Error("loaded although all slots are in use")
+			}
+			cancel()
+			time.Sleep(time.Second)
+		}
+		client.mu.Lock()
+		g := client.byID["a"]
+		for _, n := range g.leaving {
+			delete(g.models[n.model], n.adapter)
+		}
+		g.inUse, g.leaving = false, nil
+		client.mu.Unlock()
+		time.Sleep(time.Second)
+		_, _ = h.Ensure(ctx, "s", "m0", "a5") // has the report read
+		time.Sleep(time.Second)
+		check("a5")
+		h.cancel()
+		<-h.done
+		cancel()
+	})
+}
+
 // Guards against an adapter that is loaded but not counted because the request that asked for it ended meanwhile: the next
 // ones would overcommit the target's adapter slots, on which it crashes.
 func TestAdapterOfAnEndedRequestIsCounted(t *testing.T) {
--- a/lib/placer/target.go
+++ b/lib/placer/target.go
@@ -33,6 +33,7 @@
 	readyBy   time.Time // when its load is expected to be done; zero if it is not being loaded
 	unloading bool
 	adapters  map[string]bool
+	leaving   map[string]bool // adapters that are unloaded once no request uses them; nil if there are none
 }
 
 func newTarget() *target { return &target{models: map[string]*loadedModel{}} }
