Placer: the report tells when an adapter has left; reading of the change

Cause: an adapter that is unloaded once no request uses it counted as loaded until the target's next report, which nobody asked for; an idle watch of the store was taken for proof that missing entries did not return, though the full read that follows it may show them.

After an idle watch, the full read decides.

Result: TestOrdersThatHoldAlreadyAreNotCounted no longer needs a request that has the report read; the tests of lib/placer and lib/storewatch pass with the race detector, twice.

--- a/lib/placer/adapters.go
+++ b/lib/placer/adapters.go
@@ -146,7 +146,6 @@
 		if t.adapterCount() >= s.Engine.AdapterSlots {
 			var ok bool
 			if v, ok = t.leastRequestedAdapter(demand); !ok {
-				t.synced = false // its report tells when an adapter has left
 				continue
 			}
 			cost = evictionCost + demand[v.key()]
@@ -349,7 +348,6 @@
 		return name, victim, ok
 	}
 	if victim, ok = t.leastRequestedAdapter(demand); !ok {
-		t.synced = false // its report tells when an adapter has left
 		return name, victim, false
 	}
 	return name, victim, demand[victim.key()] < maxEvictableRPS && demand[name.key()] > minEvictionRatio*demand[victim.key()]+maxEvictableRPS
--- a/lib/placer/models.go
+++ b/lib/placer/models.go
@@ -45,6 +45,9 @@
 func (p *Placer) syncTargets(ctx context.Context, s *catalog.Service) {
 	now := time.Now()
 	for _, t := range p.orderableTargets(s) {
+		if t.hasLeavingAdapter() && !t.busy && !t.adapterOrderPending && !now.Before(t.nextSync) {
+			t.synced = false // only its report tells when the adapter has left
+		}
 		if t.synced || t.syncing || now.Before(t.nextSync) || p.cfg.Paused(t.info.ID) {
 			continue
 		}
--- a/lib/placer/placer_test.go
+++ b/lib/placer/placer_test.go
@@ -491,8 +491,6 @@
 		g.inUse, g.leaving = false, nil
 		client.mu.Unlock()
 		time.Sleep(time.Second)
-		_, _ = h.Ensure(ctx, "s", "m0", "a5") // has the report read
-		time.Sleep(time.Second)
 		check("a5")
 		h.cancel()
 		<-h.done
--- a/lib/placer/target.go
+++ b/lib/placer/target.go
@@ -117,6 +117,16 @@
 	return n
 }
 
+// hasLeavingAdapter reports whether the target unloads an adapter once no request uses it.
+func (t *target) hasLeavingAdapter() bool {
+	for _, h := range t.models {
+		if len(h.leaving) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // serves reports whether the target has the model ready and, unless adapter is empty, the adapter loaded.
 func (t *target) serves(model, adapter string) bool {
 	h := t.models[model]
--- a/lib/storewatch/storewatch.go
+++ b/lib/storewatch/storewatch.go
@@ -266,11 +266,11 @@
 			return err
 		}
 		w.recordAnswer()
-		w.applyStoreChanges(changes)
-		w.dropMissing()
 		if len(changes) == 0 {
 			return errIdle
 		}
+		w.applyStoreChanges(changes)
+		w.dropMissing()
 		after = at
 		w.waitBetweenPolls(ctx)
 	}
