Reading of the change: names

Cause: a method was named after when its target was read, not after what it returns; a revision had the name of a time.

Change: WithoutColdTime, regainedFrom. No behaviour changes.

Result: go vet, staticcheck and the tests of lib/storewatch and lib/registry pass.

--- a/lib/registry/registry.go
+++ b/lib/registry/registry.go
@@ -84,8 +84,8 @@
 	return &out
 }
 
-// ReadEarlier returns the target as its entry describes it that was read at some time before: how much longer it is cold is unknown.
-func (t *Target) ReadEarlier() *Target {
+// WithoutColdTime returns the target without the cold time of its entry, which has passed in part if the entry was read some time ago.
+func (t *Target) WithoutColdTime() *Target {
 	if t.Cold <= 0 {
 		return t
 	}
--- a/lib/registry/registry_test.go
+++ b/lib/registry/registry_test.go
@@ -37,8 +37,8 @@
 	if a := entry.Aged(time.Second); a.Cold != 2*time.Second || entry.Cold != 3*time.Second {
 		t.Errorf("%s after a second, %s kept", a.Cold, entry.Cold)
 	}
-	if a := entry.ReadEarlier(); a.Cold != 0 || a.StatesCold || entry.Cold != 3*time.Second {
-		t.Errorf("%+v without the time of its read, %s kept", a, entry.Cold)
+	if a := entry.WithoutColdTime(); a.Cold != 0 || a.StatesCold || entry.Cold != 3*time.Second {
+		t.Errorf("%+v without its cold time, %s kept", a, entry.Cold)
 	}
 	if a := entry.Aged(4 * time.Second); a.Cold != 0 || !a.StatesCold {
 		t.Errorf("%+v after its time", a)
--- a/lib/storewatch/changes.go
+++ b/lib/storewatch/changes.go
@@ -185,7 +185,7 @@
 			continue
 		}
 		if known := w.targets.Get(d.ID); known != nil && d.Outdated(known) {
-			announce = w.recordReceived(arrivalKey(known), recentChange{arrival: known.ReadEarlier()}, false, fromLeaf) || announce
+			announce = w.recordReceived(arrivalKey(known), recentChange{arrival: known.WithoutColdTime()}, false, fromLeaf) || announce
 			continue
 		}
 		news := w.targets.ApplyDeparture(d, now)
--- a/lib/storewatch/outage.go
+++ b/lib/storewatch/outage.go
@@ -6,8 +6,7 @@
 // 2 s; the rest covers the delay of this host's reads.
 const returnGrace = 2200 * time.Millisecond
 
-// outages tells from the calls of this host when the store was unavailable, and for how long afterwards entries may be missing only for
-// that reason.
+// outages tells from the calls of this host when the store was unavailable, and until when entries may be missing only for that reason.
 //
 // A failed call alone proves no outage. An entry expires after three heartbeats that the store did not get, so a target that
 // lives misses at least two in a row: the store was unavailable for longer than the interval between two of them. Only a time
--- a/lib/storewatch/storewatch.go
+++ b/lib/storewatch/storewatch.go
@@ -120,7 +120,7 @@
 	storeLost      bool                        // guarded by mu; no call has succeeded since the last failure
 	outages        outages                     // guarded by mu
 	regained       time.Time                   // guarded by mu; end of the last outage after which the store was read in full
-	regainedAt     int64                       // guarded by mu; revision of the store at that read
+	regainedFrom   int64                       // guarded by mu; revision of the store at that read
 	watchingSince  time.Time                   // guarded by mu; since when the current watch waits; zero: there is none
 	lastRefresh    time.Time                   // guarded by mu; when Refresh last ended a watch
 	cancelWatch    context.CancelCauseFunc     // guarded by mu; ends the current watch
@@ -406,14 +406,14 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.outages.ended.After(w.regained) {
-		w.regained, w.regainedAt = w.outages.ended, int64(revision)
+		w.regained, w.regainedFrom = w.outages.ended, int64(revision)
 	}
 }
 
 // keepUntil returns until when a target is kept whose entry was removed, or the zero time. The entry may have expired in an outage of
 // the store, unless the target has written it since. The caller holds mu.
 func (w *Watcher) keepUntil(t *registry.Target) time.Time {
-	if t == nil || t.Revision > w.regainedAt {
+	if t == nil || t.Revision > w.regainedFrom {
 		return time.Time{}
 	}
 	return w.outages.returnBy
