--- a/lib/placer/placer_test.go
+++ b/lib/placer/placer_test.go
@@ -449,7 +449,8 @@
 }
 
 // Guards against a wrong number of accepted orders: a target does not count an order to load an adapter that it has, or to unload one that
-// it is unloading. With a higher number the controller gives the target no further order, and a late order is not tied to the state that it was planned for.
+// it is unloading. With a higher number the controller gives the target no further order, and a late order is not tied to the state that
+// it was planned for.
 func TestOrdersThatHoldAlreadyAreNotCounted(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		client := newFakeClient(t, "a")
--- a/lib/registry/leaving_test.go
+++ b/lib/registry/leaving_test.go
@@ -27,16 +27,21 @@
 		"no time of start, entry comes back": {[]any{entry(0, 1, 10), said(0), entry(0, 2, 11)}, Draining},
 	} {
 		table := NewTable()
-		for _, s := range c.steps {
-			switch s := s.(type) {
-			case Update:
-				table.ApplyUpdate(s, at, time.Time{})
-			case Departure:
-				table.ApplyDeparture(s, at)
-			}
-		}
+		table.applySteps(c.steps, at)
 		if got := table.Get("a"); got == nil || got.State != c.want {
 			t.Errorf("%s: %+v, want %s", name, got, c.want)
 		}
 	}
 }
+
+// applySteps applies updates and departures one after the other.
+func (t *Table) applySteps(steps []any, now time.Time) {
+	for _, s := range steps {
+		switch s := s.(type) {
+		case Update:
+			t.ApplyUpdate(s, now, time.Time{})
+		case Departure:
+			t.ApplyDeparture(s, now)
+		}
+	}
+}
--- a/lib/registry/registry.go
+++ b/lib/registry/registry.go
@@ -55,7 +55,7 @@
 	StatesCold bool
 
 	Revision int64 // store revision at which the entry was written
-	Created  int64 `json:",omitempty"` // store revision at which the entry was created, also after a removal; zero if not stated
+	Created  int64 `json:",omitempty"` // store revision at which the entry was created; after a removal another one is. Zero: not stated
 }
 
 // Supersedes reports whether t replaces old, which may be nil. Entries of one incarnation may arrive out of order, and a
--- a/lib/registry/registry_test.go
+++ b/lib/registry/registry_test.go
@@ -167,14 +167,7 @@
 		"does not say so, but the start before": {[]any{entry(9, 10, Ready), said(9), entry(5, 11, Ready)}, 5, Ready},
 	} {
 		table := NewTable()
-		for _, s := range c.steps {
-			switch s := s.(type) {
-			case Update:
-				table.ApplyUpdate(s, now, time.Time{})
-			case Departure:
-				table.ApplyDeparture(s, now)
-			}
-		}
+		table.applySteps(c.steps, now)
 		if got := table.Get("a"); got == nil || got.Started != c.started || got.State != c.state {
 			t.Errorf("%s: %+v, want start %d, %s", name, got, c.started, c.state)
 		}
--- a/lib/storewatch/outage_test.go
+++ b/lib/storewatch/outage_test.go
@@ -11,6 +11,17 @@
 	"cuminhook.org/cuminhook/lib/sleep"
 )
 
+// fail makes the store unavailable for a time, in which the entries of the targets expire.
+func (f *fakeFeed) fail(d time.Duration, expire ...string) {
+	f.update(func() { f.down = true })
+	f.cutWatches()
+	time.Sleep(d)
+	for _, id := range expire {
+		f.remove("targets/" + id)
+	}
+	f.update(func() { f.down = false })
+}
+
 // Guards against sending work for too long to a target whose entry is removed after a call of the store has failed although the store was
 // available.
 func TestRemovalAfterAFailedCallIsDetectedInTime(t *testing.T) {
@@ -51,16 +62,9 @@
 			feed.put("targets/a", "ready")
 			_, s := startWatcher(t, feed)
 			time.Sleep(5 * time.Second)
-			down := func(d time.Duration, meanwhile func()) {
-				feed.update(func() { feed.down = true })
-				feed.cutWatches()
-				time.Sleep(d)
-				meanwhile()
-				feed.update(func() { feed.down = false })
-			}
-			down(3*heartbeat, func() { feed.remove("targets/a") })
+			feed.fail(3*heartbeat, "a")
 			time.Sleep(1500 * time.Millisecond)
-			down(outage, func() {})
+			feed.fail(outage)
 			time.Sleep(1500 * time.Millisecond)
 			if _, ok := s.targetState("a"); !ok {
 				t.Errorf("dropped 1.5 s after the second outage of %v", outage)
@@ -80,10 +84,7 @@
 		feed.put("targets/a", "ready")
 		_, s := startWatcher(t, feed)
 		time.Sleep(5 * time.Second)
-		feed.update(func() { feed.down = true })
-		feed.cutWatches()
-		time.Sleep(10 * time.Second)
-		feed.update(func() { feed.down = false })
+		feed.fail(10 * time.Second)
 		time.Sleep(maxRetryDelay)
 		feed.put("targets/a", "ready")
 		time.Sleep(100 * time.Millisecond)
@@ -141,11 +142,7 @@
 			w.handlers.Announce = func() { announced <- w.NewTargetChanges(ToLeaves) }
 		})
 		time.Sleep(5 * time.Second)
-		feed.update(func() { feed.down = true })
-		feed.cutWatches()
-		time.Sleep(3 * heartbeat)
-		feed.remove("targets/a")
-		feed.update(func() { feed.down = false })
+		feed.fail(3*heartbeat, "a")
 		time.Sleep(returnTime + 2*maxRetryDelay)
 		if _, ok := s.targetState("a"); ok {
 			t.Fatal("the host uses the target")
@@ -176,13 +173,7 @@
 					w.pollPhase = 0
 				})
 				time.Sleep(5 * time.Second)
-				feed.update(func() { feed.down = true })
-				feed.cutWatches()
-				time.Sleep(3 * heartbeat)
-				for _, id := range []string{"a", "b", "c"} {
-					feed.remove("targets/" + id)
-				}
-				feed.update(func() { feed.down = false })
+				feed.fail(3*heartbeat, "a", "b", "c")
 				if busy {
 					go func() {
 						for sleep.For(t.Context(), 100*time.Millisecond) {
@@ -221,12 +212,7 @@
 		leaf.SetPolling(Polling{Interval: time.Minute})
 		feed.put("targets/a", "ready") // answers the leaf's watch; the next one would follow in a minute
 		time.Sleep(time.Second)
-		feed.update(func() { feed.down = true })
-		feed.cutWatches()
-		time.Sleep(3 * heartbeat)
-		feed.remove("targets/a")
-		feed.remove("targets/b")
-		feed.update(func() { feed.down = false })
+		feed.fail(3*heartbeat, "a", "b")
 		time.Sleep(maxRetryDelay)
 		leaf.PollNow()
 		synctest.Wait()
--- a/lib/storewatch/targets.go
+++ b/lib/storewatch/targets.go
@@ -147,7 +147,8 @@
 	}
 }
 
-// dropMissing drops targets whose missing entries did not return in time, and announces that. All changes up to now have been applied.
+// dropMissing drops targets whose missing entries did not return in time, and announces that. Call it only when all changes up to now
+// have been applied.
 func (w *Watcher) dropMissing() {
 	w.mu.Lock()
 	dropped := w.targets.DropMissing(time.Now())
