Answers: a status line without a valid status is no answer

Callers got an answer whose status line said 000, with status 200 and the target's body and stamp. A stream behaved the same; 600 to 999 were passed on too, and after 099 the request waited for its deadline (504), although the target had answered.

Cause: fasthttp keeps the status in a field whose zero value means 200, and accepts any three digits; those below 200 counted as informational. Nothing else looked at the status line.

Change: package httpanswer reads the heads of answers for lib/forward and lib/httpconn (targets, engines, services, the platform's store and orders), finds their end by itself, and accepts statuses from 100 to 599 of HTTP/1.0 and HTTP/1.1 only. Its one error names the malformed part, which the line of the attempt shows as "malformed". A head that is cut off doesn't count as a connection refused at once any more, since an answer had begun.

--- a/lib/filter/relay/relay.go
+++ b/lib/filter/relay/relay.go
@@ -20,6 +20,7 @@
 	"cuminhook.org/cuminhook/lib/catalog"
 	"cuminhook.org/cuminhook/lib/forward"
 	"cuminhook.org/cuminhook/lib/hostqueue"
+	"cuminhook.org/cuminhook/lib/httpanswer"
 	"cuminhook.org/cuminhook/lib/httpconn"
 	"cuminhook.org/cuminhook/lib/passthrough"
 	"cuminhook.org/cuminhook/lib/pipeline"
@@ -513,6 +514,9 @@
 	if t.err != nil {
 		attrs = append(attrs, slog.String("error", t.err.Error()))
 	}
+	if part := httpanswer.PartOf(t.err); part != "" {
+		attrs = append(attrs, slog.String("malformed", string(part)))
+	}
 	r.cfg.Log.LogAttrs(context.Background(), slog.LevelInfo, "attempt", attrs...)
 }
 
--- a/lib/forward/forward.go
+++ b/lib/forward/forward.go
@@ -17,6 +17,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/valyala/fasthttp"
 
+	"cuminhook.org/cuminhook/lib/httpanswer"
 	"cuminhook.org/cuminhook/lib/httpconn"
 	"cuminhook.org/cuminhook/lib/membudget"
 	"cuminhook.org/cuminhook/lib/passthrough"
@@ -180,7 +181,7 @@
 	}
 	a := &Answer{conn: conn, written: written, account: membudget.FromContext(ctx), done: ctx.Done()}
 	if err := c.readHeader(a, r); err != nil {
-		if ctx.Err() == nil && isClosed(err) && conn.ClosedAtOnce() {
+		if ctx.Err() == nil && isClosed(err) && httpanswer.PartOf(err) == "" && conn.ClosedAtOnce() {
 			// The request was written before the close arrived, so that it may have run.
 			err = fmt.Errorf("%w: %w", conn.Refused(), err)
 			c.reportRefused(r.Addr)
@@ -271,9 +272,10 @@
 // readHeader reads the header of the answer to r. It skips late answers to earlier requests on the connection, for which it
 // also takes answers without an id unless they are the first on the connection.
 func (c *Client) readHeader(a *Answer, r *Request) error {
-	br := a.conn.Reader()
 	for skipped := range maxSkippedAnswers + 1 {
-		if err := readFinalHeader(&a.Header, br); err != nil {
+		a.Header.Reset()
+		a.Header.SetNoDefaultContentType(true)
+		if err := a.conn.Reader().ReadHead(&a.Header); err != nil {
 			return err
 		}
 		a.Stated = c.cfg.Protocol.ReadAnswer(&a.Header)
@@ -292,28 +294,10 @@
 	return ErrForeignAnswer
 }
 
-// maxInformational bounds the informational (1xx) responses before the final one.
-const maxInformational = 16
-
-// readFinalHeader reads the header of the first response that is not informational.
-func readFinalHeader(h *fasthttp.ResponseHeader, br *bufio.Reader) error {
-	for range maxInformational {
-		h.Reset()
-		h.SetNoDefaultContentType(true)
-		if err := h.Read(br); err != nil {
-			return err
-		}
-		if h.StatusCode() >= fasthttp.StatusOK {
-			return nil
-		}
-	}
-	return fmt.Errorf("forward: more than %d informational responses", maxInformational)
-}
-
 // initBody sets up the reader of the body by the answer's framing: no body, Content-Length, chunks, or the end of the
 // connection.
 func (a *Answer) initBody(method string) {
-	br := a.conn.Reader()
+	br := a.conn.Reader().Reader
 	status, length := a.Header.StatusCode(), a.Header.ContentLength()
 	a.chunked, a.unframed, a.reusable = false, false, !a.Header.ConnectionClose()
 	switch {
--- /dev/null
+++ b/lib/httpanswer/head.go
@@ -0,0 +1,148 @@
+package httpanswer
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+
+	"github.com/valyala/fasthttp"
+)
+
+// Reader reads the answers on a connection, one after the other.
+type Reader struct {
+	*bufio.Reader
+	conn *source
+}
+
+// source is the connection of a Reader.
+type source struct {
+	io.Reader
+	err error // of the last read
+}
+
+// Read implements io.Reader.
+func (s *source) Read(p []byte) (n int, err error) {
+	n, s.err = s.Reader.Read(p)
+	return n, s.err
+}
+
+// NewReader returns a reader with a buffer of the given size in bytes, which also bounds the head of an answer.
+func NewReader(conn io.Reader, size int) *Reader {
+	s := &source{Reader: conn}
+	return &Reader{Reader: bufio.NewReaderSize(s, size), conn: s}
+}
+
+// maxInformational bounds the informational (1xx) answers before the final one.
+const maxInformational = 16
+
+// ReadHead reads the head of the final answer into h. Errors: an Error, or that of the connection, which is io.EOF or a reset if it ended
+// before an answer began.
+func (r *Reader) ReadHead(h *fasthttp.ResponseHeader) error {
+	for range maxInformational + 1 {
+		status, head, err := r.peekHead()
+		if err != nil {
+			return err
+		}
+		if status >= fasthttp.StatusOK {
+			if err := h.Read(bufio.NewReaderSize(bytes.NewReader(head), len(head))); err != nil {
+				return &Error{Head, err}
+			}
+		}
+		if _, err := r.Discard(len(head)); err != nil {
+			return err
+		}
+		if status >= fasthttp.StatusOK {
+			return nil
+		}
+	}
+	return malformed(Informational, "more than %d of them", maxInformational)
+}
+
+// peekHead checks the head of the next answer, and returns its bytes without consuming them.
+func (r *Reader) peekHead() (status int, head []byte, err error) {
+	line, end, err := r.peekLine(0)
+	if err != nil {
+		return 0, nil, err
+	}
+	if status, err = parseStatusLine(line); err != nil {
+		return 0, nil, err
+	}
+	for len(line) > 0 {
+		if line, end, err = r.peekLine(end); err != nil {
+			return 0, nil, err
+		}
+	}
+	head, err = r.Peek(end)
+	return status, head, err
+}
+
+// peekLine returns the line that begins at the offset start of the buffered bytes, without its line end, and the offset of the next line.
+func (r *Reader) peekLine(start int) (line []byte, end int, err error) {
+	for {
+		b, err := r.Peek(r.Buffered())
+		if err != nil {
+			return nil, 0, err
+		}
+		if i := bytes.IndexByte(b[start:], '\n'); i >= 0 {
+			line, ok := bytes.CutSuffix(b[start:start+i], []byte("\r"))
+			if !ok {
+				return nil, 0, malformed(Head, "a line ends without a carriage return")
+			}
+			return line, start + i + 1, nil
+		}
+		if start == 0 && !bytes.HasPrefix(b, versionPrefix[:min(len(b), len(versionPrefix))]) {
+			return nil, 0, notHTTP(b)
+		}
+		_, err = r.Peek(len(b) + 1)
+		switch {
+		case err == nil:
+		case errors.Is(err, bufio.ErrBufferFull):
+			return nil, 0, malformed(Head, "larger than %d bytes", r.Size())
+		case len(b) == 0:
+			return nil, 0, err
+		default:
+			return nil, 0, CutOff(Head, err)
+		}
+	}
+}
+
+// versionPrefix begins every status line.
+var versionPrefix = []byte("HTTP/1.")
+
+// maxQuotedBytes bounds what errors repeat of an answer.
+const maxQuotedBytes = 40
+
+func quoted(b []byte) []byte { return b[:min(len(b), maxQuotedBytes)] }
+
+func notHTTP(b []byte) error {
+	return malformed(StatusLine, "%q does not begin with HTTP/1.0 or HTTP/1.1", quoted(b))
+}
+
+// parseStatusLine returns the status of a line such as "HTTP/1.1 200 OK". The reason phrase and the space before it may be missing.
+func parseStatusLine(line []byte) (int, error) {
+	rest, ok := bytes.CutPrefix(line, versionPrefix)
+	if !ok || len(rest) < 2 || rest[0] != '0' && rest[0] != '1' || rest[1] != ' ' {
+		return 0, notHTTP(line)
+	}
+	code, reason, _ := bytes.Cut(rest[2:], []byte(" "))
+	if len(code) != 3 || !isDigits(code) || code[0] < '1' || code[0] > '5' {
+		return 0, malformed(StatusLine, "the status %q is not a number from 100 to 599", quoted(code))
+	}
+	if i := bytes.IndexFunc(reason, isControl); i >= 0 {
+		return 0, malformed(StatusLine, "the reason phrase holds the byte %#02x", reason[i])
+	}
+	return int(code[0]-'0')*100 + int(code[1]-'0')*10 + int(code[2]-'0'), nil
+}
+
+func isDigits(b []byte) bool {
+	for _, c := range b {
+		if c < '0' || c > '9' {
+			return false
+		}
+	}
+	return len(b) > 0
+}
+
+// isControl reports whether a field value or a reason phrase must not hold c. Bytes of 0x80 and above are allowed.
+func isControl(c rune) bool { return c < ' ' && c != '\t' || c == 0x7f }
--- a/lib/httpconn/httpconn.go
+++ b/lib/httpconn/httpconn.go
@@ -19,6 +19,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"cuminhook.org/cuminhook/lib/httpanswer"
 	"cuminhook.org/cuminhook/lib/tcpopt"
 )
 
@@ -112,7 +113,7 @@
 	net.Conn
 	addr      string
 	pool      *Pool
-	br        *bufio.Reader
+	br        *httpanswer.Reader
 	bw        *bufio.Writer
 	written   int64 // bytes written of the current request
 	lastUse   time.Time
@@ -309,7 +310,7 @@
 	c := &Conn{Conn: nc, addr: addr, pool: p, idleLimit: cmp.Or(p.IdleTimeout, idleTimeout)}
 	c.connected = time.Now()
 	c.dialTook = c.connected.Sub(started)
-	c.br = bufio.NewReaderSize(c, bufferBytes)
+	c.br = httpanswer.NewReader(c, bufferBytes)
 	c.bw = bufio.NewWriterSize(countingWriter{c}, bufferBytes)
 	p.mu.Lock()
 	p.count(Dialled)
@@ -400,7 +401,7 @@
 }
 
 // Reader returns the connection's buffered reader.
-func (c *Conn) Reader() *bufio.Reader { return c.br }
+func (c *Conn) Reader() *httpanswer.Reader { return c.br }
 
 // Send writes the request within timeout. The error wraps ErrNotSent if no byte was written.
 func (c *Conn) Send(req *fasthttp.Request, timeout time.Duration) error {
@@ -447,25 +448,14 @@
 // recognised.
 var ErrNoLength = errors.New("httpconn: answer without length; the target must send Content-Length or chunks")
 
-// maxInformational bounds the informational (1xx) responses before the final one.
-const maxInformational = 16
-
 // Receive reads the answer within timeout. If resp.StreamBody is set, the body is read later as a stream, and the read
 // deadline stays in force until it is replaced.
 func (c *Conn) Receive(resp *fasthttp.Response, timeout time.Duration) error {
 	if err := c.SetReadDeadline(time.Now().Add(timeout)); err != nil {
 		return err
 	}
-	for n := 0; ; n++ {
-		if err := resp.Header.Read(c.br); err != nil {
-			return err
-		}
-		if resp.StatusCode() >= fasthttp.StatusOK {
-			break
-		}
-		if n == maxInformational {
-			return errors.New("httpconn: too many informational responses")
-		}
+	if err := c.br.ReadHead(&resp.Header); err != nil {
+		return err
 	}
 	if resp.SkipBody || resp.StatusCode() == fasthttp.StatusNoContent || resp.StatusCode() == fasthttp.StatusNotModified {
 		return nil
@@ -474,11 +464,11 @@
 	if length < -1 {
 		return ErrNoLength
 	}
-	if err := resp.ReadBody(c.br, MaxResponseBytes); err != nil {
+	if err := resp.ReadBody(c.br.Reader, MaxResponseBytes); err != nil {
 		return err
 	}
 	if length == -1 && !resp.StreamBody {
-		return resp.Header.ReadTrailer(c.br)
+		return resp.Header.ReadTrailer(c.br.Reader)
 	}
 	return nil
 }
--- a/lib/httpconn/httpconn_test.go
+++ b/lib/httpconn/httpconn_test.go
@@ -86,6 +86,7 @@
 		"cut header":    {"HTTP/1.1 200 OK\r\nContent-Le", false, false},
 		"nothing":       {"", false, false},
 		"interim only":  {strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 30), false, false},
+		"status 000":    {"HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\nok", false, false},
 		"short of body": {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n", false, false},
 	} {
 		s := &scriptedConn{acceptsBytes: -1, answer: strings.NewReader(c.answer)}
