Answers: the end of a connection whose upload failed ends no answer

Callers got a part of an answer as a whole one. The target had answered a long upload at once, with 200 and no length, sent a part of its body and reset the connection while the upload was still being written.

Cause: such an answer ends with its connection, and any end that the read saw counted. The kernel reports a reset once, to whichever call comes first. If that is the write of the upload, the read sees an ordinary end; and the write may learn of the failure after the read has seen the end. The result of the write only decided whether the connection is used again.

Change: the reader of such a body waits at its end for the result of the upload, and returns an error if that failed. A plain request then gets 502 and doesn't run again unless it may; a stream is cut, or resumed where it may be.

--- a/lib/forward/forward.go
+++ b/lib/forward/forward.go
@@ -101,7 +101,7 @@
 	reusable bool               // the connection may be reused after the body
 	account  *membudget.Account // of the caller's connection; nil: none
 	done     <-chan struct{}    // closed when the request ends
-	written  <-chan error       // result of writing the request body in the background; nil if it was written before
+	upload   *upload            // of the request body; nil if it was written before
 }
 
 // Client sends requests on pooled connections. It is safe for concurrent use.
@@ -170,7 +170,7 @@
 	if r.OnSend != nil {
 		r.OnSend()
 	}
-	written, err := send(conn, r)
+	upload, err := send(conn, r)
 	if err != nil {
 		conn.Release(false)
 		if errors.Is(err, httpconn.ErrNotSent) {
@@ -179,7 +179,7 @@
 		// The target may have run the request: it may answer and close before it has read the body.
 		return nil, Unknown, err
 	}
-	a := &Answer{conn: conn, written: written, account: membudget.FromContext(ctx), done: ctx.Done()}
+	a := &Answer{conn: conn, upload: upload, account: membudget.FromContext(ctx), done: ctx.Done()}
 	if err := c.readHeader(a, r); err != nil {
 		if ctx.Err() == nil && isClosed(err) && httpanswer.PartOf(err) == "" && conn.ClosedAtOnce() {
 			// The request was written before the close arrived, so that it may have run.
@@ -248,9 +248,36 @@
 	return 0
 }
 
-// send writes the request. A body of minAsyncBodyBytes or more is written in the background, and the channel delivers the
-// result; otherwise the channel is nil.
-func send(conn *httpconn.Conn, r *Request) (<-chan error, error) {
+// upload is a request body that is written in the background. A nil one was written before.
+type upload struct {
+	ended chan struct{}
+	err   error // of the write, set before ended is closed
+}
+
+// wait waits for the end of the upload and returns its error. The end of the request's context ends it.
+func (u *upload) wait() error {
+	if u == nil {
+		return nil
+	}
+	<-u.ended
+	return u.err
+}
+
+// done reports whether the whole body has been written.
+func (u *upload) done() bool {
+	if u == nil {
+		return true
+	}
+	select {
+	case <-u.ended:
+		return u.err == nil
+	default:
+		return false
+	}
+}
+
+// send writes the request. A body of minAsyncBodyBytes or more is written in the background; otherwise the upload is nil.
+func send(conn *httpconn.Conn, r *Request) (*upload, error) {
 	head := r.Head
 	if len(r.Body) > 0 || r.Method != fasthttp.MethodGet && r.Method != fasthttp.MethodHead {
 		head = append(head, "Content-Length: "...)
@@ -264,9 +291,12 @@
 	if err := conn.SendBytes(head, nil); err != nil {
 		return nil, err
 	}
-	written := make(chan error, 1)
-	go func() { written <- conn.SendBytes(nil, r.Body) }()
-	return written, nil
+	u := &upload{ended: make(chan struct{})}
+	go func() {
+		defer close(u.ended)
+		u.err = conn.SendBytes(nil, r.Body)
+	}()
+	return u, nil
 }
 
 // readHeader reads the header of the answer to r. It skips late answers to earlier requests on the connection, for which it
@@ -308,8 +338,31 @@
 	case length == -1:
 		a.Length, a.chunked, a.body = -1, true, &chunkedReader{chunks: httputil.NewChunkedReader(br), br: br}
 	default:
-		a.Length, a.unframed, a.reusable, a.body = -1, true, false, br
+		a.Length, a.unframed, a.reusable, a.body = -1, true, false, &closeReader{r: br, upload: a.upload}
+	}
+}
+
+// closeReader reads a body that ends with the connection. That end is a proper one only if the upload did not fail: the kernel reports a
+// reset once, to the read or to the write, and the other then sees an ordinary end.
+type closeReader struct {
+	r      io.Reader
+	upload *upload
+	err    error // that ended the body; returned by every later Read
+}
+
+// Read implements io.Reader.
+func (c *closeReader) Read(p []byte) (int, error) {
+	if c.err != nil {
+		return 0, c.err
+	}
+	n, err := c.r.Read(p)
+	if errors.Is(err, io.EOF) {
+		if uploadErr := c.upload.wait(); uploadErr != nil {
+			err = httpanswer.CutOff(httpanswer.Body, fmt.Errorf("the write of the request failed: %w", uploadErr))
+		}
 	}
+	c.err = err
+	return n, err
 }
 
 // exactReader reads n bytes from r; an earlier end is io.ErrUnexpectedEOF.
@@ -478,13 +531,6 @@
 // Close ends the answer; complete states that the body was read to its end. Otherwise the connection is closed, on which
 // the target stops working on the request.
 func (a *Answer) Close(complete bool) {
-	if complete && a.written != nil {
-		select {
-		case err := <-a.written:
-			complete = err == nil
-		default: // the target answered before the whole request body was written
-			complete = false
-		}
-	}
-	a.conn.Release(complete && a.reusable)
+	// A target that answered before it had read the whole request may take what follows for the rest of it.
+	a.conn.Release(complete && a.reusable && a.upload.done())
 }
--- a/lib/httpanswer/httpanswer.go
+++ b/lib/httpanswer/httpanswer.go
@@ -57,7 +57,7 @@
 	if errors.Is(err, io.EOF) {
 		err = io.ErrUnexpectedEOF
 	}
-	if errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) {
+	if errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) {
 		return &Error{part, err}
 	}
 	return err
