Answers: a line of a head that is no field makes the answer malformed

Callers got answers in whose head a name held a blank, with that line passed on ("X Note: a", also with the blank before the colon). A line that begins with a blank was joined to the value before it, or dropped with an empty one.

Cause: fasthttp accepts blanks in names and before the colon, joins folded lines, and takes a bare line feed for the end of a line or of the head. With that, the head and the body begin and end elsewhere than for the target. Control bytes in names and values it refused already.

Change: each line of a head is checked against the grammar of RFC 9110 (names) and RFC 9112 (no folding, no blank around a name); values may hold any byte but control bytes.

--- a/lib/httpanswer/head.go
+++ b/lib/httpanswer/head.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"errors"
 	"io"
+	"strings"
 
 	"github.com/valyala/fasthttp"
 )
@@ -68,13 +69,18 @@
 	if status, err = parseStatusLine(line); err != nil {
 		return 0, nil, err
 	}
-	for len(line) > 0 {
+	for {
 		if line, end, err = r.peekLine(end); err != nil {
 			return 0, nil, err
 		}
+		if len(line) == 0 {
+			head, err = r.Peek(end)
+			return status, head, err
+		}
+		if _, _, err := parseField(line, FieldName, FieldValue); err != nil {
+			return 0, nil, err
+		}
 	}
-	head, err = r.Peek(end)
-	return status, head, err
 }
 
 // peekLine returns the line that begins at the offset start of the buffered bytes, without its line end, and the offset of the next line.
@@ -135,6 +141,32 @@
 	return int(code[0]-'0')*100 + int(code[1]-'0')*10 + int(code[2]-'0'), nil
 }
 
+// parseField returns the name and the value of a line such as "Name: value". The errors name the given parts. A line that begins with a blank
+// is none: folding of lines is obsolete, and what continues a value for one reader is a field for another.
+func parseField(line []byte, namePart, valuePart Part) (name, value []byte, err error) {
+	name, value, ok := bytes.Cut(line, []byte(":"))
+	if !ok {
+		return nil, nil, malformed(namePart, "the line %q has no colon", quoted(line))
+	}
+	if len(name) == 0 || bytes.ContainsFunc(name, isNoToken) {
+		return nil, nil, malformed(namePart, "%q is no name", quoted(name))
+	}
+	value = bytes.Trim(value, " \t")
+	if i := bytes.IndexFunc(value, isControl); i >= 0 {
+		return nil, nil, malformed(valuePart, "that of %q holds the byte %#02x", quoted(name), value[i])
+	}
+	return name, value, nil
+}
+
+// isNoToken reports whether the name of a field must not hold c.
+func isNoToken(c rune) bool {
+	switch {
+	case c >= 'a' && c <= 'z', c >= 'A' && c <= 'Z', c >= '0' && c <= '9':
+		return false
+	}
+	return !strings.ContainsRune("!#$%&'*+-.^_`|~", c)
+}
+
 func isDigits(b []byte) bool {
 	for _, c := range b {
 		if c < '0' || c > '9' {
