Answers: the fields that frame a body decide its end in one place

Callers got, as whole, bodies whose head contradicts itself: a length beside chunks, a 204 with a body. A switch of protocols (101) that nobody asked for was skipped like other informational answers, and what followed passed as the answer. Chunks in an answer of HTTP/1.0 were read as the body itself until the deadline.

Cause: lib/forward and lib/httpconn each took what fasthttp keeps of the head, and that lets the coding win over the length, ignores it for HTTP/1.0 and ends each 204 with its head.

Change: httpanswer.Reader.ReadHead checks the fields against each other and returns the body, whose reader lib/forward and lib/httpconn share. Cut-off bodies and broken chunks are the same error, and streams log its part too ("stream cut", "stream broke off", "stream not begun").

Lengths that contradict each other or are no digits, unknown codings and informational answers with a body were refused before. TestAnswersWithMalformedChunksAreNotPassedOn passed before: it stays as a check.

--- a/lib/filter/relay/relay.go
+++ b/lib/filter/relay/relay.go
@@ -512,14 +512,19 @@
 		attrs = append(attrs, slog.Bool("given_up", true))
 	}
 	if t.err != nil {
-		attrs = append(attrs, slog.String("error", t.err.Error()))
-	}
-	if part := httpanswer.PartOf(t.err); part != "" {
-		attrs = append(attrs, slog.String("malformed", string(part)))
+		attrs = append(attrs, slog.String("error", t.err.Error()), malformedPart(t.err))
 	}
 	r.cfg.Log.LogAttrs(context.Background(), slog.LevelInfo, "attempt", attrs...)
 }
 
+// malformedPart returns the attribute that names the malformed part of an answer. It is empty for other errors.
+func malformedPart(err error) slog.Attr {
+	if part := httpanswer.PartOf(err); part != "" {
+		return slog.String("malformed", string(part))
+	}
+	return slog.Attr{}
+}
+
 // hopByHopFields are the header fields that apply to a single connection; they are not passed on.
 var hopByHopFields = map[string]bool{
 	fasthttp.HeaderConnection: true, "Keep-Alive": true, fasthttp.HeaderTransferEncoding: true, fasthttp.HeaderTrailer: true,
@@ -534,7 +539,7 @@
 		body = newStream(r, t)
 		if err := body.begin(); err != nil {
 			body.endAttempt(false)
-			r.cfg.Log.Info("stream not begun", "request_id", r.ex.ID, "error", err.Error())
+			r.cfg.Log.Info("stream not begun", "request_id", r.ex.ID, "error", err.Error(), malformedPart(err))
 			return r.fail(refusal.TargetFailed, 0)
 		}
 	}
--- a/lib/filter/relay/stream.go
+++ b/lib/filter/relay/stream.go
@@ -205,7 +205,7 @@
 			s.req.answerBegan(s.current)
 		}
 		if errors.Is(err, io.EOF) && len(s.ready) == 0 {
-			if err = s.events.ended(s.current.answer.Chunked()); err == nil {
+			if err = s.events.ended(s.current.answer.Chunked); err == nil {
 				s.ended = true
 				return io.EOF
 			}
@@ -309,7 +309,7 @@
 func (s *stream) resume(cause error) error {
 	r := s.req
 	r.cfg.Log.Info("stream broke off", "request_id", r.ex.ID, "target", s.current.choice.Target.ID, "last_event", s.events.lastID,
-		"error", cause.Error())
+		"error", cause.Error(), malformedPart(cause))
 	s.endAttempt(false)
 	if s.next != nil {
 		s.current, s.next = s.next, nil
@@ -402,7 +402,7 @@
 	r := s.req
 	cause := cmp.Or(s.readErr, err)
 	r.cfg.Log.LogAttrs(context.Background(), slog.LevelInfo, "stream cut", slog.String("request_id", r.ex.ID),
-		slog.String("reason", string(reason)), slog.String("error", fmt.Sprint(cause)), slog.Bool("begun", s.firstByte > 0),
+		slog.String("reason", string(reason)), slog.String("error", fmt.Sprint(cause)), malformedPart(cause), slog.Bool("begun", s.firstByte > 0),
 		slog.Float64("left_ms", float64(time.Until(r.ex.AnswerBy))/float64(time.Millisecond)),
 		slog.String("last_event", r.lastEventID), slog.String("outcome", forward.Unknown.String()))
 }
--- a/lib/forward/forward.go
+++ b/lib/forward/forward.go
@@ -3,12 +3,10 @@
 package forward
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"fmt"
 	"io"
-	"net/http/httputil"
 	"strconv"
 	"strings"
 	"syscall"
@@ -64,8 +62,6 @@
 	receiveBuffer = 128 << 10
 	// maxSkippedAnswers bounds the late answers to earlier requests that are skipped on one connection.
 	maxSkippedAnswers = 2
-	// maxTrailerLines bounds the trailer of a chunked answer.
-	maxTrailerLines = 32
 	// maxBodyBytes bounds the bodies that are read whole or skipped.
 	maxBodyBytes = 4 << 20
 	// minAsyncBodyBytes is the size from which a request body is written while the answer is awaited, since a target may
@@ -93,11 +89,11 @@
 	Stated passthrough.Answer
 	// Length is the length of the body in bytes, or -1 if it is not known in advance.
 	Length int64
+	// Chunked states that the body is chunked, so that its end is explicit.
+	Chunked bool
 
 	conn     *httpconn.Conn
 	body     io.Reader
-	chunked  bool
-	unframed bool               // the body ends with the connection
 	reusable bool               // the connection may be reused after the body
 	account  *membudget.Account // of the caller's connection; nil: none
 	done     <-chan struct{}    // closed when the request ends
@@ -305,16 +301,21 @@
 	for skipped := range maxSkippedAnswers + 1 {
 		a.Header.Reset()
 		a.Header.SetNoDefaultContentType(true)
-		if err := a.conn.Reader().ReadHead(&a.Header); err != nil {
+		body, err := a.conn.Reader().ReadHead(&a.Header, r.Method == fasthttp.MethodHead)
+		if err != nil {
 			return err
 		}
+		a.Length, a.Chunked, a.body = body.Length, body.Chunked, body
+		a.reusable = !body.UntilClose && !a.Header.ConnectionClose()
+		if body.UntilClose {
+			a.body = &closeReader{r: body, upload: a.upload}
+		}
 		a.Stated = c.cfg.Protocol.ReadAnswer(&a.Header)
-		a.initBody(r.Method)
 		first := skipped == 0 && !a.conn.HasAnswered()
 		if a.Stated.ID == r.ID || a.Stated.ID == "" && first {
 			return nil
 		}
-		if a.unframed {
+		if body.UntilClose {
 			break
 		}
 		if _, err := io.CopyN(io.Discard, a.body, maxBodyBytes); !errors.Is(err, io.EOF) {
@@ -324,24 +325,6 @@
 	return ErrForeignAnswer
 }
 
-// initBody sets up the reader of the body by the answer's framing: no body, Content-Length, chunks, or the end of the
-// connection.
-func (a *Answer) initBody(method string) {
-	br := a.conn.Reader().Reader
-	status, length := a.Header.StatusCode(), a.Header.ContentLength()
-	a.chunked, a.unframed, a.reusable = false, false, !a.Header.ConnectionClose()
-	switch {
-	case method == fasthttp.MethodHead || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified:
-		a.Length, a.body = 0, io.LimitReader(br, 0)
-	case length >= 0:
-		a.Length, a.body = int64(length), &exactReader{br, int64(length)}
-	case length == -1:
-		a.Length, a.chunked, a.body = -1, true, &chunkedReader{chunks: httputil.NewChunkedReader(br), br: br}
-	default:
-		a.Length, a.unframed, a.reusable, a.body = -1, true, false, &closeReader{r: br, upload: a.upload}
-	}
-}
-
 // closeReader reads a body that ends with the connection. That end is a proper one only if the upload did not fail: the kernel reports a
 // reset once, to the read or to the write, and the other then sees an ordinary end.
 type closeReader struct {
@@ -358,80 +341,16 @@
 	n, err := c.r.Read(p)
 	if errors.Is(err, io.EOF) {
 		if uploadErr := c.upload.wait(); uploadErr != nil {
-			err = httpanswer.CutOff(httpanswer.Body, fmt.Errorf("the write of the request failed: %w", uploadErr))
-		}
-	}
-	c.err = err
-	return n, err
-}
-
-// exactReader reads n bytes from r; an earlier end is io.ErrUnexpectedEOF.
-type exactReader struct {
-	r io.Reader
-	n int64
-}
-
-// Read implements io.Reader.
-func (e *exactReader) Read(p []byte) (int, error) {
-	if e.n == 0 {
-		return 0, io.EOF
-	}
-	if int64(len(p)) > e.n {
-		p = p[:e.n]
-	}
-	n, err := e.r.Read(p)
-	e.n -= int64(n)
-	if errors.Is(err, io.EOF) && e.n > 0 {
-		err = io.ErrUnexpectedEOF
-	}
-	return n, err
-}
-
-// chunkedReader reads a chunked body with its trailer. The body ends with the blank line after the trailer, not with the last chunk.
-type chunkedReader struct {
-	chunks io.Reader
-	br     *bufio.Reader
-	err    error // that ended the body; returned by every later Read
-}
-
-// Read implements io.Reader.
-func (c *chunkedReader) Read(p []byte) (int, error) {
-	if c.err != nil {
-		return 0, c.err
-	}
-	n, err := c.chunks.Read(p)
-	if errors.Is(err, io.EOF) {
-		if trailerErr := readTrailer(c.br); trailerErr != nil {
-			err = trailerErr
+			err = httpanswer.CutOff(httpanswer.PartBody, fmt.Errorf("the write of the request failed: %w", uploadErr))
 		}
 	}
 	c.err = err
 	return n, err
 }
 
-// readTrailer reads the trailer that follows the last chunk, up to its final blank line.
-func readTrailer(br *bufio.Reader) error {
-	for range maxTrailerLines {
-		line, err := br.ReadSlice('\n')
-		if errors.Is(err, io.EOF) {
-			return io.ErrUnexpectedEOF
-		}
-		if err != nil {
-			return err
-		}
-		if len(line) <= 2 {
-			return nil
-		}
-	}
-	return fmt.Errorf("forward: a trailer of more than %d lines", maxTrailerLines)
-}
-
 // Read reads from the body. io.EOF means that the body is complete.
 func (a *Answer) Read(p []byte) (int, error) { return a.body.Read(p) }
 
-// Chunked reports whether the body is chunked, so that its end is explicit.
-func (a *Answer) Chunked() bool { return a.chunked }
-
 // LimitSilence has reads of the body call onSilence; see httpconn.Conn.LimitSilence.
 func (a *Answer) LimitSilence(until time.Time, onSilence func() (time.Time, error)) {
 	a.conn.LimitSilence(until, onSilence)
--- a/lib/httpanswer/head.go
+++ b/lib/httpanswer/head.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"errors"
 	"io"
+	"strconv"
 	"strings"
 
 	"github.com/valyala/fasthttp"
@@ -37,54 +38,113 @@
 // maxInformational bounds the informational (1xx) answers before the final one.
 const maxInformational = 16
 
-// ReadHead reads the head of the final answer into h. Errors: an Error, or that of the connection, which is io.EOF or a reset if it ended
-// before an answer began.
-func (r *Reader) ReadHead(h *fasthttp.ResponseHeader) error {
+// ReadHead reads the head of the final answer into h and returns the body that follows it. noBody states that the request permits none, as HEAD
+// does. Errors: an Error, or that of the connection, which is io.EOF or a reset if it ended before an answer began.
+func (r *Reader) ReadHead(h *fasthttp.ResponseHeader, noBody bool) (*Body, error) {
 	for range maxInformational + 1 {
-		status, head, err := r.peekHead()
+		next, text, err := r.peekHead()
 		if err != nil {
-			return err
+			return nil, err
 		}
-		if status >= fasthttp.StatusOK {
-			if err := h.Read(bufio.NewReaderSize(bytes.NewReader(head), len(head))); err != nil {
-				return &Error{Head, err}
+		if next.status >= fasthttp.StatusOK {
+			if err := h.Read(bufio.NewReaderSize(bytes.NewReader(text), len(text))); err != nil {
+				return nil, &Error{PartHead, err}
 			}
 		}
-		if _, err := r.Discard(len(head)); err != nil {
-			return err
+		if _, err := r.Discard(len(text)); err != nil {
+			return nil, err
 		}
-		if status >= fasthttp.StatusOK {
-			return nil
+		if next.status >= fasthttp.StatusOK {
+			return r.body(next, noBody), nil
 		}
 	}
-	return malformed(Informational, "more than %d of them", maxInformational)
+	return nil, malformed(PartInformational, "more than %d of them", maxInformational)
+}
+
+// head is what the head of an answer states.
+type head struct {
+	status  int
+	oneZero bool  // the version is 1.0, which has no chunks
+	length  int64 // Content-Length in bytes; -1 if absent
+	chunked bool
 }
 
 // peekHead checks the head of the next answer, and returns its bytes without consuming them.
-func (r *Reader) peekHead() (status int, head []byte, err error) {
-	line, end, err := r.peekLine(0)
+func (r *Reader) peekHead() (h head, text []byte, err error) {
+	line, end, err := r.peekLine(0, PartStatusLine)
 	if err != nil {
-		return 0, nil, err
+		return h, nil, err
 	}
-	if status, err = parseStatusLine(line); err != nil {
-		return 0, nil, err
+	if h, err = parseStatusLine(line); err != nil {
+		return h, nil, err
 	}
 	for {
-		if line, end, err = r.peekLine(end); err != nil {
-			return 0, nil, err
+		if line, end, err = r.peekLine(end, PartHead); err != nil {
+			return h, nil, err
 		}
 		if len(line) == 0 {
-			head, err = r.Peek(end)
-			return status, head, err
+			break
 		}
-		if _, _, err := parseField(line, FieldName, FieldValue); err != nil {
-			return 0, nil, err
+		name, value, err := parseField(line, PartFieldName, PartFieldValue)
+		if err == nil {
+			err = h.addFraming(name, value)
 		}
+		if err != nil {
+			return h, nil, err
+		}
+	}
+	if err := h.check(); err != nil {
+		return h, nil, err
+	}
+	text, err = r.Peek(end)
+	return h, text, err
+}
+
+// addFraming records a field that states where the body ends. Other fields are ignored.
+func (h *head) addFraming(name, value []byte) error {
+	switch {
+	case bytes.EqualFold(name, []byte(fasthttp.HeaderContentLength)):
+		length, err := strconv.ParseInt(string(value), 10, 64)
+		if err != nil || !isDigits(value) {
+			return malformed(PartFraming, "the length %q is not a number of bytes", quoted(value))
+		}
+		if h.length >= 0 {
+			return malformed(PartFraming, "a second length")
+		}
+		h.length = length
+	case bytes.EqualFold(name, []byte(fasthttp.HeaderTransferEncoding)):
+		if !bytes.EqualFold(value, []byte("chunked")) {
+			return malformed(PartFraming, "unknown transfer coding %q", quoted(value))
+		}
+		if h.chunked {
+			return malformed(PartFraming, "a second transfer coding")
+		}
+		h.chunked = true
+	}
+	return nil
+}
+
+// check returns an error if the fields contradict each other or the status line.
+func (h *head) check() error {
+	hasBody := h.length > 0 || h.chunked
+	switch {
+	case h.chunked && h.length >= 0:
+		return malformed(PartFraming, "a length beside chunks")
+	case h.chunked && h.oneZero:
+		return malformed(PartFraming, "chunks in an answer of HTTP/1.0")
+	case h.status == fasthttp.StatusSwitchingProtocols:
+		return malformed(PartInformational, "a switch of protocols that was not asked for")
+	case h.status < fasthttp.StatusOK && hasBody:
+		return malformed(PartInformational, "status %d with a body", h.status)
+	case h.status == fasthttp.StatusNoContent && hasBody:
+		return malformed(PartFraming, "status %d with a body", h.status)
 	}
+	return nil
 }
 
-// peekLine returns the line that begins at the offset start of the buffered bytes, without its line end, and the offset of the next line.
-func (r *Reader) peekLine(start int) (line []byte, end int, err error) {
+// peekLine returns the line that begins at the offset start of the buffered bytes, without its line end, and the offset of the next line. Its
+// errors name the given part.
+func (r *Reader) peekLine(start int, part Part) (line []byte, end int, err error) {
 	for {
 		b, err := r.Peek(r.Buffered())
 		if err != nil {
@@ -93,22 +153,22 @@
 		if i := bytes.IndexByte(b[start:], '\n'); i >= 0 {
 			line, ok := bytes.CutSuffix(b[start:start+i], []byte("\r"))
 			if !ok {
-				return nil, 0, malformed(Head, "a line ends without a carriage return")
+				return nil, 0, malformed(part, "a line ends without a carriage return")
 			}
 			return line, start + i + 1, nil
 		}
-		if start == 0 && !bytes.HasPrefix(b, versionPrefix[:min(len(b), len(versionPrefix))]) {
+		if part == PartStatusLine && !bytes.HasPrefix(b, versionPrefix[:min(len(b), len(versionPrefix))]) {
 			return nil, 0, notHTTP(b)
 		}
 		_, err = r.Peek(len(b) + 1)
 		switch {
 		case err == nil:
 		case errors.Is(err, bufio.ErrBufferFull):
-			return nil, 0, malformed(Head, "larger than %d bytes", r.Size())
-		case len(b) == 0:
+			return nil, 0, malformed(part, "larger than %d bytes", r.Size())
+		case len(b) == 0 && part == PartStatusLine:
 			return nil, 0, err
 		default:
-			return nil, 0, CutOff(Head, err)
+			return nil, 0, CutOff(part, err)
 		}
 	}
 }
@@ -122,23 +182,26 @@
 func quoted(b []byte) []byte { return b[:min(len(b), maxQuotedBytes)] }
 
 func notHTTP(b []byte) error {
-	return malformed(StatusLine, "%q does not begin with HTTP/1.0 or HTTP/1.1", quoted(b))
+	return malformed(PartStatusLine, "%q does not begin with HTTP/1.0 or HTTP/1.1", quoted(b))
 }
 
-// parseStatusLine returns the status of a line such as "HTTP/1.1 200 OK". The reason phrase and the space before it may be missing.
-func parseStatusLine(line []byte) (int, error) {
+// parseStatusLine reads a line such as "HTTP/1.1 200 OK". The reason phrase and the space before it may be missing.
+func parseStatusLine(line []byte) (head, error) {
+	h := head{length: -1}
 	rest, ok := bytes.CutPrefix(line, versionPrefix)
 	if !ok || len(rest) < 2 || rest[0] != '0' && rest[0] != '1' || rest[1] != ' ' {
-		return 0, notHTTP(line)
+		return h, notHTTP(line)
 	}
+	h.oneZero = rest[0] == '0'
 	code, reason, _ := bytes.Cut(rest[2:], []byte(" "))
 	if len(code) != 3 || !isDigits(code) || code[0] < '1' || code[0] > '5' {
-		return 0, malformed(StatusLine, "the status %q is not a number from 100 to 599", quoted(code))
+		return h, malformed(PartStatusLine, "the status %q is not a number from 100 to 599", quoted(code))
 	}
 	if i := bytes.IndexFunc(reason, isControl); i >= 0 {
-		return 0, malformed(StatusLine, "the reason phrase holds the byte %#02x", reason[i])
+		return h, malformed(PartStatusLine, "the reason phrase holds the byte %#02x", reason[i])
 	}
-	return int(code[0]-'0')*100 + int(code[1]-'0')*10 + int(code[2]-'0'), nil
+	h.status = int(code[0]-'0')*100 + int(code[1]-'0')*10 + int(code[2]-'0')
+	return h, nil
 }
 
 // parseField returns the name and the value of a line such as "Name: value". The errors name the given parts. A line that begins with a blank
--- a/lib/httpanswer/httpanswer.go
+++ b/lib/httpanswer/httpanswer.go
@@ -15,15 +15,15 @@
 
 // Parts of an answer.
 const (
-	StatusLine    Part = "status line"
-	FieldName     Part = "field name"
-	FieldValue    Part = "field value"
-	Framing       Part = "framing" // the fields that state where the body ends
-	Informational Part = "informational"
-	Head          Part = "head" // cut off, or too large
-	Body          Part = "body" // cut off
-	Chunk         Part = "chunk"
-	Trailer       Part = "trailer"
+	PartStatusLine    Part = "status line"
+	PartFieldName     Part = "field name"
+	PartFieldValue    Part = "field value"
+	PartFraming       Part = "framing" // the fields that state where the body ends
+	PartInformational Part = "informational"
+	PartHead          Part = "head" // cut off, or too large
+	PartBody          Part = "body" // cut off
+	PartChunk         Part = "chunk"
+	PartTrailer       Part = "trailer"
 )
 
 // Error is the error of an answer that is malformed or cut off. Errors of the connection that say nothing about the answer, such as
--- a/lib/httpconn/httpconn.go
+++ b/lib/httpconn/httpconn.go
@@ -454,22 +454,22 @@
 	if err := c.SetReadDeadline(time.Now().Add(timeout)); err != nil {
 		return err
 	}
-	if err := c.br.ReadHead(&resp.Header); err != nil {
+	body, err := c.br.ReadHead(&resp.Header, resp.SkipBody)
+	if err != nil {
 		return err
 	}
-	if resp.SkipBody || resp.StatusCode() == fasthttp.StatusNoContent || resp.StatusCode() == fasthttp.StatusNotModified {
-		return nil
-	}
-	length := resp.Header.ContentLength()
-	if length < -1 {
+	if body.UntilClose {
 		return ErrNoLength
 	}
-	if err := resp.ReadBody(c.br.Reader, MaxResponseBytes); err != nil {
-		return err
+	if resp.StreamBody {
+		resp.SetBodyStream(body, int(body.Length))
+		return nil
 	}
-	if length == -1 && !resp.StreamBody {
-		return resp.Header.ReadTrailer(c.br.Reader)
+	content, err := body.ReadAll(MaxResponseBytes)
+	if err != nil {
+		return err
 	}
+	resp.SetBodyRaw(content)
 	return nil
 }
 
