Answers: a trailer is checked like the lines of a head

Callers got, as whole, chunked bodies whose trailer is none: names with blanks, lines without a colon, control bytes, fields that frame the body, even the status line of another answer.

Cause: a trailer only had to end. Any line of up to two bytes, such as "x" and a line feed, counted as its end.

Change: the lines of a trailer are read and checked like those of a head, and end with CR LF; Content-Length and Transfer-Encoding are refused there. Trailers are still not passed on.

A trailer in proper form passes as before.

--- a/lib/httpanswer/body.go
+++ b/lib/httpanswer/body.go
@@ -98,15 +98,21 @@
 // readTrailer reads the trailer that follows the last chunk, up to its final blank line.
 func (r *Reader) readTrailer() error {
 	for range maxTrailerLines {
-		line, err := r.ReadSlice('\n')
-		if errors.Is(err, io.EOF) {
-			return io.ErrUnexpectedEOF
-		}
+		line, end, err := r.peekLine(0, PartTrailer)
 		if err != nil {
 			return err
 		}
-		if len(line) <= 2 {
-			return nil
+		if len(line) > 0 {
+			name, _, err := parseField(line, PartTrailer, PartTrailer)
+			if err != nil {
+				return err
+			}
+			if isFraming(name) {
+				return malformed(PartTrailer, "%q after the body that it frames", name)
+			}
+		}
+		if _, err := r.Discard(end); err != nil || len(line) == 0 {
+			return err
 		}
 	}
 	return malformed(PartTrailer, "more than %d lines", maxTrailerLines)
--- a/lib/httpanswer/head.go
+++ b/lib/httpanswer/head.go
@@ -124,6 +124,11 @@
 	return nil
 }
 
+// isFraming reports whether the field states where the body ends.
+func isFraming(name []byte) bool {
+	return bytes.EqualFold(name, []byte(fasthttp.HeaderContentLength)) || bytes.EqualFold(name, []byte(fasthttp.HeaderTransferEncoding))
+}
+
 // check returns an error if the fields contradict each other or the status line.
 func (h *head) check() error {
 	hasBody := h.length > 0 || h.chunked
