Answers: clients of the key-value service, host list, weight store and API read them as the others do

The four clients took broken answers for good ones: status 000, a blank in a field's name, a length beside chunks, and a body without a length, of which an end after a reset or a crash can't be told from a whole one. A malformed answer to a write would have counted as done.

Cause: they used the client of fasthttp, whose reading of answers is lax; the clients of engines, services, targets and the platform's store use lib/httpconn.

A call that is cancelled now ends at once. As before, only a call of which nothing was written counts as not executed. The test of httpkv checks what it did; its last line waited for a goroutine of fasthttp's client.

--- a/lib/adminapi/client.go
+++ b/lib/adminapi/client.go
@@ -1,6 +1,7 @@
 package adminapi
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -9,6 +10,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"cuminhook.org/cuminhook/lib/httpconn"
 	"cuminhook.org/cuminhook/lib/manifest"
 	"cuminhook.org/cuminhook/lib/refusal"
 )
@@ -18,9 +20,9 @@
 
 // Client calls the administration API. The errors of its methods are refusals.
 type Client struct {
-	client *fasthttp.HostClient
-	base   string
-	token  string
+	pool  httpconn.Pool
+	addr  string
+	token string
 }
 
 // NewClient returns a client for the API at the URL base, such as http://127.0.0.1:7300. It sends token with every
@@ -30,13 +32,7 @@
 	if err != nil || u.Scheme != "http" || u.Host == "" {
 		return nil, fmt.Errorf("%q is not the address of an API; write it as http://IP:port", base)
 	}
-	return &Client{
-		base: "http://" + u.Host + "/v1/", token: token,
-		client: &fasthttp.HostClient{
-			Addr:       u.Host,
-			RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-		},
-	}, nil
+	return &Client{addr: fasthttp.AddMissingPort(u.Host, false), token: token}, nil
 }
 
 // Apply sends a ticket. A refusal with the reason outcome_unknown may also mean that the answer was lost.
@@ -92,15 +88,14 @@
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
-	req.SetRequestURI(c.base + path)
+	req.SetRequestURI("http://" + c.addr + "/v1/" + path)
 	req.Header.SetMethod(method)
 	req.SetBody(body)
 	if c.token != "" {
 		req.Header.Set("Authorization", "Bearer "+c.token)
 	}
-	if err := c.client.DoTimeout(req, resp, clientTimeout); err != nil {
-		var dial *fasthttp.ErrDialWithUpstream
-		if errors.As(err, &dial) || errors.Is(err, fasthttp.ErrDialTimeout) {
+	if err := c.pool.CallBy(context.Background(), time.Now().Add(clientTimeout), c.addr, req, resp); err != nil {
+		if errors.Is(err, httpconn.ErrNotSent) {
 			return nil, &refusal.Error{
 				Reason: refusal.StoreUnavailable, Run: refusal.NotRun, Status: 503, Message: err.Error(),
 				Remedy: "check --api, or use the admin program of another host",
--- a/lib/hostlist/httplist/httplist.go
+++ b/lib/hostlist/httplist/httplist.go
@@ -11,7 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"cuminhook.org/cuminhook/lib/hostlist"
-	"cuminhook.org/cuminhook/lib/kv/httpkv"
+	"cuminhook.org/cuminhook/lib/httpconn"
 )
 
 // callTimeout is the timeout of a call whose context has no earlier deadline.
@@ -22,8 +22,8 @@
 
 // List implements hostlist.List.
 type List struct {
-	client *fasthttp.HostClient
-	url    string
+	pool httpconn.Pool
+	addr string
 }
 
 // New returns the list of the platform whose base URL is base, such as http://127.0.0.1:7400.
@@ -32,7 +32,7 @@
 	if err != nil || u.Scheme != "http" || u.Host == "" {
 		return nil, fmt.Errorf("httplist: %q is not a base URL; write it as http://IP:port", base)
 	}
-	return &List{client: httpkv.NewClient(u.Host), url: "http://" + u.Host + Path}, nil
+	return &List{addr: fasthttp.AddMissingPort(u.Host, false)}, nil
 }
 
 // Hosts implements hostlist.List.
@@ -47,8 +47,8 @@
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
-	req.SetRequestURI(l.url)
-	if err := l.client.DoDeadline(req, resp, deadline); err != nil {
+	req.SetRequestURI("http://" + l.addr + Path)
+	if err := l.pool.CallBy(ctx, deadline, l.addr, req, resp); err != nil {
 		return nil, fmt.Errorf("httplist: %w; keep the present list", err)
 	}
 	if resp.StatusCode() != fasthttp.StatusOK {
--- a/lib/httpconn/httpconn.go
+++ b/lib/httpconn/httpconn.go
@@ -35,7 +35,7 @@
 
 const (
 	bufferBytes = 4096
-	// MaxResponseBytes bounds the bodies that are read whole.
+	// MaxResponseBytes is the default of Pool.MaxResponse.
 	MaxResponseBytes = 16 << 20
 	// idleTimeout is shorter than the idle timeouts of common servers, so that a target rarely closes a pooled
 	// connection at the moment of its reuse.
@@ -74,6 +74,7 @@
 	Options     *tcpopt.Options // nil: targetTCPOptions
 	// ReceiveBuffer is the size of the kernel's buffer for bytes that a target has sent and that were not read; zero: the kernel decides.
 	ReceiveBuffer int
+	MaxResponse   int64                 // largest body in bytes that Receive reads whole; zero: MaxResponseBytes
 	Limit         func(addr string) int // most connections to addr, in use and idle; nil: no limit
 	Events        func(Event)           // called for each event of a connection, with mu held; nil: none
 
@@ -156,6 +157,27 @@
 	return c, nil
 }
 
+// Call sends a request on a connection as Get returns it and receives the answer, within timeout each. Errors wrap ErrNotSent if no byte was
+// written, and ErrLimit as those of Get. With NewOnly, the connection is closed after the call.
+func (p *Pool) Call(ctx context.Context, addr string, maxIdle time.Duration, req *fasthttp.Request, resp *fasthttp.Response, timeout time.Duration) error {
+	conn, err := p.Get(ctx, addr, maxIdle)
+	if err != nil {
+		return err
+	}
+	if err = conn.Send(req, timeout); err == nil {
+		err = conn.Receive(resp, timeout)
+	}
+	conn.Release(err == nil && !resp.ConnectionClose() && maxIdle != NewOnly)
+	return err
+}
+
+// CallBy is Call with any idle connection, within the deadline.
+func (p *Pool) CallBy(ctx context.Context, deadline time.Time, addr string, req *fasthttp.Request, resp *fasthttp.Response) error {
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	return p.Call(ctx, addr, AnyAge, req, resp, time.Until(deadline))
+}
+
 // takeIdle removes the most recently used idle connection to addr that is not in avoid from the pool. If none was used
 // within maxIdle, it returns nil and counts a connection that the caller must dial, in place of an idle one if the limit is
 // reached.
@@ -465,7 +487,7 @@
 		resp.SetBodyStream(body, int(body.Length))
 		return nil
 	}
-	content, err := body.ReadAll(MaxResponseBytes)
+	content, err := body.ReadAll(cmp.Or(c.pool.MaxResponse, MaxResponseBytes))
 	if err != nil {
 		return err
 	}
--- a/lib/kv/httpkv/httpkv.go
+++ b/lib/kv/httpkv/httpkv.go
@@ -6,12 +6,12 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"net"
 	"net/url"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
+	"cuminhook.org/cuminhook/lib/httpconn"
 	"cuminhook.org/cuminhook/lib/kv"
 )
 
@@ -23,6 +23,8 @@
 	maxIdleTime = 5 * time.Second
 	// maxResponseBytes leaves room for a list of several values of kv.MaxValueBytes in base64.
 	maxResponseBytes = 64 << 20
+	// maxConns bounds the calls that wait at the same time.
+	maxConns = 64
 )
 
 // Request is the body of a call to the service. Each call uses some of the fields.
@@ -57,44 +59,23 @@
 // Store implements kv.Store. It never retries a call, and it closes the connection of a call that missed its
 // deadline.
 type Store struct {
-	client  *fasthttp.HostClient
-	baseURL string
+	pool httpconn.Pool
+	addr string
 	// CallTimeout bounds a call whose context has no earlier deadline. Wait may take longer by the time it waits. Set it
 	// before the first call.
 	CallTimeout time.Duration
 }
 
-// errDial marks errors of calls that never reached the service.
-var errDial = errors.New("httpkv: cannot connect")
-
 // New returns a store for the service at base, such as http://127.0.0.1:7400.
 func New(base string) (*Store, error) {
 	u, err := url.Parse(base)
 	if err != nil || u.Scheme != "http" || u.Host == "" {
 		return nil, fmt.Errorf("httpkv: %q is not a base URL; write it as http://IP:port", base)
 	}
-	return &Store{baseURL: "http://" + u.Host + PathPrefix, client: NewClient(u.Host), CallTimeout: defaultTimeout}, nil
-}
-
-// NewClient returns an HTTP client for one host that never retries.
-func NewClient(addr string) *fasthttp.HostClient {
-	return &fasthttp.HostClient{
-		Addr:                addr,
-		MaxConns:            64,
-		MaxIdleConnDuration: maxIdleTime,
-		MaxResponseBodySize: maxResponseBytes,
-		RetryIfErr:          func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-		DialTimeout: func(addr string, timeout time.Duration) (net.Conn, error) {
-			if timeout <= 0 {
-				timeout = defaultTimeout
-			}
-			c, err := net.DialTimeout("tcp", addr, timeout)
-			if err != nil {
-				return nil, fmt.Errorf("%w: %w", errDial, err)
-			}
-			return c, nil
-		},
-	}
+	return &Store{
+		addr: fasthttp.AddMissingPort(u.Host, false), CallTimeout: defaultTimeout,
+		pool: httpconn.Pool{IdleTimeout: maxIdleTime, MaxResponse: maxResponseBytes, Limit: func(string) int { return maxConns }},
+	}, nil
 }
 
 // Get implements kv.Store.
@@ -173,15 +154,15 @@
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
-	req.SetRequestURI(s.baseURL + name)
+	req.SetRequestURI("http://" + s.addr + PathPrefix + name)
 	req.Header.SetMethod(fasthttp.MethodPost)
 	req.Header.SetContentType("application/json")
 	req.SetBodyRaw(body)
-	if err := s.client.DoDeadline(req, resp, deadline); err != nil {
-		if errors.Is(err, errDial) || errors.Is(err, fasthttp.ErrNoFreeConns) {
+	if err := s.pool.CallBy(ctx, deadline, s.addr, req, resp); err != nil {
+		if errors.Is(err, httpconn.ErrNotSent) {
 			lost = kv.ErrUnavailable
 		}
-		return out, fmt.Errorf("%w: %s: %v", lost, name, err)
+		return out, fmt.Errorf("%w: %s: %w", lost, name, err)
 	}
 	if err := json.Unmarshal(resp.Body(), &out); err != nil || resp.StatusCode() != fasthttp.StatusOK && out.Error == "" {
 		return out, fmt.Errorf("%w: %s: unexpected response with status %d", lost, name, resp.StatusCode())
--- a/lib/kv/httpkv/httpkv_test.go
+++ b/lib/kv/httpkv/httpkv_test.go
@@ -1,6 +1,7 @@
 package httpkv
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -20,7 +21,7 @@
 			t.Fatal(err)
 		}
 		dials, closed := 0, 0
-		s.client.DialTimeout = func(string, time.Duration) (net.Conn, error) {
+		s.pool.Dial = func(context.Context, string) (net.Conn, error) {
 			dials++
 			client, server := net.Pipe()
 			go func() {
@@ -42,6 +43,5 @@
 		if dials != 2 || closed != 2 {
 			t.Fatalf("%d connections dialled, %d closed", dials, closed)
 		}
-		time.Sleep(3 * maxIdleTime) // let the client's goroutine that closes idle connections end
 	})
 }
--- a/lib/weights/httpweights/httpweights.go
+++ b/lib/weights/httpweights/httpweights.go
@@ -10,6 +10,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"cuminhook.org/cuminhook/lib/httpconn"
 	"cuminhook.org/cuminhook/lib/weights"
 )
 
@@ -30,8 +31,8 @@
 
 // Store implements weights.Store over HTTP.
 type Store struct {
-	base   string
-	client *fasthttp.Client
+	pool httpconn.Pool
+	addr string
 }
 
 var _ weights.Store = (*Store)(nil)
@@ -42,12 +43,7 @@
 	if err != nil || u.Scheme != "http" || u.Host == "" {
 		return nil, fmt.Errorf("httpweights: %q is not a base URL; write it as http://IP:port", base)
 	}
-	return &Store{
-		base: "http://" + u.Host,
-		client: &fasthttp.Client{
-			MaxResponseBodySize: maxResponseBytes, MaxIdemponentCallAttempts: 1, NoDefaultUserAgentHeader: true,
-		},
-	}, nil
+	return &Store{addr: fasthttp.AddMissingPort(u.Host, false), pool: httpconn.Pool{MaxResponse: maxResponseBytes}}, nil
 }
 
 // Lookup implements weights.Store.
@@ -74,12 +70,12 @@
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
 	req.Header.SetMethod(method)
-	req.SetRequestURI(s.base + path + url.PathEscape(name))
+	req.SetRequestURI("http://" + s.addr + path + url.PathEscape(name))
 	deadline := time.Now().Add(timeout)
 	if d, ok := ctx.Deadline(); ok && d.Before(deadline) {
 		deadline = d
 	}
-	if err := s.client.DoDeadline(req, resp, deadline); err != nil {
+	if err := s.pool.CallBy(ctx, deadline, s.addr, req, resp); err != nil {
 		return nil, fmt.Errorf("%w: %s: %w", weights.ErrUnavailable, name, err)
 	}
 	switch resp.StatusCode() {
