Engines: a failure in place of a stream is read whole

Callers of a stream got a status below 500 with a text of this host's, such as "unexpected EOF", as the engine's body, if that was cut off.

Cause: fasthttp's Response.Body puts the error of reading a streamed body in the place of the body.

Change: httpconn.ReadStream reads such a body and returns the error; the outcome of the request is then unknown.

Result: TestFailureOfAStreamIsWhole failed before for a length and for chunks, and passes now.

--- a/lib/engine/httpengine/client.go
+++ b/lib/engine/httpengine/client.go
@@ -202,7 +202,11 @@
 	if err := conn.SetReadDeadline(time.Now().Add(c.responseTimeout)); err != nil {
 		return nil, err
 	}
-	return nil, &engine.StatusError{Status: resp.StatusCode(), Body: append([]byte(nil), resp.Body()...)}
+	body, err := httpconn.ReadStream(resp)
+	if err != nil {
+		return nil, fmt.Errorf("httpengine: incomplete answer from %s: %w", addr, err)
+	}
+	return nil, &engine.StatusError{Status: resp.StatusCode(), Body: body}
 }
 
 // Cancel implements engine.Inference.
--- a/lib/httpanswer/clients_test.go
+++ b/lib/httpanswer/clients_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -123,3 +124,14 @@
 		}
 	}
 }
+
+// Guards against a failure that a caller gets with a text of this host's in place of the engine's body, which was cut off.
+func TestFailureOfAStreamIsWhole(t *testing.T) {
+	for text, whole := range map[string]bool{"Content-Length: @\r\n\r\n#": true, "Content-Length: 9@\r\n\r\n#": false, "Transfer-Encoding: chunked\r\n\r\n%\r\n#": false} {
+		addr := serveText(t, "HTTP/1.1 400 X\r\nX-Request-Id: 1\r\n"+text, "bad request")
+		_, err := httpengine.New(httpengine.Config{}).Stream(context.Background(), addr, &engine.Request{ID: "1", Path: "/", Stream: true})
+		if failure := (*engine.StatusError)(nil); errors.As(err, &failure) != whole || whole && string(failure.Body) != "bad request" {
+			t.Errorf("%q: %v", text, err)
+		}
+	}
+}
--- a/lib/httpconn/httpconn.go
+++ b/lib/httpconn/httpconn.go
@@ -495,6 +495,15 @@
 	return nil
 }
 
+// ReadStream reads the whole body of an answer that was received with StreamBody, of at most MaxResponseBytes.
+func ReadStream(resp *fasthttp.Response) ([]byte, error) {
+	body, ok := resp.BodyStream().(*httpanswer.Body)
+	if !ok {
+		return nil, nil // the answer has none
+	}
+	return body.ReadAll(MaxResponseBytes)
+}
+
 // Detach stops the context of Get from closing the connection when it ends. It is for an answer whose content is complete
 // and of which only the end of the body is still to be read.
 func (c *Conn) Detach() {
