Tests: what health, retries and quarantine make of a malformed answer

Cause: a malformed answer passed as one, so nothing showed what the rest of the system makes of it: an answer with status 000 that also states "not run" had an unsafe request sent to a second target.

Change: a test only. The outcome is unknown, so an unsafe request gets 502 after one run; others go on at another target, streams after the last whole event. The target counts as failing and is avoided, its connection is closed, and the prompts that met it stay out of quarantine.

--- a/lib/filter/relay/resume_test.go
+++ b/lib/filter/relay/resume_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"net"
 	"strings"
 	"testing"
+	"time"
 )
 
 // breakAfterTwoEvents is a script that closes the connection in the middle of a stream.
@@ -138,3 +140,58 @@
 		})
 	}
 }
+
+// Guards against a target whose answers are malformed and that counts as sound, against a second run on the word of such an answer, and against
+// its connection being used again. The prompts that meet it are not to blame.
+func TestMalformedAnswerCountsAgainstItsTarget(t *testing.T) {
+	used := map[net.Conn]bool{}
+	malformed := func(r *receivedRequest) bool {
+		if used[r.conn] {
+			t.Errorf("request %s on a connection that has carried a malformed answer", r.id)
+		}
+		used[r.conn] = true
+		if strings.HasPrefix(r.URL.Path, "/resumable/") {
+			startStream(r)
+			chunk(r.conn, event(1))
+			fmt.Fprint(r.conn, "x\r\n")
+			return true
+		}
+		fmt.Fprintf(r.conn, "HTTP/1.1 000 X\r\nId: %s\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", r.id)
+		return true
+	}
+	rest := func(r *receivedRequest) bool {
+		startStream(r)
+		chunk(r.conn, event(2))
+		chunk(r.conn, "")
+		return true
+	}
+	withTargets(t, map[string]script{"near": malformed, "far": rest}, func(t *testing.T, r *harness) {
+		for path, want := range map[string]answer{
+			"/unsafe/x": {status: 502}, "/safe/x": {status: 200, body: event(2)}, "/resumable/x": {status: 200, body: event(1) + event(2)},
+		} {
+			for i := range 3 {
+				a := r.callWith("POST", path, fmt.Sprint(path, i), "Prefix: all shared "+path+"\r\n")
+				if a.status != want.status || a.err != nil || want.status == 200 && a.body != want.body {
+					t.Errorf("%s: %+v", path, a)
+				}
+				time.Sleep(10 * time.Second) // longer than the target is avoided
+				r.detector.Judge(time.Now(), 0)
+			}
+		}
+		if n := strings.Count(r.requests(), "near"); n != 9 || strings.Count(r.requests(), "far") != 6 {
+			t.Errorf("requests %s", r.requests())
+		}
+		if segment, _ := r.detector.Blocked([]string{"all", "shared"}, time.Now()); segment != "" {
+			t.Errorf("segment %q in quarantine", segment)
+		}
+	})
+	withTargets(t, map[string]script{"near": malformed}, func(t *testing.T, r *harness) {
+		r.balancer.SetAside(0.5)
+		for i := range 3 {
+			r.call("POST", "/unsafe/x", fmt.Sprint(i))
+		}
+		if f := r.balancer.LocalFailures(time.Now())["near"]; f.Failed != 3 || len(used) != 12 {
+			t.Errorf("failures of the target: %+v, on %d connections in all", f, len(used))
+		}
+	})
+}
