--- a/lib/attempt/attempt.go
+++ b/lib/attempt/attempt.go
@@ -78,6 +78,6 @@
 	}
 	return &refusal.Error{
 		Reason: refusal.TargetFailed, Run: refusal.RunUnknown, Status: fasthttp.StatusBadGateway,
-		Message: "the target broke off without an answer", Remedy: "repeat the request only if it is idempotent",
+		Message: "the target sent no whole answer in proper form", Remedy: "repeat the request only if it is idempotent",
 	}
 }
--- a/lib/forward/forward.go
+++ b/lib/forward/forward.go
@@ -41,7 +41,7 @@
 var (
 	ErrForeignAnswer = errors.New("forward: the answer belongs to another request")
 	ErrIncomplete    = errors.New("forward: the answer's body was not read completely")
-	ErrTooLarge      = errors.New("forward: the answer's body exceeds the size limit")
+	ErrTooLarge      = httpanswer.ErrTooLarge
 	ErrNoAnswer      = errors.New("forward: the bytes received do not state that a target processed or rejected the request")
 )
 
--- a/lib/httpanswer/clients_test.go
+++ b/lib/httpanswer/clients_test.go
@@ -48,61 +48,47 @@
 	return ln.Addr().String()
 }
 
+func must[T any](v T, err error) T {
+	if err != nil {
+		panic(err)
+	}
+	return v
+}
+
+func errorOf[T any](_ T, err error) error { return err }
+
 // Guards against clients that take a broken answer for one: each has to reject what it would otherwise have taken, and accept the sound one.
 func TestClientsRejectMalformedAnswers(t *testing.T) {
 	ctx := context.Background()
-	first := func(_ any, err error) error { return err }
 	for name, c := range map[string]struct {
 		body string
 		call func(addr string) error
 	}{
-		"key-value service": {`{"version":1}`, func(addr string) error {
-			s, err := httpkv.New("http://" + addr)
-			if err != nil {
-				return err
-			}
-			return first(s.Put(ctx, "k", nil, 0, 0))
-		}},
-		"host list": {`[]`, func(addr string) error {
-			l, err := httplist.New("http://" + addr)
-			if err != nil {
-				return err
-			}
-			return first(l.Hosts(ctx))
-		}},
-		"weight store": {`{}`, func(addr string) error {
-			s, err := httpweights.New("http://" + addr)
-			if err != nil {
-				return err
-			}
-			return first(s.Lookup(ctx, "a"))
-		}},
+		"key-value service": {`{"version":1}`, func(addr string) error { return errorOf(must(httpkv.New("http://"+addr)).Put(ctx, "k", nil, 0, 0)) }},
+		"host list":         {`[]`, func(addr string) error { return errorOf(must(httplist.New("http://" + addr)).Hosts(ctx)) }},
+		"weight store":      {`{}`, func(addr string) error { return errorOf(must(httpweights.New("http://"+addr)).Lookup(ctx, "a")) }},
 		"administration API": {`{}`, func(addr string) error {
-			a, err := adminapi.NewClient("http://"+addr, "")
-			if err != nil {
-				return err
-			}
-			return first(a.Apply([]byte("{}")))
+			return errorOf(must(adminapi.NewClient("http://"+addr, "")).Apply([]byte("{}")))
 		}},
 		"engine": {`{}`, func(addr string) error {
-			return first(httpengine.New(httpengine.Config{}).Do(ctx, addr, &engine.Request{ID: "1", Path: "/"}))
+			return errorOf(httpengine.New(httpengine.Config{}).Do(ctx, addr, &engine.Request{ID: "1", Path: "/"}))
 		}},
 		"stream of an engine": {"id: 1\ndata: [DONE]\n\n", func(addr string) error {
 			r, err := httpengine.New(httpengine.Config{}).Stream(ctx, addr, &engine.Request{ID: "1", Path: "/", Stream: true})
 			if err != nil {
 				return err
 			}
-			return first(r.Next(ctx))
+			return errorOf(r.Next(ctx))
 		}},
 		"service": {`{}`, func(addr string) error {
-			return first(httpservice.New(nil).Do(ctx, addr, &service.Request{ID: "1", Method: "POST", Path: "/"}))
+			return errorOf(httpservice.New(nil).Do(ctx, addr, &service.Request{ID: "1", Method: "POST", Path: "/"}))
 		}},
-		"platform's store": {`{"revision":3}`, func(addr string) error { return first(platform.NewStore(addr).Put(ctx, "k", nil, 0, 0)) }},
+		"platform's store": {`{"revision":3}`, func(addr string) error { return errorOf(platform.NewStore(addr).Put(ctx, "k", nil, 0, 0)) }},
 		"order to a target": {`{}`, func(addr string) error {
-			return first(platform.NewTargetClient().Send(ctx, &registry.Target{ID: "t", Addr: addr}, orders.Order{Op: "load", Model: "m"}))
+			return errorOf(platform.NewTargetClient().Send(ctx, &registry.Target{ID: "t", Addr: addr}, orders.Order{Op: "load", Model: "m"}))
 		}},
 		"report of a target": {`{}`, func(addr string) error {
-			return first(platform.NewTargetClient().Report(ctx, &registry.Target{ID: "t", Addr: addr}))
+			return errorOf(platform.NewTargetClient().Report(ctx, &registry.Target{ID: "t", Addr: addr}))
 		}},
 	} {
 		const id, chunks = "X-Request-Id: 1\r\n", "Transfer-Encoding: chunked\r\n\r\n%\r\n#\r\n0\r\n"
