Answers: wording of errors and comments

Cause: reading of the change: errors named parts of an answer in words of our own, and one condition was written from its exception.

Change: the terms of RFC 9110 and RFC 9112 in errors, names and comments. No behaviour.

Result: the tests of lib/httpanswer and those of malformed answers in platform/ pass.

--- a/lib/forward/forward.go
+++ b/lib/forward/forward.go
@@ -97,7 +97,7 @@
 	reusable bool               // the connection may be reused after the body
 	account  *membudget.Account // of the caller's connection; nil: none
 	done     <-chan struct{}    // closed when the request ends
-	upload   *upload            // of the request body; nil if it was written before
+	upload   *upload            // of the request body
 }
 
 // Client sends requests on pooled connections. It is safe for concurrent use.
@@ -244,7 +244,7 @@
 	return 0
 }
 
-// upload is a request body that is written in the background. A nil one was written before.
+// upload is a request body that is written in the background. A nil upload is complete.
 type upload struct {
 	ended chan struct{}
 	err   error // of the write, set before ended is closed
@@ -325,8 +325,8 @@
 	return ErrForeignAnswer
 }
 
-// closeReader reads a body that ends with the connection. That end is a proper one only if the upload did not fail: the kernel reports a
-// reset once, to the read or to the write, and the other then sees an ordinary end.
+// closeReader reads a body that ends with the connection. The body is complete only if the upload succeeded: the kernel reports a reset once,
+// to the read or to the write, and the other call then sees an ordinary end.
 type closeReader struct {
 	r      io.Reader
 	upload *upload
--- a/lib/httpanswer/body.go
+++ b/lib/httpanswer/body.go
@@ -18,8 +18,8 @@
 // firstBytes bounds the memory for a body of which nothing has arrived.
 const firstBytes = 64 << 10
 
-// Body reads the body of an answer. io.EOF means that it is complete, any other error that it is not. If UntilClose is set, io.EOF means only
-// that the read has seen an ordinary end of the connection: if a write on it has failed, the body may be cut off.
+// Body reads the body of an answer. io.EOF means that it is complete, any other error that it is not. With UntilClose, io.EOF proves that only
+// if no write on the connection has failed: the kernel reports a reset to one call.
 type Body struct {
 	Length     int64 // bytes; -1 if not known in advance
 	Chunked    bool
@@ -87,10 +87,10 @@
 		if trailerErr := b.from.readTrailer(); trailerErr != nil {
 			err = trailerErr
 		}
-	case b.from.conn.err == nil || !errors.Is(err, io.ErrUnexpectedEOF) && !errors.Is(err, b.from.conn.err):
-		err = &Error{PartChunk, err}
-	default:
+	case b.from.conn.err != nil && (errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, b.from.conn.err)):
 		err = CutOff(PartChunk, err)
+	default: // of the coding, not of the connection
+		err = &Error{PartChunk, err}
 	}
 	return n, err
 }
@@ -108,7 +108,7 @@
 				return err
 			}
 			if isFraming(name) {
-				return malformed(PartTrailer, "%q after the body that it frames", name)
+				return malformed(PartTrailer, "%q is not allowed in a trailer", name)
 			}
 		}
 		if _, err := r.Discard(end); err != nil || len(line) == 0 {
--- a/lib/httpanswer/head.go
+++ b/lib/httpanswer/head.go
@@ -64,7 +64,7 @@
 // head is what the head of an answer states.
 type head struct {
 	status  int
-	oneZero bool  // the version is 1.0, which has no chunks
+	http10  bool  // version 1.0, which has no transfer codings
 	length  int64 // Content-Length in bytes; -1 if absent
 	chunked bool
 }
@@ -100,31 +100,31 @@
 	return h, text, err
 }
 
-// addFraming records a field that states where the body ends. Other fields are ignored.
+// addFraming records the fields that delimit the body and ignores others.
 func (h *head) addFraming(name, value []byte) error {
 	switch {
 	case bytes.EqualFold(name, []byte(fasthttp.HeaderContentLength)):
 		length, err := strconv.ParseInt(string(value), 10, 64)
 		if err != nil || !isDigits(value) {
-			return malformed(PartFraming, "the length %q is not a number of bytes", quoted(value))
+			return malformed(PartFraming, "the Content-Length %q is not a number of bytes", truncated(value))
 		}
 		if h.length >= 0 {
-			return malformed(PartFraming, "a second length")
+			return malformed(PartFraming, "Content-Length is repeated")
 		}
 		h.length = length
 	case bytes.EqualFold(name, []byte(fasthttp.HeaderTransferEncoding)):
 		if !bytes.EqualFold(value, []byte("chunked")) {
-			return malformed(PartFraming, "unknown transfer coding %q", quoted(value))
+			return malformed(PartFraming, "unknown transfer coding %q", truncated(value))
 		}
 		if h.chunked {
-			return malformed(PartFraming, "a second transfer coding")
+			return malformed(PartFraming, "Transfer-Encoding is repeated")
 		}
 		h.chunked = true
 	}
 	return nil
 }
 
-// isFraming reports whether the field states where the body ends.
+// isFraming reports whether the field delimits the body.
 func isFraming(name []byte) bool {
 	return bytes.EqualFold(name, []byte(fasthttp.HeaderContentLength)) || bytes.EqualFold(name, []byte(fasthttp.HeaderTransferEncoding))
 }
@@ -134,11 +134,11 @@
 	hasBody := h.length > 0 || h.chunked
 	switch {
 	case h.chunked && h.length >= 0:
-		return malformed(PartFraming, "a length beside chunks")
-	case h.chunked && h.oneZero:
-		return malformed(PartFraming, "chunks in an answer of HTTP/1.0")
+		return malformed(PartFraming, "Content-Length and Transfer-Encoding are both present")
+	case h.chunked && h.http10:
+		return malformed(PartFraming, "Transfer-Encoding in an answer of HTTP/1.0")
 	case h.status == fasthttp.StatusSwitchingProtocols:
-		return malformed(PartInformational, "a switch of protocols that was not asked for")
+		return malformed(PartInformational, "status 101 without an upgrade in the request")
 	case h.status < fasthttp.StatusOK && hasBody:
 		return malformed(PartInformational, "status %d with a body", h.status)
 	case h.status == fasthttp.StatusNoContent && hasBody:
@@ -158,7 +158,7 @@
 		if i := bytes.IndexByte(b[start:], '\n'); i >= 0 {
 			line, ok := bytes.CutSuffix(b[start:start+i], []byte("\r"))
 			if !ok {
-				return nil, 0, malformed(part, "a line ends without a carriage return")
+				return nil, 0, malformed(part, "a line does not end with CR LF")
 			}
 			return line, start + i + 1, nil
 		}
@@ -169,7 +169,7 @@
 		switch {
 		case err == nil:
 		case errors.Is(err, bufio.ErrBufferFull):
-			return nil, 0, malformed(part, "larger than %d bytes", r.Size())
+			return nil, 0, malformed(part, "exceeds %d bytes", r.Size())
 		case len(b) == 0 && part == PartStatusLine:
 			return nil, 0, err
 		default:
@@ -184,10 +184,11 @@
 // maxQuotedBytes bounds what errors repeat of an answer.
 const maxQuotedBytes = 40
 
-func quoted(b []byte) []byte { return b[:min(len(b), maxQuotedBytes)] }
+// truncated returns the first bytes of b for an error.
+func truncated(b []byte) []byte { return b[:min(len(b), maxQuotedBytes)] }
 
 func notHTTP(b []byte) error {
-	return malformed(PartStatusLine, "%q does not begin with HTTP/1.0 or HTTP/1.1", quoted(b))
+	return malformed(PartStatusLine, "%q does not begin with HTTP/1.0 or HTTP/1.1", truncated(b))
 }
 
 // parseStatusLine reads a line such as "HTTP/1.1 200 OK". The reason phrase and the space before it may be missing.
@@ -197,42 +198,44 @@
 	if !ok || len(rest) < 2 || rest[0] != '0' && rest[0] != '1' || rest[1] != ' ' {
 		return h, notHTTP(line)
 	}
-	h.oneZero = rest[0] == '0'
+	h.http10 = rest[0] == '0'
 	code, reason, _ := bytes.Cut(rest[2:], []byte(" "))
 	if len(code) != 3 || !isDigits(code) || code[0] < '1' || code[0] > '5' {
-		return h, malformed(PartStatusLine, "the status %q is not a number from 100 to 599", quoted(code))
+		return h, malformed(PartStatusLine, "the status %q is not a number from 100 to 599", truncated(code))
 	}
 	if i := bytes.IndexFunc(reason, isControl); i >= 0 {
-		return h, malformed(PartStatusLine, "the reason phrase holds the byte %#02x", reason[i])
+		return h, malformed(PartStatusLine, "the reason phrase contains the byte %#02x", reason[i])
 	}
 	h.status = int(code[0]-'0')*100 + int(code[1]-'0')*10 + int(code[2]-'0')
 	return h, nil
 }
 
-// parseField returns the name and the value of a line such as "Name: value". The errors name the given parts. A line that begins with a blank
-// is none: folding of lines is obsolete, and what continues a value for one reader is a field for another.
+// parseField returns the name and the value of a line such as "Name: value". Its errors name the given parts. Folded lines are rejected, as
+// RFC 9112 permits: a line that continues a value for one reader may be a field for another.
 func parseField(line []byte, namePart, valuePart Part) (name, value []byte, err error) {
 	name, value, ok := bytes.Cut(line, []byte(":"))
 	if !ok {
-		return nil, nil, malformed(namePart, "the line %q has no colon", quoted(line))
+		return nil, nil, malformed(namePart, "the line %q has no colon", truncated(line))
 	}
-	if len(name) == 0 || bytes.ContainsFunc(name, isNoToken) {
-		return nil, nil, malformed(namePart, "%q is no name", quoted(name))
+	if !isToken(name) {
+		return nil, nil, malformed(namePart, "%q is not a valid name", truncated(name))
 	}
 	value = bytes.Trim(value, " \t")
 	if i := bytes.IndexFunc(value, isControl); i >= 0 {
-		return nil, nil, malformed(valuePart, "that of %q holds the byte %#02x", quoted(name), value[i])
+		return nil, nil, malformed(valuePart, "the value of %q contains the byte %#02x", truncated(name), value[i])
 	}
 	return name, value, nil
 }
 
-// isNoToken reports whether the name of a field must not hold c.
-func isNoToken(c rune) bool {
-	switch {
-	case c >= 'a' && c <= 'z', c >= 'A' && c <= 'Z', c >= '0' && c <= '9':
-		return false
+// isToken reports whether b is a token of RFC 9110, as names of fields are.
+func isToken(b []byte) bool {
+	for _, c := range b {
+		letterOrDigit := c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9'
+		if !letterOrDigit && strings.IndexByte("!#$%&'*+-.^_`|~", c) < 0 {
+			return false
+		}
 	}
-	return !strings.ContainsRune("!#$%&'*+-.^_`|~", c)
+	return len(b) > 0
 }
 
 func isDigits(b []byte) bool {
@@ -244,5 +247,6 @@
 	return len(b) > 0
 }
 
-// isControl reports whether a field value or a reason phrase must not hold c. Bytes of 0x80 and above are allowed.
+// isControl reports whether c is a control character other than the tab, which values and reason phrases must not contain. Bytes of 0x80 and
+// above are allowed.
 func isControl(c rune) bool { return c < ' ' && c != '\t' || c == 0x7f }
--- a/lib/httpanswer/httpanswer.go
+++ b/lib/httpanswer/httpanswer.go
@@ -18,7 +18,7 @@
 	PartStatusLine    Part = "status line"
 	PartFieldName     Part = "field name"
 	PartFieldValue    Part = "field value"
-	PartFraming       Part = "framing" // the fields that state where the body ends
+	PartFraming       Part = "framing" // the fields that delimit the body
 	PartInformational Part = "informational"
 	PartHead          Part = "head" // cut off, or too large
 	PartBody          Part = "body" // cut off
@@ -52,7 +52,7 @@
 	return &Error{part, fmt.Errorf(format, args...)}
 }
 
-// CutOff returns the error of an answer whose connection failed with err inside the part.
+// CutOff returns the error of an answer whose connection failed with err inside the part: an Error if the peer ended the connection, else err.
 func CutOff(part Part, err error) error {
 	if errors.Is(err, io.EOF) {
 		err = io.ErrUnexpectedEOF
