Relay: a refusal whose body is broken is not believed

Callers got 503 with "not run", and unsafe requests went on to another target, after a refusal whose body was broken: chunks of no size, or a body cut off by a reset.

Cause: the outcome followed from the head alone; the error of the body was only logged. An answer that is broken in its head states nothing about its request, one broken in its body did.

Change: such an attempt has an unknown outcome, like any other broken answer, and counts against the target. A body that this host could not keep, for its size or for memory, changes nothing.

--- a/lib/filter/relay/relay.go
+++ b/lib/filter/relay/relay.go
@@ -469,12 +469,16 @@
 	r.recordFailure(t, now)
 }
 
-// recordRejection reports to the balancer why the target did not run the request.
+// recordRejection reads the body of an answer that states that the target did not run the request, and reports to the balancer why. The
+// statement holds only if the whole answer is well formed.
 func (r *request) recordRejection(t *try, now time.Time) {
-	if _, err := t.answer.ReadAll(); err != nil {
-		t.err = err
-	}
+	_, t.err = t.answer.ReadAll()
 	t.cancel()
+	if httpanswer.PartOf(t.err) != "" {
+		t.outcome = forward.Unknown // a target in trouble may have run the request
+		r.recordFailure(t, now)
+		return
+	}
 	switch {
 	case t.answer.Header.StatusCode() != fasthttp.StatusMisdirectedRequest:
 		t.choice.Rejected(now)
