--- a/lib/filter/relay/resume_test.go
+++ b/lib/filter/relay/resume_test.go
@@ -141,8 +141,8 @@
 	}
 }
 
-// Guards against a target whose answers are malformed and that counts as sound, against a second run on the word of such an answer, and against
-// its connection being used again. The prompts that meet it are not to blame.
+// Guards against a target that counts as sound although its answers are malformed, against a second run because such an answer states "not run",
+// against reuse of its connection, and against quarantine of the prompts that met it.
 func TestMalformedAnswerCountsAgainstItsTarget(t *testing.T) {
 	used := map[net.Conn]bool{}
 	malformed := func(r *receivedRequest) bool {
--- a/lib/httpanswer/clients_test.go
+++ b/lib/httpanswer/clients_test.go
@@ -24,7 +24,8 @@
 	"cuminhook.org/cuminhook/platform"
 )
 
-// serveText answers each request on its own connection with the text, in which @ stands for the length of body in bytes and # for body.
+// serveText answers each request on its own connection with the text, in which @ stands for the length of body in bytes, % for the same in
+// hexadecimal, and # for body.
 func serveText(t *testing.T, text, body string) (addr string) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
