--- a/lib/hostlist/httplist/httplist.go
+++ b/lib/hostlist/httplist/httplist.go
@@ -14,8 +14,12 @@
 	"cuminhook.org/cuminhook/lib/httpconn"
 )
 
-// callTimeout is the timeout of a call whose context has no earlier deadline.
-const callTimeout = time.Second
+const (
+	// callTimeout is the timeout of a call whose context has no earlier deadline.
+	callTimeout = time.Second
+	// maxIdleTime is shorter than the service's idle timeout, so that no call meets the close of its connection.
+	maxIdleTime = 5 * time.Second
+)
 
 // Path is the URL path of the list.
 const Path = "/v1/hosts"
@@ -32,7 +36,7 @@
 	if err != nil || u.Scheme != "http" || u.Host == "" {
 		return nil, fmt.Errorf("httplist: %q is not a base URL; write it as http://IP:port", base)
 	}
-	return &List{addr: fasthttp.AddMissingPort(u.Host, false)}, nil
+	return &List{addr: fasthttp.AddMissingPort(u.Host, false), pool: httpconn.Pool{IdleTimeout: maxIdleTime}}, nil
 }
 
 // Hosts implements hostlist.List.
