--- a/lib/filter/relay/relay.go
+++ b/lib/filter/relay/relay.go
@@ -3,6 +3,7 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"log/slog"
@@ -167,14 +168,15 @@
 	service      string
 	state        attempt.State
 	tried        []string
-	answers      []*forward.Answer // to earlier attempts
-	failedAnswer *try              // latest 5xx answer; passed on unless a later attempt succeeds
-	lastEventID  string            // id of the last event passed on
-	ahead        int               // requests before it in the queue of the host for targets with limits
-	onSend       func()            // called before an attempt is sent; nil: none
-	regions      []string          // in which a target must be; nil: any
-	streaming    bool              // the answer is passed on as a stream: a further attempt has to continue it
-	reserved     *balance.Choice   // target of the next attempt, whose retry is charged; nil: none was reserved
+	answers      []*forward.Answer     // to earlier attempts
+	failedAnswer *try                  // latest 5xx answer; passed on unless a later attempt succeeds
+	lastEventID  string                // id of the last event passed on
+	ahead        int                   // requests before it in the queue of the host for targets with limits
+	onSend       func()                // called before an attempt is sent; nil: none
+	regions      []string              // in which a target must be; nil: any
+	streaming    bool                  // the answer is passed on as a stream: a further attempt has to continue it
+	reserved     *balance.Choice       // target of the next attempt, whose retry is charged; nil: none was reserved
+	requestKey   quarantine.RequestKey // see key
 }
 
 // try is one attempt at a target.
@@ -247,7 +249,16 @@
 		slog.String("target", t.choice.Target.ID), slog.String("addr", t.choice.Target.Addr), slog.Bool("header", t.answer != nil),
 		slog.Bool("answer_began", t.began),
 		slog.Float64("sent_ms_ago", float64(now.Sub(t.sentAt))/float64(time.Millisecond)),
-		slog.String("shared_segments", strings.Join(r.call.SharedSegments(), ",")))
+		slog.String("request_key", r.key().String()), slog.String("shared_segments", strings.Join(r.call.SharedSegments(), ",")))
+}
+
+// key returns the key under which the request is known when it comes again.
+func (r *request) key() quarantine.RequestKey {
+	if r.requestKey == (quarantine.RequestKey{}) {
+		h := &r.ex.HTTP.Request.Header
+		r.requestKey = quarantine.KeyOfRequest(cmp.Or(r.ex.Organisation, r.call.Key), h.Method(), h.RequestURI(), r.ex.HTTP.Request.Body())
+	}
+	return r.requestKey
 }
 
 // run makes attempts until an answer can be delivered or no further attempt is allowed.
