--- a/lib/filter/relay/harness_test.go
+++ b/lib/filter/relay/harness_test.go
@@ -193,6 +193,9 @@
 	r.balancer.Pause(t.ID, t.Started, d, time.Now())
 }
 
+// judge has requests and segments refused that crash targets.
+func (r *harness) judge() { r.detector.Judge(time.Now(), 0) }
+
 // inRegion returns the route with an allowed region.
 func inRegion(r *catalog.Route, region string) *catalog.Route {
 	r.AllowedRegions = []string{region}
