Quarantine: a request that crashes each target that runs it is refused

Cause: evidence of crashes was kept by segments of prompts alone, so that a plain request left none, nor one that comes again with segments that others share. Change: quarantine.Requests relates crashes by method, path, caller and body over all hosts, judges them by how often targets crash without the request, stores what it knows for a restart of all hosts, and has a suspect sent one at a time.

--- a/lib/entryhost/entryhost.go
+++ b/lib/entryhost/entryhost.go
@@ -33,6 +33,7 @@
 	"cuminhook.org/cuminhook/lib/peers"
 	"cuminhook.org/cuminhook/lib/pipeline"
 	"cuminhook.org/cuminhook/lib/placer"
+	"cuminhook.org/cuminhook/lib/quarantine"
 	"cuminhook.org/cuminhook/lib/registry"
 	"cuminhook.org/cuminhook/lib/retry"
 	"cuminhook.org/cuminhook/lib/stopping"
@@ -95,13 +96,15 @@
 	statements   *statements
 	meter        *workload.Meter
 	quarantine   *quarantineRole
+	requests     *requestRole
 	placer       *placer.Placer
 	role         *placementRole
 	server       *pipeline.Server
 	memory       *memory
 	catalog      atomic.Pointer[catalog.Catalog]
-	catchingUp   atomic.Bool // a configuration is being read from a peer
-	targetsRead  atomic.Bool // a list of targets has been read
+	targets      atomic.Pointer[map[string]*registry.Target] // by address; never nil
+	catchingUp   atomic.Bool                                 // a configuration is being read from a peer
+	targetsRead  atomic.Bool                                 // a list of targets has been read
 	stopping     atomic.Bool
 	evacuated    atomic.Int64 // number of evacuated zones
 	stop         *stopping.Stop
@@ -129,6 +132,8 @@
 	h.aside = newAsideLog(h.balancer, cfg.Log, cfg.Metrics)
 	h.role = newPlacementRole(h)
 	h.quarantine = newQuarantineRole(s.Host, cfg.Store, func() { h.peers.Relay() }, cfg.Log, cfg.Metrics)
+	h.requests = newRequestRole(s.Host, cfg.Store, func() { h.peers.Relay() }, cfg.Log, cfg.Metrics)
+	h.targets.Store(&map[string]*registry.Target{})
 	h.placer = placer.New(placer.Config{
 		Host: s.Host, Client: cfg.Engines, ShouldCampaign: h.role.shouldCampaign, LoadRateFactor: s.Placement.LoadsOvershoot,
 		Waves: s.Placement.Waves, DemandTimeConstant: workload.AverageTimeConstant, LoadedBefore: h.role.loadedBefore,
@@ -150,7 +155,7 @@
 	}, cfg.Log)
 	h.storeWatcher = storewatch.New(cfg.Store, cfg.Codec, s.TargetHeartbeat, storewatch.Handlers{
 		OnCatalog: h.setCatalog, OnTargets: h.setTargets, OnHosts: h.peers.SetEntries, OnZones: h.setEvacuations, OnQuarantine: h.quarantine.restore,
-		OnRestored: h.quarantine.forgetAllStored, Announce: h.peers.Announce,
+		OnRequests: h.requests.restore, OnRestored: h.forgetAllStored, Announce: h.peers.Announce,
 	}, cfg.Log)
 	h.statements = &statements{h.storeWatcher, h.balancer, h.cold, cfg.Log, cfg.Metrics}
 	if source, ok := cfg.Engines.(orders.StatedSource); ok {
@@ -166,7 +171,8 @@
 func (h *Host) filters() pipeline.Handler {
 	handler := relay.New(relay.Config{
 		Protocol: h.cfg.Protocol, Client: h.connections.client, Balancer: h.balancer, Retries: h.retries,
-		Placement: h.role, Demand: h.meter, Rates: h.rates, Statements: h.statements, Quarantine: h.quarantine.detector, Admission: h.cfg.Settings.Admission,
+		Placement: h.role, Demand: h.meter, Rates: h.rates, Statements: h.statements, Quarantine: h.quarantine.detector,
+		Requests: h.requests.detector, OnClaim: h.requests.spread, TargetAt: h.targetAt, Admission: h.cfg.Settings.Admission,
 		Stop: h.stop, Log: h.cfg.RequestLog, Metrics: h.cfg.Metrics,
 	})
 	handler = orgrate.New(handler, orgrate.Config{Limiter: h.limiter, Log: h.cfg.RequestLog})
@@ -196,9 +202,27 @@
 	}
 	h.balancer.SetTargets(list)
 	h.placer.SetTargets(list)
+	byAddr, incarnations := map[string]*registry.Target{}, map[string][]string{}
+	for _, t := range list {
+		if other := byAddr[t.Addr]; other == nil || t.Revision > other.Revision { // the address of one that has crashed may be used again
+			byAddr[t.Addr] = t
+		}
+		incarnations[t.Service] = append(incarnations[t.Service], quarantine.Incarnation(t.ID, t.Started))
+	}
+	h.targets.Store(&byAddr)
+	h.requests.detector.SetTargets(incarnations, time.Now())
 	h.targetsRead.Store(true)
 }
 
+// targetAt returns the target that is known at an address, or nil.
+func (h *Host) targetAt(addr string) *registry.Target { return (*h.targets.Load())[addr] }
+
+// forgetAllStored has what hosts keep in the store written again, which may have lost it.
+func (h *Host) forgetAllStored() {
+	h.quarantine.forgetAllStored()
+	h.requests.forgetAllStored()
+}
+
 // setEvacuations applies a change of the zones that are evacuated. The targets of a zone that returns are limited before they are used.
 func (h *Host) setEvacuations(e storewatch.Evacuations) {
 	h.rates.ZonesReturned(e.Returned, time.Now())
@@ -272,7 +296,8 @@
 	h.connections.updateDemand(h.balancer, now)
 	s.TargetRates = h.rates.Statements(now)
 	h.cold.fill(s, now)
-	s.Quarantine = h.quarantine.report(now, h.peers.Fleet().Spread)
+	spread := h.peers.Fleet().Spread
+	s.Quarantine, s.Requests = h.quarantine.report(now, spread), h.requests.report(now, spread)
 	s.Holder, s.PlacementVersion = h.role.holder(now)
 	s.StoreLost = h.storeWatcher.StoreLost()
 	h.cold.checkContact(!s.StoreLost, now)
@@ -281,12 +306,12 @@
 // fillPartialState fills in a partial state and reports whether it carries changes that the audience may not know.
 func (h *Host) fillPartialState(s *peers.State, to storewatch.Audience) bool {
 	s.Changes = h.storeWatcher.NewTargetChanges(to)
-	s.Quarantine = h.quarantine.news(to, time.Now())
+	s.Quarantine, s.Requests = h.quarantine.news(to, time.Now()), h.requests.news(to, time.Now())
 	cold := h.cold.fillNews(s, to, time.Now())
 	if c := h.catalog.Load(); c != nil {
 		s.ConfigVersion = c.Version
 	}
-	return !s.Changes.Empty() || cold || len(s.Quarantine.Quarantined)+len(s.Quarantine.Suspects) > 0
+	return !s.Changes.Empty() || cold || len(s.Quarantine.Quarantined)+len(s.Quarantine.Suspects) > 0 || !s.Requests.IsZero()
 }
 
 // handleState applies a state received from another host.
@@ -304,6 +329,7 @@
 	h.rates.Merge(s.TargetRates, now)
 	h.cold.merge(s, now)
 	h.quarantine.merge(s, now)
+	h.requests.merge(s, now)
 	relay := h.storeWatcher.ApplyChanges(s.Changes, s.Kind == peers.Up)
 	if h.role.applyPlacement(s.Placement, now) || relay {
 		h.peers.Relay()
@@ -389,6 +415,10 @@
 		h.quarantine.persist(groupCtx, func() bool { return h.peers.Fleet().Poller })
 		return nil
 	})
+	group.Go(func() error {
+		h.requests.persist(groupCtx, func() bool { return h.peers.Fleet().Poller })
+		return nil
+	})
 	group.Go(func() error { return serveStatus(groupCtx, s.Ready, h.readyHandler()) })
 	group.Go(func() error { return serveStatus(groupCtx, s.Metrics, h.metricsHandler()) })
 	group.Go(func() error { return h.server.Serve(callers) })
--- a/lib/entryhost/quarantine_test.go
+++ b/lib/entryhost/quarantine_test.go
@@ -86,3 +86,68 @@
 		}
 	})
 }
+
+// Guards against a request that crashes targets again because all hosts were killed before or after it was judged, and against a sound
+// one that is refused for crashes before it was run to the end.
+func TestWhatIsKnownOfLostRequestsOutlivesAllHosts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memkv.New()
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		start := func() *requestRole {
+			q := newRequestRole("a", store, func() {}, slog.New(slog.DiscardHandler), metrics.NewSet())
+			entries, err := store.List(t.Context(), storewatch.RequestsPrefix)
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, e := range entries {
+				q.restore([]string{e.Key[len(storewatch.RequestsPrefix):]})
+			}
+			go q.persist(ctx, func() bool { return true })
+			return q
+		}
+		key := func(name string) quarantine.RequestKey { return quarantine.KeyOfRequest("o", nil, []byte(name), nil) }
+		crashes := 0
+		crash := func(q *requestRole, names ...string) {
+			sent := time.Now()
+			time.Sleep(100 * time.Millisecond)
+			crashes++
+			for _, name := range names {
+				q.detector.Crashed(quarantine.Lost{
+					Key: key(name), Service: "s", Target: string(rune('a' + crashes)), Addr: string(rune('a' + crashes)), SentAt: sent,
+				}, time.Now(), time.Now())
+			}
+			q.report(time.Now(), 0)
+			synctest.Wait()
+		}
+		served := func(q *requestRole, name string) {
+			q.detector.Survived(key(name), nil, "s", time.Millisecond, time.Now())
+			q.report(time.Now(), 0)
+		}
+		blocked := func(q *requestRole, name string) bool { return q.detector.Blocked(key(name), time.Now()) > 0 }
+
+		q := start()
+		served(q, "other")
+		crash(q, "deadly", "sound")
+		crash(q, "deadly", "sound")
+		served(q, "sound")
+		time.Sleep(3 * persistInterval)
+		q = start() // two crashes of one request are known
+		served(q, "other")
+		crash(q, "deadly", "sound")
+		if !blocked(q, "deadly") || blocked(q, "sound") {
+			t.Errorf("after the third crash: deadly refused %v, sound refused %v", blocked(q, "deadly"), blocked(q, "sound"))
+		}
+		if q = start(); !blocked(q, "deadly") || blocked(q, "sound") {
+			t.Errorf("after a kill: deadly refused %v, sound refused %v", blocked(q, "deadly"), blocked(q, "sound"))
+		}
+		time.Sleep(quarantine.Period)
+		if q.report(time.Now(), 0); blocked(q, "deadly") {
+			t.Error("refused for ever")
+		}
+		served(q, "other")
+		if crash(q, "deadly"); !blocked(q, "deadly") {
+			t.Error("not refused after its first crash after the period")
+		}
+	})
+}
--- a/lib/filter/relay/deadlyrequest_test.go
+++ b/lib/filter/relay/deadlyrequest_test.go
@@ -70,3 +70,35 @@
 		}
 	})
 }
+
+// Guards against a crash that goes unnoticed because the target listens again before it is checked.
+func TestTargetThatStartsAgainAtOnceHasCrashed(t *testing.T) {
+	scripts := map[string]script{"a": nil, "b": nil, "c": nil}
+	withTargets(t, scripts, func(t *testing.T, r *harness) {
+		for addr := range scripts {
+			r.scripts[addr] = func(req *receivedRequest) bool {
+				if strings.HasSuffix(req.URL.Path, "sound") {
+					return reply(200, "", "ok")(req)
+				}
+				if strings.HasSuffix(req.URL.Path, "deadly") {
+					time.AfterFunc(time.Second, func() { r.restart(addr) }) // its next entry
+				}
+				return false
+			}
+		}
+		for i := range 4 {
+			r.call("POST", "/unsafe/deadly", fmt.Sprint("deadly", i))
+			r.call("POST", "/unsafe/cut", fmt.Sprint("cut", i)) // the target stays as it is
+			time.Sleep(time.Second)
+			r.call("POST", "/unsafe/sound", fmt.Sprint("sound", i))
+			time.Sleep(3 * time.Second)
+			r.judge()
+		}
+		if a := r.call("POST", "/unsafe/deadly", "last"); a.status != 503 || strings.Contains(r.requests(), "last") {
+			t.Errorf("%+v, requests %s", a, r.requests())
+		}
+		if a := r.call("POST", "/unsafe/cut", "last cut"); a.status != 502 {
+			t.Errorf("request whose connection is lost: %+v", a)
+		}
+	})
+}
--- a/lib/filter/relay/harness_test.go
+++ b/lib/filter/relay/harness_test.go
@@ -87,6 +87,7 @@
 	ln       *fasthttputil.InmemoryListener
 	balancer *balance.Balancer
 	detector *quarantine.Detector
+	deadly   *quarantine.Requests
 	retries  *retry.Budget
 	stop     *stopping.Stop
 
@@ -118,7 +119,7 @@
 	rates := targetrate.New(time.Now(), rand.New(rand.NewPCG(2, 2)))
 	r := &harness{
 		t: t, ln: fasthttputil.NewInmemoryListener(), scripts: scripts,
-		balancer: balance.New("z", nil, rates, rand.New(rand.NewPCG(1, 1))), detector: quarantine.New(),
+		balancer: balance.New("z", nil, rates, rand.New(rand.NewPCG(1, 1))), detector: quarantine.New(), deadly: quarantine.NewRequests(),
 		retries: retry.NewBudget(0.2, 50), stop: stopping.New(),
 	}
 	route := func(prefix string, kind catalog.Kind, resumable bool) *catalog.Route {
@@ -145,7 +146,7 @@
 	log := slog.New(slog.DiscardHandler)
 	h := New(Config{
 		Protocol: testProtocol{}, Client: forward.NewClient(forward.Config{Protocol: testProtocol{}, Dial: r.dial}), Balancer: r.balancer,
-		Retries: r.retries, Placement: placement, Quarantine: r.detector, Rates: rates, Statements: r,
+		Retries: r.retries, Placement: placement, Quarantine: r.detector, Requests: r.deadly, TargetAt: r.targetAt, Rates: rates, Statements: r,
 		Demand: workload.New(), Log: log, Metrics: metrics.NewSet(), Random: func() float64 { return 0.5 },
 		Stop: r.stop, Admission: admission,
 	})
@@ -193,8 +194,37 @@
 	r.balancer.Pause(t.ID, t.Started, d, time.Now())
 }
 
+// targetAt returns the target at an address.
+func (r *harness) targetAt(addr string) *registry.Target {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, t := range r.targets {
+		if t.Addr == addr {
+			return t
+		}
+	}
+	return nil
+}
+
+// restart has the target at an address known as a later start.
+func (r *harness) restart(addr string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for i, old := range r.targets {
+		if old.Addr == addr {
+			t := *old
+			t.Started++
+			r.targets[i] = &t
+		}
+	}
+	r.balancer.SetTargets(r.targets)
+}
+
 // judge has requests and segments refused that crash targets.
-func (r *harness) judge() { r.detector.Judge(time.Now(), 0) }
+func (r *harness) judge() {
+	r.detector.Judge(time.Now(), 0)
+	r.deadly.Judge(time.Now(), 0)
+}
 
 // inRegion returns the route with an allowed region.
 func inRegion(r *catalog.Route, region string) *catalog.Route {
--- a/lib/filter/relay/relay.go
+++ b/lib/filter/relay/relay.go
@@ -39,6 +39,10 @@
 	busyRetryAfter = 500 * time.Millisecond
 	// evacuatedRetryAfter is the Retry-After while the zones of all targets are evacuated, which lasts until the operator ends it.
 	evacuatedRetryAfter = 2 * time.Second
+	// trialWait bounds the time for which a request waits while another run of it shows whether it crashes targets: a run, reports of
+	// its end, and a target that is down for a moment. It looks each trialInterval.
+	trialWait     = 2 * time.Second
+	trialInterval = 15 * time.Millisecond
 	// retryAfterDivisor divides the caller's remaining time and so bounds Retry-After: a caller that waits longer would
 	// have too little time left for the retry.
 	retryAfterDivisor = 3
@@ -80,6 +84,13 @@
 	Statements Statements
 	// Quarantine learns which prompt segments crash targets; nil: a detector of its own.
 	Quarantine *quarantine.Detector
+	// Requests learns which requests crash targets; nil: a detector of its own.
+	Requests *quarantine.Requests
+	// OnClaim is called with a request that other hosts should be told of: this host is about to send it alone; nil: they are not.
+	OnClaim func(quarantine.RequestKey)
+	// TargetAt returns the target that is known at an address, or nil. Where the function is nil, a target that starts again before it is
+	// checked does not count as crashed.
+	TargetAt func(addr string) *registry.Target
 	// Admission has requests wait at this host for room at the targets, and refuses at once what cannot be served; false: all are sent
 	// at once.
 	Admission bool
@@ -112,8 +123,11 @@
 	if cfg.Quarantine == nil {
 		cfg.Quarantine = quarantine.New()
 	}
+	if cfg.Requests == nil {
+		cfg.Requests = quarantine.NewRequests()
+	}
 	f := &filter{
-		cfg: cfg, crashes: newCrashWatch(cfg.Client, cfg.Quarantine, cfg.Log),
+		cfg: cfg, crashes: newCrashWatch(&cfg),
 		retryCounter: func(reason string) *metrics.Counter {
 			return cfg.Metrics.GetOrCreateCounter(`cuminhook_repeats_total{reason="` + reason + `"}`)
 		},
@@ -177,6 +191,9 @@
 	streaming    bool                  // the answer is passed on as a stream: a further attempt has to continue it
 	reserved     *balance.Choice       // target of the next attempt, whose retry is charged; nil: none was reserved
 	requestKey   quarantine.RequestKey // see key
+	trialEnd     time.Time             // until when the request waits for other runs of it; zero: it has not begun to
+	trialOver    bool                  // the request no longer waits for other runs of it
+	claimed      bool                  // the request is about to be sent as the only one
 }
 
 // try is one attempt at a target.
@@ -207,13 +224,28 @@
 	default:
 		t.choice.ConnectionBroken(now)
 		r.logBroken(t, now)
-		if !t.began {
-			r.crashes.check(quarantine.Waiting{
-				Segments: r.call.SharedSegments(), Target: t.choice.Target.ID, Started: t.choice.Target.Started,
-				Addr: t.choice.Target.Addr, SentAt: t.sentAt, Answering: t.answer != nil,
-			}, now)
+		r.checkCrash(t, now)
+	}
+}
+
+// checkCrash has the target checked that broke off the attempt.
+func (r *request) checkCrash(t *try, now time.Time) {
+	target, segments := t.choice.Target, r.call.SharedSegments()
+	run := lostRun{lost: quarantine.Lost{
+		Key: r.key(), Segments: segments, Service: r.service, Target: target.ID, Started: target.Started, Addr: target.Addr, SentAt: t.sentAt,
+	}}
+	if !t.began && len(segments) > 0 {
+		run.waiting = &quarantine.Waiting{
+			Segments: segments, Target: target.ID, Started: target.Started, Addr: target.Addr, SentAt: t.sentAt, Answering: t.answer != nil,
 		}
 	}
+	r.crashes.check(run, now)
+}
+
+// survived records that the target has run the request to the end.
+func (r *request) survived(t *try) {
+	now := time.Now()
+	r.cfg.Requests.Survived(r.key(), r.call.SharedSegments(), r.service, now.Sub(t.sentAt), now)
 }
 
 // answerBegan records that the target has begun to answer and goes on to run.
@@ -225,21 +257,38 @@
 	}
 }
 
-// checkQuarantine returns the refusal of a request whose prompt has a segment in quarantine, or nil.
+// checkQuarantine returns the refusal of a request that has crashed targets, or whose prompt has a segment that does, or nil.
 func (r *request) checkQuarantine() error {
-	segment, left := r.cfg.Quarantine.Blocked(r.call.SharedSegments(), time.Now())
-	if segment == "" {
+	q := r.quarantined(time.Now())
+	if q == nil {
 		return nil
 	}
-	r.cfg.Log.Info("prompt in quarantine", "request_id", r.ex.ID, "segment", segment, "left_s", int64(left.Seconds()))
+	r.cfg.Log.Info("request in quarantine", "request_id", r.ex.ID, "reason", string(q.Reason), "left_s", int64(q.RetryAfter.Seconds()))
 	if r.state.MayHaveRun() {
 		return r.fail(refusal.TargetFailed, 0)
 	}
-	return &refusal.Error{
-		Reason: refusal.PromptQuarantined, Run: refusal.NotRun, Status: fasthttp.StatusServiceUnavailable, RetryAfter: left,
-		Message: "a segment of the prompt has crashed each target that began to answer on it",
-		Remedy:  "change the prompt, or send it again after the time stated",
+	return q
+}
+
+// quarantined returns the refusal of a request that is in quarantine and has not run, or nil.
+func (r *request) quarantined(now time.Time) *refusal.Error {
+	q := &refusal.Error{Run: refusal.NotRun, Status: fasthttp.StatusServiceUnavailable}
+	if segment, left := r.cfg.Quarantine.Blocked(r.call.SharedSegments(), now); segment != "" {
+		q.Reason, q.RetryAfter = refusal.PromptQuarantined, left
+		q.Message = "a segment of the prompt has crashed each target that began to answer on it"
+		q.Remedy = "change the prompt, or send it again after the time stated"
+		return q
+	}
+	if !r.cfg.Requests.Convicted() {
+		return nil
+	}
+	if q.RetryAfter = r.cfg.Requests.Blocked(r.key(), now); q.RetryAfter == 0 {
+		return nil
 	}
+	q.Reason = refusal.RequestQuarantined
+	q.Message = "each target that ran a request with this method, path and body of this caller has crashed"
+	q.Remedy = "change the request, or send it again after the time stated"
+	return q
 }
 
 // logBroken logs what tells a target that broke off on its own from one that a request brought down: how long the request
@@ -273,6 +322,12 @@
 			choice.Abandoned()
 			return err
 		}
+		if !r.isItsTurn() {
+			choice.Unsent()
+			choice.Abandoned()
+			r.awaitTurn()
+			continue
+		}
 		if r.tooLateToSend(choice, time.Now()) {
 			return r.refuseStopping(choice)
 		}
@@ -291,6 +346,60 @@
 	}
 }
 
+// suspected reports whether the target broke the attempt off, and the request is about to be refused for the targets that it crashes.
+func (r *request) suspected(t *try) bool {
+	return t.outcome == forward.Unknown && !t.timedOut.Load() && r.cfg.Requests.Suspected(r.key())
+}
+
+// isItsTurn reports whether the request may be sent now. One that was lost in crashes has to wait while another run of it, at whatever
+// host, shows whether it is what crashes targets.
+func (r *request) isItsTurn() bool {
+	if r.trialOver || !r.cfg.Requests.Guarded() {
+		return true
+	}
+	for {
+		switch r.cfg.Requests.Turn(r.key(), true, time.Now()) {
+		case quarantine.Free:
+			return true
+		case quarantine.Own:
+			r.trialOver = true
+			r.ex.OnFinish(func(pipeline.Outcome) { r.cfg.Requests.EndRun(r.key()) })
+			return true
+		case quarantine.Wait:
+			if !r.claimed {
+				return false
+			}
+		case quarantine.Claimed:
+			r.claimed = true
+			if r.cfg.OnClaim != nil {
+				r.cfg.OnClaim(r.key())
+			}
+		}
+		if !r.cfg.Requests.Claims(r.key()) || r.ctx.Err() != nil {
+			r.claimed = false
+			return false
+		}
+		time.Sleep(trialInterval)
+	}
+}
+
+// awaitTurn waits until another run of the request has ended, or trialWait is over.
+func (r *request) awaitTurn() {
+	if r.trialEnd.IsZero() {
+		r.trialEnd = time.Now().Add(min(trialWait, time.Until(r.ex.AnswerBy)/retryAfterDivisor))
+	}
+	for r.ctx.Err() == nil && r.quarantined(time.Now()) == nil && r.cfg.Requests.Turn(r.key(), false, time.Now()) == quarantine.Wait {
+		if time.Now().After(r.trialEnd) {
+			r.trialOver = true
+			return
+		}
+		select {
+		case <-time.After(trialInterval):
+		case <-r.ctx.Done():
+		}
+	}
+}
+
 // retryable reports whether the answer is a 5xx that another target's answer may replace.
 func (r *request) retryable(t *try) bool {
 	return !t.stream && t.answer.Header.StatusCode() >= fasthttp.StatusInternalServerError && r.state.Repeatable
@@ -298,7 +407,7 @@
 
 // takeRetry reports whether another attempt is allowed. A retry is charged to the service's retry budget.
 func (r *request) takeRetry(t *try) bool {
-	if !r.state.MaySend() {
+	if !r.state.MaySend() || r.suspected(t) {
 		return false
 	}
 	if r.state.NextIsRetry() && r.reserved == nil && !r.cfg.Retries.Allow(r.service) {
@@ -472,6 +581,7 @@
 	if t.err == nil {
 		if status < fasthttp.StatusInternalServerError { // a target may fail before it begins to answer on the prompt
 			r.answerBegan(t)
+			r.survived(t)
 		}
 		t.choice.Answered(status >= fasthttp.StatusInternalServerError, now)
 		return
@@ -494,6 +604,7 @@
 	case t.answer.Header.StatusCode() != fasthttp.StatusMisdirectedRequest:
 		t.choice.Rejected(now)
 	case t.otherInstance():
+		r.crashes.replaced(t.choice.Target)
 		t.choice.Unresponsive(now) // the address now belongs to another target
 	default:
 		t.choice.ModelMissing(r.call.Model, r.call.Adapter, now)
--- a/lib/filter/relay/silence.go
+++ b/lib/filter/relay/silence.go
@@ -76,7 +76,7 @@
 // reserve chooses the target of the next attempt and charges its retry, while the present attempt still runs. It returns nil if that
 // attempt is not allowed, or no other target has room for it; allowed is false if the retry budget forbids it.
 func (r *request) reserve(now time.Time) (choice *balance.Choice, allowed bool) {
-	if segment, _ := r.cfg.Quarantine.Blocked(r.call.SharedSegments(), now); segment != "" || r.ctx.Err() != nil || !r.state.MayFollow() {
+	if r.quarantined(now) != nil || r.ctx.Err() != nil || !r.state.MayFollow() {
 		return nil, true
 	}
 	if !r.cfg.Retries.Allow(r.service) {
--- a/lib/filter/relay/stream.go
+++ b/lib/filter/relay/stream.go
@@ -282,7 +282,7 @@
 // pickForStalled chooses a target that may continue a stream while its present one stalls, or nil if there is none or no further
 // attempt is allowed. Targets that were tried before are chosen only if again is set.
 func (r *request) pickForStalled(again bool) *balance.Choice {
-	if segment, _ := r.cfg.Quarantine.Blocked(r.call.SharedSegments(), time.Now()); segment != "" || !r.state.MaySend() {
+	if r.quarantined(time.Now()) != nil || !r.state.MaySend() {
 		return nil
 	}
 	q := balance.Query{
@@ -316,7 +316,7 @@
 		s.events.dropPartial()
 		return nil
 	}
-	for s.events.resumable() && r.ctx.Err() == nil && r.state.MaySend() && (r.reserved != nil || r.cfg.Retries.Allow(r.service)) {
+	for s.events.resumable() && r.ctx.Err() == nil && r.state.MaySend() && !r.cfg.Requests.Suspected(r.key()) && (r.reserved != nil || r.cfg.Retries.Allow(r.service)) {
 		r.retryCounter("stream_broken").Inc()
 		r.lastEventID = s.events.lastID
 		choice, err := r.nextChoice()
@@ -354,6 +354,7 @@
 	t.answer.Close(complete)
 	t.cancel()
 	if complete {
+		s.req.survived(t)
 		t.choice.Answered(false, time.Now())
 	} else {
 		s.req.recordFailure(t, time.Now())
--- a/lib/peers/state.go
+++ b/lib/peers/state.go
@@ -59,6 +59,7 @@
 	ConfigVersion int64  `json:"c"`           // version of the configuration in force at the sender
 	aggregate.Contribution
 	Quarantine       quarantine.Report                   `json:"z,omitzero"`  // prompt segments that crash targets
+	Requests         quarantine.RequestReport            `json:"i,omitzero"`  // requests that crash targets
 	TargetRates      map[string]targetrate.Statement     `json:"r,omitempty"` // rates that targets stated, by target
 	Cold             map[string]targetrate.ColdStatement `json:"j,omitempty"` // cold times that targets stated, by target
 	Changes          storewatch.TargetChanges            `json:"v,omitzero"`  // recent changes of targets
--- a/lib/refusal/refusal.go
+++ b/lib/refusal/refusal.go
@@ -33,6 +33,7 @@
 	TargetTimeout          Reason = "target_timeout"
 	StreamBroken           Reason = "stream_broken"
 	PromptQuarantined      Reason = "prompt_quarantined"
+	RequestQuarantined     Reason = "request_quarantined"
 	Stopping               Reason = "stopping"
 	InProgress             Reason = "in_progress"
 	OutcomeUnknown         Reason = "outcome_unknown"
--- a/lib/storewatch/storewatch.go
+++ b/lib/storewatch/storewatch.go
@@ -75,6 +75,9 @@
 // QuarantinePrefix is the key prefix of the prompt segments that hosts have put into quarantine.
 const QuarantinePrefix = "cuminhook/quarantine/"
 
+// RequestsPrefix is the key prefix of what hosts have found out about requests that crash targets.
+const RequestsPrefix = "cuminhook/requests/"
+
 // Handlers are called when the view of the store changes. Several goroutines may call them at the same time.
 type Handlers struct {
 	OnCatalog func(*catalog.Catalog)   // a newer configuration was installed
@@ -84,6 +87,8 @@
 	OnZones func(Evacuations)
 	// OnQuarantine is called with segments that are in quarantine, those of a full read or one that was added; may be nil.
 	OnQuarantine func(segments []string)
+	// OnRequests is called in the same way with the names of keys under RequestsPrefix; may be nil.
+	OnRequests func(names []string)
 	// OnRestored is called when the store was restored from an older copy, before its entries are passed on; may be nil.
 	OnRestored func()
 	Announce   func() // there are changes to announce to other hosts at once; may be nil
@@ -213,7 +218,7 @@
 	w.noteRegained(snap.Revision)
 	w.reportRestored(snap.Revision.Era())
 	var targets, hosts, zones []kv.Entry
-	var segments []string
+	var segments, requests []string
 	for _, e := range snap.Entries {
 		switch {
 		case e.Key == w.codec.ConfigKey():
@@ -226,9 +231,12 @@
 			hosts = append(hosts, e)
 		case strings.HasPrefix(e.Key, QuarantinePrefix):
 			segments = append(segments, strings.TrimPrefix(e.Key, QuarantinePrefix))
+		case strings.HasPrefix(e.Key, RequestsPrefix):
+			requests = append(requests, strings.TrimPrefix(e.Key, RequestsPrefix))
 		}
 	}
-	w.publishQuarantine(segments)
+	publishNames(w.handlers.OnQuarantine, segments)
+	publishNames(w.handlers.OnRequests, requests)
 	w.replaceZones(zones, snap.Revision)
 	w.replaceTargets(targets, snap.Revision)
 	w.dropMissing()
@@ -436,7 +444,9 @@
 			w.applyHostChange(c)
 			hosts = true
 		case strings.HasPrefix(c.Key, QuarantinePrefix) && !c.Deleted:
-			w.publishQuarantine([]string{strings.TrimPrefix(c.Key, QuarantinePrefix)})
+			publishNames(w.handlers.OnQuarantine, []string{strings.TrimPrefix(c.Key, QuarantinePrefix)})
+		case strings.HasPrefix(c.Key, RequestsPrefix) && !c.Deleted:
+			publishNames(w.handlers.OnRequests, []string{strings.TrimPrefix(c.Key, RequestsPrefix)})
 		}
 	}
 	if zones {
@@ -479,10 +489,10 @@
 	w.announceChanges()
 }
 
-// publishQuarantine passes segments in quarantine to the handler.
-func (w *Watcher) publishQuarantine(segments []string) {
-	if w.handlers.OnQuarantine != nil && len(segments) > 0 {
-		w.handlers.OnQuarantine(segments)
+// publishNames passes names that are not empty to a handler, which may be nil.
+func publishNames(handler func([]string), names []string) {
+	if handler != nil && len(names) > 0 {
+		handler(names)
 	}
 }
 
