Streams: they go on only at the software version that began them

Cause: no host knew the version of a target, nor which one began a stream that is taken up; each attempt went to any ready target. Change: lib/streamversion remembers where streams began, tells peers and the store of them while versions differ, and keeps the set of versions in the store, so that a host knows after a kill of all whether an unknown stream may go on. Targets of other versions are no candidates. What is gone or not known is refused with stream_version_gone, and an answer ends without its end.

--- a/lib/balance/balance.go
+++ b/lib/balance/balance.go
@@ -103,6 +103,7 @@
 	// Rank is the place of the request in the demand, from 0 to 1, in the order in which it is sent while targets are full.
 	Rank    float64
 	Regions []string // in which a target must be; nil: any
+	Version *string  // of its software, which a target must have; nil: any
 }
 
 // Connections states how many connections a host may have to a target.
@@ -366,7 +367,7 @@
 }
 
 // Pick chooses the target of least cost and adds the request to its load. Errors: ErrNoTarget, ErrNoModel,
-// ErrNoAdapter, ErrBusy, ErrPaced, ErrPaused, ErrEvacuated, ErrRegion.
+// ErrNoAdapter, ErrBusy, ErrPaced, ErrPaused, ErrEvacuated, ErrRegion, ErrVersion.
 func (b *Balancer) Pick(q Query, now time.Time) (*Choice, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -404,7 +405,7 @@
 
 // candidates returns the targets of the first rank that is not empty. A target in a pause, or to which this host may open no
 // further connection, or send no request within the target's rate, is left out. Errors: ErrNoTarget, ErrNoModel, ErrNoAdapter,
-// ErrBusy, ErrPaced, ErrPaused, ErrEvacuated, ErrRegion.
+// ErrBusy, ErrPaced, ErrPaused, ErrEvacuated, ErrRegion, ErrVersion.
 func (b *Balancer) candidates(q Query, now time.Time) ([]*target, error) {
 	b.updateOutliers(now)
 	var byRank [ranks][]*target
--- a/lib/balance/eligible.go
+++ b/lib/balance/eligible.go
@@ -8,6 +8,8 @@
 // Errors of Balancer.Pick if no target may get the request, whatever its state.
 var (
 	ErrEvacuated = errors.New("balance: the zones of all targets that may take the request are evacuated; retry when an evacuation has ended")
+	// ErrVersion means that no target has the software version at which the stream began.
+	ErrVersion = errors.New("balance: no target of the service has the software version that began the stream; begin it anew")
 	ErrRegion    = errors.New("balance: no target of the service is in a region that the request may go to; allow another region")
 )
 
@@ -38,7 +40,7 @@
 	b.eligibility.regions = regions
 }
 
-// check returns ErrRegion or ErrEvacuated if the target must not get the request, or nil.
+// check returns ErrRegion, ErrVersion or ErrEvacuated if the target must not get the request, or nil.
 func (e *eligibility) check(t *target, q *Query) error {
 	zone := t.info.Zone
 	if q.Regions != nil {
@@ -50,6 +52,9 @@
 			return ErrRegion
 		}
 	}
+	if q.Version != nil && t.info.Version != *q.Version {
+		return ErrVersion
+	}
 	if e.evacuated[zone] {
 		return ErrEvacuated
 	}
--- a/lib/catalog/catalog.go
+++ b/lib/catalog/catalog.go
@@ -194,6 +194,16 @@
 	return r.Split[len(r.Split)-1].Service
 }
 
+// Services returns the services to which the route leads.
+func (r *Route) Services() (out []string) {
+	for _, s := range r.Split {
+		if s.Weight > 0 || len(r.Split) == 1 {
+			out = append(out, s.Service)
+		}
+	}
+	return out
+}
+
 // ModelMemoryMB returns the memory in MB that a target has for models: its memory less that of its adapter slots, each as large
 // as the largest configured adapter.
 func (e *Engine) ModelMemoryMB() float64 {
--- a/lib/entryhost/entryhost.go
+++ b/lib/entryhost/entryhost.go
@@ -97,6 +97,7 @@
 	meter        *workload.Meter
 	quarantine   *quarantineRole
 	requests     *requestRole
+	streams      *streamRole
 	placer       *placer.Placer
 	role         *placementRole
 	server       *pipeline.Server
@@ -133,6 +134,7 @@
 	h.role = newPlacementRole(h)
 	h.quarantine = newQuarantineRole(s.Host, cfg.Store, func() { h.peers.Relay() }, cfg.Log, cfg.Metrics)
 	h.requests = newRequestRole(s.Host, cfg.Store, func() { h.peers.Relay() }, cfg.Log, cfg.Metrics)
+	h.streams = newStreamRole(s.Host, cfg.Store, func() { h.peers.Relay() }, h.inTouch, cfg.Log)
 	h.targets.Store(&map[string]*registry.Target{})
 	h.placer = placer.New(placer.Config{
 		Host: s.Host, Client: cfg.Engines, ShouldCampaign: h.role.shouldCampaign, LoadRateFactor: s.Placement.LoadsOvershoot,
@@ -155,7 +157,7 @@
 	}, cfg.Log)
 	h.storeWatcher = storewatch.New(cfg.Store, cfg.Codec, s.TargetHeartbeat, storewatch.Handlers{
 		OnCatalog: h.setCatalog, OnTargets: h.setTargets, OnHosts: h.peers.SetEntries, OnZones: h.setEvacuations, OnQuarantine: h.quarantine.restore,
-		OnRequests: h.requests.restore, OnRestored: h.forgetAllStored, Announce: h.peers.Announce,
+		OnRequests: h.requests.restore, OnStreams: h.streams.restore, OnRestored: h.forgetAllStored, Announce: h.peers.Announce,
 	}, cfg.Log)
 	h.statements = &statements{h.storeWatcher, h.balancer, h.cold, cfg.Log, cfg.Metrics}
 	if source, ok := cfg.Engines.(orders.StatedSource); ok {
@@ -172,7 +174,7 @@
 	handler := relay.New(relay.Config{
 		Protocol: h.cfg.Protocol, Client: h.connections.client, Balancer: h.balancer, Retries: h.retries,
 		Placement: h.role, Demand: h.meter, Rates: h.rates, Statements: h.statements, Quarantine: h.quarantine.detector,
-		Requests: h.requests.detector, OnClaim: h.requests.spread, TargetAt: h.targetAt, Admission: h.cfg.Settings.Admission,
+		Requests: h.requests.detector, Streams: h.streams, OnClaim: h.requests.spread, TargetAt: h.targetAt, Admission: h.cfg.Settings.Admission,
 		Stop: h.stop, Log: h.cfg.RequestLog, Metrics: h.cfg.Metrics,
 	})
 	handler = orgrate.New(handler, orgrate.Config{Limiter: h.limiter, Log: h.cfg.RequestLog})
@@ -186,6 +188,7 @@
 	h.rates.SetCatalog(c)
 	h.balancer.SetCatalog(c)
 	h.placer.SetCatalog(c)
+	h.streams.setCatalog(c)
 	h.catalog.Store(c)
 	h.setLimits(c.Limits)
 }
@@ -200,6 +203,7 @@
 	if h.rates.SetTargets(list, time.Now()) {
 		h.cold.announce()
 	}
+	h.streams.setTargets(list)
 	h.balancer.SetTargets(list)
 	h.placer.SetTargets(list)
 	byAddr, incarnations := map[string]*registry.Target{}, map[string][]string{}
@@ -214,6 +218,12 @@
 	h.targetsRead.Store(true)
 }
 
+// inTouch reports whether this host reads the store, or hears from others, or is the only one.
+func (h *Host) inTouch() bool {
+	f := h.peers.Fleet()
+	return !h.storeWatcher.StoreLost() || f.Reachable > 1 || len(f.Known) == 0
+}
+
 // targetAt returns the target that is known at an address, or nil.
 func (h *Host) targetAt(addr string) *registry.Target { return (*h.targets.Load())[addr] }
 
@@ -244,6 +254,7 @@
 	h.connections.SetHosts(f.Known)
 	h.storeWatcher.SetPolling(h.polling(f))
 	h.role.setFleet(f)
+	h.streams.setFleet(f)
 }
 
 const (
@@ -296,6 +307,7 @@
 	h.connections.updateDemand(h.balancer, now)
 	s.TargetRates = h.rates.Statements(now)
 	h.cold.fill(s, now)
+	h.streams.fill(s, now)
 	spread := h.peers.Fleet().Spread
 	s.Quarantine, s.Requests = h.quarantine.report(now, spread), h.requests.report(now, spread)
 	s.Holder, s.PlacementVersion = h.role.holder(now)
@@ -307,11 +319,11 @@
 func (h *Host) fillPartialState(s *peers.State, to storewatch.Audience) bool {
 	s.Changes = h.storeWatcher.NewTargetChanges(to)
 	s.Quarantine, s.Requests = h.quarantine.news(to, time.Now()), h.requests.news(to, time.Now())
-	cold := h.cold.fillNews(s, to, time.Now())
+	cold, streams := h.cold.fillNews(s, to, time.Now()), h.streams.fillNews(s, to, time.Now())
 	if c := h.catalog.Load(); c != nil {
 		s.ConfigVersion = c.Version
 	}
-	return !s.Changes.Empty() || cold || len(s.Quarantine.Quarantined)+len(s.Quarantine.Suspects) > 0 || !s.Requests.IsZero()
+	return !s.Changes.Empty() || cold || streams || len(s.Quarantine.Quarantined)+len(s.Quarantine.Suspects) > 0 || !s.Requests.IsZero()
 }
 
 // handleState applies a state received from another host.
@@ -330,6 +342,7 @@
 	h.cold.merge(s, now)
 	h.quarantine.merge(s, now)
 	h.requests.merge(s, now)
+	h.streams.merge(s, now)
 	relay := h.storeWatcher.ApplyChanges(s.Changes, s.Kind == peers.Up)
 	if h.role.applyPlacement(s.Placement, now) || relay {
 		h.peers.Relay()
@@ -419,6 +432,10 @@
 		h.requests.persist(groupCtx, func() bool { return h.peers.Fleet().Poller })
 		return nil
 	})
+	group.Go(func() error {
+		h.streams.persist(groupCtx, func() bool { return h.peers.Fleet().Poller })
+		return nil
+	})
 	group.Go(func() error { return serveStatus(groupCtx, s.Ready, h.readyHandler()) })
 	group.Go(func() error { return serveStatus(groupCtx, s.Metrics, h.metricsHandler()) })
 	group.Go(func() error { return h.server.Serve(callers) })
--- /dev/null
+++ b/lib/entryhost/streams.go
@@ -0,0 +1,278 @@
+package entryhost
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"cuminhook.org/cuminhook/lib/catalog"
+	"cuminhook.org/cuminhook/lib/kv"
+	"cuminhook.org/cuminhook/lib/peers"
+	"cuminhook.org/cuminhook/lib/registry"
+	"cuminhook.org/cuminhook/lib/storewatch"
+	"cuminhook.org/cuminhook/lib/streamversion"
+)
+
+const (
+	// versionsName is the name under which the store has the versions whose streams may be taken up. Names of hosts contain no slash.
+	versionsName = "/versions"
+	// streamWrites bounds the writes of streams by all hosts, a second. A host writes what it began since its last write.
+	streamWrites = 100
+	// minStreamWait is the least time between two writes or announcements of a host.
+	minStreamWait = 50 * time.Millisecond
+	// streamLeaseFactor times the time for which a stream may be taken up is the time to live of what a host stored of streams, which it
+	// renews with half of that left.
+	streamLeaseFactor = 2
+)
+
+// streamRole is this host's part in having streams go on at the version that began them.
+type streamRole struct {
+	tracker *streamversion.Tracker
+	store   kv.Store
+	log     *slog.Logger
+	name    string        // under which this start of the host stores the streams that it began
+	relay   func()        // has partial states sent at once
+	inTouch func() bool   // this host hears of new versions
+	now     chan struct{} // there is something to store
+	hosts   atomic.Int64
+	leaf    atomic.Bool
+
+	mu           sync.Mutex
+	storedSet    string // guarded by mu; versions as the store has them, as far as this host knows
+	setVersion   kv.Version
+	announcing   bool                                               // guarded by mu; an announcement is due
+	unannounced  map[storewatch.Audience]map[streamversion.Key]bool // guarded by mu; streams that the audience may not know
+	streamsKey   kv.Version                                         // of the streams that this host stored
+	streamsText  string
+	lease        kv.LeaseID
+	leaseRenewed time.Time
+}
+
+func newStreamRole(host string, store kv.Store, relay func(), inTouch func() bool, log *slog.Logger) *streamRole {
+	return &streamRole{
+		tracker: streamversion.New(), store: store, log: log, relay: relay, inTouch: inTouch, now: make(chan struct{}, 1),
+		name:        fmt.Sprintf("%s.%x", host, rand.Uint64()),
+		unannounced: map[storewatch.Audience]map[streamversion.Key]bool{storewatch.ToMesh: {}, storewatch.ToLeaves: {}},
+	}
+}
+
+func (s *streamRole) setFleet(f peers.Fleet) {
+	s.hosts.Store(int64(len(f.Known) + 1))
+	s.leaf.Store(f.Leaf)
+}
+
+func (s *streamRole) setCatalog(c *catalog.Catalog) {
+	longest := time.Duration(0)
+	for _, r := range c.Routes {
+		if r.Resumable {
+			longest = max(longest, r.Timeout)
+		}
+	}
+	s.tracker.SetLongest(longest)
+}
+
+func (s *streamRole) setTargets(list []*registry.Target) {
+	versions := map[string][]string{}
+	for _, t := range list {
+		if !slices.Contains(versions[t.Service], t.Version) {
+			versions[t.Service] = append(versions[t.Service], t.Version)
+		}
+	}
+	s.tracker.SetTargets(versions, time.Now())
+	s.storeNow()
+}
+
+func (s *streamRole) storeNow() {
+	select {
+	case s.now <- struct{}{}:
+	default:
+	}
+}
+
+// Began implements relay.Streams.
+func (s *streamRole) Began(k streamversion.Key, o streamversion.Origin, shared bool) {
+	if s.tracker.Began(k, o, shared, time.Now()) {
+		s.announce([]streamversion.Key{k}, storewatch.ToMesh, storewatch.ToLeaves)
+		s.storeNow()
+	}
+}
+
+// Find implements relay.Streams.
+func (s *streamRole) Find(k streamversion.Key, services []string) (streamversion.Origin, bool) {
+	return s.tracker.Find(k, services, s.inTouch(), time.Now())
+}
+
+// announce has streams announced shortly: those of a moment go together.
+func (s *streamRole) announce(keys []streamversion.Key, audiences ...storewatch.Audience) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, to := range audiences {
+		for _, k := range keys {
+			s.unannounced[to][k] = true
+		}
+	}
+	if !s.announcing {
+		s.announcing = true
+		time.AfterFunc(minStreamWait, func() {
+			s.mu.Lock()
+			s.announcing = false
+			s.mu.Unlock()
+			s.relay()
+		})
+	}
+}
+
+// fillNews fills in what to announce to an audience, which is taken for announced then, and reports whether there is anything.
+func (s *streamRole) fillNews(state *peers.State, to storewatch.Audience, now time.Time) bool {
+	s.mu.Lock()
+	keys := s.unannounced[to]
+	s.unannounced[to] = map[streamversion.Key]bool{}
+	s.mu.Unlock()
+	if len(keys) == 0 {
+		return false
+	}
+	s.set(state, s.tracker.ReportOf(keys, now))
+	return true
+}
+
+// fill fills in the streams that this host began lately.
+func (s *streamRole) fill(state *peers.State, now time.Time) { s.set(state, s.tracker.Report(now)) }
+
+func (s *streamRole) set(state *peers.State, r streamversion.Report) {
+	if s.leaf.Load() {
+		state.LeafStreams = r
+	} else {
+		state.Streams = r
+	}
+}
+
+// merge applies the streams in a state of another host. Those of a leaf are for the mesh too.
+func (s *streamRole) merge(state *peers.State, now time.Time) {
+	if added := s.tracker.Merge(state.LeafStreams, now); len(added) > 0 {
+		s.announce(added, storewatch.ToMesh, storewatch.ToLeaves)
+	}
+	if added := s.tracker.Merge(state.Streams, now); len(added) > 0 && !s.leaf.Load() {
+		s.announce(added, storewatch.ToLeaves)
+	}
+}
+
+// restore applies what the store holds of streams and versions, by name. What cannot be read is left out.
+func (s *streamRole) restore(entries []kv.Entry) {
+	now := time.Now()
+	for _, e := range entries {
+		name := e.Key[len(storewatch.StreamsPrefix):]
+		if name == versionsName {
+			var set map[string][]string
+			if json.Unmarshal(e.Value, &set) == nil {
+				s.tracker.Restore(set, now)
+				s.mu.Lock()
+				s.storedSet, s.setVersion = string(e.Value), e.Version
+				s.mu.Unlock()
+			}
+			continue
+		}
+		var r streamversion.Report
+		if json.Unmarshal(e.Value, &r) == nil {
+			s.tracker.Merge(r, now)
+		}
+	}
+}
+
+// persist stores the streams that this host began while versions differ and, where this host polls the store, the versions, until ctx
+// ends.
+func (s *streamRole) persist(ctx context.Context, poller func() bool) {
+	for {
+		wait := max(minStreamWait, time.Duration(s.hosts.Load())*time.Second/streamWrites)
+		timer := time.NewTimer(persistInterval)
+		select {
+		case <-s.now:
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+		timer.Stop()
+		if ctx.Err() != nil {
+			return
+		}
+		if err := errors.Join(s.storeStreams(ctx), s.storeVersions(ctx, poller())); err != nil {
+			s.log.Warn("streams not stored", "error", err.Error())
+			wait = maxPersistInterval
+		}
+		select {
+		case <-time.After(wait):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// storeStreams stores the streams that this host began, if they have changed.
+func (s *streamRole) storeStreams(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, persistTimeout)
+	defer cancel()
+	now := time.Now()
+	own := s.tracker.Own(now)
+	text, err := json.Marshal(own)
+	if err != nil || len(own) == 0 || string(text) == s.streamsText {
+		return err
+	}
+	ttl := streamLeaseFactor * s.tracker.TTL()
+	if s.lease == 0 || now.Sub(s.leaseRenewed) > ttl {
+		if s.lease, err = s.store.Grant(ctx, ttl); err != nil {
+			s.lease = 0
+			return err
+		}
+		s.leaseRenewed, s.streamsKey = now, 0
+	} else if now.Sub(s.leaseRenewed) > ttl/streamLeaseFactor {
+		if err := s.store.KeepAlive(ctx, s.lease); err != nil {
+			s.lease = 0
+			return err
+		}
+		s.leaseRenewed = now
+	}
+	version, err := s.store.Put(ctx, storewatch.StreamsPrefix+s.name, text, s.streamsKey, s.lease)
+	if err != nil { // a write whose outcome is unknown may count; the next one is of another key
+		s.name, s.lease = fmt.Sprintf("%s.%x", s.name, rand.Uint32()), 0
+		return err
+	}
+	s.streamsKey, s.streamsText = version, string(text)
+	return nil
+}
+
+// storeVersions has the store hold the versions whose streams may be taken up. Any host adds one that is missing; those that poll the
+// store remove the others.
+func (s *streamRole) storeVersions(ctx context.Context, poller bool) error {
+	ctx, cancel := context.WithTimeout(ctx, persistTimeout)
+	defer cancel()
+	text, err := json.Marshal(s.tracker.Versions(time.Now()))
+	s.mu.Lock()
+	same, expect := string(text) == s.storedSet, s.setVersion
+	s.mu.Unlock()
+	if err != nil || same || !poller {
+		return err
+	}
+	version, err := s.store.Put(ctx, storewatch.StreamsPrefix+versionsName, text, expect, 0)
+	if errors.Is(err, kv.ErrConflict) || errors.Is(err, kv.ErrUnknown) {
+		e, getErr := s.store.Get(ctx, storewatch.StreamsPrefix+versionsName)
+		if getErr != nil && !errors.Is(getErr, kv.ErrNotFound) {
+			return getErr
+		}
+		s.mu.Lock()
+		s.storedSet, s.setVersion = string(e.Value), e.Version
+		s.mu.Unlock()
+		s.storeNow()
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	s.storedSet, s.setVersion = string(text), version
+	s.mu.Unlock()
+	return nil
+}
--- a/lib/filter/relay/pick.go
+++ b/lib/filter/relay/pick.go
@@ -49,7 +49,7 @@
 	defer r.leavePacedQueue(&w)
 	q := balance.Query{
 		Service: r.service, Call: r.call, Wanted: map[string]bool{}, UsualRate: r.cfg.Demand.UsualRate(r.call.Model, time.Now()),
-		Regions: r.regions,
+		Regions: r.regions, Version: r.version,
 	}
 	for {
 		q.Tried = r.tried
@@ -109,7 +109,7 @@
 		return refuse
 	}
 	switch {
-	case errors.Is(err, balance.ErrPaused), errors.Is(err, balance.ErrEvacuated), errors.Is(err, balance.ErrRegion),
+	case errors.Is(err, balance.ErrPaused), errors.Is(err, balance.ErrEvacuated), errors.Is(err, balance.ErrRegion), errors.Is(err, balance.ErrVersion),
 		errors.Is(err, hostqueue.ErrRefused), errors.Is(err, errDrained):
 		return refuse
 	case now.Sub(w.began) < r.route.Objective/pickWaitDivisor && !errors.Is(err, balance.ErrNoAdapter):
--- a/lib/filter/relay/relay.go
+++ b/lib/filter/relay/relay.go
@@ -30,6 +30,7 @@
 	"cuminhook.org/cuminhook/lib/registry"
 	"cuminhook.org/cuminhook/lib/retry"
 	"cuminhook.org/cuminhook/lib/stopping"
+	"cuminhook.org/cuminhook/lib/streamversion"
 	"cuminhook.org/cuminhook/lib/targetrate"
 	"cuminhook.org/cuminhook/lib/workload"
 )
@@ -71,6 +72,15 @@
 	Down(t *registry.Target)
 }
 
+// Streams knows where streams began that may be taken up, at whatever host.
+type Streams interface {
+	// Began records that a target has sent the first event of a stream, before it is passed on. shared states that the route leads to
+	// several services.
+	Began(k streamversion.Key, o streamversion.Origin, shared bool)
+	// Find returns where a stream began, or false if that is not known. services are those of the route.
+	Find(k streamversion.Key, services []string) (streamversion.Origin, bool)
+}
+
 // Config are the settings of the filter.
 type Config struct {
 	Protocol  passthrough.Protocol
@@ -86,6 +96,8 @@
 	Quarantine *quarantine.Detector
 	// Requests learns which requests crash targets; nil: a detector of its own.
 	Requests *quarantine.Requests
+	// Streams knows at which software version of their service streams began; nil: they may go on at any.
+	Streams Streams
 	// OnClaim is called with a request that other hosts should be told of: this host is about to send it alone; nil: they are not.
 	OnClaim func(quarantine.RequestKey)
 	// TargetAt returns the target that is known at an address, or nil. Where the function is nil, a target that starts again before it is
@@ -157,6 +169,10 @@
 		cancel()
 		return err
 	}
+	if err := r.findVersion(); err != nil {
+		cancel()
+		return err
+	}
 	f.cfg.Retries.RecordRequest(r.service)
 	if err := r.checkQuarantine(); err != nil {
 		cancel()
@@ -188,6 +204,7 @@
 	ahead        int                   // requests before it in the queue of the host for targets with limits
 	onSend       func()                // called before an attempt is sent; nil: none
 	regions      []string              // in which a target must be; nil: any
+	version      *string               // of the software that a target must have, as it began the stream; nil: any
 	streaming    bool                  // the answer is passed on as a stream: a further attempt has to continue it
 	reserved     *balance.Choice       // target of the next attempt, whose retry is charged; nil: none was reserved
 	requestKey   quarantine.RequestKey // see key
@@ -428,6 +445,8 @@
 		reason, after = refusal.ZonesEvacuated, evacuatedRetryAfter
 	case errors.Is(err, balance.ErrRegion):
 		reason, after = refusal.RegionNotAllowed, 0
+	case errors.Is(err, balance.ErrVersion):
+		reason, after = refusal.StreamVersionGone, 0
 	}
 	if paced := (*balance.PacedError)(nil); errors.As(err, &paced) {
 		after = max(after, r.paced.drainTime(r.pacedQueue(), paced.PerSecond), drainTime(r.ahead, paced.PerSecond))
--- a/lib/filter/relay/silence.go
+++ b/lib/filter/relay/silence.go
@@ -84,7 +84,7 @@
 	}
 	choice, err := r.cfg.Balancer.Pick(balance.Query{
 		Service: r.service, Call: r.call, Tried: r.tried, Wanted: map[string]bool{}, UsualRate: r.cfg.Demand.UsualRate(r.call.Model, now),
-		Regions: r.regions,
+		Regions: r.regions, Version: r.version,
 	}, now)
 	if err != nil {
 		r.cfg.Retries.Return(r.service)
--- a/lib/filter/relay/stream.go
+++ b/lib/filter/relay/stream.go
@@ -203,6 +203,7 @@
 		if len(s.ready) > 0 {
 			s.eventAt = time.Now()
 			s.req.answerBegan(s.current)
+			s.req.streamBegan(s.current)
 		}
 		if errors.Is(err, io.EOF) && len(s.ready) == 0 {
 			if err = s.events.ended(s.current.answer.Chunked); err == nil {
@@ -287,7 +288,7 @@
 	}
 	q := balance.Query{
 		Service: r.service, Call: r.call, Tried: r.tried, Wanted: map[string]bool{},
-		UsualRate: r.cfg.Demand.UsualRate(r.call.Model, time.Now()), Regions: r.regions,
+		UsualRate: r.cfg.Demand.UsualRate(r.call.Model, time.Now()), Regions: r.regions, Version: r.version,
 	}
 	choice, err := r.cfg.Balancer.Pick(q, time.Now())
 	if err != nil && again {
--- a/lib/passthrough/passthrough.go
+++ b/lib/passthrough/passthrough.go
@@ -32,6 +32,7 @@
 	Prefix       []Segment     // segments of the prompt, in order
 	Wait         time.Duration // how long the caller waits; zero if not stated
 	LastEvent    string        // id of the event after which a stream resumes; empty for a new stream
+	Resumes      string        // id of the request that brought the first event of that stream; empty: not stated
 }
 
 // Tokens returns the tokens of the prompt and of the largest output together.
--- a/lib/peers/state.go
+++ b/lib/peers/state.go
@@ -5,6 +5,7 @@
 	"cuminhook.org/cuminhook/lib/quarantine"
 	"cuminhook.org/cuminhook/lib/registry"
 	"cuminhook.org/cuminhook/lib/storewatch"
+	"cuminhook.org/cuminhook/lib/streamversion"
 	"cuminhook.org/cuminhook/lib/targetrate"
 )
 
@@ -58,8 +59,11 @@
 	StoreLost     bool   `json:"y,omitempty"` // the sender cannot read the store
 	ConfigVersion int64  `json:"c"`           // version of the configuration in force at the sender
 	aggregate.Contribution
-	Quarantine       quarantine.Report                   `json:"z,omitzero"`  // prompt segments that crash targets
-	Requests         quarantine.RequestReport            `json:"i,omitzero"`  // requests that crash targets
+	Quarantine quarantine.Report        `json:"z,omitzero"` // prompt segments that crash targets
+	Requests   quarantine.RequestReport `json:"i,omitzero"` // requests that crash targets
+	// Streams are those that the sender, if it belongs to the mesh, and its leaves have begun lately; LeafStreams those that a leaf has.
+	Streams          streamversion.Report                `json:"sv,omitempty"`
+	LeafStreams      streamversion.Report                `json:"sl,omitempty"`
 	TargetRates      map[string]targetrate.Statement     `json:"r,omitempty"` // rates that targets stated, by target
 	Cold             map[string]targetrate.ColdStatement `json:"j,omitempty"` // cold times that targets stated, by target
 	Changes          storewatch.TargetChanges            `json:"v,omitzero"`  // recent changes of targets
--- a/lib/refusal/refusal.go
+++ b/lib/refusal/refusal.go
@@ -34,6 +34,7 @@
 	StreamBroken           Reason = "stream_broken"
 	PromptQuarantined      Reason = "prompt_quarantined"
 	RequestQuarantined     Reason = "request_quarantined"
+	StreamVersionGone      Reason = "stream_version_gone"
 	Stopping               Reason = "stopping"
 	InProgress             Reason = "in_progress"
 	OutcomeUnknown         Reason = "outcome_unknown"
--- a/lib/registry/registry.go
+++ b/lib/registry/registry.go
@@ -42,7 +42,8 @@
 	Service string
 	Addr    string // IP:port
 	Zone    string
-	Slots   int // requests that it runs at the same time
+	Slots   int    // requests that it runs at the same time
+	Version string // of its software; empty if its entry states none
 	State   State
 	// Started is the start in Unix milliseconds by the target's clock, which may have been set back since the start before. It identifies
 	// incarnations, and is never compared with a clock.
--- a/lib/storewatch/storewatch.go
+++ b/lib/storewatch/storewatch.go
@@ -78,6 +78,9 @@
 // RequestsPrefix is the key prefix of what hosts have found out about requests that crash targets.
 const RequestsPrefix = "cuminhook/requests/"
 
+// StreamsPrefix is the key prefix of what hosts remember of streams that may be taken up.
+const StreamsPrefix = "cuminhook/streams/"
+
 // Handlers are called when the view of the store changes. Several goroutines may call them at the same time.
 type Handlers struct {
 	OnCatalog func(*catalog.Catalog)   // a newer configuration was installed
@@ -89,6 +92,8 @@
 	OnQuarantine func(segments []string)
 	// OnRequests is called in the same way with the names of keys under RequestsPrefix; may be nil.
 	OnRequests func(names []string)
+	// OnStreams is called with the entries under StreamsPrefix of a full read; may be nil.
+	OnStreams func([]kv.Entry)
 	// OnRestored is called when the store was restored from an older copy, before its entries are passed on; may be nil.
 	OnRestored func()
 	Announce   func() // there are changes to announce to other hosts at once; may be nil
@@ -217,7 +222,7 @@
 	w.recordAnswer()
 	w.noteRegained(snap.Revision)
 	w.reportRestored(snap.Revision.Era())
-	var targets, hosts, zones []kv.Entry
+	var targets, hosts, zones, streams []kv.Entry
 	var segments, requests []string
 	for _, e := range snap.Entries {
 		switch {
@@ -233,10 +238,15 @@
 			segments = append(segments, strings.TrimPrefix(e.Key, QuarantinePrefix))
 		case strings.HasPrefix(e.Key, RequestsPrefix):
 			requests = append(requests, strings.TrimPrefix(e.Key, RequestsPrefix))
+		case strings.HasPrefix(e.Key, StreamsPrefix):
+			streams = append(streams, e)
 		}
 	}
 	publishNames(w.handlers.OnQuarantine, segments)
 	publishNames(w.handlers.OnRequests, requests)
+	if w.handlers.OnStreams != nil {
+		w.handlers.OnStreams(streams)
+	}
 	w.replaceZones(zones, snap.Revision)
 	w.replaceTargets(targets, snap.Revision)
 	w.dropMissing()
