--- a/lib/quarantine/requestreport.go
+++ b/lib/quarantine/requestreport.go
@@ -43,7 +43,7 @@
 		d.reportConviction(&r, k, now)
 	}
 	for k := range d.survived {
-		if slot := d.slot(k); slot.key == k && len(r.Survived) < maxReportedSurvivs {
+		if slot := d.slot(k); slot.key == k && len(r.Survived) < maxReportedSurvivals {
 			r.Survived[k.String()] = now.Sub(slot.at).Milliseconds()
 		}
 	}
@@ -109,7 +109,7 @@
 	})
 	turn := byte(now.UnixMilli() >> 6) // so that successive reports name others of equal weight
 	out := map[string]ReportedCrash{}
-	for _, it := range items[:min(len(items), maxReportedOfAll)] {
+	for _, it := range items[:min(len(items), maxReportedFleetCrashes)] {
 		c := d.crashes[it.id]
 		weight := func(k RequestKey) int {
 			if s := d.suspects[k]; s != nil {
--- a/lib/quarantine/requests_test.go
+++ b/lib/quarantine/requests_test.go
@@ -265,7 +265,7 @@
 	if len(d.crashes) > maxCrashes || len(d.suspects) > maxCrashes*maxLostInCrash {
 		t.Errorf("%d crashes, %d suspects", len(d.crashes), len(d.suspects))
 	}
-	if r := d.Report(now); len(r.Crashes) > maxReportedOfAll {
+	if r := d.Report(now); len(r.Crashes) > maxReportedFleetCrashes {
 		t.Errorf("%d crashes reported", len(r.Crashes))
 	}
 }
