Quarantine: targets that have just started count as if some had crashed

Change: 0.3 crashes count in the last half minute before any is seen. The test of restarts has targets that serve for 5 s first.

--- a/lib/entryhost/quarantine_test.go
+++ b/lib/entryhost/quarantine_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -104,6 +105,8 @@
 				q.restore([]string{e.Key[len(storewatch.RequestsPrefix):]})
 			}
 			go q.persist(ctx, func() bool { return true })
+			q.detector.SetTargets(map[string][]string{"s": strings.Split("tuvwxyz", "")}, time.Now())
+			time.Sleep(5 * time.Second) // in which no target crashes
 			return q
 		}
 		key := func(name string) quarantine.RequestKey { return quarantine.KeyOfRequest("o", nil, []byte(name), nil) }
--- a/lib/quarantine/requestjudge.go
+++ b/lib/quarantine/requestjudge.go
@@ -26,6 +26,8 @@
 	crashesAtOnce = 20 * time.Millisecond
 	// maxOtherCauses is the number of other requests that may explain crashes while they are only suspected.
 	maxOtherCauses = 3
+	// priorCrashes is the number of crashes that count before any was seen: little is known of targets that have just started.
+	priorCrashes = 0.3
 	// minLiveSeconds is the least time assumed in which targets of a service were live.
 	minLiveSeconds = 0.1
 	// runTimeDivisor weighs a run in the mean time of runs. runTimeFactor times the mean is the time that a run is taken to last.
@@ -246,10 +248,12 @@
 			recent++
 		}
 	}
-	rate := func(crashes int, from, to time.Time) float64 {
-		return float64(crashes) / max(d.liveSeconds(service, from, to), minLiveSeconds)
+	rate := func(crashes float64, from, to time.Time) float64 {
+		return crashes / max(d.liveSeconds(service, from, to), minLiveSeconds)
 	}
-	hazard := max(rate(nearby, at.Add(-crashesNearby), at.Add(crashesNearby)), rate(recent, at.Add(-crashesRecent), at))
+	hazard := max(
+		rate(float64(nearby), at.Add(-crashesNearby), at.Add(crashesNearby)),
+		rate(float64(recent)+priorCrashes, at.Add(-crashesRecent), at))
 	chance := hazard * atRisk.Seconds()
 	if together > 0 {
 		chance = max(chance, float64(together+1)/float64(d.addresses(service)))
