--- a/lib/balance/eligible.go
+++ b/lib/balance/eligible.go
@@ -10,7 +10,7 @@
 	ErrEvacuated = errors.New("balance: the zones of all targets that may take the request are evacuated; retry when an evacuation has ended")
 	// ErrVersion means that no target has the software version at which the stream began.
 	ErrVersion = errors.New("balance: no target of the service has the software version that began the stream; begin it anew")
-	ErrRegion    = errors.New("balance: no target of the service is in a region that the request may go to; allow another region")
+	ErrRegion  = errors.New("balance: no target of the service is in a region that the request may go to; allow another region")
 )
 
 // eligibility states which targets may get requests at all, whatever their load and health.
