Streams: a host asks others for a stream that it does not remember

Cause: a host that had started again knew only what was in the store, and announcements of streams waited for 50 ms. Change: such a host asks twelve others for at most 200 ms; the first announcement after a pause goes at once. Evidence: TestHostThatHasStartedAsksOthersForAStream failed before (503 in place of the rest of both streams) and passes; twice with the race detector.

--- a/lib/entryhost/entryhost.go
+++ b/lib/entryhost/entryhost.go
@@ -152,9 +152,11 @@
 		OnAggregatorSilent: func() { h.storeWatcher.PollNow() },
 		RPC: map[string]any{
 			rpcPlacement: &placementService{h},
+			rpcStreams:   &streamService{h.streams.tracker},
 			rpcConfig:    &configService{value: func() []byte { return h.storeWatcher.ConfigValue() }},
 		},
 	}, cfg.Log)
+	h.streams.peers = h.peers
 	h.storeWatcher = storewatch.New(cfg.Store, cfg.Codec, s.TargetHeartbeat, storewatch.Handlers{
 		OnCatalog: h.setCatalog, OnTargets: h.setTargets, OnHosts: h.peers.SetEntries, OnZones: h.setEvacuations, OnQuarantine: h.quarantine.restore,
 		OnRequests: h.requests.restore, OnStreams: h.streams.restore, OnRestored: h.forgetAllStored, Announce: h.peers.Announce,
--- a/lib/entryhost/streams.go
+++ b/lib/entryhost/streams.go
@@ -27,6 +27,10 @@
 	streamWrites = 100
 	// minStreamWait is the least time between two writes or announcements of a host.
 	minStreamWait = 50 * time.Millisecond
+	// askedHosts is the number of other hosts that are asked for a stream that this host does not remember, and askTimeout bounds that. It
+	// leaves most of the time in which a client waits for the first event.
+	askedHosts = 12
+	askTimeout = 200 * time.Millisecond
 	// streamLeaseFactor times the time for which a stream may be taken up is the time to live of what a host stored of streams, which it
 	// renews with half of that left.
 	streamLeaseFactor = 2
@@ -37,9 +41,10 @@
 	tracker *streamversion.Tracker
 	store   kv.Store
 	log     *slog.Logger
-	name    string        // under which this start of the host stores the streams that it began
-	relay   func()        // has partial states sent at once
-	inTouch func() bool   // this host hears of new versions
+	name    string      // under which this start of the host stores the streams that it began
+	relay   func()      // has partial states sent at once
+	inTouch func() bool // this host hears of new versions
+	peers   streamPeers
 	now     chan struct{} // there is something to store
 	hosts   atomic.Int64
 	leaf    atomic.Bool
@@ -48,6 +53,7 @@
 	storedSet    string // guarded by mu; versions as the store has them, as far as this host knows
 	setVersion   kv.Version
 	announcing   bool                                               // guarded by mu; an announcement is due
+	announced    time.Time                                          // guarded by mu; when the last announcement was sent
 	unannounced  map[storewatch.Audience]map[streamversion.Key]bool // guarded by mu; streams that the audience may not know
 	streamsKey   kv.Version                                         // of the streams that this host stored
 	streamsText  string
@@ -55,6 +61,12 @@
 	leaseRenewed time.Time
 }
 
+// streamPeers are the other hosts.
+type streamPeers interface {
+	Fleet() peers.Fleet
+	Call(ctx context.Context, host, method string, args, reply any) error
+}
+
 func newStreamRole(host string, store kv.Store, relay func(), inTouch func() bool, log *slog.Logger) *streamRole {
 	return &streamRole{
 		tracker: streamversion.New(), store: store, log: log, relay: relay, inTouch: inTouch, now: make(chan struct{}, 1),
@@ -104,12 +116,63 @@
 	}
 }
 
-// Find implements relay.Streams.
+// Find implements relay.Streams. It asks other hosts for a stream that this host does not remember and must not take up otherwise.
 func (s *streamRole) Find(k streamversion.Key, services []string) (streamversion.Origin, bool) {
+	o, ok := s.tracker.Find(k, services, s.inTouch(), time.Now())
+	if ok {
+		return o, ok
+	}
+	if _, remembered := s.tracker.Remembered(k); remembered || !s.ask(k) {
+		return o, ok
+	}
 	return s.tracker.Find(k, services, s.inTouch(), time.Now())
 }
 
-// announce has streams announced shortly: those of a moment go together.
+// ask asks some of the other hosts for a stream, and reports whether one remembers it.
+func (s *streamRole) ask(k streamversion.Key) bool {
+	hosts := slices.Clone(s.peers.Fleet().Known)
+	rand.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
+	hosts = hosts[:min(len(hosts), askedHosts)]
+	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+	defer cancel()
+	answers := make(chan StreamOrigin, len(hosts))
+	for _, host := range hosts {
+		go func() {
+			var reply StreamOrigin
+			if s.peers.Call(ctx, host, rpcStreams+".Find", k, &reply) != nil {
+				reply.Remembered = false
+			}
+			answers <- reply
+		}()
+	}
+	for range hosts {
+		if a := <-answers; a.Remembered {
+			s.tracker.Learn(k, a.Origin, time.Now())
+			return true
+		}
+	}
+	return false
+}
+
+// rpcStreams is the name of the net/rpc service that tells other hosts where streams began.
+const rpcStreams = "Streams"
+
+// StreamOrigin is the answer of streamService.
+type StreamOrigin struct {
+	Remembered bool
+	Origin     streamversion.Origin
+}
+
+// streamService serves the net/rpc calls of other hosts.
+type streamService struct{ tracker *streamversion.Tracker }
+
+// Find returns where a stream began, if this host remembers that.
+func (s *streamService) Find(k streamversion.Key, reply *StreamOrigin) error {
+	reply.Origin, reply.Remembered = s.tracker.Remembered(k)
+	return nil
+}
+
+// announce has streams announced: at once, or with others minStreamWait after the last announcement.
 func (s *streamRole) announce(keys []streamversion.Key, audiences ...storewatch.Audience) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -120,9 +183,10 @@
 	}
 	if !s.announcing {
 		s.announcing = true
-		time.AfterFunc(minStreamWait, func() {
+		wait := max(0, minStreamWait-time.Since(s.announced))
+		time.AfterFunc(wait, func() {
 			s.mu.Lock()
-			s.announcing = false
+			s.announcing, s.announced = false, time.Now()
 			s.mu.Unlock()
 			s.relay()
 		})
--- a/lib/streamversion/streamversion.go
+++ b/lib/streamversion/streamversion.go
@@ -213,6 +213,21 @@
 	return Origin{Service: services[0]}, true
 }
 
+// Remembered returns where a stream began, and whether this host remembers that.
+func (t *Tracker) Remembered(k Key) (Origin, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s := t.streams[k]; s != nil {
+		return s.origin, true
+	}
+	return Origin{}, false
+}
+
+// Learn records where a stream began, as another host remembers it.
+func (t *Tracker) Learn(k Key, o Origin, now time.Time) {
+	t.Merge(Report{o.Service: {o.Version: encode([]Key{k})}}, now)
+}
+
 // Report is what a host tells others of streams, by service, version and in the form of Streams.
 type Report map[string]map[string]string
 
