Relay: a stream that is taken up waits for its model

Cause: a request that had been sent to a target did not wait for its model any more, also if that target had refused the connection. A take-up has fewer targets than others. Change: a take-up waits for its model as a new request does. Evidence: TestStreamThatIsTakenUpWaitsForItsModel failed before (503 after 105 ms) and passes.

--- a/lib/filter/relay/harness_test.go
+++ b/lib/filter/relay/harness_test.go
@@ -32,6 +32,7 @@
 	"cuminhook.org/cuminhook/lib/registry"
 	"cuminhook.org/cuminhook/lib/retry"
 	"cuminhook.org/cuminhook/lib/stopping"
+	"cuminhook.org/cuminhook/lib/streamversion"
 	"cuminhook.org/cuminhook/lib/targetrate"
 	"cuminhook.org/cuminhook/lib/workload"
 	"cuminhook.org/cuminhook/test/httpmain"
@@ -146,7 +147,7 @@
 	log := slog.New(slog.DiscardHandler)
 	h := New(Config{
 		Protocol: testProtocol{}, Client: forward.NewClient(forward.Config{Protocol: testProtocol{}, Dial: r.dial}), Balancer: r.balancer,
-		Retries: r.retries, Placement: placement, Quarantine: r.detector, Requests: r.deadly, TargetAt: r.targetAt, Rates: rates, Statements: r,
+		Retries: r.retries, Placement: placement, Quarantine: r.detector, Requests: r.deadly, Streams: oneVersion{}, TargetAt: r.targetAt, Rates: rates, Statements: r,
 		Demand: workload.New(), Log: log, Metrics: metrics.NewSet(), Random: func() float64 { return 0.5 },
 		Stop: r.stop, Admission: admission,
 	})
@@ -194,6 +195,15 @@
 	r.balancer.Pause(t.ID, t.Started, d, time.Now())
 }
 
+// oneVersion is a Streams for targets of one version.
+type oneVersion struct{}
+
+func (oneVersion) Began(streamversion.Key, streamversion.Origin, bool) {}
+
+func (oneVersion) Find(streamversion.Key, []string) (streamversion.Origin, bool) {
+	return streamversion.Origin{Service: "s"}, true
+}
+
 // targetAt returns the target at an address.
 func (r *harness) targetAt(addr string) *registry.Target {
 	r.mu.Lock()
--- a/lib/filter/relay/pick.go
+++ b/lib/filter/relay/pick.go
@@ -116,7 +116,7 @@
 		return pickInterval
 	case (errors.Is(err, balance.ErrBusy) || errors.Is(err, balance.ErrPaced)) && now.Sub(w.began) < r.route.Objective && now.Before(w.latest):
 		return pickInterval
-	case r.cfg.Placement == nil || len(r.tried) > 0 || now.After(w.latest):
+	case r.cfg.Placement == nil || len(r.tried) > 0 && !r.takesUp() || now.After(w.latest):
 		return refuse
 	case errors.Is(err, balance.ErrNoModel):
 		return r.pauseForModel(w, now)
--- a/lib/filter/relay/pick_test.go
+++ b/lib/filter/relay/pick_test.go
@@ -151,3 +151,24 @@
 		}
 	})
 }
+
+// Guards against refusing a stream that is taken up because the only target with its model has just crashed.
+func TestStreamThatIsTakenUpWaitsForItsModel(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &fakePlacement{began: time.Now(), noticed: 100 * time.Millisecond, expected: time.Second, reaction: 300 * time.Millisecond}
+		p.harness = newHarnessWith(t, map[string]script{"a": func(r *receivedRequest) bool {
+			startStream(r)
+			chunk(r.conn, event(3))
+			chunk(r.conn, "")
+			return true
+		}, "b": nil}, p)
+		model := []registry.ResidentModel{{Model: "m"}}
+		p.harness.balancer.SetTargets([]*registry.Target{
+			{ID: "a", Addr: "a", Service: "s", Zone: "z", Slots: 6}, {ID: "b", Addr: "b", Service: "s", Zone: "z", Slots: 6, Models: model},
+		})
+		time.AfterFunc(time.Second, func() { p.load() })
+		if a := p.harness.callWith("POST", "/resumable/x", "1", "Model: m\r\nLast: 2\r\n"); a.status != 200 || a.body != event(3) {
+			t.Errorf("%+v", a)
+		}
+	})
+}
--- a/lib/filter/relay/versions.go
+++ b/lib/filter/relay/versions.go
@@ -30,6 +30,10 @@
 	}
 }
 
+// takesUp reports whether the request takes a stream up at the version that began it. It has fewer targets than others, so that it also waits
+// for its model if the only one of them has crashed.
+func (r *request) takesUp() bool { return r.call.LastEvent != "" && r.version != nil }
+
 // streamBegan records at which version the first event of a stream was sent that is about to be passed on. It goes on there only.
 func (r *request) streamBegan(t *try) {
 	if r.cfg.Streams == nil || r.version != nil {
