--- a/lib/entryhost/streams.go
+++ b/lib/entryhost/streams.go
@@ -49,13 +49,15 @@
 	hosts   atomic.Int64
 	leaf    atomic.Bool
 
-	mu           sync.Mutex
-	storedSet    string // guarded by mu; versions as the store has them, as far as this host knows
-	setVersion   kv.Version
-	announcing   bool                                               // guarded by mu; an announcement is due
-	announced    time.Time                                          // guarded by mu; when the last announcement was sent
-	unannounced  map[storewatch.Audience]map[streamversion.Key]bool // guarded by mu; streams that the audience may not know
-	streamsKey   kv.Version                                         // of the streams that this host stored
+	mu          sync.Mutex
+	storedSet   string // guarded by mu; versions as the store has them, as far as this host knows
+	setVersion  kv.Version
+	announcing  bool                                               // guarded by mu; an announcement is due
+	announced   time.Time                                          // guarded by mu; when the last announcement was sent
+	unannounced map[storewatch.Audience]map[streamversion.Key]bool // guarded by mu; streams that the audience may not know
+
+	// Of what this start has stored of its own streams; used by persist only.
+	streamsKey   kv.Version
 	streamsText  string
 	lease        kv.LeaseID
 	leaseRenewed time.Time
--- a/lib/quarantine/requestjudge.go
+++ b/lib/quarantine/requestjudge.go
@@ -30,6 +30,7 @@
 	priorCrashes = 0.3
 	// minLiveSeconds is the least time assumed in which targets of a service were live.
 	minLiveSeconds = 0.1
+	// A run that a crash ended would have gone on: its time at risk is at least that of usual runs of the service.
 	// runTimeDivisor weighs a run in the mean time of runs. runTimeFactor times the mean is the time that a run is taken to last.
 	runTimeDivisor = 32
 	runTimeFactor  = 2
