--- a/lib/filter/relay/quarantine.go
+++ b/lib/filter/relay/quarantine.go
@@ -41,11 +41,14 @@
 
 // checkQuarantine returns the refusal of a request that has crashed targets, or whose prompt has a segment that does, or nil.
 func (r *request) checkQuarantine() error {
-	q := r.quarantined(time.Now())
+	now := time.Now()
+	q := r.quarantined(now)
 	if q == nil {
 		return nil
 	}
-	r.cfg.Log.Info("request in quarantine", "request_id", r.ex.ID, "reason", string(q.Reason), "left_s", int64(q.RetryAfter.Seconds()))
+	segment, _ := r.cfg.Quarantine.Blocked(r.call.SharedSegments(), now)
+	r.cfg.Log.Info("request in quarantine", "request_id", r.ex.ID, "reason", string(q.Reason), "segment", segment,
+		"request_key", r.key().String(), "left_s", int64(q.RetryAfter.Seconds()))
 	if r.state.MayHaveRun() {
 		return r.fail(refusal.TargetFailed, 0)
 	}
