Entry host: three roles share what is to be announced

Cause: reading of the change; quarantine, requests and streams each kept sets of keys by audience under a lock of their own, with the same lines. A comment on the versions in the store said what the code does not do. Change: unannounced. Comments say where two thresholds come from. Result: the tests of lib/entryhost and the relay pass with the race detector.

--- a/lib/entryhost/quarantine.go
+++ b/lib/entryhost/quarantine.go
@@ -2,7 +2,6 @@
 
 import (
 	"log/slog"
-	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -21,14 +20,12 @@
 
 	announce func() // has partial states sent at once
 
-	mu          sync.Mutex
-	unannounced map[storewatch.Audience]map[string]bool // guarded by mu; segments put into quarantine or released, unknown to the audience
+	unannounced unannounced[string] // segments put into quarantine or released
 }
 
 func newQuarantineRole(host string, store kv.Store, announce func(), log *slog.Logger, set *metrics.Set) *quarantineRole {
 	q := &quarantineRole{
 		detector: quarantine.New(), log: log, announce: announce,
-		unannounced: map[storewatch.Audience]map[string]bool{storewatch.ToMesh: {}, storewatch.ToLeaves: {}},
 	}
 	q.storedNames = newStoredNames(host, storewatch.QuarantinePrefix, store, log, func() []string { return q.detector.Quarantined(time.Now()) })
 	set.NewGauge("cuminhook_quarantined_segments", func() float64 { return float64(len(q.detector.Quarantined(time.Now()))) })
@@ -59,20 +56,13 @@
 // spread has a segment announced that is new in quarantine: each state on the way to a host would take an interval otherwise,
 // while requests crash targets.
 func (q *quarantineRole) spread(segment string) {
-	q.mu.Lock()
-	for _, segments := range q.unannounced {
-		segments[segment] = true
-	}
-	q.mu.Unlock()
+	q.unannounced.add([]string{segment}, storewatch.ToMesh, storewatch.ToLeaves)
 	q.announce()
 }
 
 // news returns what to announce to an audience, which is taken for announced then.
 func (q *quarantineRole) news(to storewatch.Audience, now time.Time) quarantine.Report {
-	q.mu.Lock()
-	segments := q.unannounced[to]
-	q.unannounced[to] = map[string]bool{}
-	q.mu.Unlock()
+	segments := q.unannounced.take(to)
 	if len(segments) == 0 {
 		return quarantine.Report{}
 	}
--- a/lib/entryhost/requests.go
+++ b/lib/entryhost/requests.go
@@ -29,15 +29,15 @@
 	log      *slog.Logger
 	announce func() // has partial states sent at once
 
-	mu          sync.Mutex
-	storing     int                                                    // guarded by mu; the most crashes of a suspicion that was written at once
-	unannounced map[storewatch.Audience]map[quarantine.RequestKey]bool // guarded by mu; requests refused, released or claimed, unknown to the audience
+	unannounced unannounced[quarantine.RequestKey] // requests refused, released or claimed
+
+	mu      sync.Mutex
+	storing int // guarded by mu; the most crashes of a suspicion that was written at once
 }
 
 func newRequestRole(host string, store kv.Store, announce func(), log *slog.Logger, set *metrics.Set) *requestRole {
 	q := &requestRole{
 		detector: quarantine.NewRequests(), log: log, announce: announce,
-		unannounced: map[storewatch.Audience]map[quarantine.RequestKey]bool{storewatch.ToMesh: {}, storewatch.ToLeaves: {}},
 	}
 	q.storedNames = newStoredNames(host, storewatch.RequestsPrefix, store, log, q.names)
 	q.removesUnwanted = true
@@ -93,22 +93,15 @@
 	}
 }
 
-// spread has a request announced that is newly refused or released.
+// spread has a request announced that is newly refused, released or claimed by this host.
 func (q *requestRole) spread(k quarantine.RequestKey) {
-	q.mu.Lock()
-	for _, keys := range q.unannounced {
-		keys[k] = true
-	}
-	q.mu.Unlock()
+	q.unannounced.add([]quarantine.RequestKey{k}, storewatch.ToMesh, storewatch.ToLeaves)
 	q.announce()
 }
 
 // news returns what to announce to an audience, which is taken for announced then.
 func (q *requestRole) news(to storewatch.Audience, now time.Time) quarantine.RequestReport {
-	q.mu.Lock()
-	keys := q.unannounced[to]
-	q.unannounced[to] = map[quarantine.RequestKey]bool{}
-	q.mu.Unlock()
+	keys := q.unannounced.take(to)
 	if len(keys) == 0 {
 		return quarantine.RequestReport{}
 	}
--- a/lib/entryhost/streams.go
+++ b/lib/entryhost/streams.go
@@ -49,12 +49,13 @@
 	hosts   atomic.Int64
 	leaf    atomic.Bool
 
-	mu          sync.Mutex
-	storedSet   string // guarded by mu; versions as the store has them, as far as this host knows
-	setVersion  kv.Version
-	announcing  bool                                               // guarded by mu; an announcement is due
-	announced   time.Time                                          // guarded by mu; when the last announcement was sent
-	unannounced map[storewatch.Audience]map[streamversion.Key]bool // guarded by mu; streams that the audience may not know
+	unannounced unannounced[streamversion.Key] // streams begun here or heard of
+
+	mu         sync.Mutex
+	storedSet  string // guarded by mu; versions as the store has them, as far as this host knows
+	setVersion kv.Version
+	announcing bool      // guarded by mu; an announcement is due
+	announced  time.Time // guarded by mu; when the last announcement was sent
 
 	// Of what this start has stored of its own streams; used by persist only.
 	streamsKey   kv.Version
@@ -72,8 +73,7 @@
 func newStreamRole(host string, store kv.Store, relay func(), inTouch func() bool, log *slog.Logger) *streamRole {
 	return &streamRole{
 		tracker: streamversion.New(), store: store, log: log, relay: relay, inTouch: inTouch, now: make(chan struct{}, 1),
-		name:        fmt.Sprintf("%s.%x", host, rand.Uint64()),
-		unannounced: map[storewatch.Audience]map[streamversion.Key]bool{storewatch.ToMesh: {}, storewatch.ToLeaves: {}},
+		name: fmt.Sprintf("%s.%x", host, rand.Uint64()),
 	}
 }
 
@@ -176,13 +176,9 @@
 
 // announce has streams announced: at once, or with others minStreamWait after the last announcement.
 func (s *streamRole) announce(keys []streamversion.Key, audiences ...storewatch.Audience) {
+	s.unannounced.add(keys, audiences...)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, to := range audiences {
-		for _, k := range keys {
-			s.unannounced[to][k] = true
-		}
-	}
 	if !s.announcing {
 		s.announcing = true
 		wait := max(0, minStreamWait-time.Since(s.announced))
@@ -197,10 +193,7 @@
 
 // fillNews fills in what to announce to an audience, which is taken for announced then, and reports whether there is anything.
 func (s *streamRole) fillNews(state *peers.State, to storewatch.Audience, now time.Time) bool {
-	s.mu.Lock()
-	keys := s.unannounced[to]
-	s.unannounced[to] = map[streamversion.Key]bool{}
-	s.mu.Unlock()
+	keys := s.unannounced.take(to)
 	if len(keys) == 0 {
 		return false
 	}
@@ -310,8 +303,7 @@
 	return nil
 }
 
-// storeVersions has the store hold the versions whose streams may be taken up. Any host adds one that is missing; those that poll the
-// store remove the others.
+// storeVersions has the store hold the versions whose streams may be taken up, if this host polls the store.
 func (s *streamRole) storeVersions(ctx context.Context, poller bool) error {
 	ctx, cancel := context.WithTimeout(ctx, persistTimeout)
 	defer cancel()
--- a/lib/quarantine/requestjudge.go
+++ b/lib/quarantine/requestjudge.go
@@ -11,12 +11,12 @@
 	maxRequestChance = 1.0001e-6
 	// minRunChance is the least chance assumed for a run of a sound request to end in a crash.
 	minRunChance = 0.01
-	// minParallelChance is that chance for a run that was sent before the last crash, or ended in crashesTogether of it, as targets may
-	// crash together.
+	// minParallelChance is that chance for a run that was sent before the last crash, or ended within crashesTogether of it: targets may
+	// crash one shortly after the other. Three such runs after one crash reach maxRequestChance.
 	minParallelChance = 0.04
 	crashesTogether   = 50 * time.Millisecond
-	// minSharedCrashes is the number of crashes from which on a request is refused although another one was at all of them: the two
-	// come together.
+	// minSharedCrashes is the number of crashes from which on a request is refused although another one was at all of them: a caller
+	// sends the two together. One that merely waited there has no tries left by then.
 	minSharedCrashes = 5
 	// crashesNearby and crashesRecent are the times in which crashes without a request tell how often targets crash: around a crash, and
 	// before it.
@@ -28,7 +28,7 @@
 	maxOtherCauses = 3
 	// priorCrashes is the number of crashes that count before any was seen: little is known of targets that have just started.
 	priorCrashes = 0.3
-	// minLiveSeconds is the least time assumed in which targets of a service were live.
+	// minLiveSeconds is the least time, summed over targets, for which targets of a service are taken to have been live.
 	minLiveSeconds = 0.1
 	// A run that a crash ended would have gone on: its time at risk is at least that of usual runs of the service.
 	// runTimeDivisor weighs a run in the mean time of runs. runTimeFactor times the mean is the time that a run is taken to last.
