Organisations' rates: one host keeps each organisation's bucket

Cause: each host spent an estimate of a bucket that all share, from reports up to three states old. The log shows estimates between +0.5 and -2.2 million tokens at the same time, and fractions of the rate that sum to 1.62. Change: a keeper, one host of the mesh by hash, holds the bucket (quota.Bucket, with its bound on refunds); other hosts ask it for each request. A silent keeper is replaced after 0.7 s; a host that no keeper answers spends an equal part. Estimates remain for the rates that targets state, which their rule allows to exceed (lib/sharedrate, the former lib/orglimit without organisations). The other tests of organisations moved to lib/ratekeeper and ask real keepers over a simulated network; TestRateLimitHoldsThroughSums and TestNoRefusalsBelowTheRateThroughSums became TestRateLimitHoldsInALargeFleet, now without the platform's tolerance, and TestNoRefusalsBelowTheRateInALargeFleet, as charges no longer pass through sums.

--- a/lib/aggregate/aggregate.go
+++ b/lib/aggregate/aggregate.go
@@ -10,15 +10,15 @@
 	"math"
 
 	"cuminhook.org/cuminhook/lib/balance"
-	"cuminhook.org/cuminhook/lib/orglimit"
 	"cuminhook.org/cuminhook/lib/quarantine"
+	"cuminhook.org/cuminhook/lib/sharedrate"
 )
 
 // Contribution is what one host reports, or the sum over several.
 type Contribution struct {
 	Hosts        int                     `json:"k,omitempty"` // hosts that it covers
-	Demand       orglimit.Report         `json:"d,omitempty"` // charges and demand of organisations
-	TargetDemand orglimit.Report         `json:"g,omitempty"` // charges and demand of targets that state a limit, by target
+	Demand       sharedrate.Report       `json:"d,omitempty"` // charges and demand of organisations
+	TargetDemand sharedrate.Report       `json:"g,omitempty"` // charges and demand of targets that state a limit, by target
 	Loads        map[string]balance.Load `json:"l,omitempty"` // requests in flight, by target
 	EngineLoad   map[string]float64      `json:"w,omitempty"` // milliseconds of engine time a second, by model
 	AdapterRates map[string]float64      `json:"a,omitempty"` // requests a second, by model/adapter
@@ -59,7 +59,7 @@
 }
 
 // addIncreases adds to charged what a member has charged between two reports; sameBoot states that it did not restart.
-func addIncreases(charged map[string]float64, before, after orglimit.Report, sameBoot bool) {
+func addIncreases(charged map[string]float64, before, after sharedrate.Report, sameBoot bool) {
 	for name, u := range after {
 		increase := u.Charged
 		if sameBoot {
@@ -77,10 +77,10 @@
 }
 
 // chargesOnly returns the report without demand.
-func chargesOnly(r orglimit.Report) orglimit.Report {
-	out := make(orglimit.Report, len(r))
+func chargesOnly(r sharedrate.Report) sharedrate.Report {
+	out := make(sharedrate.Report, len(r))
 	for org, u := range r {
-		out[org] = orglimit.Usage{Charged: u.Charged}
+		out[org] = sharedrate.Usage{Charged: u.Charged}
 	}
 	return out
 }
@@ -89,7 +89,7 @@
 // buckets are averaged over the hosts.
 func (s *Sum) Total(include func(name string) bool) Contribution {
 	out := Contribution{
-		Demand: orglimit.Report{}, TargetDemand: orglimit.Report{}, Loads: map[string]balance.Load{}, EngineLoad: map[string]float64{},
+		Demand: sharedrate.Report{}, TargetDemand: sharedrate.Report{}, Loads: map[string]balance.Load{}, EngineLoad: map[string]float64{},
 		AdapterRates: map[string]float64{}, Suspects: map[string]int{}, Failures: map[string]balance.Failures{},
 	}
 	estimating, estimatingTarget := map[string]float64{}, map[string]float64{}
@@ -109,7 +109,7 @@
 
 // addUsage adds the usage of a member that covers hosts to a sum. Estimates of shared buckets are added by host, and estimating
 // counts the hosts.
-func addUsage(sum orglimit.Report, estimating map[string]float64, usage orglimit.Report, charged map[string]float64, hosts int) {
+func addUsage(sum sharedrate.Report, estimating map[string]float64, usage sharedrate.Report, charged map[string]float64, hosts int) {
 	for name, u := range usage {
 		total := sum[name]
 		total.Demand += u.Demand
@@ -125,7 +125,7 @@
 }
 
 // averageEstimates divides the sums of estimates by the number of hosts that made them.
-func averageEstimates(sum orglimit.Report, estimating map[string]float64) {
+func averageEstimates(sum sharedrate.Report, estimating map[string]float64) {
 	for name, hosts := range estimating {
 		if total := sum[name]; hosts > 0 {
 			total.SharedTokens /= hosts
@@ -135,7 +135,7 @@
 }
 
 // subtractUsage returns the sum without a member.
-func subtractUsage(sum, usage orglimit.Report, charged map[string]float64) orglimit.Report {
+func subtractUsage(sum, usage sharedrate.Report, charged map[string]float64) sharedrate.Report {
 	out := maps.Clone(sum)
 	for name, u := range out {
 		u.Charged -= charged[name]
--- a/lib/aggregate/aggregate_test.go
+++ b/lib/aggregate/aggregate_test.go
@@ -8,7 +8,7 @@
 	"pgregory.net/rapid"
 
 	"cuminhook.org/cuminhook/lib/balance"
-	"cuminhook.org/cuminhook/lib/orglimit"
+	"cuminhook.org/cuminhook/lib/sharedrate"
 	"cuminhook.org/cuminhook/test/rapidtest"
 )
 
@@ -17,7 +17,7 @@
 // report is what a host with the charges and running requests reports.
 func report(charged float64, running int) Contribution {
 	return Contribution{
-		Hosts: 1, Demand: orglimit.Report{"o": {Charged: charged, Demand: 2, SharedTokens: 10}},
+		Hosts: 1, Demand: sharedrate.Report{"o": {Charged: charged, Demand: 2, SharedTokens: 10}},
 		Loads: map[string]balance.Load{"t": {Running: running}}, EngineLoad: map[string]float64{"m": 0.1},
 		Suspects: map[string]int{"t": 1},
 	}
--- a/lib/aggregate/targetrates_test.go
+++ b/lib/aggregate/targetrates_test.go
@@ -9,7 +9,15 @@
 	"cuminhook.org/cuminhook/lib/targetrate"
 )
 
-// pacedFleet is a fleet of groups as limitedFleet is one, whose hosts send requests to a target that states a limit.
+const (
+	step     = 10 * time.Millisecond
+	interval = 300 * time.Millisecond
+)
+
+func isGroup(name string) bool { return name[0] == 'g' }
+
+// pacedFleet is a fleet of groups, each of an aggregator (host 0) and its leaves, whose hosts hear of each other through sums and send requests
+// to a target that states a limit.
 type pacedFleet struct {
 	groups  [][]*targetrate.Limits
 	sums    []*Sum
--- a/lib/catalog/catalog.go
+++ b/lib/catalog/catalog.go
@@ -133,18 +133,20 @@
 	Content
 	services map[string]*Service
 	keys     map[string]*Organisation
+	named    map[string]*Organisation
 	routes   map[string][]*Route // by host, longest prefix first
 }
 
 // New returns a catalog of the content. Of services with the same name, or organisations with the same key, the last counts.
 func New(c Content) *Catalog {
 	out := &Catalog{
-		Content: c, services: map[string]*Service{}, keys: map[string]*Organisation{}, routes: map[string][]*Route{},
+		Content: c, services: map[string]*Service{}, keys: map[string]*Organisation{}, named: map[string]*Organisation{}, routes: map[string][]*Route{},
 	}
 	for _, s := range c.Services {
 		out.services[s.Name] = s
 	}
 	for _, o := range c.Organisations {
+		out.named[o.Name] = o
 		for _, key := range o.Keys {
 			out.keys[key] = o
 		}
@@ -176,6 +178,9 @@
 // Organisation returns the organisation with the key, or nil.
 func (c *Catalog) Organisation(key string) *Organisation { return c.keys[key] }
 
+// OrganisationNamed returns the organisation of that name, or nil.
+func (c *Catalog) OrganisationNamed(name string) *Organisation { return c.named[name] }
+
 // RequiresKeys reports whether requests on routes that are not public need a key.
 func (c *Catalog) RequiresKeys() bool { return len(c.Organisations) > 0 }
 
--- a/lib/entryhost/entryhost.go
+++ b/lib/entryhost/entryhost.go
@@ -28,12 +28,12 @@
 	"cuminhook.org/cuminhook/lib/kv"
 	"cuminhook.org/cuminhook/lib/lease"
 	"cuminhook.org/cuminhook/lib/orders"
-	"cuminhook.org/cuminhook/lib/orglimit"
 	"cuminhook.org/cuminhook/lib/passthrough"
 	"cuminhook.org/cuminhook/lib/peers"
 	"cuminhook.org/cuminhook/lib/pipeline"
 	"cuminhook.org/cuminhook/lib/placer"
 	"cuminhook.org/cuminhook/lib/quarantine"
+	"cuminhook.org/cuminhook/lib/ratekeeper"
 	"cuminhook.org/cuminhook/lib/registry"
 	"cuminhook.org/cuminhook/lib/retry"
 	"cuminhook.org/cuminhook/lib/stopping"
@@ -86,7 +86,7 @@
 	log          *slog.Logger
 	balancer     *balance.Balancer
 	aside        *asideLog
-	limiter      *orglimit.Limiter
+	keepers      *ratekeeper.Keepers
 	rates        *targetrate.Limits
 	cold         *coldRole
 	retries      *retry.Budget
@@ -123,8 +123,9 @@
 	h := &Host{
 		cfg: cfg, log: cfg.Log, connections: conns, rates: rates, stop: stopping.New(), current: s,
 		balancer: balance.New(s.Zone, conns, rates, newRandom()),
-		limiter:  orglimit.New(time.Now()), meter: workload.New(), retries: retry.NewBudget(s.RetryRatio, s.RetrySlack),
+		meter:    workload.New(), retries: retry.NewBudget(s.RetryRatio, s.RetrySlack),
 	}
+	h.keepers = newKeepers(h)
 	h.balancer.SetRegions(s.Zones)
 	cfg.Metrics.NewGauge("cuminhook_evacuated_zones", func() float64 { return float64(h.evacuated.Load()) })
 	h.cold = newColdRole(h)
@@ -149,6 +150,7 @@
 	h.peers = peers.New(peers.Config{Host: s.Host, Zone: s.Zone, Addr: s.Peers, LinkMbps: s.LinkMbps, FarInterval: s.FarInterval}, peers.Handlers{
 		FillState: h.fillState, FillPartialState: h.fillPartialState, Placement: h.role.latestPlacement,
 		OnState: h.handleState, OnUnreachable: h.removeHost, OnFleet: h.setFleet,
+		OnMesh: func() { h.keepers.CandidatesChanged(time.Now()) }, OnMessage: h.keepers.Handle,
 		OnAggregatorSilent: func() { h.storeWatcher.PollNow() },
 		RPC: map[string]any{
 			rpcPlacement: &placementService{h},
@@ -179,7 +181,7 @@
 		Requests: h.requests.detector, Streams: h.streams, OnClaim: h.requests.spread, TargetAt: h.targetAt, Admission: h.cfg.Settings.Admission,
 		Stop: h.stop, Log: h.cfg.RequestLog, Metrics: h.cfg.Metrics,
 	})
-	handler = orgrate.New(handler, orgrate.Config{Limiter: h.limiter, Log: h.cfg.RequestLog})
+	handler = orgrate.New(handler, orgrate.Config{Keepers: h.keepers, Log: h.cfg.RequestLog})
 	handler = classify.New(handler, classify.Config{Protocol: h.cfg.Protocol, Catalog: h.catalog.Load})
 	return accesslog.New(handler, accesslog.Config{Log: h.cfg.RequestLog, Metrics: h.cfg.Metrics})
 }
@@ -192,6 +194,7 @@
 	h.placer.SetCatalog(c)
 	h.streams.setCatalog(c)
 	h.catalog.Store(c)
+	h.keepers.Retain(func(name string) bool { return c.OrganisationNamed(name) != nil })
 	h.setLimits(c.Limits)
 }
 
@@ -247,7 +250,7 @@
 
 // setFleet applies what is newly known of the fleet.
 func (h *Host) setFleet(f peers.Fleet) {
-	h.limiter.SetHosts(len(f.Known)+1, f.Spread)
+	h.keepers.SetHosts(len(f.Known)+1, f.Reachable)
 	h.rates.SetHosts(len(f.Known)+1, f.Spread)
 	h.rates.SetMembers(h.cfg.Settings.Host, f.Known, time.Now())
 	h.balancer.SetHosts(len(f.Known) + 1)
@@ -303,7 +306,7 @@
 		suspects[id] = 1
 	}
 	s.Contribution = aggregate.Contribution{
-		Hosts: 1, Demand: h.limiter.Report(now), TargetDemand: h.rates.Usage(now), Loads: h.balancer.LocalLoads(now), EngineLoad: h.engineLoad(now),
+		Hosts: 1, Demand: h.keepers.Report(now), TargetDemand: h.rates.Usage(now), Loads: h.balancer.LocalLoads(now), EngineLoad: h.engineLoad(now),
 		AdapterRates: h.meter.Adapters(now), Suspects: suspects, Failures: h.balancer.LocalFailures(now), Outcomes: h.quarantine.detector.Outcomes(now),
 	}
 	h.connections.updateDemand(h.balancer, now)
@@ -332,7 +335,7 @@
 func (h *Host) handleState(s *peers.State) {
 	now := time.Now()
 	if s.Kind != peers.Partial {
-		h.limiter.ApplyReport(s.Host, s.Boot, s.Hosts, s.Demand, now)
+		h.keepers.ApplyReport(s.Host, s.Boot, s.Demand, now)
 		h.rates.ApplyUsage(s.Host, s.Boot, s.Hosts, s.TargetDemand, now)
 		h.balancer.SetPeerLoads(s.Host, s.Loads)
 		h.balancer.SetSuspects(s.Host, s.Suspects)
@@ -390,7 +393,6 @@
 
 // removeHost drops the loads, demand and suspects of an unreachable host.
 func (h *Host) removeHost(host string) {
-	h.limiter.RemovePeer(host)
 	h.rates.RemovePeer(host)
 	h.balancer.SetPeerLoads(host, nil)
 	h.balancer.SetSuspects(host, nil)
--- a/lib/filter/orgrate/orgrate.go
+++ b/lib/filter/orgrate/orgrate.go
@@ -8,18 +8,17 @@
 
 	"github.com/valyala/fasthttp"
 
-	"cuminhook.org/cuminhook/lib/orglimit"
 	"cuminhook.org/cuminhook/lib/pipeline"
+	"cuminhook.org/cuminhook/lib/ratekeeper"
 	"cuminhook.org/cuminhook/lib/refusal"
 )
 
-// minRetryAfter is the shortest Retry-After. A shorter one would be unreliable, since this host's fraction of the rate
-// changes with each state of another host.
+// minRetryAfter is the shortest Retry-After. A shorter one would be unreliable, since callers of other hosts spend the tokens that come.
 const minRetryAfter = 250 * time.Millisecond
 
 // Config are the settings of the filter.
 type Config struct {
-	Limiter *orglimit.Limiter
+	Keepers *ratekeeper.Keepers
 	Log     *slog.Logger
 }
 
@@ -42,11 +41,10 @@
 		ex.Charge = ex.Call.Tokens()
 	}
 	chargedAt := time.Now()
-	decision := f.cfg.Limiter.Charge(o, ex.Charge, chargedAt)
+	decision := f.cfg.Keepers.Charge(ctx, o, ex.Charge)
 	if !decision.Admitted {
 		f.cfg.Log.Info("above the rate", "request_id", ex.ID, "organisation", o.Name, "charge", ex.Charge, "rate", o.Rate,
-			"burst", o.Burst, "pool", int64(decision.SharedTokens), "own", int64(decision.LocalTokens),
-			"share", decision.RateFraction, "reach", decision.ReachableFraction)
+			"burst", o.Burst, "keeper", decision.Keeper, "level", int64(decision.Level), "waited_ms", time.Since(chargedAt).Milliseconds())
 		return &refusal.Error{
 			Reason: refusal.RateExceeded, Run: refusal.NotRun, Status: fasthttp.StatusTooManyRequests,
 			Message: "the organisation is above its rate", Remedy: "send it again after the time stated, or raise the rate",
@@ -55,7 +53,7 @@
 	}
 	err := f.next.Serve(ctx, ex)
 	if r, refused := refusal.As(err); refused && r.Run == refusal.NotRun {
-		f.cfg.Limiter.Withdraw(o, ex.Charge, chargedAt, time.Now())
+		f.cfg.Keepers.Withdraw(o, ex.Charge, decision, chargedAt)
 	}
 	return err
 }
--- a/lib/peers/peers.go
+++ b/lib/peers/peers.go
@@ -4,6 +4,7 @@
 package peers
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -12,6 +13,7 @@
 	"math/rand/v2"
 	"net"
 	"net/rpc"
+	"slices"
 	"sync"
 	"time"
 
@@ -92,6 +94,8 @@
 	OnFleet          func(Fleet)       // called when the fleet, as this host knows it, has changed
 	// OnAggregatorSilent is called when this host, a leaf, leaves a silent aggregator: it may have missed what others announced.
 	OnAggregatorSilent func()
+	OnMesh             func()         // called when other hosts than before belong to the mesh; may be nil
+	OnMessage          func([]byte)   // called with each message that another host has sent by SendMessage; it must not block
 	RPC                map[string]any // services for calls of other hosts, by name
 }
 
@@ -120,6 +124,7 @@
 	lastNumber       uint64               // guarded by mu; number of the latest state
 	rounds           int                  // guarded by mu; rounds of full states sent
 	storeLost        bool                 // guarded by mu; this host cannot read the store
+	conn             *net.UDPConn         // guarded by mu; nil before Run
 
 	announceRequested chan time.Duration // the longest delay before the announcement
 }
@@ -262,6 +267,9 @@
 			return err
 		}
 	}
+	x.mu.Lock()
+	x.conn = conn
+	x.mu.Unlock()
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error {
 		<-ctx.Done()
@@ -303,6 +311,12 @@
 			x.logAndWait(ctx, "datagram not received", err)
 			continue
 		}
+		if size > 0 && buf[0] == messageMark {
+			if x.handlers.OnMessage != nil {
+				x.handlers.OnMessage(bytes.Clone(buf[1:size]))
+			}
+			continue
+		}
 		s, err := decode(buf[:size])
 		if err != nil {
 			x.log.Warn("datagram not decoded", "bytes", size, "error", err.Error())
@@ -312,6 +326,46 @@
 	}
 }
 
+// messageMark is the first byte of a message. No state begins with it: in compressed data it stands for a block of a type that does not exist.
+const messageMark = 0x07
+
+// SendMessage sends a host a message of its own, which may be lost.
+func (x *Exchanger) SendMessage(host string, data []byte) error {
+	x.mu.Lock()
+	conn, p := x.conn, x.peers[host]
+	x.mu.Unlock()
+	if conn == nil || p == nil {
+		return fmt.Errorf("peers: host %q is not known", host)
+	}
+	_, err := conn.WriteToUDP(append([]byte{messageMark}, data...), p.addr)
+	return err
+}
+
+// Candidate is a host of the mesh in the order of a key.
+type Candidate struct {
+	Host      string
+	Reachable bool      // as far as this host knows; leaves take all for reachable
+	Heard     time.Time // when its latest state arrived
+}
+
+// Candidates returns the first n hosts of the mesh in an order that depends on the key and is the same at all hosts that know the same fleet.
+func (x *Exchanger) Candidates(key string, n int) []Candidate {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	mesh := slices.Clone(x.topology.mesh)
+	sortByHash(mesh, key)
+	inMesh := x.topology.inMesh[x.host]
+	var out []Candidate
+	for _, host := range mesh[:min(n, len(mesh))] {
+		c := Candidate{Host: host, Reachable: host == x.host || !inMesh}
+		if p := x.peers[host]; p != nil && inMesh {
+			c.Reachable, c.Heard = p.link == meshLink, p.receivedAt
+		}
+		out = append(out, c)
+	}
+	return out
+}
+
 // Call calls a net/rpc method of the host on a new connection. When ctx ends, it gives up the call and closes the
 // connection, which may never deliver an answer.
 func (x *Exchanger) Call(ctx context.Context, host, method string, args, reply any) error {
--- a/lib/peers/peers_test.go
+++ b/lib/peers/peers_test.go
@@ -14,8 +14,8 @@
 
 	"cuminhook.org/cuminhook/lib/aggregate"
 	"cuminhook.org/cuminhook/lib/balance"
-	"cuminhook.org/cuminhook/lib/orglimit"
 	"cuminhook.org/cuminhook/lib/registry"
+	"cuminhook.org/cuminhook/lib/sharedrate"
 	"cuminhook.org/cuminhook/lib/storewatch"
 )
 
@@ -24,7 +24,7 @@
 	s := &State{
 		Host: "h", Boot: 7, Number: 9, ConfigVersion: 3, Kind: Down,
 		Contribution: aggregate.Contribution{
-			Hosts: 4, Demand: orglimit.Report{"o": {Charged: 5, Demand: 6, SharedTokens: -7}},
+			Hosts: 4, Demand: sharedrate.Report{"o": {Charged: 5, Demand: 6, SharedTokens: -7}},
 			Loads:    map[string]balance.Load{"t": {Running: 1, PrefillTokens: 2, CacheTokens: 3, PrefillMSPerSecond: 4}},
 			Suspects: map[string]int{"x": 2}, EngineLoad: map[string]float64{"m": 1}, AdapterRates: map[string]float64{"m/a": 2},
 		},
@@ -215,7 +215,7 @@
 		h.Exchanger = New(Config{Host: name, Zone: zone, Addr: addr, LinkMbps: 1000, FarInterval: farInterval}, Handlers{
 			FillState: func(s *State) {
 				s.Contribution = aggregate.Contribution{
-					Hosts: 1, Loads: map[string]balance.Load{"t": {Running: 1}}, Demand: orglimit.Report{"o": {Charged: h.charged}},
+					Hosts: 1, Loads: map[string]balance.Load{"t": {Running: 1}}, Demand: sharedrate.Report{"o": {Charged: h.charged}},
 				}
 				if h.placement != nil {
 					s.PlacementVersion = h.placement.Version
--- a/lib/peers/receive.go
+++ b/lib/peers/receive.go
@@ -89,9 +89,11 @@
 	x.mu.Lock()
 	lost := x.expireLinks(now)
 	lost = append(lost, x.removeUnlisted(now)...)
+	mesh := x.topology.mesh
 	if x.topologyOutdated {
 		lost = append(lost, x.updateTopology()...)
 	}
+	newMesh := !slices.Equal(mesh, x.topology.mesh)
 	former, silent := x.chooseAggregator(now)
 	lost = append(lost, former...)
 	fleet, changed := x.currentFleet()
@@ -99,6 +101,9 @@
 	for _, host := range lost {
 		x.handlers.OnUnreachable(host)
 	}
+	if newMesh && x.handlers.OnMesh != nil {
+		x.handlers.OnMesh()
+	}
 	if silent {
 		x.handlers.OnAggregatorSilent()
 	}
--- a/lib/quota/bucket.go
+++ b/lib/quota/bucket.go
@@ -360,3 +360,16 @@
 	b.loans = append(b.loans, l)
 	b.loanTokens += n
 }
+
+// Debit takes n tokens, whatever there is. The level may become negative.
+func (b *Bucket) Debit(now int64, n float64) {
+	b.Advance(now)
+	b.level -= n
+}
+
+// Credit puts back up to n tokens of a charge made at time at, and returns the increase. Tokens by which the bucket would have exceeded its cap
+// since then are lost.
+func (b *Bucket) Credit(now, at int64, n float64) float64 {
+	b.Advance(now)
+	return b.credit(at, n)
+}
--- a/lib/orglimit/orglimit.go
+++ b/lib/sharedrate/sharedrate.go
@@ -1,21 +1,19 @@
-// Package orglimit limits each organisation to its rate over all hosts. It handles organisations that send several times
-// their rate, and rates so small that one request takes a large part of them.
+// Package sharedrate keeps all hosts together within rates that are so low that one charge is much of what a host may spend, such as the requests
+// a second that a target in trouble takes.
 //
-// The hosts report to each other what they have charged. Each host estimates the token bucket that all hosts share, and
-// admits requests as long as the estimate exceeds what its peers have probably charged since their last reports. When the
-// shared bucket is nearly empty, each host spends a fraction of the rate that depends on its fraction of the demand. Where one charge
-// is more than such a fraction, hosts draw which of them may make it; see Coarse.
+// The hosts report to each other what they have charged. Each host estimates the token bucket that all hosts share, and admits charges as long as
+// the estimate exceeds what its peers have probably charged since their last reports. Beyond that, each time that a host wants to charge it draws
+// whether it may, with the chance that the rate leaves to what all hosts want: hosts that each spent their own part, or the same charge that was
+// saved up, would exceed such a rate together. So the rate is kept on average, not in each span; package ratekeeper keeps it in each.
 //
 // The package does no I/O, and takes the time as an argument.
-package orglimit
+package sharedrate
 
 import (
 	"maps"
 	"math"
 	"sync"
 	"time"
-
-	"cuminhook.org/cuminhook/lib/catalog"
 )
 
 const (
@@ -37,20 +35,25 @@
 	// and when they lose each other. It is long beside the time that a report takes, because an estimate that moves towards
 	// an older one loses a part of what was charged since.
 	convergenceTime = 10 * time.Second
-	// maxLocalSavings bounds what a host saves up of its share of the rate, expressed as time at that share.
-	maxLocalSavings = 250 * time.Millisecond
-	// maxSharedDebt is the debt of the shared bucket, expressed as time at the rate, from which on no host admits a request.
+	// maxSharedDebt is the debt of the shared bucket, expressed as time at the rate, from which on no host admits a charge.
 	maxSharedDebt = 500 * time.Millisecond
 )
 
-// Usage is what a host has charged an organisation, and the organisation's demand at the host.
+// Limit is a rate that all hosts share.
+type Limit struct {
+	Name  string
+	Rate  float64 // tokens a second
+	Burst float64 // capacity of the token bucket, in tokens
+}
+
+// Usage is what a host has charged a limit, and the demand for it at the host.
 type Usage struct {
-	Charged      float64 `json:"c"` // tokens since the start of the host
-	Demand       float64 `json:"d"` // average of the requested tokens a second, whether admitted or not
-	SharedTokens float64 `json:"p"` // the host's estimate of the shared bucket, in tokens
+	Charged      float64 `json:"c"`           // tokens since the start of the host
+	Demand       float64 `json:"d,omitempty"` // average of the requested tokens a second, whether admitted or not
+	SharedTokens float64 `json:"p,omitempty"` // the host's estimate of the shared bucket, in tokens
 }
 
-// Report is a host's usage by organisation.
+// Report is a host's usage by the name of the limit.
 type Report map[string]Usage
 
 // peer is the last report of another host, or of one that stands for several.
@@ -61,32 +64,38 @@
 	received time.Time
 }
 
-// bucket is the state of one organisation at this host.
+// bucket is the state of one limit at this host.
 type bucket struct {
-	limit         *catalog.Organisation // as last charged
-	sharedTokens  float64               // estimate of the bucket that all hosts share
-	localTokens   float64               // saved up of this host's share of the rate
-	updated       time.Time             // when the tokens were last refilled
+	limit         *Limit    // as last charged
+	sharedTokens  float64   // estimate of the bucket that all hosts share
+	updated       time.Time // when the tokens were last refilled
 	usage         Usage
 	demandUpdated time.Time // when usage.Demand was last decayed
-	coarse        coarseState
+	drawn         bool      // a number was drawn and no charge made since
+	draw          float64
+	usual         float64   // tokens a second that this host usually wants, of the latest Want
+	knownSince    time.Time // since when demand is known; zero: none is
 }
 
-// Limiter enforces the limits at one host. It is safe for concurrent use.
+// Limiter enforces limits at one host. It is safe for concurrent use.
 type Limiter struct {
-	started time.Time
-	coarse  *Coarse // nil: a charge is little beside what a host may spend
+	started      time.Time
+	chargeTokens float64
+	random       func() float64
 
 	mu      sync.Mutex
 	hosts   int                // guarded by mu
 	period  time.Duration      // guarded by mu; time between two reports of a host
 	peers   map[string]peer    // guarded by mu; by host
-	buckets map[string]*bucket // guarded by mu; by organisation
+	buckets map[string]*bucket // guarded by mu; by name of the limit
 }
 
-// New returns the limiter of a host that starts now, without peers.
-func New(now time.Time) *Limiter {
-	return &Limiter{started: now, hosts: 1, peers: map[string]peer{}, buckets: map[string]*bucket{}}
+// New returns the limiter of a host that starts now, without peers. Each charge takes chargeTokens; random is uniform in [0, 1) and is called
+// while no other call is.
+func New(now time.Time, chargeTokens float64, random func() float64) *Limiter {
+	return &Limiter{
+		started: now, chargeTokens: chargeTokens, random: random, hosts: 1, peers: map[string]peer{}, buckets: map[string]*bucket{},
+	}
 }
 
 // SetHosts sets the number of hosts, including this one, and the time between two reports of a host.
@@ -131,7 +140,7 @@
 	}
 }
 
-// Report returns this host's usage of all organisations that it has charged.
+// Report returns this host's usage of all limits that it has charged.
 func (l *Limiter) Report(now time.Time) Report {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -154,89 +163,61 @@
 	}
 }
 
-// Decision states whether a charge is admitted, with the values that it depends on.
-type Decision struct {
-	Admitted          bool
-	RetryAfter        time.Duration // time until the charge is admitted if the demand does not change; zero if admitted
-	SharedTokens      float64       // estimate of the bucket that all hosts share, in tokens
-	LocalTokens       float64       // tokens saved up of this host's share of the rate
-	RateFraction      float64       // fraction of the rate that this host may spend when the shared bucket is empty
-	ReachableFraction float64       // fraction of the hosts that are reachable, including this one
-}
-
-// Charge charges the organisation the tokens unless it is above its rate, and returns the decision. An organisation without
-// a rate is not limited.
-func (l *Limiter) Charge(o *catalog.Organisation, tokens int64, now time.Time) Decision {
+// Charge charges the limit once if that is admitted, and reports whether it is. Without a limit everything is.
+func (l *Limiter) Charge(o *Limit, now time.Time) bool {
 	if o == nil || o.Rate <= 0 {
-		return Decision{Admitted: true}
+		return true
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	b, est := l.refill(o, now)
-	if l.coarse == nil {
-		b.usage.Demand += float64(tokens) / demandTimeConstant.Seconds()
-	}
-	// A charge may exceed what is available, because requests larger than the burst would never be admitted otherwise.
-	available := b.sharedTokens - est.unreportedTokens
-	decision := Decision{
-		Admitted: true, SharedTokens: b.sharedTokens, LocalTokens: b.localTokens,
-		RateFraction: est.rateFraction, ReachableFraction: est.reachableFraction,
-	}
-	switch {
-	case available > 0:
-		b.localTokens = max(0, b.localTokens-float64(tokens))
-	case l.mayUseShare(b, est, now):
-		b.localTokens -= float64(tokens)
-	default:
-		decision.Admitted, decision.RetryAfter = false, l.retryAfter(o, b, est, available)
-		return decision
+	if !l.admits(b, est, now) {
+		return false
 	}
-	b.coarse.drawn = false
-	b.sharedTokens -= float64(tokens)
-	b.usage.Charged += float64(tokens)
-	return decision
+	l.charge(b)
+	return true
 }
 
-// mayUseShare reports whether the host may spend of its own share of the rate. The caller holds mu.
-func (l *Limiter) mayUseShare(b *bucket, est peerEstimate, now time.Time) bool {
-	if b.sharedTokens <= -b.limit.Rate*maxSharedDebt.Seconds() {
-		return false
-	}
-	if l.coarse != nil {
-		return l.wins(b, est, now)
-	}
-	return b.localTokens > 0
+// charge counts a charge. The caller holds mu.
+func (l *Limiter) charge(b *bucket) {
+	b.drawn = false
+	b.sharedTokens -= l.chargeTokens
+	b.usage.Charged += l.chargeTokens
+}
+
+// admits reports whether a charge is admitted: from the shared bucket, or by the number that was drawn. The caller holds mu.
+func (l *Limiter) admits(b *bucket, est peerEstimate, now time.Time) bool {
+	return b.sharedTokens > est.unreportedTokens ||
+		b.sharedTokens > -b.limit.Rate*maxSharedDebt.Seconds() && l.wins(b, est, now)
 }
 
 // Admits reports whether Charge would admit a charge, without charging.
-func (l *Limiter) Admits(o *catalog.Organisation, now time.Time) bool {
+func (l *Limiter) Admits(o *Limit, now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	b, est := l.refill(o, now)
-	return b.sharedTokens > est.unreportedTokens || l.mayUseShare(b, est, now)
+	return l.admits(b, est, now)
 }
 
 // HasCredit reports whether there are tokens in the shared bucket, as far as this host knows what others have charged. A host without
 // contact counts its equal share only.
-func (l *Limiter) HasCredit(o *catalog.Organisation, now time.Time) bool {
+func (l *Limiter) HasCredit(o *Limit, now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	b, _ := l.refill(o, now)
 	return b.sharedTokens > 0
 }
 
-// Count charges the organisation the tokens, whether it is above its rate or not.
-func (l *Limiter) Count(o *catalog.Organisation, tokens int64, now time.Time) {
+// Count charges the limit once, whether that is admitted or not.
+func (l *Limiter) Count(o *Limit, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	b, _ := l.refill(o, now)
-	b.coarse.drawn = false
-	b.sharedTokens -= float64(tokens)
-	b.usage.Charged += float64(tokens)
+	l.charge(b)
 }
 
 // Share returns the tokens a second that this host may spend when the shared bucket is empty.
-func (l *Limiter) Share(o *catalog.Organisation, now time.Time) float64 {
+func (l *Limiter) Share(o *Limit, now time.Time) float64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	_, est := l.refill(o, now)
@@ -250,45 +231,22 @@
 	maps.DeleteFunc(l.buckets, func(name string, _ *bucket) bool { return !keep(name) })
 }
 
-// retryAfter returns the time until the shared bucket or this host's share has a token available.
-func (l *Limiter) retryAfter(o *catalog.Organisation, b *bucket, est peerEstimate, available float64) time.Duration {
-	sharedSeconds := (1 - available) / (o.Rate * est.reachableFraction)
-	localSeconds := (1 - b.localTokens) / (o.Rate * est.rateFraction)
-	return time.Duration(min(sharedSeconds, localSeconds) * float64(time.Second))
-}
-
-// Refund returns the tokens charged for a request that was not run.
-func (l *Limiter) Refund(o *catalog.Organisation, tokens int64) {
+// Refund takes back a charge that was not used.
+func (l *Limiter) Refund(o *Limit) {
 	if o == nil || o.Rate <= 0 {
 		return
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if b := l.buckets[o.Name]; b != nil {
-		b.sharedTokens += float64(tokens)
-		b.usage.Charged -= float64(tokens)
-	}
-}
-
-// Withdraw takes back a charge for a request that was not run, and its part in the demand. Peers take demand for charges that they have
-// not heard of, and would refuse an organisation within its rate whose requests are refused for want of targets and sent again.
-func (l *Limiter) Withdraw(o *catalog.Organisation, tokens int64, chargedAt, now time.Time) {
-	l.Refund(o, tokens)
-	if o == nil || o.Rate <= 0 {
-		return
-	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if b := l.buckets[o.Name]; b != nil {
-		b.decayDemand(now)
-		counted := float64(tokens) / demandTimeConstant.Seconds() * math.Exp(-float64(max(0, now.Sub(chargedAt)))/float64(demandTimeConstant))
-		b.usage.Demand = max(0, b.usage.Demand-counted)
+		b.sharedTokens += l.chargeTokens
+		b.usage.Charged -= l.chargeTokens
 	}
 }
 
-// refill refills the organisation's bucket up to now, and creates it if there is none. It returns the bucket and what is
+// refill refills the limit's bucket up to now, and creates it if there is none. It returns the bucket and what is
 // estimated of the peers.
-func (l *Limiter) refill(o *catalog.Organisation, now time.Time) (*bucket, peerEstimate) {
+func (l *Limiter) refill(o *Limit, now time.Time) (*bucket, peerEstimate) {
 	est := l.estimatePeers(o.Name, now)
 	b := l.buckets[o.Name]
 	if b == nil {
@@ -300,17 +258,15 @@
 	l.noteDemand(b, est, now)
 	if dt := now.Sub(b.updated).Seconds(); dt > 0 {
 		b.sharedTokens += dt * o.Rate * est.reachableFraction
-		b.localTokens += dt * o.Rate * est.rateFraction
 		b.updated = now
 	}
 	// Peers have probably charged tokens that they have not reported yet. The bucket may exceed the burst by these, as it
 	// will be charged with them later.
 	b.sharedTokens = min(b.sharedTokens, o.Burst*est.reachableFraction+min(est.unreportedTokens, o.Burst))
-	b.localTokens = min(b.localTokens, o.Rate*est.rateFraction*maxLocalSavings.Seconds())
 	return b, est
 }
 
-// peerEstimate is what a host estimates of the other hosts' charges of an organisation.
+// peerEstimate is what a host estimates of the other hosts' charges of a limit.
 type peerEstimate struct {
 	reachable         int     // hosts that are reachable, including this one
 	demand            float64 // tokens a second, of all reachable hosts
@@ -319,7 +275,7 @@
 	unreportedTokens  float64 // tokens that peers have probably charged since their last reports
 }
 
-// estimatePeers returns the estimate for an organisation. Each unreachable host may spend an equal share of the rate, which
+// estimatePeers returns the estimate for a limit. Each unreachable host may spend an equal share of the rate, which
 // the reachable hosts leave to it.
 func (l *Limiter) estimatePeers(name string, now time.Time) peerEstimate {
 	localDemand := 0.0
--- a/lib/targetrate/cold.go
+++ b/lib/targetrate/cold.go
@@ -9,6 +9,7 @@
 
 	"cuminhook.org/cuminhook/lib/catalog"
 	"cuminhook.org/cuminhook/lib/registry"
+	"cuminhook.org/cuminhook/lib/sharedrate"
 )
 
 const (
@@ -50,15 +51,15 @@
 	service, zone  string
 	started, beat  int64 // of the latest entry
 	absentSince    time.Time
-	until          time.Time             // end of the cold time that was stated
-	assumedUntil   time.Time             // end of the cold time that is assumed without news
-	assumedAtBeat  int64                 // a later entry that states no cold time ends the assumption
-	refused        map[string]time.Time  // when the target last refused a connection to a host, by the zone of the host
-	limit          *catalog.Organisation // of the service, as last used; nil: none yet
-	sent           []sentRequest         // of the last boundWindow+arrivalSpread
-	part           int                   // requests that this host may send in that time
-	partOf         int                   // by how many requests of all hosts part was worked out
-	partGeneration int                   // by which members
+	until          time.Time            // end of the cold time that was stated
+	assumedUntil   time.Time            // end of the cold time that is assumed without news
+	assumedAtBeat  int64                // a later entry that states no cold time ends the assumption
+	refused        map[string]time.Time // when the target last refused a connection to a host, by the zone of the host
+	limit          *sharedrate.Limit    // of the service, as last used; nil: none yet
+	sent           []sentRequest        // of the last boundWindow+arrivalSpread
+	part           int                  // requests that this host may send in that time
+	partOf         int                  // by how many requests of all hosts part was worked out
+	partGeneration int                  // by which members
 }
 
 // sentRequest is a request to a target that may be cold.
@@ -425,7 +426,7 @@
 }
 
 // coldLimit returns the limit of a target that is cold, or nil. The caller holds mu.
-func (l *Limits) coldLimit(target string, now time.Time) *catalog.Organisation {
+func (l *Limits) coldLimit(target string, now time.Time) *sharedrate.Limit {
 	if c := &l.cold; c.contact && c.suspended(now) {
 		c.contact = false // until the next call of Contact
 		l.assumeAll("process was suspended", now)
@@ -515,7 +516,7 @@
 
 // noteUnsent takes back the latest request that was noted, and returns the limit that it was charged to as to a cold target, or nil.
 // The caller holds mu.
-func (l *Limits) noteUnsent(target string) *catalog.Organisation {
+func (l *Limits) noteUnsent(target string) *sharedrate.Limit {
 	s := l.cold.targets[target]
 	if s == nil || len(s.sent) == 0 {
 		return nil
--- a/lib/targetrate/targetrate.go
+++ b/lib/targetrate/targetrate.go
@@ -16,8 +16,7 @@
 	"sync"
 	"time"
 
-	"cuminhook.org/cuminhook/lib/catalog"
-	"cuminhook.org/cuminhook/lib/orglimit"
+	"cuminhook.org/cuminhook/lib/sharedrate"
 )
 
 const (
@@ -33,7 +32,7 @@
 
 // Limits are the rates that targets have stated. They are safe for concurrent use.
 type Limits struct {
-	limiter *orglimit.Limiter // of targets, in place of organisations
+	limiter *sharedrate.Limiter
 
 	mu     sync.Mutex
 	stated map[string]statement // guarded by mu; by target
@@ -42,8 +41,8 @@
 
 // statement is the latest that a target stated.
 type statement struct {
-	rate  float64               // requests a second; zero: no limit
-	limit *catalog.Organisation // nil: no limit
+	rate  float64           // requests a second; zero: no limit
+	limit *sharedrate.Limit // nil: no limit
 	at    time.Time
 }
 
@@ -56,7 +55,7 @@
 // New returns limits of a host that starts now and knows of none. random need not be safe for concurrent use.
 func New(now time.Time, random *rand.Rand) *Limits {
 	return &Limits{
-		limiter: orglimit.NewCoarse(now, orglimit.Coarse{ChargeTokens: tokensPerRequest, Random: random.Float64}), stated: map[string]statement{},
+		limiter: sharedrate.New(now, tokensPerRequest, random.Float64), stated: map[string]statement{},
 		cold: coldTargets{targets: map[string]*cold{}, members: map[string]time.Time{}},
 	}
 }
@@ -90,12 +89,12 @@
 }
 
 // newLimit returns the limit of a target that takes a number of requests a second.
-func newLimit(target string, rate float64) *catalog.Organisation {
-	return &catalog.Organisation{Name: target, Rate: rate * tokensPerRequest, Burst: max(1, rate*burstTime.Seconds()) * tokensPerRequest}
+func newLimit(target string, rate float64) *sharedrate.Limit {
+	return &sharedrate.Limit{Name: target, Rate: rate * tokensPerRequest, Burst: max(1, rate*burstTime.Seconds()) * tokensPerRequest}
 }
 
 // limits returns the limit that a target states and that of a cold target; either may be nil.
-func (l *Limits) limits(target string, now time.Time) (stated, cold *catalog.Organisation) {
+func (l *Limits) limits(target string, now time.Time) (stated, cold *sharedrate.Limit) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.stated[target].limit, l.coldLimit(target, now)
@@ -122,14 +121,14 @@
 
 // coldAvailable reports whether this host may send a cold target a request: within this host's part of the bound, and while all
 // hosts together are within the rate as far as that is known.
-func (l *Limits) coldAvailable(target string, limit *catalog.Organisation, now time.Time) bool {
+func (l *Limits) coldAvailable(target string, limit *sharedrate.Limit, now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.withinPart(target, l.cold.targets[target], now) && l.limiter.HasCredit(limit, now)
 }
 
 // lower returns the lower one of two limits, of which the first may be nil.
-func lower(a, b *catalog.Organisation) *catalog.Organisation {
+func lower(a, b *sharedrate.Limit) *sharedrate.Limit {
 	if a != nil && a.Rate < b.Rate {
 		return a
 	}
@@ -161,10 +160,10 @@
 	l.noteSent(target, cold != nil, now)
 	l.mu.Unlock()
 	if cold != nil {
-		l.limiter.Count(lower(stated, cold), tokensPerRequest, now)
+		l.limiter.Count(lower(stated, cold), now)
 		return
 	}
-	l.limiter.Charge(stated, tokensPerRequest, now)
+	l.limiter.Charge(stated, now)
 }
 
 // Return takes back a request that was counted by Take and did not reach the target.
@@ -175,7 +174,7 @@
 		limit = cold
 	}
 	l.mu.Unlock()
-	l.limiter.Refund(limit, tokensPerRequest)
+	l.limiter.Refund(limit)
 }
 
 // Retain forgets all targets but those for which keep returns true.
@@ -187,13 +186,13 @@
 }
 
 // Usage returns what this host has sent to targets with a limit, for other hosts.
-func (l *Limits) Usage(now time.Time) orglimit.Report {
+func (l *Limits) Usage(now time.Time) sharedrate.Report {
 	l.dropEnded(now)
 	return l.limiter.Report(now)
 }
 
 // ApplyUsage applies the usage that a peer reports, which covers a number of hosts. The boot id distinguishes the peer's starts.
-func (l *Limits) ApplyUsage(host string, boot uint64, hosts int, r orglimit.Report, now time.Time) {
+func (l *Limits) ApplyUsage(host string, boot uint64, hosts int, r sharedrate.Report, now time.Time) {
 	l.limiter.ApplyReport(host, boot, hosts, r, now)
 }
 
