Hosts without a path: requests go on over another host

Cause: a failed link was always taken for the target's fault, and a host had no other way to serve than its own links. Change: a host that no target accepts while others reach some is cut off (lib/pathwatch). It passes requests on, one hop, to hosts that have a path (lib/filter/passon), reports no evidence against targets, and gives up the placement lease. A refused connection convicts nothing unless another target accepts one.

--- a/lib/aggregate/aggregate.go
+++ b/lib/aggregate/aggregate.go
@@ -16,14 +16,15 @@
 
 // Contribution is what one host reports, or the sum over several.
 type Contribution struct {
-	Hosts        int                     `json:"k,omitempty"` // hosts that it covers
-	Demand       sharedrate.Report       `json:"d,omitempty"` // charges and demand of organisations
-	TargetDemand sharedrate.Report       `json:"g,omitempty"` // charges and demand of targets that state a limit, by target
-	Loads        map[string]balance.Load `json:"l,omitempty"` // requests in flight, by target
-	EngineLoad   map[string]float64      `json:"w,omitempty"` // milliseconds of engine time a second, by model
-	AdapterRates map[string]float64      `json:"a,omitempty"` // requests a second, by model/adapter
-	Outcomes     quarantine.Outcomes     `json:"o,omitzero"`  // of requests, until their answers began
-	Suspects     map[string]int          `json:"u,omitempty"` // hosts that find a target unresponsive, by target
+	Hosts        int                     `json:"k,omitempty"`  // hosts that it covers
+	Demand       sharedrate.Report       `json:"d,omitempty"`  // charges and demand of organisations
+	TargetDemand sharedrate.Report       `json:"g,omitempty"`  // charges and demand of targets that state a limit, by target
+	Loads        map[string]balance.Load `json:"l,omitempty"`  // requests in flight, by target
+	EngineLoad   map[string]float64      `json:"w,omitempty"`  // milliseconds of engine time a second, by model
+	AdapterRates map[string]float64      `json:"a,omitempty"`  // requests a second, by model/adapter
+	Outcomes     quarantine.Outcomes     `json:"o,omitzero"`   // of requests, until their answers began
+	Cut          int                     `json:"pc,omitempty"` // hosts that reach no target
+	Suspects     map[string]int          `json:"u,omitempty"`  // hosts that find a target unresponsive, by target
 	// Failures counts recent requests by target, of targets that fail some; empty where targets are not set aside for that.
 	Failures map[string]balance.Failures `json:"of,omitempty"`
 }
@@ -107,6 +108,16 @@
 	return out
 }
 
+// Counts returns the number of hosts that the members cover for which include returns true, and of those that reach no target.
+func (s *Sum) Counts(include func(name string) bool) (hosts, cut int) {
+	for name, m := range s.members {
+		if include(name) {
+			hosts, cut = hosts+m.current.Hosts, cut+m.current.Cut
+		}
+	}
+	return hosts, cut
+}
+
 // addUsage adds the usage of a member that covers hosts to a sum. Estimates of shared buckets are added by host, and estimating
 // counts the hosts.
 func addUsage(sum sharedrate.Report, estimating map[string]float64, usage sharedrate.Report, charged map[string]float64, hosts int) {
@@ -164,6 +175,7 @@
 
 // add adds c, or subtracts it if sign is -1, without its hosts and demand. Entries that become zero are dropped.
 func (t *Contribution) add(c *Contribution, sign int) {
+	t.Cut += sign * c.Cut
 	for id, load := range c.Loads {
 		if sum := t.Loads[id].Plus(load, int64(sign)); sum != (balance.Load{}) {
 			t.Loads[id] = sum
--- a/lib/entryhost/connections.go
+++ b/lib/entryhost/connections.go
@@ -19,10 +19,10 @@
 
 var _ balance.Connections = (*connections)(nil)
 
-func newConnections(cfg *Config) *connections {
+func newConnections(cfg *Config, onDial func(addr string, err error)) *connections {
 	c := &connections{Budget: connbudget.New(cfg.Settings.Host), log: cfg.Log}
 	c.client = forward.NewClient(forward.Config{
-		Protocol: cfg.Protocol, Limit: c.limit, OnRefused: c.refused, Metrics: cfg.Metrics,
+		Protocol: cfg.Protocol, Limit: c.limit, OnRefused: c.refused, Dial: cfg.Dial, OnDial: onDial, Metrics: cfg.Metrics,
 	})
 	return c
 }
--- a/lib/entryhost/entryhost.go
+++ b/lib/entryhost/entryhost.go
@@ -25,6 +25,7 @@
 	"cuminhook.org/cuminhook/lib/filter/classify"
 	"cuminhook.org/cuminhook/lib/filter/orgrate"
 	"cuminhook.org/cuminhook/lib/filter/relay"
+	"cuminhook.org/cuminhook/lib/httpconn"
 	"cuminhook.org/cuminhook/lib/kv"
 	"cuminhook.org/cuminhook/lib/lease"
 	"cuminhook.org/cuminhook/lib/orders"
@@ -73,7 +74,8 @@
 	Settings   Settings
 	Store      Store
 	Codec      storewatch.Codec
-	Protocol   passthrough.Protocol
+	Protocol   passthrough.HostProtocol
+	Dial       httpconn.Dialer // to targets; nil: TCP
 	Engines    orders.Client
 	Log        *slog.Logger
 	RequestLog *slog.Logger // log of requests; nil: Log
@@ -98,6 +100,7 @@
 	quarantine   *quarantineRole
 	requests     *requestRole
 	streams      *streamRole
+	path         *pathRole
 	placer       *placer.Placer
 	role         *placementRole
 	server       *pipeline.Server
@@ -119,12 +122,14 @@
 	if cfg.RequestLog == nil {
 		cfg.RequestLog = cfg.Log
 	}
-	conns, rates := newConnections(&cfg), targetrate.New(time.Now(), newRandom())
+	rates := targetrate.New(time.Now(), newRandom())
 	h := &Host{
-		cfg: cfg, log: cfg.Log, connections: conns, rates: rates, stop: stopping.New(), current: s,
-		balancer: balance.New(s.Zone, conns, rates, newRandom()),
-		meter:    workload.New(), retries: retry.NewBudget(s.RetryRatio, s.RetrySlack),
+		cfg: cfg, log: cfg.Log, rates: rates, stop: stopping.New(), current: s,
+		meter: workload.New(), retries: retry.NewBudget(s.RetryRatio, s.RetrySlack),
 	}
+	h.path = newPathRole(h)
+	h.connections = newConnections(&cfg, h.path.dialled)
+	h.balancer = balance.New(s.Zone, h.connections, rates, newRandom())
 	h.keepers = newKeepers(h)
 	h.balancer.SetRegions(s.Zones)
 	cfg.Metrics.NewGauge("cuminhook_evacuated_zones", func() float64 { return float64(h.evacuated.Load()) })
@@ -138,7 +143,7 @@
 	h.streams = newStreamRole(s.Host, cfg.Store, func() { h.peers.Relay() }, h.inTouch, cfg.Log)
 	h.targets.Store(&map[string]*registry.Target{})
 	h.placer = placer.New(placer.Config{
-		Host: s.Host, Client: cfg.Engines, ShouldCampaign: h.role.shouldCampaign, LoadRateFactor: s.Placement.LoadsOvershoot,
+		Host: s.Host, Client: cfg.Engines, ShouldCampaign: h.role.shouldCampaign, Cut: h.path.Cut, LoadRateFactor: s.Placement.LoadsOvershoot,
 		Waves: s.Placement.Waves, DemandTimeConstant: workload.AverageTimeConstant, LoadedBefore: h.role.loadedBefore,
 		Demand: h.role.totalDemand, Suspects: h.role.agreedSuspects,
 		Paused:        func(id string) bool { return h.balancer.Paused(id, time.Now()) },
@@ -168,7 +173,8 @@
 		source.OnStated(h.statements.ofOrders)
 	}
 	h.memory = newMemory(s, cfg.Log, cfg.Metrics)
-	h.server = pipeline.NewServer(h.serverConfig())
+	filters := h.filters()
+	h.server, h.path.server = pipeline.NewServer(h.serverConfig(filters)), h.path.newServer(filters)
 	h.memory.export(h.server)
 	return h
 }
@@ -178,9 +184,10 @@
 	handler := relay.New(relay.Config{
 		Protocol: h.cfg.Protocol, Client: h.connections.client, Balancer: h.balancer, Retries: h.retries,
 		Placement: h.role, Demand: h.meter, Rates: h.rates, Statements: h.statements, Quarantine: h.quarantine.detector,
-		Requests: h.requests.detector, Streams: h.streams, OnClaim: h.requests.spread, TargetAt: h.targetAt, Admission: h.cfg.Settings.Admission,
+		Requests: h.requests.detector, Streams: h.streams, OnClaim: h.requests.spread, TargetAt: h.targetAt, Path: h.path, Admission: h.cfg.Settings.Admission,
 		Stop: h.stop, Log: h.cfg.RequestLog, Metrics: h.cfg.Metrics,
 	})
+	handler = h.path.sender(handler)
 	handler = orgrate.New(handler, orgrate.Config{Keepers: h.keepers, Log: h.cfg.RequestLog})
 	handler = classify.New(handler, classify.Config{Protocol: h.cfg.Protocol, Catalog: h.catalog.Load})
 	return accesslog.New(handler, accesslog.Config{Log: h.cfg.RequestLog, Metrics: h.cfg.Metrics})
@@ -301,13 +308,19 @@
 	if c := h.catalog.Load(); c != nil {
 		s.ConfigVersion = c.Version
 	}
-	suspects := map[string]int{}
-	for _, id := range h.balancer.Suspects() {
-		suspects[id] = 1
+	suspects, failures, cut := map[string]int{}, map[string]balance.Failures(nil), 0
+	if !h.path.Doubtful() {
+		for _, id := range h.balancer.Suspects() {
+			suspects[id] = 1
+		}
+		failures = h.balancer.LocalFailures(now)
+	}
+	if h.path.NoPath() {
+		cut = 1
 	}
 	s.Contribution = aggregate.Contribution{
 		Hosts: 1, Demand: h.keepers.Report(now), TargetDemand: h.rates.Usage(now), Loads: h.balancer.LocalLoads(now), EngineLoad: h.engineLoad(now),
-		AdapterRates: h.meter.Adapters(now), Suspects: suspects, Failures: h.balancer.LocalFailures(now), Outcomes: h.quarantine.detector.Outcomes(now),
+		AdapterRates: h.meter.Adapters(now), Cut: cut, Suspects: suspects, Failures: failures, Outcomes: h.quarantine.detector.Outcomes(now),
 	}
 	h.connections.updateDemand(h.balancer, now)
 	s.TargetRates = h.rates.Statements(now)
@@ -414,6 +427,12 @@
 	if err != nil {
 		return fmt.Errorf("listen: %w; choose an address of this host that is free", err)
 	}
+	var passed net.Listener
+	if s.Pass != "" {
+		if passed, err = listen.Listen(ctx, "tcp", s.Pass); err != nil {
+			return errors.Join(fmt.Errorf("pass: %w; choose an address of this host that is free", err), callers.Close())
+		}
+	}
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	group, groupCtx := errgroup.WithContext(background)
@@ -423,7 +442,7 @@
 	registration, unregister := context.WithCancel(groupCtx)
 	defer unregister()
 	group.Go(func() error {
-		peers.Register(registration, h.cfg.Store, storewatch.HostPrefix+s.Host, peers.Entry{Addr: s.Peers, Zone: s.Zone},
+		peers.Register(registration, h.cfg.Store, storewatch.HostPrefix+s.Host, peers.Entry{Addr: s.Peers, Zone: s.Zone, Pass: s.Pass, Key: h.path.key},
 			h.log)
 		return nil
 	})
@@ -443,6 +462,10 @@
 	group.Go(func() error { return serveStatus(groupCtx, s.Ready, h.readyHandler()) })
 	group.Go(func() error { return serveStatus(groupCtx, s.Metrics, h.metricsHandler()) })
 	group.Go(func() error { return h.server.Serve(callers) })
+	if passed != nil {
+		group.Go(func() error { return h.path.server.Serve(passed) })
+	}
+	group.Go(func() error { h.path.Run(groupCtx); return nil })
 	group.Go(func() error { h.memory.watch(groupCtx, h.server); return nil })
 	h.log.Info("started", "listen", s.Listen, "peers", s.Peers, "store", s.Store)
 	select {
@@ -482,6 +505,7 @@
 	h.stop.Begin(schedule)
 	h.stopping.Store(true)
 	h.server.BeginStop()
+	h.path.server.BeginStop()
 	return schedule
 }
 
@@ -491,5 +515,8 @@
 	time.Sleep(time.Until(schedule.Admission))
 	limit, cancel := context.WithDeadline(ctx, schedule.Exit)
 	defer cancel()
-	return h.server.Stop(limit)
+	group := errgroup.Group{}
+	group.Go(func() error { return h.server.Stop(limit) })
+	group.Go(func() error { return h.path.server.Stop(limit) })
+	return group.Wait()
 }
--- a/lib/entryhost/memory.go
+++ b/lib/entryhost/memory.go
@@ -112,6 +112,7 @@
 func (h *Host) setLimits(l catalog.Limits) {
 	limits := callerLimits(l)
 	h.server.SetLimits(limits)
+	h.path.server.SetLimits(limits)
 	if largest := h.memory.budget.LargestBody(); int64(limits.MaxBodyBytes) > largest {
 		h.log.Warn("bodies of the permitted size have no room in the memory", "max_body_bytes", limits.MaxBodyBytes, "room", largest,
 			"remedy", "raise memory_mb of the host, or lower max_body_bytes")
@@ -119,10 +120,10 @@
 }
 
 // serverConfig returns the settings of the server for callers.
-func (h *Host) serverConfig() pipeline.ServerConfig {
+func (h *Host) serverConfig(first pipeline.Handler) pipeline.ServerConfig {
 	s, limits := h.cfg.Settings, callerLimits(catalog.Limits{})
 	return pipeline.ServerConfig{
-		First: h.filters(), MaxBodyBytes: limits.MaxBodyBytes, MaxHeaderBytes: limits.MaxHeaderBytes, RequestLineBytes: requestLineBytes,
+		First: first, MaxBodyBytes: limits.MaxBodyBytes, MaxHeaderBytes: limits.MaxHeaderBytes, RequestLineBytes: requestLineBytes,
 		HeaderTimeout: limits.HeaderTimeout, IdleTimeout: limits.IdleTimeout, ReadTimeout: s.Callers.BodyTimeout, WriteTimeout: writeTimeout,
 		MaxHeaderLines: s.Callers.MaxHeaderLines, MinBodyRate: s.Callers.MinBodyRate, MaxConns: s.maxConns(),
 		MaxConnsPerIP: s.Callers.MaxConnsPerIP, Memory: h.memory.budget, Owner: h.owner, FineRetryAfter: true,
--- a/lib/entryhost/settings.go
+++ b/lib/entryhost/settings.go
@@ -15,7 +15,10 @@
 	Ready   string `yaml:"ready"`   // IP:port of the readiness check for load balancers
 	Peers   string `yaml:"peers"`   // IP:port for states (UDP) and calls (TCP) of other hosts
 	Metrics string `yaml:"metrics"` // IP:port of the metrics page
-	Store   string `yaml:"store"`   // IP:port of the platform's store
+	// Pass is the IP:port at which this host takes requests of hosts that are cut off from the targets; empty: it takes none, and passes
+	// none on.
+	Pass  string `yaml:"pass"`
+	Store string `yaml:"store"` // IP:port of the platform's store
 
 	// DrainWithin and ConfigWithin are the times after the store's acknowledgement within which a draining target gets no
 	// more requests and a configuration is in force, on every host.
@@ -127,6 +130,11 @@
 			return err
 		}
 	}
+	if s.Pass != "" {
+		if err := settings.CheckAddr("pass", s.Pass); err != nil {
+			return err
+		}
+	}
 	if s.DrainWithin <= 0 || s.ConfigWithin <= 0 {
 		return fmt.Errorf("drain_within (%s) and config_within (%s) must be above 0", s.DrainWithin, s.ConfigWithin)
 	}
--- a/lib/entryhost/status.go
+++ b/lib/entryhost/status.go
@@ -65,3 +65,6 @@
 	}()
 	return s.Serve(ln)
 }
+
+// Peers returns the number of other hosts whose states arrive.
+func (h *Host) Peers() int { return h.peers.Fleet().Reachable - 1 }
--- a/lib/filter/orgrate/orgrate.go
+++ b/lib/filter/orgrate/orgrate.go
@@ -33,7 +33,7 @@
 // Serve implements pipeline.Handler.
 func (f *filter) Serve(ctx context.Context, ex *pipeline.Exchange) error {
 	o := ex.Customer
-	if o == nil {
+	if o == nil || ex.Passed { // charged at the host that has passed it on
 		return f.next.Serve(ctx, ex)
 	}
 	ex.Charge = o.PlainTokens
--- a/lib/filter/relay/crashes.go
+++ b/lib/filter/relay/crashes.go
@@ -32,6 +32,7 @@
 	detector *quarantine.Detector
 	requests *quarantine.Requests
 	targetAt func(addr string) *registry.Target
+	path     Path
 	log      *slog.Logger
 
 	mu    sync.Mutex
@@ -61,7 +62,7 @@
 
 func newCrashWatch(cfg *Config) *crashWatch {
 	return &crashWatch{
-		client: cfg.Client, detector: cfg.Quarantine, requests: cfg.Requests, targetAt: cfg.TargetAt, log: cfg.Log,
+		client: cfg.Client, detector: cfg.Quarantine, requests: cfg.Requests, targetAt: cfg.TargetAt, path: cfg.Path, log: cfg.Log,
 		lost: map[incarnation][]lostRun{}, ended: map[incarnation]end{},
 	}
 }
@@ -93,6 +94,10 @@
 	runs := w.lost[target]
 	delete(w.lost, target)
 	w.mu.Unlock()
+	if down && !w.reachesOthers(target.addr) {
+		w.log.Info("target not taken for crashed", "target", target.id, "addr", target.addr, "reason", "no target accepts connections")
+		return
+	}
 	if down {
 		w.recordEnd(target, false)
 	} else if !w.startsAgain(target) {
@@ -107,6 +112,13 @@
 	}
 }
 
+// reachesOthers reports whether another target accepts connections of this host.
+func (w *crashWatch) reachesOthers(addr string) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
+	defer cancel()
+	return w.path.Reaches(ctx, addr)
+}
+
 func (w *crashWatch) isDown(addr string) bool {
 	for range maxCrashChecks {
 		ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
--- a/lib/filter/relay/relay.go
+++ b/lib/filter/relay/relay.go
@@ -76,6 +76,16 @@
 	Find(k streamversion.Key, services []string) (streamversion.Origin, bool)
 }
 
+// Path watches the path from this host to the targets.
+type Path interface {
+	// Wait records that a request waits for bytes of a target, until the function that it returns is called.
+	Wait() (done func(arrived bool))
+	// Cut reports whether this host is cut off from the targets while others reach them.
+	Cut() bool
+	// Reaches reports whether a target other than the one at the address accepts connections.
+	Reaches(ctx context.Context, except string) bool
+}
+
 // Config are the settings of the filter.
 type Config struct {
 	Protocol  passthrough.Protocol
@@ -98,6 +108,8 @@
 	// TargetAt returns the target that is known at an address, or nil. Where the function is nil, a target that starts again before it is
 	// checked does not count as crashed.
 	TargetAt func(addr string) *registry.Target
+	// Path tells failures of the path from those of targets; nil: it never fails.
+	Path Path
 	// Admission has requests wait at this host for room at the targets, and refuses at once what cannot be served; false: all are sent
 	// at once.
 	Admission bool
@@ -124,6 +136,9 @@
 	if cfg.Random == nil {
 		cfg.Random = rand.Float64
 	}
+	if cfg.Path == nil {
+		cfg.Path = soundPath{}
+	}
 	if cfg.Stop == nil {
 		cfg.Stop = stopping.New()
 	}
@@ -147,6 +162,18 @@
 	return f
 }
 
+// soundPath is a path that never fails.
+type soundPath struct{}
+
+// Wait implements Path.
+func (soundPath) Wait() func(bool) { return func(bool) {} }
+
+// Cut implements Path.
+func (soundPath) Cut() bool { return false }
+
+// Reaches implements Path.
+func (soundPath) Reaches(context.Context, string) bool { return true }
+
 // Serve implements pipeline.Handler.
 func (f *filter) Serve(ctx context.Context, ex *pipeline.Exchange) error {
 	ctx, release := f.cfg.Stop.Bound(ctx)
@@ -168,7 +195,9 @@
 		cancel()
 		return err
 	}
-	f.cfg.Retries.RecordRequest(r.service)
+	if !ex.Counted {
+		f.cfg.Retries.RecordRequest(r.service)
+	}
 	if err := r.checkQuarantine(); err != nil {
 		cancel()
 		return err
@@ -262,6 +291,10 @@
 // run makes attempts until an answer can be delivered or no further attempt is allowed.
 func (r *request) run() error {
 	for {
+		if r.cfg.Path.Cut() {
+			r.releaseReserved()
+			return r.fail(refusal.NoPath, busyRetryAfter)
+		}
 		choice, err := r.nextChoice()
 		if err != nil {
 			return r.refuseNoTarget(err)
@@ -384,15 +417,17 @@
 		Instance: choice.Target.ID, TimeLeft: time.Until(r.targetDeadline()), Organisation: r.ex.Organisation,
 		Priority: r.enginePriority(), LastEvent: r.lastEventID,
 	})
+	waited := r.cfg.Path.Wait()
 	t.answer, t.outcome, t.err = r.cfg.Client.Do(ctx, &forward.Request{
 		Addr: choice.Target.Addr, ID: r.call.ID, Head: head, Method: string(h.Method()),
 		Body: r.ex.HTTP.Request.Body(), RunOnce: r.route.Kind == catalog.NonIdempotent, OnSend: r.onSend,
 		Earlier: r.answers,
 	})
+	waited(t.answer != nil)
 	if t.outcome == forward.NotSent {
 		choice.Unsent()
 		if errors.Is(t.err, syscall.ECONNREFUSED) && r.cfg.Statements != nil {
-			r.cfg.Statements.Down(choice.Target)
+			go r.reportDown(choice.Target)
 		}
 	}
 	if t.answer != nil {
@@ -408,6 +443,18 @@
 	return t
 }
 
+// downCheckTimeout bounds the check whether this host reaches other targets than one that refuses connections.
+const downCheckTimeout = time.Second
+
+// reportDown reports a target that refused a connection, unless all others do as well.
+func (f *filter) reportDown(t *registry.Target) {
+	ctx, cancel := context.WithTimeout(context.Background(), downCheckTimeout)
+	defer cancel()
+	if f.cfg.Path.Reaches(ctx, t.Addr) {
+		f.cfg.Statements.Down(t)
+	}
+}
+
 // recordStatements records what the target states of itself in the header of the answer.
 func (r *request) recordStatements(t *try) {
 	r.recordRateLimit(t)
@@ -549,12 +596,6 @@
 	return slog.Attr{}
 }
 
-// hopByHopFields are the header fields that apply to a single connection; they are not passed on.
-var hopByHopFields = map[string]bool{
-	fasthttp.HeaderConnection: true, "Keep-Alive": true, fasthttp.HeaderTransferEncoding: true, fasthttp.HeaderTrailer: true,
-	fasthttp.HeaderUpgrade: true, "Proxy-Connection": true, fasthttp.HeaderContentLength: true, fasthttp.HeaderProxyAuthenticate: true,
-}
-
 // deliver passes the answer on to the caller. A stream is read while the server writes it, after deliver has returned.
 func (r *request) deliver(t *try) error {
 	var body *stream
@@ -571,7 +612,7 @@
 	resp.SetStatusCode(t.answer.Header.StatusCode())
 	resp.Header.SetNoDefaultContentType(true)
 	for key, value := range t.answer.Header.All() {
-		if !hopByHopFields[string(key)] {
+		if !pipeline.IsHopByHop(string(key)) {
 			resp.Header.AddBytesKV(key, value)
 		}
 	}
--- a/lib/filter/relay/stream.go
+++ b/lib/filter/relay/stream.go
@@ -130,7 +130,9 @@
 }
 
 func (s *stream) readTarget(p []byte) (int, error) {
+	waited := s.req.cfg.Path.Wait()
 	n, err := s.current.answer.Read(p)
+	waited(n > 0)
 	s.boundary.feed(p[:n])
 	if errors.Is(err, io.EOF) && s.boundary.partial && isEventStream(s.current.answer) {
 		return n, errInsideEvent
@@ -192,7 +194,9 @@
 	s.limitStall()
 	defer s.endStallLimit()
 	for len(s.ready) == 0 {
+		waited := s.req.cfg.Path.Wait()
 		n, err := s.current.answer.Read(buf[:])
+		waited(n > 0)
 		if errors.Is(err, errStalled) {
 			n = 0 // the next target sends these events again
 		}
@@ -317,7 +321,7 @@
 		s.events.dropPartial()
 		return nil
 	}
-	for s.events.resumable() && r.ctx.Err() == nil && r.state.MaySend() && !r.cfg.Requests.Suspected(r.key()) && (r.reserved != nil || r.cfg.Retries.Allow(r.service)) {
+	for s.events.resumable() && r.ctx.Err() == nil && !r.cfg.Path.Cut() && r.state.MaySend() && !r.cfg.Requests.Suspected(r.key()) && (r.reserved != nil || r.cfg.Retries.Allow(r.service)) {
 		r.retryCounter("stream_broken").Inc()
 		r.lastEventID = s.events.lastID
 		choice, err := r.nextChoice()
--- a/lib/forward/forward.go
+++ b/lib/forward/forward.go
@@ -115,13 +115,15 @@
 	// OnRefused is called when a target at the address closed a new connection before it answered anything, with the
 	// number of connections that this host had to it; may be nil.
 	OnRefused func(addr string, open int)
-	Metrics   *metrics.Set // may be nil
+	// OnDial is called after each try to open a connection, unless its request ended first; may be nil.
+	OnDial  func(addr string, err error)
+	Metrics *metrics.Set // may be nil
 }
 
 // NewClient returns a client without connections.
 func NewClient(cfg Config) *Client {
 	c := &Client{cfg: cfg}
-	c.pool = &httpconn.Pool{Dial: cfg.Dial, DialTimeout: dialTimeout, IdleTimeout: idleTimeout, MaxIdle: maxIdle, Limit: cfg.Limit, ReceiveBuffer: receiveBuffer}
+	c.pool = &httpconn.Pool{Dial: cfg.Dial, DialTimeout: dialTimeout, IdleTimeout: idleTimeout, MaxIdle: maxIdle, Limit: cfg.Limit, ReceiveBuffer: receiveBuffer, OnDial: cfg.OnDial}
 	if cfg.Metrics != nil {
 		c.pool.Events = func(e httpconn.Event) {
 			cfg.Metrics.GetOrCreateCounter(`cuminhook_target_connections_total{event="` + string(e) + `"}`).Inc()
--- a/lib/httpconn/httpconn.go
+++ b/lib/httpconn/httpconn.go
@@ -77,6 +77,8 @@
 	MaxResponse   int64                 // largest body in bytes that Receive reads whole; zero: MaxResponseBytes
 	Limit         func(addr string) int // most connections to addr, in use and idle; nil: no limit
 	Events        func(Event)           // called for each event of a connection, with mu held; nil: none
+	// OnDial is called after each try to open a connection, unless its request ended first; nil: none.
+	OnDial func(addr string, err error)
 
 	mu    sync.Mutex
 	addrs map[string]*addrConns // guarded by mu
@@ -312,8 +314,8 @@
 	}
 }
 
-func (p *Pool) dial(ctx context.Context, addr string) (*Conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, cmp.Or(p.DialTimeout, DefaultDialTimeout))
+func (p *Pool) dial(parent context.Context, addr string) (*Conn, error) {
+	ctx, cancel := context.WithTimeout(parent, cmp.Or(p.DialTimeout, DefaultDialTimeout))
 	defer cancel()
 	dial := p.Dial
 	if dial == nil {
@@ -324,6 +326,9 @@
 	}
 	started := time.Now()
 	nc, err := dial(ctx, addr)
+	if p.OnDial != nil && (err == nil || parent.Err() == nil) {
+		p.OnDial(addr, err)
+	}
 	if err != nil {
 		return nil, err
 	}
--- a/lib/passthrough/passthrough.go
+++ b/lib/passthrough/passthrough.go
@@ -82,3 +82,11 @@
 	// ReadAnswer reads what the header of an answer states.
 	ReadAnswer(h *fasthttp.ResponseHeader) Answer
 }
+
+// HostProtocol is a request protocol whose requests hosts pass on to each other.
+type HostProtocol interface {
+	Protocol
+	// AppendPassed appends the request line and header for another host to dst, as the caller sent them but for the time that is left, without
+	// the fields that frame the body.
+	AppendPassed(dst []byte, h *fasthttp.RequestHeader, timeLeft time.Duration) []byte
+}
--- a/lib/peers/peers.go
+++ b/lib/peers/peers.go
@@ -68,6 +68,8 @@
 type Entry struct {
 	Addr string `json:"addr"` // IP:port of datagrams and calls
 	Zone string `json:"zone"`
+	Pass string `json:"pass,omitempty"` // IP:port of requests that other hosts pass on; empty: none are taken
+	Key  string `json:"key,omitempty"`  // that the sender of such a request has to know; new for each start
 }
 
 // Fleet is what a host knows of the fleet.
@@ -143,6 +145,7 @@
 type peer struct {
 	addr          *net.UDPAddr
 	zone          string
+	pass, key     string    // of its entry
 	listed        bool      // has an entry in the store
 	unlistedSince time.Time // when its entry was first missing
 	boot          uint64
@@ -204,7 +207,7 @@
 			x.peers[host] = p
 		}
 		x.topologyOutdated = x.topologyOutdated || p.zone != e.Zone
-		p.addr, p.zone, p.listed = addr, e.Zone, true
+		p.addr, p.zone, p.listed, p.pass, p.key = addr, e.Zone, true, e.Pass, e.Key
 	}
 	x.mu.Unlock()
 	x.update(now)
@@ -341,6 +344,27 @@
 	return err
 }
 
+// PassEntries returns the entries of the other hosts that take requests, by host.
+func (x *Exchanger) PassEntries() map[string]Entry {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	out := map[string]Entry{}
+	for host, p := range x.peers {
+		if p.listed && p.pass != "" && p.key != "" {
+			out[host] = Entry{Zone: p.zone, Pass: p.pass, Key: p.key}
+		}
+	}
+	return out
+}
+
+// OthersReach reports whether some other host is not known to reach no target.
+func (x *Exchanger) OthersReach() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	hosts, cut := x.sum.Counts(func(name string) bool { return name != selfMember })
+	return hosts > cut
+}
+
 // Candidate is a host of the mesh in the order of a key.
 type Candidate struct {
 	Host      string
--- a/lib/peers/receive.go
+++ b/lib/peers/receive.go
@@ -73,6 +73,9 @@
 	x.sum.Set(memberName(s.Host, kind), s.Boot, s.Contribution)
 }
 
+// selfMember is the name of this host in the sum.
+const selfMember = "self"
+
 // memberName returns the name of a linked host in the sum. A host that changes its link covers other hosts than before.
 func memberName(host string, kind link) string { return kind.String() + "/" + host }
 
--- a/lib/peers/send.go
+++ b/lib/peers/send.go
@@ -49,10 +49,9 @@
 		own.Kind = Up
 		return x.withPlacement(own, x.receivers(storewatch.ToMesh), placement, storewatch.ToMesh)
 	}
-	const self = "self"
-	x.sum.Set(self, x.boot, own.Contribution)
+	x.sum.Set(selfMember, x.boot, own.Contribution)
 	mesh := *own
-	mesh.Contribution = x.sum.Total(func(name string) bool { return name == self || isLeafMember(name) })
+	mesh.Contribution = x.sum.Total(func(name string) bool { return name == selfMember || isLeafMember(name) })
 	mesh.Contribution.Round()
 	out := x.withPlacement(&mesh, x.meshReceivers(), placement, storewatch.ToMesh)
 	var total aggregate.Contribution
--- a/lib/pipeline/pipeline.go
+++ b/lib/pipeline/pipeline.go
@@ -81,6 +81,11 @@
 	// admission
 	Priority int // lower runs earlier at the engine
 
+	// passon
+	Passed   bool            // another host has passed the request on to this one
+	Counted  bool            // that host has counted it for the budget of retries
+	OnHeader func(err error) // called before the header of the answer is written, with the refusal if it is one; nil: none
+
 	finish   []func(Outcome)
 	detached bool
 	finished bool
--- a/lib/pipeline/refuse.go
+++ b/lib/pipeline/refuse.go
@@ -48,6 +48,28 @@
 	ctx.Response.SetBodyRaw(EncodeRefusal(r, requestID))
 }
 
+// DecodeRefusal returns the refusal that a response of another host carries, or false if it carries none.
+func DecodeRefusal(h *fasthttp.ResponseHeader, body []byte) (*refusal.Error, bool) {
+	var b refusalBody
+	if json.Unmarshal(body, &b) != nil || b.Error.Reason == "" {
+		return nil, false
+	}
+	seconds, _ := strconv.ParseFloat(string(h.Peek(fasthttp.HeaderRetryAfter)), 64) // none: zero
+	return &refusal.Error{
+		Reason: b.Error.Reason, Run: b.Error.Run, Status: h.StatusCode(), Message: b.Error.Message, Remedy: b.Error.Remedy,
+		RetryAfter: time.Duration(seconds * float64(time.Second)),
+	}, true
+}
+
+// hopByHopFields are the header fields that apply to a single connection; they are not passed on.
+var hopByHopFields = map[string]bool{
+	fasthttp.HeaderConnection: true, "Keep-Alive": true, fasthttp.HeaderTransferEncoding: true, fasthttp.HeaderTrailer: true,
+	fasthttp.HeaderUpgrade: true, "Proxy-Connection": true, fasthttp.HeaderContentLength: true, fasthttp.HeaderProxyAuthenticate: true,
+}
+
+// IsHopByHop reports whether a header field, in canonical form, applies to a single connection.
+func IsHopByHop(name string) bool { return hopByHopFields[name] }
+
 // writeFineRetryAfter replaces the Retry-After of WriteRefusal, which is rounded up to whole seconds, by one with three
 // decimals.
 func writeFineRetryAfter(ctx *fasthttp.RequestCtx, r *refusal.Error) {
--- a/lib/pipeline/server.go
+++ b/lib/pipeline/server.go
@@ -165,6 +165,9 @@
 	if err != nil {
 		s.refuse(ex, err)
 	}
+	if ex.OnHeader != nil {
+		ex.OnHeader(err)
+	}
 	if !ex.Detached() {
 		ex.Finish(Outcome{
 			Status: h.Response.StatusCode(), Complete: true, PromptTokens: -1, OutputTokens: -1,
--- a/lib/placer/placer.go
+++ b/lib/placer/placer.go
@@ -58,6 +58,7 @@
 	Host           string
 	Lease          *lease.Lease
 	ShouldCampaign func() bool // reports whether this host should campaign; nil: always
+	Cut            func() bool // reports whether this host reaches no target while others do: it gives up the lease; nil: never
 	Client         orders.Client
 	LoadRateFactor float64 // factor on the weight store's rate up to which loads are tolerated
 	Demand         func() Demand
@@ -240,7 +241,11 @@
 	}
 }
 
-func (p *Placer) shouldCampaign() bool { return p.cfg.ShouldCampaign == nil || p.cfg.ShouldCampaign() }
+func (p *Placer) shouldCampaign() bool {
+	return (p.cfg.ShouldCampaign == nil || p.cfg.ShouldCampaign()) && !p.isCut()
+}
+
+func (p *Placer) isCut() bool { return p.cfg.Cut != nil && p.cfg.Cut() }
 
 // campaign waits until this host acquires the lease. It gives up once this host should no longer campaign, for example
 // because another host holds the lease.
@@ -301,6 +306,13 @@
 		if _, held := p.cfg.Lease.Held(); !held {
 			return
 		}
+		if p.isCut() {
+			p.cfg.Log.Warn("placement lease given up", "reason", "no path to targets")
+			if err := p.cfg.Lease.Resign(ctx); err != nil {
+				p.cfg.Log.Warn("placement lease not revoked; others wait until it expires", "error", err.Error())
+			}
+			return
+		}
 		p.planServices(ctx)
 		p.cfg.Publish()
 		timer.Reset(max(planInterval, (planRestDivisor-1)*time.Since(started)))
--- a/lib/refusal/refusal.go
+++ b/lib/refusal/refusal.go
@@ -27,6 +27,7 @@
 	DeadlineUnreachable    Reason = "deadline_unreachable"
 	QueueFull              Reason = "queue_full"
 	NoTarget               Reason = "no_target"
+	NoPath                 Reason = "no_path" // the host is cut off from the targets
 	ZonesEvacuated         Reason = "zones_evacuated"
 	RegionNotAllowed       Reason = "region_not_allowed"
 	TargetFailed           Reason = "target_failed"
