Brittle targets: hosts keep their requests within the slots

Targets that state Server-Brittle fell over one after the other, and callers got 502. Cause: hosts did not read the statement, and found out by rejections which targets are full. Change: an answer that states it makes a service brittle at all hosts (lib/brittle); the requests of all hosts at each of its targets then sum to its slots (lib/connbudget); hosts that have no part pass requests on to those that have.

--- a/lib/connbudget/connbudget.go
+++ b/lib/connbudget/connbudget.go
@@ -45,11 +45,14 @@
 	limits   map[string]int      // guarded by mu; connections that each target of a service accepts, by service
 	targets  map[string]*target  // guarded by mu; by address
 	services map[string]*service // guarded by mu; by name
+	brittle  map[string]bool     // guarded by mu; services whose targets get no more requests than they have slots
 }
 
 // target is a target with what was learned of it.
 type target struct {
 	service   string
+	slots     int
+	closed    bool // this host may not use the target
 	part      int  // connections that this host may open
 	member    bool // this host keeps connections to the target; always true while there are no more hosts than connections
 	learned   float64
@@ -103,11 +106,78 @@
 		if t == nil || t.service != info.Service {
 			t = &target{service: info.Service}
 		}
+		t.slots = info.Slots
 		b.targets[info.Addr] = t
 	}
 	b.divide()
 }
 
+// SetBrittle sets the services whose targets get no more requests from all hosts together than they have slots.
+func (b *Budget) SetBrittle(services []string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.brittle = map[string]bool{}
+	for _, name := range services {
+		b.brittle[name] = true
+	}
+	b.divide()
+}
+
+// Members returns the hosts that may use a target of a brittle service, or nil if this host is one of them or all may.
+func (b *Budget) Members(name string) (out []string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.brittle[name] {
+		return nil
+	}
+	usable := b.usable(name)
+	addrs := b.addrs(name)
+	for i, addr := range addrs {
+		if !b.targets[addr].closed {
+			return nil
+		}
+		for k := range min(usable, len(b.hosts)) {
+			out = append(out, b.hosts[(i*len(b.hosts)/len(addrs)+k)%len(b.hosts)])
+		}
+	}
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
+// limit returns the connections that all hosts together may have to a target of the service, zero if there is no limit. The caller holds mu.
+func (b *Budget) limit(name string) int {
+	limit := b.limits[name]
+	if b.brittle[name] {
+		for _, t := range b.targets {
+			if t.service == name && t.slots > 0 && (limit <= 0 || t.slots < limit) {
+				limit = t.slots
+			}
+		}
+	}
+	return limit
+}
+
+// usable returns the connections to a target that the hosts divide. The caller holds mu.
+func (b *Budget) usable(name string) int {
+	if b.brittle[name] { // health checks and orders take no slots
+		return max(1, b.limit(name))
+	}
+	return max(1, int(usedFraction*float64(b.limit(name))))
+}
+
+// addrs returns the addresses of a service's targets in an order that is the same at all hosts. The caller holds mu.
+func (b *Budget) addrs(name string) (out []string) {
+	for addr, t := range b.targets {
+		if t.service == name {
+			out = append(out, addr)
+		}
+	}
+	slices.SortFunc(out, func(a, c string) int {
+		return cmp.Or(cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(c)), cmp.Compare(a, c))
+	})
+	return out
+}
+
 // SetDemand sets the demand for a service at this host and at all hosts together, this one included, in any common unit.
 func (b *Budget) SetDemand(name string, local, total float64, now time.Time) {
 	if total <= 0 {
@@ -133,19 +203,18 @@
 		b.divideService(name)
 	}
 	for _, t := range b.targets {
-		if b.limits[t.service] <= 0 {
-			t.part, t.member = 0, true
+		if b.limit(t.service) <= 0 {
+			t.part, t.member, t.closed = 0, true, false
 		}
 	}
 }
 
 // divideService works out this host's parts of a service's targets. The caller holds mu.
 func (b *Budget) divideService(name string) {
-	limit := b.limits[name]
-	if limit <= 0 {
+	if b.limit(name) <= 0 {
 		return
 	}
-	usable := max(1, int(usedFraction*float64(limit)))
+	usable := b.usable(name)
 	hosts := float64(len(b.hosts)) + max(1, unknownHostsFraction*float64(len(b.hosts)))
 	if float64(usable) < hosts {
 		b.divideAmongMembers(name, usable)
@@ -158,7 +227,7 @@
 	part := max(1, int(float64(usable)*(equalFraction/hosts+(1-equalFraction)*fraction*float64(len(b.hosts))/hosts)))
 	for _, t := range b.targets {
 		if t.service == name {
-			t.part, t.member = part, true
+			t.part, t.member, t.closed = part, true, false
 		}
 	}
 }
@@ -168,20 +237,13 @@
 // points that are spread evenly. So every host is a member of about equally many targets, and a host that comes or goes
 // changes one member of the targets around it. The caller holds mu.
 func (b *Budget) divideAmongMembers(name string, usable int) {
-	var addrs []string
-	for addr, t := range b.targets {
-		if t.service == name {
-			addrs = append(addrs, addr)
-		}
-	}
-	slices.SortFunc(addrs, func(a, c string) int {
-		return cmp.Or(cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(c)), cmp.Compare(a, c))
-	})
+	addrs := b.addrs(name)
 	self, n := slices.Index(b.hosts, b.host), len(b.hosts)
 	for i, addr := range addrs {
 		first := i * n / len(addrs)
 		t := b.targets[addr]
 		t.part, t.member = 1, (self-first+n)%n < usable
+		t.closed = b.brittle[name] && !t.member
 	}
 }
 
@@ -193,6 +255,9 @@
 	if t == nil || t.part == 0 {
 		return 0, false
 	}
+	if t.closed {
+		return 0, true
+	}
 	if t.learnedAt.IsZero() {
 		return t.part, true
 	}
--- a/lib/entryhost/entryhost.go
+++ b/lib/entryhost/entryhost.go
@@ -101,6 +101,7 @@
 	requests     *requestRole
 	streams      *streamRole
 	path         *pathRole
+	brittle      *brittleRole
 	placer       *placer.Placer
 	role         *placementRole
 	server       *pipeline.Server
@@ -130,6 +131,7 @@
 	h.path = newPathRole(h)
 	h.connections = newConnections(&cfg, h.path.dialled)
 	h.balancer = balance.New(s.Zone, h.connections, rates, newRandom())
+	h.brittle = newBrittleRole(h.connections, func() { h.peers.Relay() }, cfg.Log)
 	h.keepers = newKeepers(h)
 	h.balancer.SetRegions(s.Zones)
 	cfg.Metrics.NewGauge("cuminhook_evacuated_zones", func() float64 { return float64(h.evacuated.Load()) })
@@ -168,7 +170,7 @@
 		OnCatalog: h.setCatalog, OnTargets: h.setTargets, OnHosts: h.peers.SetEntries, OnZones: h.setEvacuations, OnQuarantine: h.quarantine.restore,
 		OnRequests: h.requests.restore, OnStreams: h.streams.restore, OnRestored: h.forgetAllStored, Announce: h.peers.Announce,
 	}, cfg.Log)
-	h.statements = &statements{h.storeWatcher, h.balancer, h.cold, cfg.Log, cfg.Metrics}
+	h.statements = &statements{h.storeWatcher, h.balancer, h.cold, h.brittle, cfg.Log, cfg.Metrics}
 	if source, ok := cfg.Engines.(orders.StatedSource); ok {
 		source.OnStated(h.statements.ofOrders)
 	}
@@ -324,6 +326,8 @@
 	}
 	h.connections.updateDemand(h.balancer, now)
 	s.TargetRates = h.rates.Statements(now)
+	h.brittle.update(now)
+	s.Brittle = h.brittle.Statements(now)
 	h.cold.fill(s, now)
 	h.streams.fill(s, now)
 	spread := h.peers.Fleet().Spread
@@ -338,10 +342,11 @@
 	s.Changes = h.storeWatcher.NewTargetChanges(to)
 	s.Quarantine, s.Requests = h.quarantine.news(to, time.Now()), h.requests.news(to, time.Now())
 	cold, streams := h.cold.fillNews(s, to, time.Now()), h.streams.fillNews(s, to, time.Now())
+	brittle := h.brittle.fillNews(s, to, time.Now())
 	if c := h.catalog.Load(); c != nil {
 		s.ConfigVersion = c.Version
 	}
-	return !s.Changes.Empty() || cold || streams || len(s.Quarantine.Quarantined)+len(s.Quarantine.Suspects) > 0 || !s.Requests.IsZero()
+	return !s.Changes.Empty() || cold || streams || brittle || len(s.Quarantine.Quarantined)+len(s.Quarantine.Suspects) > 0 || !s.Requests.IsZero()
 }
 
 // handleState applies a state received from another host.
@@ -358,6 +363,7 @@
 	}
 	h.rates.Merge(s.TargetRates, now)
 	h.cold.merge(s, now)
+	h.brittle.merge(s, now)
 	h.quarantine.merge(s, now)
 	h.requests.merge(s, now)
 	h.streams.merge(s, now)
--- a/lib/entryhost/path.go
+++ b/lib/entryhost/path.go
@@ -11,6 +11,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"cuminhook.org/cuminhook/lib/catalog"
 	"cuminhook.org/cuminhook/lib/filter/passon"
 	"cuminhook.org/cuminhook/lib/pathwatch"
 	"cuminhook.org/cuminhook/lib/pipeline"
@@ -102,6 +103,7 @@
 		return next
 	}
 	return passon.New(next, passon.Config{
+		Divert:   func(route *catalog.Route) []passon.Host { return r.host.brittle.divert(route, r.hosts) },
 		Protocol: r.host.cfg.Protocol, Pass: r.Pass, Cut: r.Cut, Hosts: r.hosts, OnKey: r.pollKeys, Retries: r.host.retries, Stop: r.host.stop,
 		Log: r.host.cfg.RequestLog, Metrics: r.host.cfg.Metrics,
 	})
--- a/lib/entryhost/statements.go
+++ b/lib/entryhost/statements.go
@@ -17,6 +17,7 @@
 	watcher  *storewatch.Watcher
 	balancer *balance.Balancer
 	cold     *coldRole
+	brittle  *brittleRole
 	log      *slog.Logger
 	metrics  *metrics.Set
 }
@@ -46,6 +47,9 @@
 // Cold implements relay.Statements.
 func (s *statements) Cold(t *registry.Target, left time.Duration) { s.cold.stated(t, left) }
 
+// Brittle implements relay.Statements.
+func (s *statements) Brittle(t *registry.Target, stated bool) { s.brittle.heard(t, stated) }
+
 // Down implements relay.Statements.
 func (s *statements) Down(t *registry.Target) { s.cold.down(t) }
 
--- a/lib/entryhost/status.go
+++ b/lib/entryhost/status.go
@@ -68,3 +68,6 @@
 
 // Peers returns the number of other hosts whose states arrive.
 func (h *Host) Peers() int { return h.peers.Fleet().Reachable - 1 }
+
+// Brittle reports whether targets of any service are known to be brittle.
+func (h *Host) Brittle() bool { return len(h.brittle.Brittle(time.Now())) > 0 }
--- a/lib/filter/passon/passon.go
+++ b/lib/filter/passon/passon.go
@@ -47,12 +47,14 @@
 	// Pass reports whether a request is to be passed on, and Cut whether this host is cut off from the targets while others reach them.
 	Pass, Cut func() bool
 	Hosts     func() []Host // the other hosts that may take requests
-	OnKey     func()        // called when a host did not know its key: it may have started anew
-	Retries   *retry.Budget
-	Stop      *stopping.Stop
-	Dial      httpconn.Dialer // nil: TCP
-	Log       *slog.Logger
-	Metrics   *metrics.Set
+	// Divert returns the hosts that take requests of the route while this one may send none to its targets; nil: it may.
+	Divert  func(*catalog.Route) []Host
+	OnKey   func() // called when a host did not know its key: it may have started anew
+	Retries *retry.Budget
+	Stop    *stopping.Stop
+	Dial    httpconn.Dialer // nil: TCP
+	Log     *slog.Logger
+	Metrics *metrics.Set
 }
 
 type filter struct {
@@ -82,8 +84,13 @@
 	if ex.Passed {
 		return f.next.Serve(ctx, ex)
 	}
+	if hosts := f.cfg.Divert(ex.Matched); len(hosts) > 0 {
+		if err := f.pass(ctx, ex, hosts, false); !errors.Is(err, errNotTaken) {
+			return err
+		}
+	}
 	if f.cfg.Pass() {
-		if err := f.pass(ctx, ex, false); !errors.Is(err, errNotTaken) {
+		if err := f.pass(ctx, ex, f.cfg.Hosts(), false); !errors.Is(err, errNotTaken) {
 			return err
 		}
 		if f.cfg.Cut() {
@@ -98,7 +105,7 @@
 	if r.Run != refusal.NotRun && (!ex.Matched.Repeatable() || !f.cfg.Retries.Allow(ex.Matched.Split[0].Service)) {
 		return err
 	}
-	if passErr := f.pass(ctx, ex, true); !errors.Is(passErr, errNotTaken) {
+	if passErr := f.pass(ctx, ex, f.cfg.Hosts(), true); !errors.Is(passErr, errNotTaken) {
 		return passErr
 	}
 	return err
@@ -107,13 +114,12 @@
 // errNotTaken means that no host took the request.
 var errNotTaken = errors.New("passon: no other host takes the request")
 
-// pass passes the request on. counted states that this host has counted it for the budget of retries.
-func (f *filter) pass(ctx context.Context, ex *pipeline.Exchange, counted bool) error {
+// pass passes the request on to one of the hosts. counted states that this host has counted it for the budget of retries.
+func (f *filter) pass(ctx context.Context, ex *pipeline.Exchange, all []Host, counted bool) error {
 	ctx, release := f.cfg.Stop.Bound(ctx)
 	ctx, cancel := context.WithDeadline(ctx, ex.AnswerBy)
 	p := &passage{filter: f, ex: ex, ctx: ctx, end: func() { cancel(); release() }}
-	all := f.cfg.Hosts()
-	f.hosts.retain(all)
+	f.hosts.retain(f.cfg.Hosts())
 	var tried []string
 	for len(tried) < maxHosts {
 		host, ok := f.hosts.pick(all, tried, time.Now())
--- a/lib/filter/relay/harness_test.go
+++ b/lib/filter/relay/harness_test.go
@@ -187,6 +187,9 @@
 // Cold implements Statements.
 func (r *harness) Cold(*registry.Target, time.Duration) {}
 
+// Brittle implements Statements.
+func (r *harness) Brittle(*registry.Target, bool) {}
+
 // Down implements Statements.
 func (r *harness) Down(*registry.Target) {}
 
--- a/lib/filter/relay/relay.go
+++ b/lib/filter/relay/relay.go
@@ -63,6 +63,8 @@
 	Pause(t *registry.Target, d time.Duration, requestID string)
 	// Cold records how much longer the target is cold.
 	Cold(t *registry.Target, left time.Duration)
+	// Brittle records whether the target states that those of its service fall over when they have to turn many requests away.
+	Brittle(t *registry.Target, stated bool)
 	// Down records that the target refused a connection: no process listens at its address.
 	Down(t *registry.Target)
 }
@@ -464,6 +466,7 @@
 		t.answer.Header.StatusCode() == fasthttp.StatusMisdirectedRequest && stated.Instance == "" {
 		return
 	}
+	r.cfg.Statements.Brittle(t.choice.Target, stated.Brittle)
 	if stated.Leaving {
 		r.cfg.Statements.Leaving(t.choice.Target, r.ex.ID)
 	}
--- a/lib/passthrough/passthrough.go
+++ b/lib/passthrough/passthrough.go
@@ -67,6 +67,7 @@
 	// negative if what is stated cannot be read.
 	RateLimit float64
 	Leaving   bool // the target that answered is leaving
+	Brittle   bool // the targets of its service fall over when they have to turn many requests away
 	// Pause is how long the target wants no request from this host; zero: not stated. It is negative if what is stated cannot be
 	// read.
 	Pause time.Duration
--- a/lib/peers/state.go
+++ b/lib/peers/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"cuminhook.org/cuminhook/lib/aggregate"
+	"cuminhook.org/cuminhook/lib/brittle"
 	"cuminhook.org/cuminhook/lib/quarantine"
 	"cuminhook.org/cuminhook/lib/registry"
 	"cuminhook.org/cuminhook/lib/storewatch"
@@ -64,9 +65,10 @@
 	// Streams are those that the sender, if it belongs to the mesh, and its leaves have begun lately; LeafStreams those that a leaf has.
 	Streams          streamversion.Report                `json:"sv,omitempty"`
 	LeafStreams      streamversion.Report                `json:"sl,omitempty"`
-	TargetRates      map[string]targetrate.Statement     `json:"r,omitempty"` // rates that targets stated, by target
-	Cold             map[string]targetrate.ColdStatement `json:"j,omitempty"` // cold times that targets stated, by target
-	Changes          storewatch.TargetChanges            `json:"v,omitzero"`  // recent changes of targets
+	TargetRates      map[string]targetrate.Statement     `json:"r,omitempty"`  // rates that targets stated, by target
+	Cold             map[string]targetrate.ColdStatement `json:"j,omitempty"`  // cold times that targets stated, by target
+	Brittle          map[string]brittle.Statement        `json:"br,omitempty"` // services whose targets are brittle
+	Changes          storewatch.TargetChanges            `json:"v,omitzero"`   // recent changes of targets
 	Holder           Holder                              `json:"t,omitzero"`
 	PlacementVersion PlacementVersion                    `json:"q,omitzero"`  // newest placement that the sender knows
 	Placement        *Placement                          `json:"p,omitempty"` // for receivers that lack it
