Silent targets: a second of silence takes no target for dead

Cause: two unanswered requests made a target suspect at once; a request gave up its only target after one try to connect. Change: suspects have answered nothing for 1.5 s; a request comes back to a silent target for 1.5 s if no other can serve it. Measured: TestTargetSilentForASecondLosesNoRequest failed before (503 after 355 ms).

--- a/lib/balance/balance.go
+++ b/lib/balance/balance.go
@@ -326,13 +326,13 @@
 	return out
 }
 
-// Suspects returns the ids of targets that left several requests in a row unanswered and have not answered since.
-func (b *Balancer) Suspects() []string {
+// Suspects returns the ids of targets that left several requests in a row unanswered, for a time, and have not answered since.
+func (b *Balancer) Suspects(now time.Time) []string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var out []string
 	for id, t := range b.targets {
-		if t.health.suspect() {
+		if t.health.suspect(now) {
 			out = append(out, id)
 		}
 	}
--- a/lib/balance/balance_test.go
+++ b/lib/balance/balance_test.go
@@ -205,7 +205,10 @@
 				c := pick(t, b, Query{Service: "plain", Call: &passthrough.Call{}, Tried: []string{"y"}})
 				c.Unresponsive(now)
 			}
-			if s := b.Suspects(); len(s) != 1 || s[0] != "x" {
+			if s := b.Suspects(now.Add(minSuspectTime - 1)); len(s) != 0 {
+				t.Errorf("suspects %v of targets that have been silent for a second", s)
+			}
+			if s := b.Suspects(now.Add(minSuspectTime)); len(s) != 1 || s[0] != "x" {
 				t.Errorf("suspects %v", s)
 			}
 			for range 10 {
@@ -238,7 +241,7 @@
 	for range 5 {
 		pick(t, b, Query{Service: "plain", Call: &passthrough.Call{}}).ConnectionBroken(now)
 	}
-	if s := b.Suspects(); len(s) != 0 || !b.targets["x"].health.usable(now) {
+	if s := b.Suspects(now.Add(minSuspectTime)); len(s) != 0 || !b.targets["x"].health.usable(now) {
 		t.Errorf("suspects %v", s)
 	}
 }
--- a/lib/balance/health.go
+++ b/lib/balance/health.go
@@ -22,11 +22,16 @@
 // minSuspectMisses is how many requests in a row a target has to leave unanswered before it counts as suspect.
 const minSuspectMisses = 2
 
+// minSuspectTime is how long it has to answer nothing for that: sound targets may fall silent for a second or so. An entry in the store of one
+// that is dead expires after three heartbeats of about a second each.
+const minSuspectTime = 1500 * time.Millisecond
+
 // health is the state of a target as seen from the outcomes of this host's requests.
 type health struct {
 	failureFraction float64 // fraction of failed answers as of failureUpdated; the newest answers weigh most
 	failureUpdated  time.Time
 	misses          int           // requests in a row that found the target unreachable or unresponsive
+	missedSince     time.Time     // when the first of them did
 	backoff         time.Duration // last suspension; zero after an answer
 	suspendedUntil  time.Time
 	probing         bool // a request is in flight that probes whether the target answers again
@@ -41,8 +46,10 @@
 // usable reports whether the target is neither suspended nor being probed.
 func (h *health) usable(now time.Time) bool { return !now.Before(h.suspendedUntil) && !h.probing }
 
-// suspect reports whether the target left several requests in a row unanswered and has not answered since.
-func (h *health) suspect() bool { return h.misses >= minSuspectMisses }
+// suspect reports whether the target left several requests in a row unanswered, for a time, and has not answered since.
+func (h *health) suspect(now time.Time) bool {
+	return h.misses >= minSuspectMisses && now.Sub(h.missedSince) >= minSuspectTime
+}
 
 // recentFailureFraction returns the failure fraction, decayed until now, or that of all hosts if it is larger.
 func (h *health) recentFailureFraction(now time.Time) float64 {
@@ -96,7 +103,9 @@
 func (h *health) unresponsive(now time.Time) {
 	h.addOutcome(1, 2*failureWeight, now)
 	h.count(true, now)
-	h.misses++
+	if h.misses++; h.misses == 1 {
+		h.missedSince = now
+	}
 	h.probing = false
 	if now.Before(h.suspendedUntil) {
 		return // one fault fails many requests at once
--- a/lib/entryhost/entryhost.go
+++ b/lib/entryhost/entryhost.go
@@ -312,7 +312,7 @@
 	}
 	suspects, failures, cut := map[string]int{}, map[string]balance.Failures(nil), 0
 	if !h.path.Doubtful() {
-		for _, id := range h.balancer.Suspects() {
+		for _, id := range h.balancer.Suspects(now) {
 			suspects[id] = 1
 		}
 		failures = h.balancer.LocalFailures(now)
--- a/lib/entryhost/placementrole.go
+++ b/lib/entryhost/placementrole.go
@@ -246,8 +246,10 @@
 // targets expire would take seconds longer.
 func (r *placementRole) agreedSuspects() map[string]bool {
 	counts := map[string]int{}
-	for _, id := range r.host.balancer.Suspects() {
-		counts[id]++
+	if !r.host.path.Doubtful() {
+		for _, id := range r.host.balancer.Suspects(time.Now()) {
+			counts[id]++
+		}
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/lib/filter/relay/harness_test.go
+++ b/lib/filter/relay/harness_test.go
@@ -98,6 +98,8 @@
 	targets  []*registry.Target
 	closed   []time.Time // when each target's connection ended
 	conns    []net.Conn  // the targets' ends of the connections
+	// silentUntil is until when no target answers to a new connection.
+	silentUntil time.Time
 }
 
 const (
@@ -257,7 +259,10 @@
 
 // dial connects to a scripted target.
 func (r *harness) dial(ctx context.Context, addr string) (net.Conn, error) {
-	if addr == unreachable {
+	r.mu.Lock()
+	silent := addr == unreachable || time.Now().Before(r.silentUntil)
+	r.mu.Unlock()
+	if silent {
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
--- a/lib/filter/relay/pick.go
+++ b/lib/filter/relay/pick.go
@@ -24,6 +24,8 @@
 	adapterLoadTimeout      = 400 * time.Millisecond
 	minAdapterRetryInterval = 150 * time.Millisecond
 	maxAdapterRetryInterval = 600 * time.Millisecond
+	// silentTargetWait is how long a request comes back to a target that does not answer to a new connection while no other can serve it.
+	silentTargetWait = 1500 * time.Millisecond
 	// loadRetryAfter is the Retry-After when no target has the model and nobody places models: another controller takes over
 	// within seconds.
 	loadRetryAfter = 1500 * time.Millisecond
@@ -64,6 +66,10 @@
 			r.tried = nil // retry at the same targets: the only one may have lost a single answer
 			continue
 		}
+		if now := time.Now(); len(r.tried) > 0 && !r.state.MayHaveRun() && now.Sub(r.silentSince) < silentTargetWait && now.Before(w.latest) {
+			r.tried = nil // a sound target may fall silent for a second, and may be the only one that can serve the request
+			continue
+		}
 		pause := r.pause(&w, err)
 		if pause < 0 {
 			if w.queued != nil {
--- a/lib/filter/relay/relay.go
+++ b/lib/filter/relay/relay.go
@@ -237,6 +237,7 @@
 	trialEnd     time.Time             // until when the request waits for other runs of it; zero: it has not begun to
 	trialOver    bool                  // the request no longer waits for other runs of it
 	claimed      bool                  // the request is about to be sent as the only one
+	silentSince  time.Time             // when a target first accepted no connection of the request, nor refused it; zero: none
 }
 
 // try is one attempt at a target.
@@ -317,6 +318,9 @@
 		}
 		t := r.attempt(choice)
 		r.logAttempt(t)
+		if t.outcome == forward.NotSent && isTimeout(t.err) && r.silentSince.IsZero() {
+			r.silentSince = t.sentAt
+		}
 		if t.outcome == forward.Answered && !r.retryable(t) {
 			r.releaseReserved()
 			return r.deliver(t)
@@ -330,6 +334,12 @@
 	}
 }
 
+// isTimeout reports whether the error is that of an operation that took too long.
+func isTimeout(err error) bool {
+	var t interface{ Timeout() bool }
+	return errors.As(err, &t) && t.Timeout()
+}
+
 // retryable reports whether the answer is a 5xx that another target's answer may replace.
 func (r *request) retryable(t *try) bool {
 	return !t.stream && t.answer.Header.StatusCode() >= fasthttp.StatusInternalServerError && r.state.Repeatable
--- a/lib/filter/relay/silence_test.go
+++ b/lib/filter/relay/silence_test.go
@@ -85,3 +85,20 @@
 		}
 	})
 }
+
+// Guards against a request that is refused because the only target that can serve it answers to no new connection for a second.
+func TestTargetSilentForASecondLosesNoRequest(t *testing.T) {
+	for _, path := range []string{"/safe/x", "/unsafe/x", "/stream/x", "/resumable/x"} {
+		withTargets(t, map[string]script{"near": pauseInStream(3, 0)}, func(t *testing.T, r *harness) {
+			r.silentUntil = time.Now().Add(1100 * time.Millisecond)
+			if a := r.call("POST", path, "1"); a.status != 200 || a.err != nil || r.requests() != "near 1" {
+				t.Errorf("%s: %+v after %q", path, a, r.requests())
+			}
+			r.silentUntil = time.Now().Add(time.Minute)
+			time.Sleep(10 * time.Second) // until no connection is idle
+			if a := r.call("POST", path, "2"); a.status != 503 || a.took > silentTargetWait+objective {
+				t.Errorf("%s: a dead target: %+v", path, a)
+			}
+		})
+	}
+}
--- a/lib/tcpopt/tcpopt.go
+++ b/lib/tcpopt/tcpopt.go
@@ -20,6 +20,10 @@
 	UserTimeout time.Duration // longest time that written data may stay unacknowledged
 }
 
+// ProbesEnd returns when unanswered probes close an idle connection by their count. The kernel closes it by UserTimeout instead, so the two have to
+// agree.
+func (o Options) ProbesEnd() time.Duration { return o.Idle + time.Duration(o.Count)*o.Interval }
+
 // Set sets the options of a TCP connection and leaves other connections as they are. If it fails, the system's defaults
 // may stay in force, with which an unreachable peer is detected later.
 func Set(conn net.Conn, o Options) error {
