Streams: that there is one version has to be shown after the take-up

Cause: a stream that nobody remembers went on at the only version that the host knew, if the host was in touch by a timer. Change: a read of the store that began after the take-up, shared by take-ups, has to show no other version; without the store, other hosts. Open: after a kill of all hosts that had not heard of a new version yet, streams of the old one are refused (docs/design/stream-versions.md).

--- a/lib/entryhost/entryhost.go
+++ b/lib/entryhost/entryhost.go
@@ -142,7 +142,7 @@
 	h.role = newPlacementRole(h)
 	h.quarantine = newQuarantineRole(s.Host, cfg.Store, func() { h.peers.Relay() }, cfg.Log, cfg.Metrics)
 	h.requests = newRequestRole(s.Host, cfg.Store, func() { h.peers.Relay() }, cfg.Log, cfg.Metrics)
-	h.streams = newStreamRole(s.Host, cfg.Store, func() { h.peers.Relay() }, h.inTouch, cfg.Log)
+	h.streams = newStreamRole(s.Host, cfg.Store, cfg.Codec, func() { h.peers.Relay() }, h.inTouch, cfg.Log)
 	h.targets.Store(&map[string]*registry.Target{})
 	h.placer = placer.New(placer.Config{
 		Host: s.Host, Client: cfg.Engines, ShouldCampaign: h.role.shouldCampaign, Cut: h.path.Cut, LoadRateFactor: s.Placement.LoadsOvershoot,
--- a/lib/entryhost/streams.go
+++ b/lib/entryhost/streams.go
@@ -34,12 +34,16 @@
 	// streamLeaseFactor times the time for which a stream may be taken up is the time to live of what a host stored of streams, which it
 	// renews with half of that left.
 	streamLeaseFactor = 2
+	// freshTimeout bounds the read of the store that shows whether this host knows all versions.
+	freshTimeout = 500 * time.Millisecond
 )
 
 // streamRole is this host's part in having streams go on at the version that began them.
 type streamRole struct {
 	tracker *streamversion.Tracker
-	store   kv.Store
+	store   streamStore
+	codec   storewatch.Codec
+	fresh   freshReads // of all versions
 	log     *slog.Logger
 	name    string      // under which this start of the host stores the streams that it began
 	relay   func()      // has partial states sent at once
@@ -70,11 +74,19 @@
 	Call(ctx context.Context, host, method string, args, reply any) error
 }
 
-func newStreamRole(host string, store kv.Store, relay func(), inTouch func() bool, log *slog.Logger) *streamRole {
-	return &streamRole{
-		tracker: streamversion.New(), store: store, log: log, relay: relay, inTouch: inTouch, now: make(chan struct{}, 1),
+// streamStore is the store as streams need it.
+type streamStore interface {
+	kv.Store
+	Snapshot(ctx context.Context, prefix string) (kv.Snapshot, error)
+}
+
+func newStreamRole(host string, store streamStore, codec storewatch.Codec, relay func(), inTouch func() bool, log *slog.Logger) *streamRole {
+	s := &streamRole{
+		tracker: streamversion.New(), store: store, codec: codec, log: log, relay: relay, inTouch: inTouch, now: make(chan struct{}, 1),
 		name: fmt.Sprintf("%s.%x", host, rand.Uint64()),
 	}
+	s.fresh = freshReads{read: s.readVersions, timeout: freshTimeout}
+	return s
 }
 
 func (s *streamRole) setFleet(f peers.Fleet) {
@@ -118,20 +130,56 @@
 	}
 }
 
-// Find implements relay.Streams. It asks other hosts for a stream that this host does not remember and must not take up otherwise.
+// Find implements relay.Streams. It asks other hosts for a stream that this host does not remember. That all targets are of one version counts
+// only if it was read from the store after the call, and so after the stream began: this host may have been cut off, or have stood still, while
+// another version came and began it.
 func (s *streamRole) Find(k streamversion.Key, services []string) (streamversion.Origin, bool) {
 	o, ok := s.tracker.Find(k, services, s.inTouch(), time.Now())
-	if ok {
+	if _, remembered := s.tracker.Remembered(k); remembered {
 		return o, ok
 	}
-	if _, remembered := s.tracker.Remembered(k); remembered || !s.ask(k) {
-		return o, ok
+	if ok {
+		if err := s.fresh.after(context.Background()); err != nil {
+			s.log.Warn("versions not read", "error", err.Error())
+			if remembered, confirmed := s.ask(k, o); !remembered && !confirmed {
+				return streamversion.Origin{}, false
+			}
+		}
+		if o, ok = s.tracker.Find(k, services, s.inTouch(), time.Now()); ok {
+			return o, ok
+		}
+	}
+	if remembered, _ := s.ask(k, o); !remembered {
+		return o, false
 	}
 	return s.tracker.Find(k, services, s.inTouch(), time.Now())
 }
 
-// ask asks some of the other hosts for a stream, and reports whether one remembers it.
-func (s *streamRole) ask(k streamversion.Key) bool {
+// readVersions reads the versions of all targets from the store, and what it holds of streams and versions that have left.
+func (s *streamRole) readVersions(ctx context.Context) error {
+	targets, err := s.store.Snapshot(ctx, s.codec.TargetPrefix())
+	if err != nil {
+		return err
+	}
+	streams, err := s.store.Snapshot(ctx, storewatch.StreamsPrefix)
+	if err != nil {
+		return err
+	}
+	versions := map[string][]string{}
+	for _, e := range targets.Entries {
+		t, err := s.codec.Target(e.Key[len(s.codec.TargetPrefix()):], e.Value)
+		if err == nil && !slices.Contains(versions[t.Service], t.Version) { // others serve nothing
+			versions[t.Service] = append(versions[t.Service], t.Version)
+		}
+	}
+	s.tracker.Restore(versions, time.Now())
+	s.restore(streams.Entries)
+	return nil
+}
+
+// ask asks some of the other hosts for a stream, and reports whether one remembers it. Otherwise confirmed reports whether a host answered and all
+// that did know no other version of its service than that of o.
+func (s *streamRole) ask(k streamversion.Key, o streamversion.Origin) (remembered, confirmed bool) {
 	hosts := slices.Clone(s.peers.Fleet().Known)
 	rand.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
 	hosts = hosts[:min(len(hosts), askedHosts)]
@@ -147,13 +195,21 @@
 			answers <- reply
 		}()
 	}
+	others := false
 	for range hosts {
-		if a := <-answers; a.Remembered {
+		a := <-answers
+		if a.Remembered {
 			s.tracker.Learn(k, a.Origin, time.Now())
-			return true
+			return true, false
+		}
+		if a.Versions != nil {
+			confirmed = true
+			for _, v := range a.Versions[o.Service] {
+				others = others || v != o.Version
+			}
 		}
 	}
-	return false
+	return false, confirmed && !others
 }
 
 // rpcStreams is the name of the net/rpc service that tells other hosts where streams began.
@@ -163,6 +219,7 @@
 type StreamOrigin struct {
 	Remembered bool
 	Origin     streamversion.Origin
+	Versions   map[string][]string // that the host knows, by service; nil: it did not answer
 }
 
 // streamService serves the net/rpc calls of other hosts.
@@ -171,6 +228,9 @@
 // Find returns where a stream began, if this host remembers that.
 func (s *streamService) Find(k streamversion.Key, reply *StreamOrigin) error {
 	reply.Origin, reply.Remembered = s.tracker.Remembered(k)
+	if reply.Versions = s.tracker.Versions(time.Now()); reply.Versions == nil {
+		reply.Versions = map[string][]string{}
+	}
 	return nil
 }
 
