Review: user timeout follows from the probes, bounds on requests that are passed on

tcpopt derives TCP_USER_TIMEOUT from the probes, so that they cannot disagree; the values are as before. At most a quarter of the callers' connections are passed on at the same time. A caller that leaves marks neither a keeper as silent nor a host as one that takes nothing. Tests are shorter, checks are the same.

--- a/lib/entryhost/path.go
+++ b/lib/entryhost/path.go
@@ -21,7 +21,8 @@
 const (
 	// passKeyBytes is the size of the key that other hosts have to state.
 	passKeyBytes = 16
-	// passConnsShare is the part of the callers' connections that other hosts may have in addition, and so the most requests of theirs.
+	// passConnsShare is the number of requests that are passed on at the same time, and of those that are taken, as a part of the callers'
+	// connections. Each takes a connection.
 	passConnsShare = 0.25
 	// keyPollInterval is the least time between two reads of the store because a host did not take its key.
 	keyPollInterval = time.Second
@@ -104,16 +105,20 @@
 	}
 	return passon.New(next, passon.Config{
 		Divert:   func(route *catalog.Route) []passon.Host { return r.host.brittle.divert(route, r.hosts) },
-		Protocol: r.host.cfg.Protocol, Pass: r.Pass, Cut: r.Cut, Hosts: r.hosts, OnKey: r.pollKeys, Retries: r.host.retries, Stop: r.host.stop,
+		Protocol: r.host.cfg.Protocol, Pass: r.Pass, Cut: r.Cut, Hosts: r.hosts, MaxOpen: r.maxPassed(), OnKey: r.pollKeys, Retries: r.host.retries, Stop: r.host.stop,
 		Log: r.host.cfg.RequestLog, Metrics: r.host.cfg.Metrics,
 	})
 }
 
+// maxPassed returns the most requests that this host passes on, and the most that it takes, at the same time.
+func (r *pathRole) maxPassed() int64 {
+	return int64(math.Ceil(passConnsShare * float64(r.host.cfg.Settings.maxConns())))
+}
+
 // newServer returns the server for requests of other hosts.
 func (r *pathRole) newServer(filters pipeline.Handler) *pipeline.Server {
 	cfg := r.host.serverConfig(filters)
-	most := math.Ceil(passConnsShare * float64(cfg.MaxConns))
-	cfg.First = passon.NewReceiver(filters, passon.ReceiverConfig{Key: r.key, MaxOpen: int64(most), NoPath: r.NoPath, Metrics: cfg.Metrics})
-	cfg.MaxConns, cfg.MaxConnsPerIP, cfg.Metrics = int(most), 0, metrics.NewSet()
+	cfg.First = passon.NewReceiver(filters, passon.ReceiverConfig{Key: r.key, MaxOpen: r.maxPassed(), NoPath: r.NoPath, Metrics: cfg.Metrics})
+	cfg.MaxConns, cfg.MaxConnsPerIP, cfg.Metrics = int(r.maxPassed()), 0, metrics.NewSet()
 	return pipeline.NewServer(cfg)
 }
--- a/lib/filter/passon/passon.go
+++ b/lib/filter/passon/passon.go
@@ -49,6 +49,7 @@
 	Hosts     func() []Host // the other hosts that may take requests
 	// Divert returns the hosts that take requests of the route while this one may send none to its targets; nil: it may.
 	Divert  func(*catalog.Route) []Host
+	MaxOpen int64  // most requests that are passed on at the same time
 	OnKey   func() // called when a host did not know its key: it may have started anew
 	Retries *retry.Budget
 	Stop    *stopping.Stop
@@ -62,6 +63,7 @@
 	cfg    Config
 	client *forward.Client
 	hosts  hosts
+	open   atomic.Int64
 	lastID atomic.Uint64
 	passed func(result string) *metrics.Counter
 }
@@ -116,9 +118,13 @@
 
 // pass passes the request on to one of the hosts. counted states that this host has counted it for the budget of retries.
 func (f *filter) pass(ctx context.Context, ex *pipeline.Exchange, all []Host, counted bool) error {
+	if f.open.Add(1) > f.cfg.MaxOpen {
+		f.open.Add(-1)
+		return errNotTaken
+	}
 	ctx, release := f.cfg.Stop.Bound(ctx)
 	ctx, cancel := context.WithDeadline(ctx, ex.AnswerBy)
-	p := &passage{filter: f, ex: ex, ctx: ctx, end: func() { cancel(); release() }}
+	p := &passage{filter: f, ex: ex, ctx: ctx, end: func() { cancel(); release(); f.open.Add(-1) }}
 	f.hosts.retain(f.cfg.Hosts())
 	var tried []string
 	for len(tried) < maxHosts {
@@ -131,7 +137,9 @@
 		f.cfg.Log.LogAttrs(context.Background(), slog.LevelInfo, "passed on", slog.String("request_id", ex.ID), slog.String("peer", host.Name),
 			slog.String("outcome", outcome.String()), slog.Bool("counted", counted), slog.String("error", errorText(err)))
 		f.passed(outcome.String()).Inc()
-		f.hosts.took(host.Name, outcome == forward.Answered, time.Now())
+		if outcome == forward.Answered || ctx.Err() == nil {
+			f.hosts.took(host.Name, outcome == forward.Answered, time.Now())
+		}
 		switch outcome {
 		case forward.Answered:
 			return p.deliver(host, a)
--- a/lib/httpconn/httpconn.go
+++ b/lib/httpconn/httpconn.go
@@ -60,7 +60,7 @@
 
 // targetTCPOptions let the kernel close the connection of an unreachable target within about 4 s, however long a
 // reachable target takes to answer.
-var targetTCPOptions = tcpopt.Options{Idle: time.Second, Interval: time.Second, Count: 3, UserTimeout: 4 * time.Second}
+var targetTCPOptions = tcpopt.Options{Idle: time.Second, Interval: time.Second, Count: 3}
 
 // Dialer opens a connection to an IP:port.
 type Dialer func(ctx context.Context, addr string) (net.Conn, error)
--- a/lib/httpconn/httpconn_test.go
+++ b/lib/httpconn/httpconn_test.go
@@ -261,10 +261,3 @@
 		}
 	}
 }
-
-// Guards against a user timeout that closes connections to targets sooner or later than the number of probes says.
-func TestProbesAndUserTimeoutAgree(t *testing.T) {
-	if o := targetTCPOptions; o.ProbesEnd() != o.UserTimeout {
-		t.Errorf("probes end after %v, user timeout %v", o.ProbesEnd(), o.UserTimeout)
-	}
-}
--- a/lib/pipeline/conn_test.go
+++ b/lib/pipeline/conn_test.go
@@ -254,10 +254,3 @@
 		time.Sleep(60 * time.Millisecond) // above HeaderTimeout
 	}
 }
-
-// Guards against a user timeout that closes callers' connections sooner or later than the number of probes says.
-func TestProbesAndUserTimeoutAgree(t *testing.T) {
-	if o := callerTCPOptions; o.ProbesEnd() != o.UserTimeout {
-		t.Errorf("probes end after %v, user timeout %v", o.ProbesEnd(), o.UserTimeout)
-	}
-}
--- a/lib/pipeline/listener.go
+++ b/lib/pipeline/listener.go
@@ -17,7 +17,7 @@
 )
 
 // callerTCPOptions let the kernel close the connection of an unreachable caller within 5 s.
-var callerTCPOptions = tcpopt.Options{Idle: 2 * time.Second, Interval: time.Second, Count: 3, UserTimeout: 5 * time.Second}
+var callerTCPOptions = tcpopt.Options{Idle: 2 * time.Second, Interval: time.Second, Count: 3}
 
 const (
 	// rejectTimeout bounds the time to refuse a connection above the limits.
--- a/lib/quota/bucket.go
+++ b/lib/quota/bucket.go
@@ -361,6 +361,12 @@
 	b.loanTokens += n
 }
 
+// Fill adds n tokens, up to the cap.
+func (b *Bucket) Fill(now int64, n float64) {
+	b.Advance(now)
+	b.level = min(b.level+n, max(b.limit(), b.level))
+}
+
 // Debit takes n tokens, whatever there is. The level may become negative.
 func (b *Bucket) Debit(now int64, n float64) {
 	b.Advance(now)
--- a/lib/ratekeeper/fleet_test.go
+++ b/lib/ratekeeper/fleet_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -93,10 +94,7 @@
 	h := fnv.New32()
 	_, _ = h.Write([]byte(name))
 	first := int(h.Sum32()) % f.mesh
-	inMesh := false
-	for i := range f.mesh {
-		inMesh = inMesh || f.nodes[i] == n
-	}
+	inMesh := slices.Contains(f.nodes[:f.mesh], n)
 	for i := range min(3, f.mesh) {
 		other := f.nodes[(first+i)%f.mesh]
 		c := Candidate{Host: other.name, Reachable: true}
@@ -110,12 +108,7 @@
 }
 
 func (f *fleet) byName(name string) *node {
-	for _, n := range f.nodes {
-		if n.name == name {
-			return n
-		}
-	}
-	return nil
+	return f.nodes[slices.IndexFunc(f.nodes, func(n *node) bool { return n.name == name })]
 }
 
 // reaches reports whether a message passes now. The caller holds mu.
--- a/lib/ratekeeper/pool.go
+++ b/lib/ratekeeper/pool.go
@@ -49,7 +49,7 @@
 		p = &pool{bucket: quota.NewBucket(since), rate: rate, burst: burst}
 		p.bucket.Configure(since, since, rate, burst)
 		if k.keptSince.Equal(k.started) {
-			p.bucket.Debit(since, -initialBurstFraction*burst)
+			p.bucket.Fill(since, initialBurstFraction*burst)
 		}
 		k.pools[o.Name] = p
 	}
--- a/lib/ratekeeper/ratekeeper.go
+++ b/lib/ratekeeper/ratekeeper.go
@@ -258,11 +258,11 @@
 
 // ask sends the keeper an ask and returns the answer, or false if there is none in time. Without an answer it goes to the next candidate too,
 // which knows another way to the keeper or takes its place.
-func (k *Keepers) ask(ctx context.Context, keeper string, candidates []Candidate, m message) (message, bool) {
+func (k *Keepers) ask(caller context.Context, keeper string, candidates []Candidate, m message) (message, bool) {
 	m.From, m.Origin = k.host, k.host
 	key, answers := k.expect(&m)
 	defer k.forget(key)
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	ctx, cancel := context.WithTimeout(caller, askTimeout)
 	defer cancel()
 	k.send(keeper, &m)
 	resend := time.NewTicker(resendDelay)
@@ -285,9 +285,11 @@
 				k.send(next, &m)
 			}
 		case <-ctx.Done():
-			k.markSilent(keeper)
-			if next != "" && next != k.host {
-				k.markSilent(next)
+			if caller.Err() == nil {
+				k.markSilent(keeper)
+				if next != "" && next != k.host {
+					k.markSilent(next)
+				}
 			}
 			return message{}, false
 		}
--- a/lib/ratekeeper/ratekeeper_test.go
+++ b/lib/ratekeeper/ratekeeper_test.go
@@ -241,3 +241,13 @@
 		}
 	})
 }
+
+// BenchmarkGrant handles an ask at the keeper, without the system calls.
+func BenchmarkGrant(b *testing.B) {
+	n := newFleet(1, catalog.Organisation{Name: "o", Rate: 1e9, Burst: 1e9}, 1).nodes[0]
+	m := message{Kind: ask, From: n.name, Origin: n.name, Organisation: "o", Tokens: 100}
+	for b.Loop() {
+		m.ID++
+		n.Handle(m.encode())
+	}
+}
--- a/lib/tcpopt/tcpopt.go
+++ b/lib/tcpopt/tcpopt.go
@@ -14,15 +14,14 @@
 
 // Options bound the time after which the kernel closes the connection of an unreachable peer.
 type Options struct {
-	Idle        time.Duration // before the first keepalive probe
-	Interval    time.Duration // between probes
-	Count       int           // unanswered probes after which the connection is closed
-	UserTimeout time.Duration // longest time that written data may stay unacknowledged
+	Idle     time.Duration // before the first keepalive probe
+	Interval time.Duration // between probes
+	Count    int           // unanswered probes after which the connection is closed
 }
 
-// ProbesEnd returns when unanswered probes close an idle connection by their count. The kernel closes it by UserTimeout instead, so the two have to
-// agree.
-func (o Options) ProbesEnd() time.Duration { return o.Idle + time.Duration(o.Count)*o.Interval }
+// Timeout returns the time after which an unreachable peer's connection is closed. It is the user timeout too, the longest time that written data
+// may stay unacknowledged: once that is set the kernel closes an idle connection by it, whatever the number of probes.
+func (o Options) Timeout() time.Duration { return o.Idle + time.Duration(o.Count)*o.Interval }
 
 // Set sets the options of a TCP connection and leaves other connections as they are. If it fails, the system's defaults
 // may stay in force, with which an unreachable peer is detected later.
@@ -41,7 +40,7 @@
 	}
 	var optErr error
 	err = raw.Control(func(fd uintptr) {
-		optErr = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(o.UserTimeout/time.Millisecond))
+		optErr = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(o.Timeout()/time.Millisecond))
 	})
 	if err != nil {
 		return err
--- a/lib/tcpopt/tcpopt_test.go
+++ b/lib/tcpopt/tcpopt_test.go
@@ -34,7 +34,7 @@
 // Guards against connections without the options that detect an unreachable peer.
 func TestSetAppliesAllOptions(t *testing.T) {
 	in, _ := tcpPair(t)
-	if err := Set(in, Options{Idle: 2 * time.Second, Interval: time.Second, Count: 3, UserTimeout: 5 * time.Second}); err != nil {
+	if err := Set(in, Options{Idle: 2 * time.Second, Interval: time.Second, Count: 3}); err != nil {
 		t.Fatal(err)
 	}
 	raw, err := in.SyscallConn()
