Keepers: a silent candidate is tried again each second, whatever became of the last try

A caller that left while its ask tried a silent candidate kept that candidate passed over for good at a host that hears no states of it. Found in review; the time of the last try takes the place of a flag. The tests of the package pass.

--- a/lib/ratekeeper/ratekeeper.go
+++ b/lib/ratekeeper/ratekeeper.go
@@ -224,8 +224,8 @@
 
 // silence is that of a candidate.
 type silence struct {
-	since   time.Time // of the latest ask without an answer
-	probing bool      // an ask that tries whether it answers again is under way
+	since    time.Time // of the latest ask without an answer
+	probedAt time.Time // when an ask last tried whether it answers again
 }
 
 // isSilent reports whether a candidate did not answer and was not heard since. Where states of it do not arrive, it is false once each
@@ -238,8 +238,8 @@
 	case c.Heard.After(s.since) || k.heard[c.Host].After(s.since):
 		delete(k.silent, c.Host)
 		return false
-	case c.Heard.IsZero() && !s.probing && now.Sub(s.since) > silentTime:
-		k.silent[c.Host] = silence{s.since, true}
+	case c.Heard.IsZero() && now.Sub(s.since) > silentTime && now.Sub(s.probedAt) > silentTime:
+		k.silent[c.Host] = silence{s.since, now}
 		return false
 	}
 	return true
