Requests passed on: not run is stated only if no host may have run the request

A repeatable request whose first host gave no answer could end as not run, and its charge was taken back, once another host refused it. The tests of the path pass.

--- a/lib/filter/passon/passon.go
+++ b/lib/filter/passon/passon.go
@@ -107,10 +107,17 @@
 	if r.Run != refusal.NotRun && (!ex.Matched.Repeatable() || !f.cfg.Retries.Allow(ex.Matched.Split[0].Service)) {
 		return err
 	}
-	if passErr := f.pass(ctx, ex, f.cfg.Hosts(), true); !errors.Is(passErr, errNotTaken) {
-		return passErr
+	passErr := f.pass(ctx, ex, f.cfg.Hosts(), true)
+	if errors.Is(passErr, errNotTaken) || r.Run != refusal.NotRun && isNotRun(passErr) {
+		return err
 	}
-	return err
+	return passErr
+}
+
+// isNotRun reports whether the error refuses a request that has certainly not run.
+func isNotRun(err error) bool {
+	r, refused := refusal.As(err)
+	return refused && r.Run == refusal.NotRun
 }
 
 // errNotTaken means that no host took the request.
@@ -127,6 +134,7 @@
 	p := &passage{filter: f, ex: ex, ctx: ctx, end: func() { cancel(); release(); f.open.Add(-1) }}
 	f.hosts.retain(f.cfg.Hosts())
 	var tried []string
+	mayHaveRun := false // at a host that gave no answer
 	for len(tried) < maxHosts {
 		host, ok := f.hosts.pick(all, tried, time.Now())
 		if !ok {
@@ -142,7 +150,10 @@
 		}
 		switch outcome {
 		case forward.Answered:
-			return p.deliver(host, a)
+			if err := p.deliver(host, a); !mayHaveRun || !isNotRun(err) {
+				return err
+			}
+			return f.unknown(ctx)
 		case forward.NotRun:
 			_, _ = a.ReadAll()
 		case forward.Unknown:
@@ -151,6 +162,7 @@
 				p.end()
 				return f.unknown(ctx)
 			}
+			mayHaveRun = true
 		}
 		f.hosts.ended(host.Name)
 		if ctx.Err() != nil {
@@ -158,6 +170,9 @@
 		}
 	}
 	p.end()
+	if mayHaveRun {
+		return f.unknown(ctx)
+	}
 	return errNotTaken
 }
 
