Peers: the address of a message's receiver is read under the lock

The race detector found SendMessage reading a host's address while entries of the store replaced it (TestBrittleTargetsDoNotFallOver under -race). The tests of the path, of brittle targets and of takeups pass under it now.

--- a/lib/peers/peers.go
+++ b/lib/peers/peers.go
@@ -335,12 +335,15 @@
 // SendMessage sends a host a message of its own, which may be lost.
 func (x *Exchanger) SendMessage(host string, data []byte) error {
 	x.mu.Lock()
-	conn, p := x.conn, x.peers[host]
+	conn, addr := x.conn, (*net.UDPAddr)(nil)
+	if p := x.peers[host]; p != nil {
+		addr = p.addr
+	}
 	x.mu.Unlock()
-	if conn == nil || p == nil {
+	if conn == nil || addr == nil {
 		return fmt.Errorf("peers: host %q is not known", host)
 	}
-	_, err := conn.WriteToUDP(append([]byte{messageMark}, data...), p.addr)
+	_, err := conn.WriteToUDP(append([]byte{messageMark}, data...), addr)
 	return err
 }
 
