Tests: no races of their own, and a fixed span for the return to the path

Reaches probes as many targets as a suspicion does, so that one sound target among ten is found; the test missed it once in three runs.

--- a/lib/pathwatch/pathwatch.go
+++ b/lib/pathwatch/pathwatch.go
@@ -145,7 +145,7 @@
 	w.mu.Lock()
 	recently := time.Since(w.accepted) < checkInterval && !w.cut
 	w.mu.Unlock()
-	return recently || w.probe(ctx, w.sample(suspiciousTargets, except))
+	return recently || w.probe(ctx, w.sample(firstProbes+moreProbes, except))
 }
 
 // Run checks the path until ctx ends.
--- a/lib/pathwatch/pathwatch_test.go
+++ b/lib/pathwatch/pathwatch_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -17,12 +18,12 @@
 	mu     sync.Mutex
 	down   int  // targets that accept no connection
 	silent bool // they do not answer, instead of refusing
-	dials  int
+	dials  atomic.Int64
 }
 
 func (l *links) dial(ctx context.Context, addr string) error {
 	l.mu.Lock()
-	l.dials++
+	l.dials.Add(1)
 	var n int
 	_, _ = fmt.Sscan(addr, &n)
 	down, silent := n < l.down, l.silent
@@ -45,10 +46,10 @@
 }
 
 // start runs a watch until the test calls the function that it returns.
-func start(l *links, others *bool) (w *Watch, returned *int, stop func()) {
-	returned = new(int)
+func start(l *links, others *bool) (w *Watch, returned *atomic.Int64, stop func()) {
+	returned = new(atomic.Int64)
 	w = New(Config{
-		Dial: l.dial, OthersReach: func() bool { return *others }, OnReturn: func() { *returned++ },
+		Dial: l.dial, OthersReach: func() bool { return *others }, OnReturn: func() { returned.Add(1) },
 		Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
 		Addrs: func() (out []string) {
 			for i := range 10 {
@@ -87,15 +88,15 @@
 				t.Errorf("silent %v: cut not noticed after 1.2 s", silent)
 			}
 			l.set(0, false)
-			time.Sleep(600 * time.Millisecond)
+			time.Sleep(300 * time.Millisecond) // a probe lasts 250 ms
 			passed := 0
 			for range 1000 {
 				if w.Pass() {
 					passed++
 				}
 			}
-			if w.Cut() || *returned != 1 || passed < 200 || passed > 950 {
-				t.Errorf("silent %v: cut %v, %d returns, %d of 1000 requests passed on soon after the end of the cut", silent, w.Cut(), *returned, passed)
+			if w.Cut() || returned.Load() != 1 || passed < 300 || passed == 1000 {
+				t.Errorf("silent %v: cut %v, %d returns, %d of 1000 requests passed on soon after the end of the cut", silent, w.Cut(), returned.Load(), passed)
 			}
 			time.Sleep(1500 * time.Millisecond)
 			if w.Pass() {
@@ -144,8 +145,8 @@
 		defer stop()
 		defer w.Wait()(true)
 		time.Sleep(10 * time.Second)
-		if l.dials > 2*firstProbes*10 || w.Doubtful() && w.Cut() {
-			t.Errorf("%d probes in 10 s", l.dials)
+		if l.dials.Load() > 2*firstProbes*10 || w.Doubtful() && w.Cut() {
+			t.Errorf("%d probes in 10 s", l.dials.Load())
 		}
 	})
 }
--- a/lib/ratekeeper/fleet_test.go
+++ b/lib/ratekeeper/fleet_test.go
@@ -193,8 +193,11 @@
 	}
 	for range askTimeout / step { // until the last requests are decided
 		time.Sleep(step)
+		f.mu.Lock()
 		f.steps = append(f.steps, 0)
+		f.mu.Unlock()
 	}
+	synctest.Wait()
 }
 
 func (f *fleet) request(n *node, tokens int64, at int, rejected float64) {
