--- a/lib/entryhost/status.go
+++ b/lib/entryhost/status.go
@@ -71,3 +71,6 @@
 
 // Brittle reports whether targets of any service are known to be brittle.
 func (h *Host) Brittle() bool { return len(h.brittle.Brittle(time.Now())) > 0 }
+
+// Cut reports whether this host is cut off from the targets while others reach them.
+func (h *Host) Cut() bool { return h.path.Cut() }
